Add the thin whole path: one instance between stand-ins and callers

Cause: everything else hangs on a frame through which a completion, a deferred job and a plain-service call pass over real sockets. Change: settings with checks, failures, numbered events, HTTP servers, KV client, profiles, fleet, dispatch, entry and operator ports, stand-ins, demo, tests. Conclusion: the seams (ports as NamedTuples of functions) stand; parts can now be replaced one by one.

--- /dev/null
+++ b/buckthornrock/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with ``python -m buckthornrock``."""
+
+from .commands import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/buckthornrock/admission/unlimited.py
@@ -0,0 +1,27 @@
+"""Admission that lets everything in at once."""
+
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from .errors import AdmissionFailure
+from .port import AdmissionPort, AdmissionQuery, Ticket
+
+
+def open_unlimited(now_ms: Callable[[], float]) -> AdmissionPort:
+    """Return admission without limits or queues."""
+
+    def admit(
+        query: AdmissionQuery, is_abandoned: Callable[[], bool]
+    ) -> Result[Ticket, AdmissionFailure]:
+        return Ok(Ticket(query, now_ms(), 0.0))
+
+    def release(
+        ticket: Ticket,
+        n_computed_tokens: int,
+        n_output_tokens: int,
+        ttft_ms: float | None,
+    ) -> None:
+        """Nothing is held."""
+
+    return AdmissionPort(admit, release)
--- /dev/null
+++ b/buckthornrock/commands/__init__.py
@@ -0,0 +1,19 @@
+"""The command line; one module a command."""
+
+import click
+
+from .. import __version__
+from .check import check
+from .demo import demo
+from .serve import serve
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, message="%(version)s")
+def main() -> None:
+    """Route language-model traffic with long shared prompts."""
+
+
+main.add_command(serve)
+main.add_command(check)
+main.add_command(demo)
--- /dev/null
+++ b/buckthornrock/conf/checks.py
@@ -0,0 +1,103 @@
+"""Checks of decoded settings, each with a stable identifier.
+
+A section is checked by plain functions that yield problems; :data:`CHECKS` lists
+them all. Secrets are never part of a problem.
+"""
+
+import re
+from collections.abc import Callable, Iterator
+
+from .decoding import Problem
+from .settings import Settings
+
+BAD_PORT = "SET-E010"
+BAD_POSITIVE = "SET-E011"
+BAD_ADDRESS = "SET-E012"
+BAD_HASH = "SET-E013"
+DUPLICATE_ID = "SET-E014"
+WEAK_SECRET = "SET-E015"
+EMPTY_NAME = "SET-E016"
+BAD_UPSTREAM = "SET-E017"
+
+MIN_SECRET_BYTES = 16
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})")
+_POSITIVE_SUFFIXES = ("_ms", "_s", "_bytes", "_per_s", "n_threads", "n_contexts")
+
+
+def check_settings(settings: Settings) -> list[Problem]:
+    """Return every problem of ``settings``, in the order of the file."""
+    return [problem for check in CHECKS for problem in check(settings)]
+
+
+def _check_names(settings: Settings) -> Iterator[Problem]:
+    for key in ("instance_id", "failure_domain"):
+        if not getattr(settings, key):
+            yield Problem(EMPTY_NAME, f"$.{key}", "an empty string", "give a name")
+
+
+def _check_numbers(settings: Settings) -> Iterator[Problem]:
+    yield from _check_section(settings, "$")
+
+
+def _check_section(section: object, path: str) -> Iterator[Problem]:
+    for key, value in zip(section._fields, section, strict=True):
+        here = f"{path}.{key}"
+        if hasattr(value, "_fields"):
+            yield from _check_section(value, here)
+            continue
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            continue
+        if key.endswith("port") and not 0 <= value <= 65_535:
+            yield Problem(BAD_PORT, here, str(value), "write 0 to 65535")
+        if key.endswith(_POSITIVE_SUFFIXES) and value <= 0:
+            yield Problem(BAD_POSITIVE, here, str(value), "write more than 0")
+
+
+def _check_secrets(settings: Settings) -> Iterator[Problem]:
+    hint = f"write at least {MIN_SECRET_BYTES} bytes"
+    if len(settings.isolation_secret.encode()) < MIN_SECRET_BYTES:
+        yield Problem(WEAK_SECRET, "$.isolation_secret", "a short secret", hint)
+    wire = settings.wire
+    if wire.port and len(wire.shared_secret.encode()) < MIN_SECRET_BYTES:
+        yield Problem(WEAK_SECRET, "$.wire.shared_secret", "a short secret", hint)
+
+
+def _check_hashes(settings: Settings) -> Iterator[Problem]:
+    hint = "write the SHA-256 of the key as 64 lower-case hexadecimal digits"
+    for index, key in enumerate(settings.caller_keys):
+        if not _SHA256.fullmatch(key.sha256):
+            path = f"$.caller_keys[{index}].sha256"
+            yield Problem(BAD_HASH, path, "not a SHA-256", hint)
+    for index, digest in enumerate(settings.operator.keys_sha256):
+        if not _SHA256.fullmatch(digest):
+            path = f"$.operator.keys_sha256[{index}]"
+            yield Problem(BAD_HASH, path, "not a SHA-256", hint)
+
+
+def _check_upstreams(settings: Settings) -> Iterator[Problem]:
+    seen: set[str] = set()
+    for index, server in enumerate(settings.upstreams.servers):
+        path = f"$.upstreams.servers[{index}]"
+        if server.id in seen:
+            yield Problem(DUPLICATE_ID, f"{path}.id", server.id, "ids are unique")
+        seen.add(server.id)
+        if not _ADDRESS.fullmatch(server.address):
+            hint = "write IP:PORT"
+            yield Problem(BAD_ADDRESS, f"{path}.address", server.address, hint)
+        if server.kind == "engine" and not server.models:
+            hint = "name the models it serves"
+            yield Problem(BAD_UPSTREAM, f"{path}.models", "nothing", hint)
+        if server.kind == "service" and not server.service:
+            hint = "name the service it belongs to"
+            yield Problem(BAD_UPSTREAM, f"{path}.service", "nothing", hint)
+
+
+#: All checks, in the order in which they are reported.
+CHECKS: tuple[Callable[[Settings], Iterator[Problem]], ...] = (
+    _check_names,
+    _check_numbers,
+    _check_secrets,
+    _check_hashes,
+    _check_upstreams,
+)
--- /dev/null
+++ b/buckthornrock/conf/defaults.py
@@ -0,0 +1,45 @@
+"""The value of every setting that a settings file may leave out."""
+
+# Entry port
+ENTRY_HOST = "127.0.0.1"
+#: Threads that serve callers; an open stream holds one.
+ENTRY_N_THREADS = 256
+ENTRY_MAX_BODY_BYTES = 8_000_000
+ENTRY_READ_TIMEOUT_MS = 10_000
+#: Deadline of a request that states none.
+ENTRY_DEADLINE_MS = 60_000
+ENTRY_DRAIN_LIMIT_MS = 120_000
+
+# Operator port
+OPERATOR_HOST = "127.0.0.1"
+OPERATOR_N_THREADS = 4
+
+# The platform's key-value service
+KV_TIMEOUT_MS = 1_000
+KV_LEASE_TTL_S = 10
+KV_KEY_PREFIX = "btr/"
+#: The fleet's budget; an instance may use its share.
+KV_FLEET_WRITES_PER_S = 300.0
+KV_FLEET_READS_PER_S = 2_000.0
+
+# The platform's instance list
+INSTANCE_LIST_PERIOD_MS = 1_000
+
+# Inner protocol
+WIRE_N_CONTEXTS = 4
+WIRE_TIMEOUT_MS = 500
+WIRE_MAX_FRAME_BYTES = 1_048_576
+
+# Upstreams
+UPSTREAM_CONNECT_TIMEOUT_MS = 500
+UPSTREAM_READ_TIMEOUT_MS = 30_000
+UPSTREAM_POLL_PERIOD_MS = 250
+UPSTREAM_BLOCK_BYTES = 64
+
+# Profiles
+PROFILE_NAME = "default"
+
+# Telemetry
+STATSD_HOST = ""
+STATSD_PORT = 8125
+STATSD_PREFIX = "buckthornrock"
--- /dev/null
+++ b/buckthornrock/dispatch/__init__.py
@@ -0,0 +1,21 @@
+"""Carries a request through admission, routing and attempts to its answer."""
+
+from .completions import CompletionDispatcher
+from .requests import (
+    Caller,
+    CompletionDone,
+    CompletionRequest,
+    CompletionSink,
+    ServiceRequest,
+)
+from .services import ServiceDispatcher
+
+__all__ = [
+    "Caller",
+    "CompletionDispatcher",
+    "CompletionDone",
+    "CompletionRequest",
+    "CompletionSink",
+    "ServiceDispatcher",
+    "ServiceRequest",
+]
--- /dev/null
+++ b/buckthornrock/dispatch/requests.py
@@ -0,0 +1,90 @@
+"""Requests as the dispatchers take them."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..profiles import WorkClass
+
+
+class Caller(NamedTuple):
+    """Who asks: a client account, and the member of it where there are several."""
+
+    client_account: str
+    member: str
+
+
+class CompletionRequest(NamedTuple):
+    """A checked completion.
+
+    Parameters
+    ----------
+    body : dict
+        The caller's JSON object.
+    prompt : bytes
+        The rendered prompt, for hashing and estimates.
+    deadline_at_ms : float
+        Monotonic.
+    """
+
+    request_id: str
+    caller: Caller
+    profile: str
+    work_class_name: str
+    work_class: WorkClass
+    weight: float
+    model: str
+    adapter: str
+    body: dict
+    prompt: bytes
+    prefix_levels: tuple[int, ...]
+    max_tokens: int
+    deadline_at_ms: float
+    is_deferred: bool
+
+
+class CompletionChunk(NamedTuple):
+    """A piece of the answer with the index of its first token."""
+
+    stream_id: str
+    offset: int
+    n_tokens: int
+    text: str
+    finish_reason: str | None
+
+
+class CompletionDone(NamedTuple):
+    """A completion was delivered whole."""
+
+    n_tokens: int
+    n_prompt_tokens: int
+    ttft_ms: float
+
+
+class CompletionSink(NamedTuple):
+    """Where an answer goes.
+
+    Parameters
+    ----------
+    write : callable
+        ``write(chunk)``; raises ``OSError`` if the caller is gone.
+    is_gone : callable
+        ``is_gone() -> bool``; cheap, may be polled.
+    """
+
+    write: Callable[[CompletionChunk], None]
+    is_gone: Callable[[], bool]
+
+
+class ServiceRequest(NamedTuple):
+    """A checked call to a plain service."""
+
+    request_id: str
+    caller: Caller
+    profile: str
+    service: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    idempotency_key: str
+    deadline_at_ms: float
--- /dev/null
+++ b/buckthornrock/entry/app.py
@@ -0,0 +1,74 @@
+"""Routes callers' requests to their handlers."""
+
+from collections.abc import Callable
+
+from ..dispatch import Caller
+from ..events import entry as events
+from ..httpd import Exchange, Handler
+from .completions import new_request_id, serve_completion
+from .context import EntryParts, refuse
+from .deferred import PATH_PREFIX as DEFERRED_PREFIX
+from .deferred import serve_deferred
+from .errors import InternalError, MethodNotAllowed, NoSuchPath
+from .services import PATH_PREFIX as SERVICES_PREFIX
+from .services import serve_service
+
+COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
+
+_Serve = Callable[[EntryParts, Exchange, Caller, str], None]
+
+
+def build_entry(parts: EntryParts) -> Handler:
+    """Return the handler of the callers' port."""
+
+    def handle(exchange: Exchange) -> None:
+        request_id = new_request_id()
+        try:
+            _handle(parts, exchange, request_id)
+        except ConnectionError:
+            exchange.abort()
+        except Exception as error:  # noqa: BLE001 - one request must not end a worker
+            parts.telemetry.log(
+                events.HANDLER_FAILED,
+                path=exchange.path,
+                error_type=type(error).__name__,
+                reason=str(error),
+            )
+            _answer_internal_error(parts, exchange, request_id)
+
+    return handle
+
+
+def _handle(parts: EntryParts, exchange: Exchange, request_id: str) -> None:
+    serve = _serve_function(exchange.path)
+    if serve is None:
+        refuse(parts, exchange, NoSuchPath(exchange.path), request_id)
+        return
+    if serve is serve_completion and exchange.method != "POST":
+        failure = MethodNotAllowed(exchange.method, ("POST",))
+        refuse(parts, exchange, failure, request_id)
+        return
+    caller = parts.keys.authenticate(exchange.headers.get("authorization", ""))
+    if caller.is_error():
+        refuse(parts, exchange, caller.error, request_id)
+        return
+    serve(parts, exchange, caller.ok, request_id)
+
+
+def _serve_function(path: str) -> _Serve | None:
+    if path in COMPLETION_PATHS:
+        return serve_completion
+    if path.startswith(DEFERRED_PREFIX):
+        return serve_deferred
+    if path.startswith(SERVICES_PREFIX):
+        return serve_service
+    return None
+
+
+def _answer_internal_error(
+    parts: EntryParts, exchange: Exchange, request_id: str
+) -> None:
+    if exchange.is_started:
+        exchange.abort()
+        return
+    refuse(parts, exchange, InternalError(), request_id)
--- /dev/null
+++ b/buckthornrock/entry/completions.py
@@ -0,0 +1,228 @@
+"""Serves completions: at once as a stream or whole, or deferred."""
+
+import os
+import select
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..dispatch import Caller, CompletionRequest, CompletionSink
+from ..dispatch.requests import CompletionChunk
+from ..errors import Failure
+from ..events import entry as events
+from ..httpd import Exchange
+from ..profiles import AccountLimits, Profile
+from ..telemetry.metrics import REQUESTS, TOKENS, TTFT_MS
+from .context import EntryParts, refuse
+from .deferred import submit_deferred
+from .errors import UnknownWorkClass
+from .parsing import (
+    CompletionFields,
+    parse_completion,
+    parse_deadline_ms,
+    parse_object,
+    render_prompt,
+)
+
+EVENT_STREAM = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+
+
+def serve_completion(
+    parts: EntryParts, exchange: Exchange, caller: Caller, request_id: str
+) -> None:
+    """Answer one completion."""
+    is_chat = exchange.path == "/v1/chat/completions"
+    parsed = _parse(parts, exchange, caller, request_id, is_chat)
+    if parsed.is_error():
+        refuse(parts, exchange, parsed.error, request_id, caller)
+        return
+    request, fields = parsed.ok
+    if "respond-async" in exchange.headers.get("prefer", ""):
+        submit_deferred(parts, exchange, request, is_chat)
+        return
+    parts.telemetry.metrics.incr(REQUESTS, label=request.work_class_name)
+    if fields.stream:
+        _serve_stream(parts, exchange, request, is_chat)
+        return
+    _serve_whole(parts, exchange, request, is_chat)
+
+
+def _parse(
+    parts: EntryParts,
+    exchange: Exchange,
+    caller: Caller,
+    request_id: str,
+    is_chat: bool,
+) -> Result[tuple[CompletionRequest, CompletionFields], Failure]:
+    raw = exchange.read_body()
+    if raw.is_error():
+        return raw
+    body = parse_object(raw.ok)
+    if body.is_error():
+        return body
+    fields = parse_completion(body.ok, is_chat)
+    if fields.is_error():
+        return fields
+    request = build_request(
+        parts, caller, request_id, body.ok, fields.ok, exchange.headers
+    )
+    return request.map(lambda r: (r, fields.ok))
+
+
+def build_request(
+    parts: EntryParts,
+    caller: Caller,
+    request_id: str,
+    body: dict,
+    fields: CompletionFields,
+    headers: dict[str, str],
+) -> Result[CompletionRequest, Failure]:
+    """Join body, headers and profile into a request for the dispatcher."""
+    name = headers.get("x-profile", parts.default_profile)
+    record = parts.profiles.current(name)
+    if record.is_error():
+        return record
+    profile = record.ok.profile
+    class_name = headers.get("x-work-class", profile["default_work_class"])
+    work_class = profile["work_classes"].get(class_name)
+    if work_class is None:
+        return Error(UnknownWorkClass(name, class_name))
+    header = headers.get("x-deadline-ms", "")
+    deadline_ms = parse_deadline_ms(header, work_class["deadline_ms"])
+    if deadline_ms.is_error():
+        return deadline_ms
+    return Ok(
+        CompletionRequest(
+            request_id=request_id,
+            caller=caller,
+            profile=name,
+            work_class_name=class_name,
+            work_class=work_class,
+            weight=_limits(profile, caller)["weight"],
+            model=fields.model,
+            adapter=fields.adapter,
+            body=body,
+            prompt=render_prompt(fields),
+            prefix_levels=tuple(fields.prefix_levels),
+            max_tokens=fields.max_tokens,
+            deadline_at_ms=parts.clock.now_ms() + deadline_ms.ok,
+            is_deferred=False,
+        )
+    )
+
+
+def _limits(profile: Profile, caller: Caller) -> AccountLimits:
+    accounts = profile["client_accounts"]
+    return accounts.get(caller.client_account, profile["default_limits"])
+
+
+def _serve_stream(
+    parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
+) -> None:
+    completion_id = _completion_id(request.request_id, is_chat)
+
+    def write(chunk: CompletionChunk) -> None:
+        if not exchange.is_started:
+            head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
+            exchange.start_stream(200, head)
+        event = _stream_event(completion_id, request.model, chunk, is_chat)
+        exchange.send_part(b"data: " + msgspec.json.encode(event) + b"\n\n")
+
+    sink = CompletionSink(write, lambda: _is_gone(exchange))
+    result = parts.completions.run(request, sink)
+    if result.is_ok():
+        _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
+        exchange.send_part(b"data: [DONE]\n\n")
+        return
+    if not exchange.is_started:
+        refuse(parts, exchange, result.error, request.request_id, request.caller)
+        return
+    exchange.abort()
+
+
+def _serve_whole(
+    parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
+) -> None:
+    answer = collect_answer(parts, request, is_chat, lambda: _is_gone(exchange))
+    if answer.is_error():
+        refuse(parts, exchange, answer.error, request.request_id, request.caller)
+        return
+    head = {"X-Request-Id": request.request_id}
+    exchange.respond_json(200, answer.ok, head)
+
+
+def collect_answer(
+    parts: EntryParts, request: CompletionRequest, is_chat: bool, is_gone: object
+) -> Result[dict, Failure]:
+    """Run a completion and return its whole answer."""
+    texts: list[str] = []
+    finish_reasons: list[str | None] = [None]
+
+    def write(chunk: CompletionChunk) -> None:
+        texts.append(chunk.text)
+        finish_reasons.append(chunk.finish_reason)
+
+    result = parts.completions.run(request, CompletionSink(write, is_gone))
+    if result.is_error():
+        return result
+    _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
+    text = "".join(texts)
+    content = {"message": {"role": "assistant", "content": text}}
+    choice = content if is_chat else {"text": text}
+    n_prompt, n_tokens = result.ok.n_prompt_tokens, result.ok.n_tokens
+    return Ok(
+        {
+            "id": _completion_id(request.request_id, is_chat),
+            "object": "chat.completion" if is_chat else "text_completion",
+            "model": request.model,
+            "choices": [{"index": 0, **choice, "finish_reason": finish_reasons[-1]}],
+            "usage": {
+                "prompt_tokens": n_prompt,
+                "completion_tokens": n_tokens,
+                "total_tokens": n_prompt + n_tokens,
+            },
+        }
+    )
+
+
+def _stream_event(
+    completion_id: str, model: str, chunk: CompletionChunk, is_chat: bool
+) -> dict:
+    content = {"delta": {"content": chunk.text}} if is_chat else {"text": chunk.text}
+    return {
+        "id": completion_id,
+        "object": "chat.completion.chunk" if is_chat else "text_completion",
+        "model": model,
+        "choices": [{"index": 0, **content, "finish_reason": chunk.finish_reason}],
+    }
+
+
+def _completion_id(request_id: str, is_chat: bool) -> str:
+    return ("chatcmpl-" if is_chat else "cmpl-") + request_id
+
+
+def _is_gone(exchange: Exchange) -> bool:
+    poll = select.poll()
+    poll.register(exchange.socket, select.POLLRDHUP | select.POLLHUP)
+    return bool(poll.poll(0))
+
+
+def _note_served(
+    parts: EntryParts, request: CompletionRequest, n_tokens: int, ttft_ms: float
+) -> None:
+    metrics = parts.telemetry.metrics
+    metrics.timing(TTFT_MS, ttft_ms, label=request.work_class_name)
+    metrics.incr(TOKENS, n_tokens, label=request.work_class_name)
+    parts.telemetry.log(
+        events.REQUEST_SERVED,
+        request_id=request.request_id,
+        client_account=request.caller.client_account,
+        work_class=request.work_class_name,
+        n_tokens=n_tokens,
+        ttft_ms=round(ttft_ms, 3),
+    )
+
+
+def new_request_id() -> str:
+    """Return a random request id."""
+    return os.urandom(12).hex()
--- /dev/null
+++ b/buckthornrock/entry/deferred.py
@@ -0,0 +1,68 @@
+"""Serves deferred jobs: submission, reading and cancelling."""
+
+from ..deferred import JobSubmission, JobView
+from ..dispatch import Caller, CompletionRequest
+from ..httpd import Exchange
+from .context import EntryParts, refuse
+from .errors import MethodNotAllowed, NotDeferrable
+
+PATH_PREFIX = "/v1/deferred/"
+
+
+def submit_deferred(
+    parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
+) -> None:
+    """Accept a completion as a deferred job, once it is durable."""
+    if request.work_class["kind"] != "deferrable":
+        failure = NotDeferrable(request.work_class_name)
+        refuse(parts, exchange, failure, request.request_id, request.caller)
+        return
+    job_id = parts.deferred.submit(_submission(parts, exchange, request, is_chat))
+    if job_id.is_error():
+        refuse(parts, exchange, job_id.error, request.request_id, request.caller)
+        return
+    head = {"Location": PATH_PREFIX + job_id.ok, "X-Request-Id": request.request_id}
+    exchange.respond_json(202, {"id": job_id.ok, "state": "waiting"}, head)
+
+
+def _submission(
+    parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
+) -> JobSubmission:
+    remaining_ms = request.deadline_at_ms - parts.clock.now_ms()
+    return JobSubmission(
+        client_account=request.caller.client_account,
+        member=request.caller.member,
+        profile=request.profile,
+        work_class=request.work_class_name,
+        body=request.body,
+        kind="chat" if is_chat else "completion",
+        deadline_wall_ms=parts.clock.wall_ms() + int(remaining_ms),
+        idempotency_key=exchange.headers.get("idempotency-key", ""),
+    )
+
+
+def serve_deferred(
+    parts: EntryParts, exchange: Exchange, caller: Caller, request_id: str
+) -> None:
+    """Answer a request for one job."""
+    job_id = exchange.path.removeprefix(PATH_PREFIX)
+    functions = {"GET": parts.deferred.read, "DELETE": parts.deferred.cancel}
+    function = functions.get(exchange.method)
+    if function is None:
+        failure = MethodNotAllowed(exchange.method, tuple(functions))
+        refuse(parts, exchange, failure, request_id, caller)
+        return
+    view = function(caller.client_account, caller.member, job_id)
+    if view.is_error():
+        refuse(parts, exchange, view.error, request_id, caller)
+        return
+    exchange.respond_json(200, _view_document(view.ok))
+
+
+def _view_document(view: JobView) -> dict:
+    document = {"id": view.job_id, "state": view.state}
+    if view.answer is not None:
+        document["answer"] = view.answer
+    if view.failure_code:
+        document["failure_code"] = view.failure_code
+    return document
--- /dev/null
+++ b/buckthornrock/entry/parsing.py
@@ -0,0 +1,73 @@
+"""Turns a caller's JSON and headers into checked requests."""
+
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from .errors import BadRequest
+
+MAX_OUTPUT_TOKENS = 32_768
+DEFAULT_OUTPUT_TOKENS = 16
+MAX_DEADLINE_MS = 7 * 24 * 3_600_000
+
+
+class CompletionFields(msgspec.Struct):
+    """The fields of a completion that the router reads; others pass through."""
+
+    model: str
+    prompt: str | None = None
+    messages: list[dict[str, Any]] | None = None
+    max_tokens: int = DEFAULT_OUTPUT_TOKENS
+    stream: bool = False
+    adapter: str = ""
+    prefix_levels: list[int] = []
+    n: int = 1
+
+
+def parse_object(raw: bytes) -> Result[dict, BadRequest]:
+    """Return the JSON object in ``raw``."""
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return Error(BadRequest("$", str(error)))
+    if not isinstance(body, dict):
+        return Error(BadRequest("$", "expected an object"))
+    return Ok(body)
+
+
+def parse_completion(body: dict, is_chat: bool) -> Result[CompletionFields, BadRequest]:
+    """Return the checked fields of a completion or chat completion."""
+    try:
+        fields = msgspec.convert(body, CompletionFields)
+    except msgspec.ValidationError as error:
+        return Error(BadRequest("$", str(error)))
+    wanted = "messages" if is_chat else "prompt"
+    if getattr(fields, wanted) is None:
+        return Error(BadRequest(f"$.{wanted}", "this field is required"))
+    if not 1 <= fields.max_tokens <= MAX_OUTPUT_TOKENS:
+        reason = f"write 1 to {MAX_OUTPUT_TOKENS}"
+        return Error(BadRequest("$.max_tokens", reason))
+    if fields.n != 1:
+        return Error(BadRequest("$.n", "only one answer a request"))
+    if fields.prefix_levels != sorted(set(fields.prefix_levels)):
+        return Error(BadRequest("$.prefix_levels", "write rising offsets"))
+    return Ok(fields)
+
+
+def render_prompt(fields: CompletionFields) -> bytes:
+    """Return the bytes whose blocks are hashed."""
+    if fields.messages is not None:
+        return msgspec.json.encode(fields.messages)
+    return fields.prompt.encode()
+
+
+def parse_deadline_ms(header: str, default_ms: int) -> Result[int, BadRequest]:
+    """Return the milliseconds of an ``X-Deadline-Ms`` header."""
+    if not header:
+        return Ok(default_ms)
+    if not header.isascii() or not header.isdigit():
+        return Error(BadRequest("X-Deadline-Ms", "write whole milliseconds"))
+    if not 1 <= int(header) <= MAX_DEADLINE_MS:
+        return Error(BadRequest("X-Deadline-Ms", f"write 1 to {MAX_DEADLINE_MS}"))
+    return Ok(int(header))
--- /dev/null
+++ b/buckthornrock/entry/problems.py
@@ -0,0 +1,93 @@
+"""Maps failures to RFC 9457 problem documents; one row a failure type."""
+
+from typing import NamedTuple
+
+from ..admission import errors as admission
+from ..deferred import errors as deferred
+from ..dispatch import errors as dispatch
+from ..errors import CallerGone, DeadlineExceeded, Failure, NotRun, Unavailable
+from ..httpd import BodyProblem, Exchange
+from ..profiles import errors as profiles
+from ..routing.errors import NoEngine
+from ..upstreams import errors as upstreams
+from . import errors as entry
+
+
+class ProblemRule(NamedTuple):
+    """How a failure type is shown.
+
+    ``not_run`` None takes the failure's own ``not_run`` field.
+    """
+
+    status: int
+    title: str
+    not_run: NotRun | None
+
+
+#: Every failure type that can reach a caller.
+RULES: dict[type, ProblemRule] = {
+    entry.Unauthenticated: ProblemRule(401, "Unknown key", "true"),
+    entry.BadRequest: ProblemRule(400, "Malformed request", "true"),
+    entry.UnknownWorkClass: ProblemRule(422, "Unknown work class", "true"),
+    entry.NotDeferrable: ProblemRule(422, "Not deferrable", "true"),
+    entry.NoSuchPath: ProblemRule(404, "No such path", "true"),
+    entry.MethodNotAllowed: ProblemRule(405, "Method not allowed", "true"),
+    entry.InternalError: ProblemRule(500, "Internal error", "unknown"),
+    BodyProblem: ProblemRule(400, "Unreadable body", "true"),
+    profiles.UnknownProfile: ProblemRule(422, "Unknown profile", "true"),
+    profiles.InvalidProfile: ProblemRule(422, "Invalid profile", "true"),
+    profiles.ProfileConflict: ProblemRule(409, "Another change came first", "true"),
+    profiles.ProfileUndecided: ProblemRule(503, "Change not confirmed", None),
+    NoEngine: ProblemRule(503, "No engine serves the model now", "true"),
+    admission.LimitReached: ProblemRule(429, "Limit reached", "true"),
+    admission.QueueFull: ProblemRule(503, "Too much work waits", "true"),
+    admission.TooLate: ProblemRule(503, "The deadline can't be met", "true"),
+    upstreams.AttemptFailed: ProblemRule(502, "The upstream failed", None),
+    upstreams.StreamBroken: ProblemRule(502, "The stream broke", "unknown"),
+    upstreams.UpstreamRefused: ProblemRule(502, "The upstream refused", "unknown"),
+    dispatch.AnswerIncomplete: ProblemRule(502, "The answer broke off", "false"),
+    dispatch.CallOutcomeUnknown: ProblemRule(504, "The outcome is unknown", None),
+    dispatch.NoServer: ProblemRule(503, "No server is available", "true"),
+    deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
+    deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
+    deferred.JobUnreadable: ProblemRule(503, "The job can't be read now", "true"),
+    DeadlineExceeded: ProblemRule(504, "The deadline passed", None),
+    Unavailable: ProblemRule(503, "Unavailable", "true"),
+    CallerGone: ProblemRule(499, "The caller left", "false"),
+}
+
+
+def problem_document(failure: Failure, request_id: str) -> dict:
+    """Return the problem document of ``failure``."""
+    rule = RULES[type(failure)]
+    not_run = rule.not_run or failure.not_run
+    document = {
+        "type": f"urn:buckthornrock:problem:{failure.code}",
+        "title": rule.title,
+        "status": _status(failure, rule),
+        "code": failure.code,
+        "not_run": {"true": True, "false": False}.get(not_run, "unknown"),
+        "request_id": request_id,
+    }
+    details = {k: v for k, v in failure._asdict().items() if k != "not_run"}
+    return {**document, "details": details}
+
+
+def respond_problem(exchange: Exchange, failure: Failure, request_id: str) -> None:
+    """Answer with the problem document of ``failure``."""
+    document = problem_document(failure, request_id)
+    headers = {"Content-Type": "application/problem+json", "X-Request-Id": request_id}
+    retry_after_ms = getattr(failure, "retry_after_ms", 0)
+    if retry_after_ms:
+        headers["Retry-After"] = str(-(-retry_after_ms // 1000))
+    if isinstance(failure, entry.MethodNotAllowed):
+        headers["Allow"] = ", ".join(failure.allowed)
+    exchange.respond_json(document["status"], document, headers)
+
+
+def _status(failure: Failure, rule: ProblemRule) -> int:
+    return (
+        getattr(failure, "status", rule.status)
+        if isinstance(failure, BodyProblem)
+        else rule.status
+    )
--- /dev/null
+++ b/buckthornrock/events/__init__.py
@@ -0,0 +1,39 @@
+"""The catalogue of numbered log events.
+
+Each concern declares its events in a module of its own; :data:`CATALOGUE` joins
+them. ``docs/EVENTS.md`` is held to this catalogue by a test.
+"""
+
+from . import (
+    admission,
+    deferred,
+    dispatch,
+    entry,
+    fleet,
+    idempotency,
+    lifecycle,
+    membership,
+    platform,
+    profiles,
+    routing,
+)
+from .event import Event, collect
+
+_MODULES = (
+    lifecycle,
+    entry,
+    platform,
+    profiles,
+    membership,
+    routing,
+    dispatch,
+    admission,
+    deferred,
+    idempotency,
+    fleet,
+)
+
+#: Every event by number.
+CATALOGUE: dict[int, Event] = collect(_MODULES)
+
+__all__ = ["CATALOGUE", "Event"]
--- /dev/null
+++ b/buckthornrock/events/platform.py
@@ -0,0 +1,1 @@
+"""Log events of the platform's services (numbers 1200 to 1299)."""
--- /dev/null
+++ b/buckthornrock/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""The upstreams: their health, their load, and the orders they get."""
+
+from .registry import Fleet
+from .views import EngineView, ServiceView
+
+__all__ = ["EngineView", "Fleet", "ServiceView"]
--- /dev/null
+++ b/buckthornrock/fleet/views.py
@@ -0,0 +1,48 @@
+"""What the program knows of an upstream, as immutable values."""
+
+from typing import NamedTuple
+
+
+class EngineView(NamedTuple):
+    """A model engine that may get new work.
+
+    Parameters
+    ----------
+    n_waiting_tokens : int
+        Prompt tokens that wait there, from the last load report.
+    n_own_requests : int
+        Requests that this instance has in flight there.
+    prefill_tokens_per_s : float
+        From its load report.
+    report_age_ms : float
+        Age of the load report.
+    health : float
+        Share of its traffic that it should get, from 0 (ejected) to 1.
+    """
+
+    upstream_id: str
+    address: str
+    failure_domain: str
+    incarnation: str
+    weights_version: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    n_running: int
+    n_waiting: int
+    n_waiting_tokens: int
+    n_own_requests: int
+    prefill_tokens_per_s: float
+    inter_token_ms: float
+    report_age_ms: float
+    health: float
+
+
+class ServiceView(NamedTuple):
+    """A server of a plain service that may get new work."""
+
+    upstream_id: str
+    service: str
+    address: str
+    failure_domain: str
+    n_own_requests: int
+    health: float
--- /dev/null
+++ b/buckthornrock/httpd/exchange.py
@@ -0,0 +1,137 @@
+"""One request and its response."""
+
+import socket
+from typing import NamedTuple
+
+import cheroot.errors
+import msgspec
+from cheroot.server import HTTPRequest
+from expression import Error, Ok, Result
+
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    411: "Length Required",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class BodyProblem(NamedTuple):
+    """The request's body could not be read."""
+
+    reason: str
+    status: int
+
+    code = "bad-body"
+
+
+class Exchange:
+    """Reads one request and writes its one response.
+
+    Attributes
+    ----------
+    method, path, query : str
+        From the request line.
+    headers : dict of str to str
+        Names are lower case.
+    is_started : bool
+        Whether a response head was sent.
+    """
+
+    def __init__(self, request: HTTPRequest) -> None:
+        self._request = request
+        self.method = request.method.decode("ascii")
+        self.path = request.path.decode("latin-1")
+        self.query = request.qs.decode("latin-1")
+        self.headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in request.inheaders.items()
+        }
+        self.is_started = False
+
+    @property
+    def socket(self) -> socket.socket:
+        """The caller's socket, for polling and for writing a streamed body."""
+        return self._request.conn.socket
+
+    def read_body(self) -> Result[bytes, BodyProblem]:
+        """Return the whole request body."""
+        try:
+            return Ok(self._request.rfile.read())
+        except cheroot.errors.MaxSizeExceeded:
+            self.close_after()
+            return Error(BodyProblem("the body is too large", 413))
+        except (ValueError, OSError):
+            self.close_after()
+            return Error(BodyProblem("the body ended early or is malformed", 400))
+
+    def respond(
+        self, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole response."""
+        self._set_head(status, headers or {})
+        self._request.outheaders.append((b"Content-Length", b"%d" % len(body)))
+        self._send_head()
+        self._request.conn.wfile.write(body)
+
+    def respond_json(
+        self, status: int, value: object, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send ``value`` as a JSON response."""
+        head = {"Content-Type": "application/json", **(headers or {})}
+        self.respond(status, msgspec.json.encode(value), head)
+
+    def start_stream(self, status: int, headers: dict[str, str]) -> None:
+        """Send a response head; the body follows through :meth:`send_part`."""
+        self._set_head(status, headers)
+        self._send_head()
+        self._request.conn.wfile.flush()
+
+    def send_part(self, part: bytes) -> None:
+        """Send a part of a streamed body straight to the socket.
+
+        Raises
+        ------
+        OSError
+            If the caller is gone.
+        """
+        if self._request.chunked_write:
+            part = b"%x\r\n%b\r\n" % (len(part), part)
+        self.socket.sendall(part)
+
+    def abort(self) -> None:
+        """Close the connection without the end mark, so that a cut shows."""
+        self._request.chunked_write = False
+        self.close_after()
+
+    def close_after(self) -> None:
+        """Close the connection after this response."""
+        self._request.close_connection = True
+
+    def _set_head(self, status: int, headers: dict[str, str]) -> None:
+        reason = _REASONS.get(status, "Status")
+        self._request.status = f"{status} {reason}".encode()
+        self._request.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in headers.items()
+        ]
+
+    def _send_head(self) -> None:
+        self.is_started = True
+        self._request.sent_headers = True
+        self._request.send_headers()
--- /dev/null
+++ b/buckthornrock/httpd/server.py
@@ -0,0 +1,84 @@
+"""Starts and stops cheroot servers whose gateway calls a handler function."""
+
+import threading
+from collections.abc import Callable
+
+from cheroot.server import Gateway, HTTPServer
+
+from .exchange import Exchange
+
+#: Answers one request; must respond exactly once.
+Handler = Callable[[Exchange], None]
+
+STOP_TIMEOUT_S = 1.0
+
+
+class HttpServer:
+    """A running server.
+
+    Attributes
+    ----------
+    port : int
+        The port it listens on, also when 0 was asked for.
+    """
+
+    def __init__(self, server: HTTPServer) -> None:
+        self._server = server
+        self.port: int = server.bind_addr[1]
+        self._thread = threading.Thread(
+            target=server.serve, name=f"http-{self.port}", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting and close idle connections."""
+        self._server.stop()
+        self._thread.join(STOP_TIMEOUT_S)
+
+
+def start_server(
+    host: str,
+    port: int,
+    handler: Handler,
+    n_threads: int,
+    max_body_bytes: int = 0,
+    read_timeout_ms: int = 10_000,
+) -> HttpServer:
+    """Listen on ``host``:``port`` and serve requests with ``handler``.
+
+    Parameters
+    ----------
+    host, port : str, int
+        IP number and port; port 0 takes a free one.
+    handler : callable
+        Called in a worker thread with an :class:`Exchange`.
+    n_threads : int
+        Worker threads; a request in progress holds one.
+    max_body_bytes : int
+        Larger request bodies are refused; 0 allows any.
+    read_timeout_ms : int
+        Longest wait for a slow caller's bytes.
+
+    Raises
+    ------
+    OSError
+        If the port can't be bound.
+    """
+
+    class _HandlerGateway(Gateway):
+        def respond(self) -> None:
+            handler(Exchange(self.req))
+
+    server = HTTPServer(
+        (host, port),
+        _HandlerGateway,
+        minthreads=n_threads,
+        maxthreads=n_threads,
+        server_name="buckthornrock",
+    )
+    server.max_request_body_size = max_body_bytes
+    server.timeout = read_timeout_ms / 1000.0
+    server.shutdown_timeout = STOP_TIMEOUT_S
+    server.request_queue_size = 512
+    server.prepare()
+    return HttpServer(server)
--- /dev/null
+++ b/buckthornrock/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: open-loop arrivals, seeded mixes and comparison of results."""
--- /dev/null
+++ b/buckthornrock/membership/port.py
@@ -0,0 +1,61 @@
+"""The port through which the program sees its peers."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from expression import Error
+
+from .errors import PeerUnreachable
+
+
+class InstanceView(NamedTuple):
+    """One live instance as this instance sees it.
+
+    ``incarnation`` distinguishes the runs of one instance id.
+    """
+
+    instance_id: str
+    address: str
+    failure_domain: str
+    region: str
+    incarnation: str
+
+
+class MembershipPort(NamedTuple):
+    """Functions of membership.
+
+    Parameters
+    ----------
+    self_view : callable
+        ``self_view() -> InstanceView``.
+    live : callable
+        ``live() -> tuple[InstanceView, ...]``, sorted by id, with this instance.
+    tell : callable
+        ``tell(instance_id, message) -> None``; best effort, never blocks long.
+    ask : callable
+        ``ask(instance_id, message, timeout_ms) -> Result[message, PeerFailure]``.
+    subscribe : callable
+        ``subscribe(message_type, handler)``; ``handler(sender_id, message)``
+        returns the reply message or None.
+    """
+
+    self_view: Callable[[], InstanceView]
+    live: Callable[[], tuple[InstanceView, ...]]
+    tell: Callable[..., None]
+    ask: Callable[..., object]
+    subscribe: Callable[..., None]
+
+
+def alone(view: InstanceView) -> MembershipPort:
+    """Return the membership of a fleet of one instance."""
+    return MembershipPort(
+        self_view=lambda: view,
+        live=lambda: (view,),
+        tell=lambda instance_id, message: None,
+        ask=_no_peer,
+        subscribe=lambda message_type, handler: None,
+    )
+
+
+def _no_peer(instance_id: str, message: object, timeout_ms: float) -> object:
+    return Error(PeerUnreachable(instance_id))
--- /dev/null
+++ b/buckthornrock/operator/app.py
@@ -0,0 +1,68 @@
+"""Routes operators' requests; every path but ``/healthz`` needs an operator key."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..entry.auth import BEARER, is_known_digest
+from ..entry.completions import new_request_id
+from ..entry.errors import NoSuchPath, Unauthenticated
+from ..entry.problems import respond_problem
+from ..httpd import Exchange, Handler
+
+
+class OperatorRoute(NamedTuple):
+    """A path (or path prefix, when it ends in ``/``) with its handler."""
+
+    method: str
+    path: str
+    handle: Callable[[Exchange], None]
+
+
+class OperatorParts(NamedTuple):
+    """What the operators' port needs."""
+
+    keys_sha256: tuple[str, ...]
+    is_ready: Callable[[], bool]
+    status: Callable[[], dict]
+    routes: tuple[OperatorRoute, ...]
+
+
+def build_operator(parts: OperatorParts) -> Handler:
+    """Return the handler of the operators' port."""
+
+    def handle(exchange: Exchange) -> None:
+        if exchange.path == "/healthz":
+            exchange.respond_json(200, {"status": "ok"})
+            return
+        if not _is_operator(exchange, parts.keys_sha256):
+            respond_problem(exchange, Unauthenticated(), new_request_id())
+            return
+        if exchange.path == "/readyz":
+            is_ready = parts.is_ready()
+            exchange.respond_json(200 if is_ready else 503, {"ready": is_ready})
+            return
+        if exchange.path == "/statusz":
+            exchange.respond_json(200, parts.status())
+            return
+        for route in parts.routes:
+            if _matches(route, exchange):
+                route.handle(exchange)
+                return
+        respond_problem(exchange, NoSuchPath(exchange.path), new_request_id())
+
+    return handle
+
+
+def _is_operator(exchange: Exchange, digests: tuple[str, ...]) -> bool:
+    authorization = exchange.headers.get("authorization", "")
+    if not authorization.startswith(BEARER):
+        return False
+    return is_known_digest(authorization.removeprefix(BEARER).strip(), digests)
+
+
+def _matches(route: OperatorRoute, exchange: Exchange) -> bool:
+    if route.method != exchange.method:
+        return False
+    if route.path.endswith("/"):
+        return exchange.path.startswith(route.path)
+    return exchange.path == route.path
--- /dev/null
+++ b/buckthornrock/platform/__init__.py
@@ -0,0 +1,31 @@
+"""Clients of what the platform gives: the key-value service and instance list."""
+
+from .kv_client import open_kv
+from .kv_port import (
+    CommitConflict,
+    CommitDone,
+    CommitNotDone,
+    CommitOutcome,
+    CommitUnknown,
+    Compare,
+    Delete,
+    KvEntry,
+    KvPort,
+    Put,
+    Transaction,
+)
+
+__all__ = [
+    "CommitConflict",
+    "CommitDone",
+    "CommitNotDone",
+    "CommitOutcome",
+    "CommitUnknown",
+    "Compare",
+    "Delete",
+    "KvEntry",
+    "KvPort",
+    "Put",
+    "Transaction",
+    "open_kv",
+]
--- /dev/null
+++ b/buckthornrock/platform/errors.py
@@ -0,0 +1,19 @@
+"""Failures of calls to the platform."""
+
+from typing import NamedTuple
+
+
+class KvUnavailable(NamedTuple):
+    """The key-value service did not answer; a read has no effect to worry about."""
+
+    reason: str
+
+    code = "kv-unavailable"
+
+
+class LeaseGone(NamedTuple):
+    """The lease does not exist any more."""
+
+    lease_id: int
+
+    code = "lease-gone"
--- /dev/null
+++ b/buckthornrock/runtime/__init__.py
@@ -0,0 +1,7 @@
+"""Clocks, timers and the actors that run periodic steps."""
+
+from .clock import Clock, system_clock
+from .periodic import PeriodicHandle, start_periodic
+from .timer import Timer
+
+__all__ = ["Clock", "PeriodicHandle", "Timer", "start_periodic", "system_clock"]
--- /dev/null
+++ b/buckthornrock/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's services and for upstreams."""
--- /dev/null
+++ b/buckthornrock/telemetry/metrics.py
@@ -0,0 +1,66 @@
+"""Every metric that an instance sends, and the statsd client that sends it."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import statsd
+
+REQUESTS = "requests"
+REFUSALS = "refusals"
+TTFT_MS = "ttft_ms"
+INTER_TOKEN_MS = "inter_token_ms"
+TOKENS = "tokens"
+ATTEMPTS_FAILED = "attempts_failed"
+KV_CALLS = "kv_calls"
+KV_FAILURES = "kv_failures"
+
+#: Metric name -> (kind, meaning).
+CATALOGUE: dict[str, tuple[str, str]] = {
+    REQUESTS: ("counter", "requests received, by work class"),
+    REFUSALS: ("counter", "requests refused, by failure code"),
+    TTFT_MS: ("timing", "time to first token, by work class"),
+    INTER_TOKEN_MS: ("timing", "time between tokens, by work class"),
+    TOKENS: ("counter", "tokens delivered, by work class"),
+    ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
+    KV_CALLS: ("counter", "calls to the key-value service, by kind"),
+    KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
+}
+
+
+class Metrics(NamedTuple):
+    """Functions that count, time and set; each takes a name and a value.
+
+    A label is appended to the name after a dot.
+    """
+
+    incr: Callable[..., None]
+    timing: Callable[..., None]
+    gauge: Callable[..., None]
+
+
+def open_metrics(host: str, port: int, prefix: str) -> Metrics:
+    """Return metrics that go to a statsd server; ``host`` "" discards them."""
+    if not host:
+        return Metrics(_discard, _discard, _discard)
+    client = statsd.StatsClient(host, port, prefix=prefix)
+
+    def incr(name: str, n: int = 1, label: str = "") -> None:
+        client.incr(_joined(name, label), n)
+
+    def timing(name: str, duration_ms: float, label: str = "") -> None:
+        client.timing(_joined(name, label), duration_ms)
+
+    def gauge(name: str, value: float, label: str = "") -> None:
+        client.gauge(_joined(name, label), value)
+
+    return Metrics(incr, timing, gauge)
+
+
+def _joined(name: str, label: str) -> str:
+    if name not in CATALOGUE:
+        raise KeyError(name)
+    return f"{name}.{label}" if label else name
+
+
+def _discard(name: str, value: float = 1, label: str = "") -> None:
+    _joined(name, label)
--- /dev/null
+++ b/buckthornrock/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/buckthornrock/upstreams/errors.py
@@ -0,0 +1,39 @@
+"""Failures of calls to upstreams."""
+
+from typing import NamedTuple
+
+from ..errors import NotRun
+
+
+class AttemptFailed(NamedTuple):
+    """One attempt at an upstream failed.
+
+    ``not_run`` is ``"true"`` only if no byte of the request can have reached it.
+    """
+
+    upstream_id: str
+    reason: str
+    not_run: NotRun
+
+    code = "attempt-failed"
+
+
+class StreamBroken(NamedTuple):
+    """A stream ended early or broke its offset or identity checks."""
+
+    upstream_id: str
+    reason: str
+
+    code = "stream-broken"
+
+
+class UpstreamRefused(NamedTuple):
+    """The upstream answered with an error status before any token."""
+
+    upstream_id: str
+    status: int
+
+    code = "upstream-refused"
+
+
+StreamFailure = AttemptFailed | StreamBroken | UpstreamRefused
--- /dev/null
+++ b/buckthornrock/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between instances: messages, frames and transport."""
--- /dev/null
+++ b/tests/conf/test_settings.py
@@ -0,0 +1,51 @@
+"""Settings files: every problem is reported at once, with its id and path."""
+
+import msgspec
+import pytest
+
+from buckthornrock.conf import parse_settings
+
+GOOD = {
+    "instance_id": "a",
+    "failure_domain": "fd",
+    "isolation_secret": "sixteen-bytes-or-more",
+    "entry": {"port": 0},
+    "operator": {"port": 0, "keys_sha256": ["0" * 64]},
+    "platform": {"kv": {"url": "http://127.0.0.1:1"}},
+    "upstreams": {"servers": []},
+    "caller_keys": [],
+}
+ENGINE = {"id": "e", "kind": "engine", "address": "x", "failure_domain": "f"}
+
+CASES = [
+    ({"instance_id": 3}, {("SET-E003", "$.instance_id")}),
+    ({"colour": 1}, {("SET-E001", "$.colour")}),
+    ({"entry": {}}, {("SET-E002", "$.entry.port")}),
+    ({"entry": {"port": 70000}}, {("SET-E010", "$.entry.port")}),
+    ({"isolation_secret": "short"}, {("SET-E015", "$.isolation_secret")}),
+    (
+        {"upstreams": {"servers": [ENGINE, ENGINE]}},
+        {
+            ("SET-E012", "$.upstreams.servers[0].address"),
+            ("SET-E012", "$.upstreams.servers[1].address"),
+            ("SET-E014", "$.upstreams.servers[1].id"),
+            ("SET-E017", "$.upstreams.servers[0].models"),
+            ("SET-E017", "$.upstreams.servers[1].models"),
+        },
+    ),
+]
+
+
+def test_good_settings_are_accepted():
+    assert parse_settings(msgspec.json.encode(GOOD)).is_ok()
+
+
+@pytest.mark.parametrize(("change", "expected"), CASES)
+def test_every_problem_is_reported(change, expected):
+    result = parse_settings(msgspec.json.encode(GOOD | change))
+    assert {(problem.id, problem.path) for problem in result.error} == expected
+
+
+def test_problem_does_not_show_secret():
+    result = parse_settings(msgspec.json.encode(GOOD | {"isolation_secret": "hush"}))
+    assert "hush" not in str(result.error)
