--- /dev/null
+++ b/buckthornrock/compose/completions.py
@@ -0,0 +1,36 @@
+"""Wires completions: admission, routing and dispatch."""
+
+from ..admission import AdmissionPort, open_unlimited
+from ..dispatch import CompletionDispatcher
+from ..membership import MembershipPort
+from ..routing import RoutingPort
+from ..routing.least_loaded import open_least_loaded
+from .core import Core
+from .fleet import FleetParts
+
+
+def build_admission(core: Core, membership: MembershipPort) -> AdmissionPort:
+    """Wire limits and queues."""
+    return open_unlimited(core.clock.now_ms)
+
+
+def build_routing(core: Core, membership: MembershipPort) -> RoutingPort:
+    """Wire the choice of an engine."""
+    return open_least_loaded(core.settings.isolation_secret, core.rng)
+
+
+def build_completions(
+    core: Core,
+    fleet: FleetParts,
+    admission: AdmissionPort,
+    routing: RoutingPort,
+) -> CompletionDispatcher:
+    """Wire the dispatcher of completions."""
+    return CompletionDispatcher(
+        admission,
+        routing,
+        fleet.fleet,
+        fleet.engines,
+        core.telemetry,
+        core.clock.now_ms,
+    )
--- /dev/null
+++ b/buckthornrock/compose/operator.py
@@ -0,0 +1,34 @@
+"""Wires the operators' port."""
+
+from ..entry import EntryParts
+from ..httpd import HttpServer, start_server
+from ..membership import MembershipPort
+from ..operator import OperatorParts, build_operator
+from ..operator.profiles import profile_routes
+from .core import Core
+
+
+def start_operator(
+    core: Core, parts: EntryParts, membership: MembershipPort
+) -> HttpServer:
+    """Start the operators' port."""
+    section = core.settings.operator
+    operator_parts = OperatorParts(
+        keys_sha256=section.keys_sha256,
+        is_ready=lambda: True,
+        status=lambda: _status(core, parts, membership),
+        routes=profile_routes(parts.profiles),
+    )
+    handler = build_operator(operator_parts)
+    return start_server(section.host, section.port, handler, section.n_threads)
+
+
+def _status(core: Core, parts: EntryParts, membership: MembershipPort) -> dict:
+    records = [parts.profiles.current(name).ok for name in parts.profiles.names()]
+    return {
+        "instance_id": core.settings.instance_id,
+        "failure_domain": core.settings.failure_domain,
+        "incarnation": membership.self_view().incarnation,
+        "live": [view.instance_id for view in membership.live()],
+        "profiles": {r.name: {"version": r.version, "trust": r.trust} for r in records},
+    }
