Relay streams part by part instead of through iterated decoding

Cause: a streamed chunk passed through urllib3's stream generator, a Result a chunk, a dict encode and cheroot's buffered writer. Change: EngineStream reads with read1, checks and hands on lists of chunks; what is the same in every event is encoded once; connections are reused after a whole stream; benchmarks/relay_overhead.py measures it.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is one command, ``python -m benchmarks.NAME``."""
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -13,11 +13,12 @@
 from ..routing.errors import NoEngine
 from ..telemetry import Telemetry
 from ..telemetry.metrics import ATTEMPTS_FAILED
-from ..upstreams.engine_client import EngineCall, EngineClient
+from ..upstreams.engine_client import EngineClient
+from ..upstreams.engine_messages import EngineChunk
+from ..upstreams.engine_stream import EngineCall, EngineStream
 from ..upstreams.errors import StreamFailure
 from .errors import AnswerIncomplete
 from .requests import (
-    CompletionChunk,
     CompletionDone,
     CompletionRequest,
     CompletionSink,
@@ -136,10 +137,10 @@
         parts.routing.on_sent(query, choice, parts.now_ms())
         try:
             call = _engine_call(request, choice, progress)
-            chunks = parts.engines.open_stream(call)
-            if chunks.is_error():
-                return chunks
-            return self._relay(query, choice, chunks.ok, sink, progress)
+            stream = parts.engines.open_stream(call)
+            if stream.is_error():
+                return stream
+            return self._relay(query, choice, stream.ok, sink, progress)
         finally:
             parts.fleet.end(choice.upstream_id)
 
@@ -147,21 +148,21 @@
         self,
         query: RouteQuery,
         choice: RouteChoice,
-        chunks: object,
+        stream: EngineStream,
         sink: CompletionSink,
         progress: _Progress,
     ) -> Result[CompletionDone, CallerGone | StreamFailure]:
-        for chunk in chunks:
-            if chunk.is_error():
-                return chunk
+        def write(chunks: list[EngineChunk]) -> bool:
             if progress.ttft_ms is None:
                 self._note_first_token(query, choice, progress)
-            try:
-                sink.write(_completion_chunk(chunk.ok))
-            except OSError:
-                chunks.close()
-                return Error(CallerGone(progress.n_tokens))
-            progress.n_tokens += chunk.ok.n_tokens
+            if not sink.write(chunks):
+                return False
+            progress.n_tokens = stream.next_offset
+            return True
+
+        result = stream.relay(write)
+        if result.is_error():
+            return result
         return Ok(
             CompletionDone(
                 progress.n_tokens, progress.n_prompt_tokens, progress.ttft_ms or 0.0
@@ -224,13 +225,6 @@
     )
 
 
-def _completion_chunk(chunk: object) -> CompletionChunk:
-    choice = chunk.choices[0]
-    return CompletionChunk(
-        chunk.stream, chunk.offset, chunk.n_tokens, choice.text, choice.finish_reason
-    )
-
-
 def _past_deadline(request: CompletionRequest, progress: _Progress) -> DeadlineExceeded:
     not_run = "unknown" if progress.excluded else "true"
     return DeadlineExceeded(request.work_class["deadline_ms"], not_run)
--- a/buckthornrock/dispatch/requests.py
+++ b/buckthornrock/dispatch/requests.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..profiles import WorkClass
+from ..upstreams.engine_messages import EngineChunk
 
 
 class Caller(NamedTuple):
@@ -42,16 +43,6 @@
     is_deferred: bool
 
 
-class CompletionChunk(NamedTuple):
-    """A piece of the answer with the index of its first token."""
-
-    stream_id: str
-    offset: int
-    n_tokens: int
-    text: str
-    finish_reason: str | None
-
-
 class CompletionDone(NamedTuple):
     """A completion was delivered whole."""
 
@@ -66,12 +57,13 @@
     Parameters
     ----------
     write : callable
-        ``write(chunk)``; raises ``OSError`` if the caller is gone.
+        ``write(chunks) -> bool``; False if the caller is gone. Takes the chunks of
+        one read, in order.
     is_gone : callable
         ``is_gone() -> bool``; cheap, may be polled.
     """
 
-    write: Callable[[CompletionChunk], None]
+    write: Callable[[list[EngineChunk]], bool]
     is_gone: Callable[[], bool]
 
 
--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -3,19 +3,19 @@
 import os
 import select
 
-import msgspec
 from expression import Error, Ok, Result
 
 from ..dispatch import Caller, CompletionRequest, CompletionSink
-from ..dispatch.requests import CompletionChunk
 from ..errors import Failure
 from ..events import entry as events
 from ..httpd import Exchange
 from ..profiles import AccountLimits, Profile
 from ..telemetry.metrics import REQUESTS, TOKENS, TTFT_MS
+from ..upstreams.engine_messages import EngineChunk
 from .context import EntryParts, refuse
 from .deferred import submit_deferred
 from .errors import UnknownWorkClass
+from .event_stream import DONE_EVENT, stream_encoder
 from .parsing import (
     CompletionFields,
     parse_completion,
@@ -119,20 +119,25 @@
 def _serve_stream(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
-    completion_id = _completion_id(request.request_id, is_chat)
+    encode = stream_encoder(
+        _completion_id(request.request_id, is_chat), request.model, is_chat
+    )
 
-    def write(chunk: CompletionChunk) -> None:
-        if not exchange.is_started:
-            head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
-            exchange.start_stream(200, head)
-        event = _stream_event(completion_id, request.model, chunk, is_chat)
-        exchange.send_part(b"data: " + msgspec.json.encode(event) + b"\n\n")
+    def write(chunks: list[EngineChunk]) -> bool:
+        try:
+            if not exchange.is_started:
+                head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
+                exchange.start_stream(200, head)
+            exchange.send_part(encode(chunks))
+        except OSError:
+            return False
+        return True
 
     sink = CompletionSink(write, lambda: _is_gone(exchange))
     result = parts.completions.run(request, sink)
     if result.is_ok():
         _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
-        exchange.send_part(b"data: [DONE]\n\n")
+        exchange.send_part(DONE_EVENT)
         return
     if not exchange.is_started:
         refuse(parts, exchange, result.error, request.request_id, request.caller)
@@ -158,9 +163,11 @@
     texts: list[str] = []
     finish_reasons: list[str | None] = [None]
 
-    def write(chunk: CompletionChunk) -> None:
-        texts.append(chunk.text)
-        finish_reasons.append(chunk.finish_reason)
+    def write(chunks: list[EngineChunk]) -> bool:
+        for chunk in chunks:
+            texts.append(chunk.choices[0].text)
+            finish_reasons.append(chunk.choices[0].finish_reason)
+        return True
 
     result = parts.completions.run(request, CompletionSink(write, is_gone))
     if result.is_error():
@@ -185,18 +192,6 @@
     )
 
 
-def _stream_event(
-    completion_id: str, model: str, chunk: CompletionChunk, is_chat: bool
-) -> dict:
-    content = {"delta": {"content": chunk.text}} if is_chat else {"text": chunk.text}
-    return {
-        "id": completion_id,
-        "object": "chat.completion.chunk" if is_chat else "text_completion",
-        "model": model,
-        "choices": [{"index": 0, **content, "finish_reason": chunk.finish_reason}],
-    }
-
-
 def _completion_id(request_id: str, is_chat: bool) -> str:
     return ("chatcmpl-" if is_chat else "cmpl-") + request_id
 
