Relay every stream in one thread that waits on all sockets

Change: upstreams/relay.py moves all streams with one epoll thread; the body's chunked framing is taken off in upstreams/chunked.py; a slow caller is buffered up to a limit and then its engine is left unread; a caller that leaves ends its flow at once; a stalled engine is broken off; connection pools are kept an engine.

--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -31,6 +31,7 @@
         routing,
         fleet.fleet,
         fleet.engines,
+        fleet.relay,
         core.telemetry,
         core.clock.now_ms,
     )
--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -4,6 +4,7 @@
 
 from ..fleet import Fleet
 from ..upstreams.engine_client import EngineClient
+from ..upstreams.relay import Relay
 from ..upstreams.service_client import ServiceClient
 from .core import Core, run_periodically
 
@@ -14,6 +15,7 @@
     fleet: Fleet
     engines: EngineClient
     services: ServiceClient
+    relay: Relay
 
 
 def build_fleet(core: Core) -> FleetParts:
@@ -24,4 +26,5 @@
     run_periodically(
         core, "fleet.poll", lambda: fleet.poll(engines.load), section.poll_period_ms
     )
-    return FleetParts(fleet, engines, ServiceClient(section))
+    relay = Relay(core.clock.now_ms, section.read_timeout_ms)
+    return FleetParts(fleet, engines, ServiceClient(section), relay)
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -17,6 +17,7 @@
 from ..upstreams.engine_messages import EngineChunk
 from ..upstreams.engine_stream import EngineCall, EngineStream
 from ..upstreams.errors import StreamFailure
+from ..upstreams.relay import Relay, RelaySink
 from .errors import AnswerIncomplete
 from .requests import (
     CompletionDone,
@@ -46,6 +47,7 @@
     routing: RoutingPort
     fleet: Fleet
     engines: EngineClient
+    relay: Relay
     telemetry: Telemetry
     now_ms: Callable[[], float]
 
@@ -59,10 +61,13 @@
         routing: RoutingPort,
         fleet: Fleet,
         engines: EngineClient,
+        relay: Relay,
         telemetry: Telemetry,
         now_ms: Callable[[], float],
     ) -> None:
-        self._parts = _Parts(admission, routing, fleet, engines, telemetry, now_ms)
+        self._parts = _Parts(
+            admission, routing, fleet, engines, relay, telemetry, now_ms
+        )
 
     def run(
         self, request: CompletionRequest, sink: CompletionSink
@@ -152,15 +157,13 @@
         sink: CompletionSink,
         progress: _Progress,
     ) -> Result[CompletionDone, CallerGone | StreamFailure]:
-        def write(chunks: list[EngineChunk]) -> bool:
+        def encode(chunks: list[EngineChunk]) -> bytes:
             if progress.ttft_ms is None:
                 self._note_first_token(query, choice, progress)
-            if not sink.write(chunks):
-                return False
             progress.n_tokens = stream.next_offset
-            return True
+            return sink.encode(chunks)
 
-        result = stream.relay(write)
+        result = self._parts.relay.run(stream, RelaySink(encode, sink.socket))
         if result.is_error():
             return result
         return Ok(
--- a/buckthornrock/dispatch/requests.py
+++ b/buckthornrock/dispatch/requests.py
@@ -1,5 +1,6 @@
 """Requests as the dispatchers take them."""
 
+import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -56,14 +57,17 @@
 
     Parameters
     ----------
-    write : callable
-        ``write(chunks) -> bool``; False if the caller is gone. Takes the chunks of
-        one read, in order.
+    encode : callable
+        ``encode(chunks) -> bytes``, what to send to the caller for the chunks of
+        one read; must not block.
+    socket : socket.socket or None
+        The caller's connection; None if the answer is kept in memory.
     is_gone : callable
         ``is_gone() -> bool``; cheap, may be polled.
     """
 
-    write: Callable[[list[EngineChunk]], bool]
+    encode: Callable[[list[EngineChunk]], bytes]
+    socket: socket.socket | None
     is_gone: Callable[[], bool]
 
 
--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -1,7 +1,6 @@
 """Serves completions: at once as a stream or whole, or deferred."""
 
 import os
-import select
 
 from expression import Error, Ok, Result
 
@@ -12,6 +11,7 @@
 from ..profiles import AccountLimits, Profile
 from ..telemetry.metrics import REQUESTS, TOKENS, TTFT_MS
 from ..upstreams.engine_messages import EngineChunk
+from ..upstreams.relay import is_gone
 from .context import EntryParts, refuse
 from .deferred import submit_deferred
 from .errors import UnknownWorkClass
@@ -119,21 +119,19 @@
 def _serve_stream(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
-    encode = stream_encoder(
+    encode_events = stream_encoder(
         _completion_id(request.request_id, is_chat), request.model, is_chat
     )
 
-    def write(chunks: list[EngineChunk]) -> bool:
-        try:
-            if not exchange.is_started:
-                head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
-                exchange.start_stream(200, head)
-            exchange.send_part(encode(chunks))
-        except OSError:
-            return False
-        return True
-
-    sink = CompletionSink(write, lambda: _is_gone(exchange))
+    def encode(chunks: list[EngineChunk]) -> bytes:
+        if exchange.is_started:
+            return exchange.framed(encode_events(chunks))
+        # The head waits for the first token, so that a failure before it can still
+        # be answered with a problem document.
+        head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
+        return exchange.stream_head(200, head) + exchange.framed(encode_events(chunks))
+
+    sink = CompletionSink(encode, exchange.socket, lambda: is_gone(exchange.socket))
     result = parts.completions.run(request, sink)
     if result.is_ok():
         _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
@@ -148,7 +146,7 @@
 def _serve_whole(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
-    answer = collect_answer(parts, request, is_chat, lambda: _is_gone(exchange))
+    answer = collect_answer(parts, request, is_chat, lambda: is_gone(exchange.socket))
     if answer.is_error():
         refuse(parts, exchange, answer.error, request.request_id, request.caller)
         return
@@ -163,13 +161,13 @@
     texts: list[str] = []
     finish_reasons: list[str | None] = [None]
 
-    def write(chunks: list[EngineChunk]) -> bool:
+    def keep(chunks: list[EngineChunk]) -> bytes:
         for chunk in chunks:
             texts.append(chunk.choices[0].text)
             finish_reasons.append(chunk.choices[0].finish_reason)
-        return True
+        return b""
 
-    result = parts.completions.run(request, CompletionSink(write, is_gone))
+    result = parts.completions.run(request, CompletionSink(keep, None, is_gone))
     if result.is_error():
         return result
     _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
@@ -196,12 +194,6 @@
     return ("chatcmpl-" if is_chat else "cmpl-") + request_id
 
 
-def _is_gone(exchange: Exchange) -> bool:
-    poll = select.poll()
-    poll.register(exchange.socket, select.POLLRDHUP | select.POLLHUP)
-    return bool(poll.poll(0))
-
-
 def _note_served(
     parts: EntryParts, request: CompletionRequest, n_tokens: int, ttft_ms: float
 ) -> None:
--- a/buckthornrock/upstreams/engine_client.py
+++ b/buckthornrock/upstreams/engine_client.py
@@ -20,33 +20,50 @@
     """Connection pools to engines."""
 
     def __init__(self, settings: UpstreamsSettings) -> None:
-        timeout = urllib3.Timeout(
+        self._timeout = urllib3.Timeout(
             connect=settings.connect_timeout_ms / 1000.0,
             read=settings.read_timeout_ms / 1000.0,
         )
-        self._pool = urllib3.PoolManager(
-            maxsize=N_POOLED_CONNECTIONS, retries=False, timeout=timeout
-        )
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
 
     def load(self, address: str) -> Result[LoadReport, AttemptFailed]:
         """Return the engine's load report."""
         try:
-            response = self._pool.request("GET", f"http://{address}/load")
+            response = self._pool(address).request("GET", "/load")
             return Ok(msgspec.json.decode(response.data, type=LoadReport))
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
             return Error(AttemptFailed(address, type(error).__name__, "true"))
 
+    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        # A pool an engine: urllib3's pool manager parses and merges a URL for each
+        # request, which costs as much as sending it.
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = urllib3.HTTPConnectionPool(
+                host.strip("[]"),
+                int(port),
+                maxsize=N_POOLED_CONNECTIONS,
+                timeout=self._timeout,
+                retries=False,
+            )
+            pool = self._pools.setdefault(address, pool)
+        return pool
+
     def open_stream(self, call: EngineCall) -> Result[EngineStream, StreamFailure]:
         """Send the completion and return its stream once the head has come."""
         body = dict(call.body)
         body |= {"stream": True, "cache_salt": call.cache_salt}
         body |= {"priority": call.priority, "output_offset": call.output_offset}
         try:
-            response = self._pool.request(
+            response = self._pool(call.address).urlopen(
                 "POST",
-                f"http://{call.address}/v1/completions",
+                "/v1/completions",
                 body=msgspec.json.encode(body),
                 headers={"X-Request-Id": call.request_id},
+                retries=False,
+                redirect=False,
+                assert_same_host=False,
                 preload_content=False,
             )
         except (
--- a/buckthornrock/upstreams/engine_stream.py
+++ b/buckthornrock/upstreams/engine_stream.py
@@ -1,15 +1,13 @@
-"""One engine stream: reads its events, checks them and hands them on."""
+"""One engine stream: reads its events and checks them, without blocking."""
 
-from collections.abc import Callable
+import socket
 from typing import NamedTuple
 
 import msgspec
 import urllib3
-from expression import Error, Ok, Result
 
-from ..errors import CallerGone
+from .chunked import ChunkedBody, FramingError
 from .engine_messages import EngineChunk
-from .errors import StreamBroken
 
 READ_BYTES = 65_536
 #: Longest event that is waited for; a longer one breaks the stream.
@@ -37,103 +35,135 @@
     output_offset: int
 
 
-#: Takes the chunks of one read; False means that the caller is gone.
-WriteChunks = Callable[[list[EngineChunk]], bool]
+class BrokenStreamError(Exception):
+    """The stream is not the whole, gapless answer to its request.
+
+    Attributes
+    ----------
+    reason : str
+        What was wrong.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
 class EngineStream:
-    """The body of one engine answer.
+    """The body of one engine answer, read from the connection's socket.
+
+    urllib3 has read the head and owns the connection; the body goes past its
+    decoding layers, which streamed JSON does not need.
 
     Attributes
     ----------
+    call : EngineCall
+        What was sent.
     stream_id : str
         The engine's name for the stream, once the first chunk has come.
     next_offset : int
         Index of the token that is to come next.
+    is_whole : bool
+        Whether the explicit end has come.
     """
 
-    def __init__(self, response: urllib3.BaseHTTPResponse, call: EngineCall) -> None:
-        self._response = response
-        self._call = call
-        self._pending = b""
+    def __init__(self, response: urllib3.HTTPResponse, call: EngineCall) -> None:
+        self.call = call
         self.stream_id = ""
         self.next_offset = call.output_offset
+        self.is_whole = False
+        self._response = response
+        self._socket: socket.socket = response.connection.sock
+        self._timeout_s = self._socket.gettimeout()
+        self._socket.setblocking(False)
+        self._body = ChunkedBody() if _is_chunked(response) else None
+        self._pending = b""
+        # http.client may have buffered the start of the body with the head.
+        self._unread = response._original_response.fp.peek()
+
+    def fileno(self) -> int:
+        """Return the file descriptor to wait on."""
+        return self._socket.fileno()
 
-    def relay(self, write: WriteChunks) -> Result[None, StreamBroken | CallerGone]:
-        """Hand every chunk to ``write``, in order, until the stream's explicit end.
+    def read(self) -> list[EngineChunk]:
+        """Return the chunks that can be read now, each checked.
 
-        Anything but a whole, gapless stream of this very request is a
-        :class:`StreamBroken`; what was handed on before it was correct.
+        Raises
+        ------
+        BrokenStreamError
+            If the stream ended early or a chunk does not belong to it.
         """
-        is_whole = False
         try:
-            while not is_whole:
-                chunks, is_whole = self._read_chunks()
-                if chunks and not write(chunks):
-                    return Error(CallerGone(self.next_offset))
-            return Ok(None)
-        except _BrokenError as error:
-            return Error(StreamBroken(self._call.upstream_id, error.reason))
-        except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError) as error:
-            return Error(StreamBroken(self._call.upstream_id, type(error).__name__))
-        finally:
-            self._finish(is_whole)
-
-    def interrupt(self) -> None:
-        """Wake :meth:`relay` in another thread; it then returns a failure."""
+            events = self._read_events()
+            return self._chunks(events)
+        except BlockingIOError:
+            return []
+        except (OSError, FramingError, msgspec.DecodeError) as error:
+            raise BrokenStreamError(type(error).__name__) from error
+
+    def finish(self) -> None:
+        """Give the connection back for reuse if the body has ended, or close it."""
+        if not self._is_reusable():
+            self._response.close()
+            return
+        self._socket.settimeout(self._timeout_s)
+        self._response._original_response.close()
+        self._response.release_conn()
+
+    def _is_reusable(self) -> bool:
+        if not self.is_whole or self._pending or self._body is None:
+            return False
+        if not self._body.is_ended:
+            self._read_end()
+        return self._body.is_ended and not self._body.n_extra_bytes
+
+    def _read_end(self) -> None:
         try:
-            self._response.shutdown()
-        except (RuntimeError, ValueError, OSError):
-            # The stream has ended meanwhile, so there is nothing to wake.
+            self._body.feed(self._socket.recv(READ_BYTES))
+        except (OSError, FramingError):
             return
 
-    def _read_chunks(self) -> tuple[list[EngineChunk], bool]:
-        part = self._response.read1(READ_BYTES, decode_content=False)
-        if not part:
-            raise _BrokenError("ended without its end mark")
+    def _read_events(self) -> list[bytes]:
+        raw = self._unread or self._socket.recv(READ_BYTES)
+        self._unread = b""
+        if not raw:
+            raise BrokenStreamError("ended without its end mark")
+        part = self._body.feed(raw) if self._body else raw
         *events, self._pending = (self._pending + part).split(EVENT_END)
         if len(self._pending) > MAX_EVENT_BYTES:
-            raise _BrokenError("an event is too long")
+            raise BrokenStreamError("an event is too long")
+        if not events and self._body and self._body.is_ended:
+            raise BrokenStreamError("ended without its end mark")
+        return events
+
+    def _chunks(self, events: list[bytes]) -> list[EngineChunk]:
         chunks = []
         for event in events:
             data = event.removeprefix(DATA)
             if data == DONE:
-                return chunks, True
-            chunks.append(self._checked(_decode_chunk(data)))
-        return chunks, False
-
-    def _checked(self, chunk: EngineChunk) -> EngineChunk:
-        call = self._call
+                self.is_whole = True
+                return chunks
+            chunk = _decode_chunk(data)
+            self._check(chunk)
+            chunks.append(chunk)
+        return chunks
+
+    def _check(self, chunk: EngineChunk) -> None:
+        call = self.call
         if not self.stream_id:
             self.stream_id = chunk.stream
         if chunk.offset != self.next_offset:
-            raise _BrokenError("gap or repeat in the offsets")
+            raise BrokenStreamError("gap or repeat in the offsets")
         if chunk.id != call.request_id:
-            raise _BrokenError("answer to another request")
+            raise BrokenStreamError("answer to another request")
         if chunk.stream != self.stream_id:
-            raise _BrokenError("chunk of another stream")
+            raise BrokenStreamError("chunk of another stream")
         if chunk.cache_salt != call.cache_salt:
-            raise _BrokenError("answer for another cache salt")
+            raise BrokenStreamError("answer for another cache salt")
         if chunk.weights != call.weights_version:
-            raise _BrokenError("answer of other weights")
+            raise BrokenStreamError("answer of other weights")
         self.next_offset += chunk.n_tokens
-        return chunk
 
-    def _finish(self, is_whole: bool) -> None:
-        # A connection is kept only if the body's framing has ended as well.
-        if not is_whole or self._pending:
-            self._response.close()
-            return
-        try:
-            if self._response.read1(READ_BYTES, decode_content=False):
-                self._response.close()
-        except (urllib3.exceptions.HTTPError, OSError):
-            self._response.close()
-
-
-class _BrokenError(Exception):
-    """Ends the reading loop with a reason."""
 
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+def _is_chunked(response: urllib3.HTTPResponse) -> bool:
+    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
