Add ranks, fair queues, adaptive windows and early refusal

Cause: every completion was let in at once, whatever its rank and account. Change: admission keeps one gate a model: strict order between ranks with a floor for deferrable work, start-time fair queueing by client account and member in tokens of work, a window that follows the delay of first tokens, refusal on arrival with Retry-After from the measured drain rate, and a bound on callers' threads. Limits are divided by the live instances so far.

--- a/buckthornrock/admission/port.py
+++ b/buckthornrock/admission/port.py
@@ -5,6 +5,7 @@
 
 from expression import Result
 
+from ..errors import CallerGone
 from .errors import AdmissionFailure
 
 
@@ -50,15 +51,16 @@
     Parameters
     ----------
     admit : callable
-        ``admit(query, is_abandoned) -> Result[Ticket, AdmissionFailure]``; blocks
-        until it is the request's turn. ``is_abandoned()`` is polled while waiting
-        and tells that the caller is gone.
+        ``admit(query, is_abandoned) -> Result[Ticket, failure]``; blocks until it
+        is the request's turn. ``is_abandoned()`` is polled while waiting and tells
+        that the caller is gone, which frees its place.
     release : callable
         ``release(ticket, n_computed_tokens, n_output_tokens, ttft_ms)``; ``ttft_ms``
         is None if there was no first token.
     """
 
     admit: Callable[
-        [AdmissionQuery, Callable[[], bool]], Result[Ticket, AdmissionFailure]
+        [AdmissionQuery, Callable[[], bool]],
+        Result[Ticket, AdmissionFailure | CallerGone],
     ]
     release: Callable[[Ticket, int, int, float | None], None]
--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -1,6 +1,6 @@
 """Wires completions: admission, routing and dispatch."""
 
-from ..admission import AdmissionPort, open_unlimited
+from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
 from ..membership import MembershipPort
 from ..routing import RoutingPort
@@ -9,11 +9,6 @@
 from .fleet import FleetParts
 
 
-def build_admission(core: Core, membership: MembershipPort) -> AdmissionPort:
-    """Wire limits and queues."""
-    return open_unlimited(core.clock.now_ms)
-
-
 def build_routing(core: Core, membership: MembershipPort) -> RoutingPort:
     """Wire the choice of an engine."""
     return open_least_loaded(core.settings.isolation_secret, core.rng)
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -9,7 +9,8 @@
 from ..entry.auth import CallerKeys
 from ..events import lifecycle as events
 from ..httpd import HttpServer, start_server
-from .completions import build_admission, build_completions, build_routing
+from .admission import build_admission
+from .completions import build_completions, build_routing
 from .core import Core, build_core
 from .deferred import build_deferred
 from .fleet import build_fleet
@@ -55,7 +56,7 @@
     membership = build_membership(core)
     profiles = build_profiles(core)
     fleet = build_fleet(core)
-    admission = build_admission(core, membership)
+    admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -18,6 +18,7 @@
 WEAK_SECRET = "SET-E015"
 EMPTY_NAME = "SET-E016"
 BAD_UPSTREAM = "SET-E017"
+BAD_SHARE = "SET-E030"
 
 MIN_SECRET_BYTES = 16
 _SHA256 = re.compile(r"[0-9a-f]{64}")
@@ -93,6 +94,20 @@
             yield Problem(BAD_UPSTREAM, f"{path}.service", "nothing", hint)
 
 
+def _check_shares(settings: Settings) -> Iterator[Problem]:
+    section = settings.admission
+    for key in ("urgent_headroom", "caller_thread_share", "deferrable_thread_share"):
+        value = getattr(section, key)
+        if not 0.0 <= value <= 1.0:
+            path = f"$.admission.{key}"
+            yield Problem(BAD_SHARE, path, str(value), "write 0 to 1")
+    for key in ("window_tokens", "output_token_cost"):
+        value = getattr(section, key)
+        if value <= 0:
+            hint = "write more than 0"
+            yield Problem(BAD_POSITIVE, f"$.admission.{key}", str(value), hint)
+
+
 #: All checks, in the order in which they are reported.
 CHECKS: tuple[Callable[[Settings], Iterator[Problem]], ...] = (
     _check_names,
@@ -100,4 +115,5 @@
     _check_secrets,
     _check_hashes,
     _check_upstreams,
+    _check_shares,
 )
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -43,3 +43,22 @@
 STATSD_HOST = ""
 STATSD_PORT = 8125
 STATSD_PREFIX = "buckthornrock"
+
+# Admission: ranks, queues and limits
+#: "aimd", "gradient" or "fixed".
+ADMISSION_CONTROLLER = "aimd"
+#: Delay of first tokens beyond their own prefill at which the window shrinks.
+ADMISSION_TARGET_DELAY_MS = 100
+#: Work at one engine before anything was measured, in tokens.
+ADMISSION_WINDOW_TOKENS = 8_192
+#: Work of one output token, in prompt tokens.
+ADMISSION_OUTPUT_TOKEN_COST = 3.0
+#: Share of the window that deferrable work leaves free.
+ADMISSION_URGENT_HEADROOM = 0.1
+ADMISSION_DEFERRABLE_WAIT_MS = 60_000
+#: Shares of the entry port's threads that may be held by all completions, and by
+#: deferrable ones; the rest answers refusals and reads.
+ADMISSION_CALLER_SHARE = 0.9
+ADMISSION_DEFERRABLE_SHARE = 0.5
+#: Time between two reports of demand; a share is good for a few periods.
+ADMISSION_SHARE_PERIOD_MS = 1_000
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -120,6 +120,20 @@
     log_path: str = "-"
 
 
+class AdmissionSettings(NamedTuple):
+    """Ranks, queues and limits of completions."""
+
+    controller: Literal["aimd", "gradient", "fixed"] = defaults.ADMISSION_CONTROLLER
+    target_delay_ms: int = defaults.ADMISSION_TARGET_DELAY_MS
+    window_tokens: int = defaults.ADMISSION_WINDOW_TOKENS
+    output_token_cost: float = defaults.ADMISSION_OUTPUT_TOKEN_COST
+    urgent_headroom: float = defaults.ADMISSION_URGENT_HEADROOM
+    deferrable_wait_ms: int = defaults.ADMISSION_DEFERRABLE_WAIT_MS
+    caller_thread_share: float = defaults.ADMISSION_CALLER_SHARE
+    deferrable_thread_share: float = defaults.ADMISSION_DEFERRABLE_SHARE
+    share_period_ms: int = defaults.ADMISSION_SHARE_PERIOD_MS
+
+
 class Settings(NamedTuple):
     """All settings of one instance."""
 
@@ -135,3 +149,4 @@
     default_profile: str = defaults.PROFILE_NAME
     wire: WireSettings = WireSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    admission: AdmissionSettings = AdmissionSettings()
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -13,6 +13,8 @@
 ATTEMPTS_FAILED = "attempts_failed"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
+WAITING_TOKENS = "waiting_tokens"
+WINDOW_TOKENS = "window_tokens"
 
 #: Metric name -> (kind, meaning).
 CATALOGUE: dict[str, tuple[str, str]] = {
@@ -24,6 +26,8 @@
     ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
+    WAITING_TOKENS: ("gauge", "work that waits for admission, by model"),
+    WINDOW_TOKENS: ("gauge", "work that may be at one engine, by model"),
 }
 
 
--- /dev/null
+++ b/tests/admission/flow_cases.py
@@ -0,0 +1,57 @@
+"""Builders that the admission tests share."""
+
+from buckthornrock.admission import AdmissionQuery
+from buckthornrock.admission.cost import CostModel
+from buckthornrock.admission.entry import Entry
+from buckthornrock.admission.gate import Gate, GateRules
+from buckthornrock.admission.policy import ModelCapacity, WorkPolicy
+from buckthornrock.admission.window import Window, fixed
+
+HOUR_MS = 3_600_000.0
+
+
+def make_query(**changes):
+    query = AdmissionQuery(
+        request_id="r",
+        client_account="a",
+        member="m",
+        profile="p",
+        work_class="c",
+        rank=0,
+        weight=1.0,
+        worth=1.0,
+        model="small",
+        n_prompt_tokens=100,
+        n_output_tokens=0,
+        deadline_at_ms=HOUR_MS,
+        is_deferred=False,
+    )
+    return query._replace(**changes)
+
+
+def make_policy(**changes):
+    policy = WorkPolicy(
+        is_deferrable=False,
+        ttft_target_ms=1_000.0,
+        deferrable_floor=0.0,
+        member_weight=1.0,
+        requests_per_s=1e9,
+        tokens_per_s=1e9,
+    )
+    return policy._replace(**changes)
+
+
+def make_entry(cost_tokens=100.0, now_ms=0.0, policy=None, **changes):
+    policy = policy or make_policy()
+    return Entry(make_query(**changes), policy, cost_tokens, now_ms)
+
+
+def make_gate(window_tokens=1_000.0, headroom=0.0, wait_ms=HOUR_MS):
+    window = Window(fixed(0.0), window_tokens)
+    gate = Gate(GateRules(headroom, wait_ms), CostModel(1.0), window)
+    gate.set_capacity(ModelCapacity(1, 1_000.0))
+    return gate
+
+
+def release(gate, entry, now_ms, ttft_ms=None):
+    gate.release(entry, int(entry.cost_tokens), 0, ttft_ms, now_ms)
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -22,6 +22,13 @@
     ({"colour": 1}, {("SET-E001", "$.colour")}),
     ({"entry": {}}, {("SET-E002", "$.entry.port")}),
     ({"entry": {"port": 70000}}, {("SET-E010", "$.entry.port")}),
+    (
+        {"admission": {"urgent_headroom": 2.0, "window_tokens": 0}},
+        {
+            ("SET-E030", "$.admission.urgent_headroom"),
+            ("SET-E011", "$.admission.window_tokens"),
+        },
+    ),
     ({"isolation_secret": "short"}, {("SET-E015", "$.isolation_secret")}),
     (
         {"upstreams": {"servers": [ENGINE, ENGINE]}},
