--- a/buckthornrock/membership/errors.py
+++ b/buckthornrock/membership/errors.py
@@ -1,11 +1,17 @@
-"""Failures of calls to peers."""
+"""Failures of calls to peers; the inner protocol declares them."""
 
-from typing import NamedTuple
+from ..wire.errors import (
+    PeerFailed,
+    PeerFailure,
+    PeerNotReached,
+    PeerUnreachable,
+    PeerUnsupported,
+)
 
-
-class PeerUnreachable(NamedTuple):
-    """The peer did not answer in time; it may or may not have acted."""
-
-    instance_id: str
-
-    code = "peer-unreachable"
+__all__ = [
+    "PeerFailed",
+    "PeerFailure",
+    "PeerNotReached",
+    "PeerUnreachable",
+    "PeerUnsupported",
+]
--- /dev/null
+++ b/buckthornrock/wire/codec.py
@@ -0,0 +1,133 @@
+"""Encodes messages into authenticated frames and back.
+
+A frame is a MAC followed by an envelope in MessagePack. The MAC covers the whole
+envelope. Requests and replies use different keys, so that neither passes for the
+other.
+"""
+
+import hashlib
+import hmac
+from typing import Literal, NamedTuple, Union
+
+import msgspec
+from expression import Error, Ok, Result
+
+from . import membership_messages, message
+from .errors import BadFrame
+from .message import Message
+
+PROTOCOL_VERSION = 1
+#: The oldest protocol version whose readers understand our frames.
+OLDEST_READER_VERSION = 1
+MAC_BYTES = 16
+
+Direction = Literal["request", "reply"]
+
+#: Every type of message that instances exchange; each concern adds its own.
+MESSAGE_TYPES: tuple[type[Message], ...] = (
+    message.Ack,
+    message.Misaddressed,
+    message.Unsupported,
+    message.HandlerFailed,
+    membership_messages.MemberRecord,
+    membership_messages.Probe,
+    membership_messages.ProbeReply,
+    membership_messages.News,
+)
+
+
+class Identity(NamedTuple):
+    """An instance and one of its runs."""
+
+    instance_id: str
+    incarnation: str
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """What surrounds a message; later versions may append fields.
+
+    A reply repeats the ``sequence`` of its request. An empty
+    ``recipient_incarnation`` means that the sender does not know it yet.
+    """
+
+    version: int
+    oldest_reader: int
+    sender: str
+    sender_incarnation: str
+    recipient: str
+    recipient_incarnation: str
+    sequence: int
+    body: msgspec.Raw
+
+
+class Codec:
+    """Seals and opens frames with keys derived from the shared secret."""
+
+    def __init__(
+        self,
+        shared_secret: str,
+        max_frame_bytes: int,
+        message_types: tuple[type[Message], ...] = MESSAGE_TYPES,
+        version: int = PROTOCOL_VERSION,
+    ) -> None:
+        self._keys = {
+            direction: _derive_key(shared_secret, direction)
+            for direction in ("request", "reply")
+        }
+        self._max_frame_bytes = max_frame_bytes
+        self._version = version
+        self._envelopes = msgspec.msgpack.Decoder(Envelope)
+        self._messages = msgspec.msgpack.Decoder(Union[message_types])  # noqa: UP007
+
+    def seal(
+        self,
+        direction: Direction,
+        sender: Identity,
+        recipient: Identity,
+        sequence: int,
+        body: Message,
+    ) -> bytes:
+        """Return the frame of one message."""
+        envelope = Envelope(
+            version=self._version,
+            oldest_reader=OLDEST_READER_VERSION,
+            sender=sender.instance_id,
+            sender_incarnation=sender.incarnation,
+            recipient=recipient.instance_id,
+            recipient_incarnation=recipient.incarnation,
+            sequence=sequence,
+            body=msgspec.Raw(msgspec.msgpack.encode(body)),
+        )
+        raw = msgspec.msgpack.encode(envelope)
+        return self._mac(direction, raw) + raw
+
+    def open(self, direction: Direction, frame: bytes) -> Result[Envelope, BadFrame]:
+        """Return the envelope of an authentic frame."""
+        if len(frame) > self._max_frame_bytes:
+            return Error(BadFrame("oversized"))
+        mac, raw = frame[:MAC_BYTES], frame[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(direction, raw)):
+            return Error(BadFrame("bad_mac"))
+        try:
+            envelope = self._envelopes.decode(raw)
+        except msgspec.MsgspecError:
+            return Error(BadFrame("malformed"))
+        if envelope.oldest_reader > self._version:
+            return Error(BadFrame("too_new"))
+        return Ok(envelope)
+
+    def decode_body(self, envelope: Envelope) -> Result[Message, BadFrame]:
+        """Return the message; one of an unknown type is a bad frame."""
+        try:
+            return Ok(self._messages.decode(envelope.body))
+        except msgspec.MsgspecError:
+            return Error(BadFrame("unknown_message"))
+
+    def _mac(self, direction: Direction, raw: bytes) -> bytes:
+        key = self._keys[direction]
+        return hashlib.blake2b(raw, digest_size=MAC_BYTES, key=key).digest()
+
+
+def _derive_key(shared_secret: str, direction: str) -> bytes:
+    secret = hashlib.blake2b(shared_secret.encode()).digest()
+    return hashlib.blake2b(direction.encode(), key=secret).digest()
