Detect live instances by heartbeats, suspicion and news

Cause: membership knew only the instance itself. Change: a pure detector (ring successors, one random probe, bucket digests, refutable suspicion before death, departure) and a service that feeds it. The platform's list and the settings' peers are only candidates, so it works with both down. Core gains closers, called at the end of the shutdown.

--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -15,7 +15,8 @@
 class Core(NamedTuple):
     """Parts that the others are built on.
 
-    ``loops`` collects every periodic actor, to be stopped at shutdown.
+    ``loops`` collects every periodic actor, to be stopped at shutdown, and
+    ``closers`` the functions that close what the parts opened.
     """
 
     settings: Settings
@@ -25,6 +26,7 @@
     kv: KvPort
     rng: random.Random
     loops: list[PeriodicHandle]
+    closers: list[Callable[[], None]]
 
 
 def build_core(settings: Settings, log_stream: IO[str] | None) -> Core:
@@ -41,6 +43,7 @@
         kv=open_kv(settings.platform.kv, telemetry),
         rng=random.Random(os.urandom(16)),
         loops=[],
+        closers=[],
     )
 
 
--- a/buckthornrock/membership/port.py
+++ b/buckthornrock/membership/port.py
@@ -5,7 +5,7 @@
 
 from expression import Error
 
-from .errors import PeerUnreachable
+from .errors import PeerNotReached
 
 
 class InstanceView(NamedTuple):
@@ -33,10 +33,15 @@
     tell : callable
         ``tell(instance_id, message) -> None``; best effort, never blocks long.
     ask : callable
-        ``ask(instance_id, message, timeout_ms) -> Result[message, PeerFailure]``.
+        ``ask(instance_id, message, timeout_ms) -> Result[message, PeerFailure]``;
+        only ``PeerNotReached`` and ``PeerUnsupported`` prove that the peer did not
+        handle the message.
     subscribe : callable
-        ``subscribe(message_type, handler)``; ``handler(sender_id, message)``
-        returns the reply message or None.
+        ``subscribe(message_type, handler, is_slow=False)``;
+        ``handler(sender_id, message)`` returns the reply message or None. A handler
+        that may wait is slow and runs in a pool of its own.
+    leave : callable
+        ``leave() -> None``; the other instances stop counting this one as live.
     """
 
     self_view: Callable[[], InstanceView]
@@ -44,6 +49,7 @@
     tell: Callable[..., None]
     ask: Callable[..., object]
     subscribe: Callable[..., None]
+    leave: Callable[[], None] = lambda: None
 
 
 def alone(view: InstanceView) -> MembershipPort:
@@ -53,9 +59,9 @@
         live=lambda: (view,),
         tell=lambda instance_id, message: None,
         ask=_no_peer,
-        subscribe=lambda message_type, handler: None,
+        subscribe=lambda message_type, handler, is_slow=False: None,
     )
 
 
 def _no_peer(instance_id: str, message: object, timeout_ms: float) -> object:
-    return Error(PeerUnreachable(instance_id))
+    return Error(PeerNotReached(instance_id))
--- a/buckthornrock/platform/errors.py
+++ b/buckthornrock/platform/errors.py
@@ -17,3 +17,11 @@
     lease_id: int
 
     code = "lease-gone"
+
+
+class ListUnavailable(NamedTuple):
+    """The platform's instance list could not be read."""
+
+    reason: str
+
+    code = "instance-list-unavailable"
--- /dev/null
+++ b/tests/membership/test_service.py
@@ -0,0 +1,136 @@
+"""Instances over real sockets: joining, dying, leaving, bad frames."""
+
+import random
+import time
+
+import pynng
+import pytest
+
+from buckthornrock.conf.settings import WireSettings
+from buckthornrock.membership import InstanceView
+from buckthornrock.membership.service import MembershipService, open_membership
+from buckthornrock.runtime import system_clock
+from buckthornrock.telemetry import Telemetry, open_log, open_metrics
+from buckthornrock.wire import Identity, PeerAddress, open_transport
+from buckthornrock.wire.membership_messages import News, Probe
+from buckthornrock.wire.message import Ack, Message
+
+SECRET = "a-shared-secret-of-the-fleet"
+SETTINGS = WireSettings(shared_secret=SECRET, timeout_ms=300, max_frame_bytes=65_536)
+WAIT_LIMIT_S = 20.0
+
+
+class Node:
+    """One instance's membership, driven by the test instead of by actors."""
+
+    def __init__(self, instance_id, seeds=()):
+        telemetry = Telemetry(open_log(None), open_metrics("", 0, ""))
+        identity = Identity(instance_id, f"run-{random.random()}")
+        self.transport = open_transport(identity, SETTINGS, telemetry)
+        view = InstanceView(
+            instance_id, self.transport.address, "fd", "r", identity.incarnation
+        )
+        self.peer = PeerAddress(instance_id, self.transport.address)
+        self.service = MembershipService(
+            view, self.transport, seeds, 300, telemetry, system_clock(),
+            random.Random(1),
+        )  # fmt: skip
+        self.port = open_membership(self.service)
+
+    def step(self):
+        self.service.probe()
+        self.service.spread_news()
+
+    def live(self):
+        return [view.instance_id for view in self.port.live()]
+
+    def close(self):
+        self.service.close()
+        self.transport.close()
+
+
+@pytest.fixture
+def fleet():
+    nodes = [Node("i0")]
+    nodes += [Node(f"i{index}", [nodes[0].peer]) for index in range(1, 5)]
+    step_until(nodes, lambda: all(node.live() == ids(nodes) for node in nodes))
+    yield nodes
+    for node in nodes:
+        node.close()
+
+
+def ids(nodes):
+    return [node.peer.instance_id for node in nodes]
+
+
+def step_until(nodes, condition):
+    give_up_at_s = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        assert time.monotonic() < give_up_at_s
+        for node in nodes:
+            node.step()
+        time.sleep(0.01)
+
+
+def test_dead_instance_goes_and_its_next_run_returns(fleet):
+    *rest, last = fleet
+    last.close()
+    step_until(rest, lambda: all(node.live() == ids(rest) for node in rest))
+    again = Node(last.peer.instance_id, [fleet[0].peer])
+    fleet[-1] = again
+    step_until(fleet, lambda: all(node.live() == ids(fleet) for node in fleet))
+
+
+def test_instance_that_leaves_goes_without_suspicion(fleet):
+    *rest, last = fleet
+    last.port.leave()
+    step_until(rest, lambda: all(node.live() == ids(rest) for node in rest))
+    assert fleet[0].service._detector.record(last.peer.instance_id).state == "left"
+
+
+def test_ask_answers_and_names_failures(fleet):
+    one, other, *_ = fleet
+    other.port.subscribe(News, lambda sender, news: Ack())
+    assert one.port.ask("i1", News(()), 300).ok == Ack()
+    assert one.port.ask("i1", Ack(), 300).error.code == "peer-unsupported"
+    assert one.port.ask("none", News(()), 300).error.code == "peer-not-reached"
+    other.port.subscribe(News, lambda sender, news: 1 / 0)
+    assert one.port.ask("i1", News(()), 300).error.code == "peer-failed"
+    assert one.port.ask("i0", News(()), 300).ok == Ack()
+
+
+def test_slow_handlers_do_not_hold_heartbeats(fleet):
+    one, other, *_ = fleet
+    other.port.subscribe(News, lambda sender, news: time.sleep(1.0), is_slow=True)
+    for _ in range(12):
+        one.port.tell("i1", News(()))
+    reply = one.port.ask("i1", Probe(one.service._detector.digests()), 300)
+    assert reply.is_ok()
+
+
+def test_replayed_and_forged_frames_are_dropped(fleet):
+    one, other, *_ = fleet
+    n_handled = []
+    other.port.subscribe(News, lambda sender, news: n_handled.append(sender))
+    frame = one.transport._codec.seal(
+        "request", one.transport.identity, other.transport.identity, 10_000, News(())
+    )
+    for raw in (frame, frame, b"x" * 30, b"x" * 70_000):
+        with pynng.Req0(send_timeout=500, recv_timeout=200) as socket:
+            socket.dial(f"tcp://{other.transport.address}", block=True)
+            socket.send(raw)
+            try:
+                socket.recv()
+            except pynng.Timeout:
+                continue
+    assert n_handled == ["i0"]
+    assert other.transport.n_dropped == 3
+
+
+class FromTheFuture(Message, tag="future.question"):
+    """A type that no reader knows."""
+
+
+def test_message_of_a_newer_version_is_answered_as_unsupported(fleet):
+    one, *_ = fleet
+    assert one.port.ask("i1", FromTheFuture(), 300).error.code == "peer-unsupported"
