Route by estimated time to first token over an index of engine caches

Cause: routing looked at load only, so shared prompt work was repeated. Change: keyed chained block hashes, a cache index by engine incarnation fed by ordered cache events and own sends, a cost estimate with switchable terms, rendezvous homes that widen with demand; round robin, least loaded and prefix home stay as baselines. Engines are polled one actor each, so a stalled one delays no other. Upstream health: ejection with a bounded share, slow return, leaving upstreams from the list, their own word and peers. Conclusion: in force by default (routing.policy = cost).

--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -4,7 +4,6 @@
 from ..dispatch import CompletionDispatcher
 from ..membership import MembershipPort
 from ..routing import RoutingPort
-from ..routing.least_loaded import open_least_loaded
 from .core import Core
 from .fleet import FleetParts
 
@@ -14,11 +13,6 @@
     return open_unlimited(core.clock.now_ms)
 
 
-def build_routing(core: Core, membership: MembershipPort) -> RoutingPort:
-    """Wire the choice of an engine."""
-    return open_least_loaded(core.settings.isolation_secret, core.rng)
-
-
 def build_completions(
     core: Core,
     fleet: FleetParts,
--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -1,11 +1,12 @@
-"""Wires the upstreams: registry, clients and load polling."""
+"""Wires the upstreams: registry and clients."""
 
 from typing import NamedTuple
 
 from ..fleet import Fleet
 from ..upstreams.engine_client import EngineClient
+from ..upstreams.engine_control import EngineControl
 from ..upstreams.service_client import ServiceClient
-from .core import Core, run_periodically
+from .core import Core
 
 
 class FleetParts(NamedTuple):
@@ -14,14 +15,13 @@
     fleet: Fleet
     engines: EngineClient
     services: ServiceClient
+    control: EngineControl
 
 
 def build_fleet(core: Core) -> FleetParts:
-    """Wire the registry of upstreams and poll their load."""
+    """Wire the registry of upstreams and the clients."""
     section = core.settings.upstreams
-    fleet = Fleet(section.servers, core.clock.now_ms)
-    engines = EngineClient(section)
-    run_periodically(
-        core, "fleet.poll", lambda: fleet.poll(engines.load), section.poll_period_ms
+    fleet = Fleet(section.servers, core.clock.now_ms, core.telemetry.log, core.rng)
+    return FleetParts(
+        fleet, EngineClient(section), ServiceClient(section), EngineControl()
     )
-    return FleetParts(fleet, engines, ServiceClient(section))
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -9,13 +9,14 @@
 from ..entry.auth import CallerKeys
 from ..events import lifecycle as events
 from ..httpd import HttpServer, start_server
-from .completions import build_admission, build_completions, build_routing
+from .completions import build_admission, build_completions
 from .core import Core, build_core
 from .deferred import build_deferred
 from .fleet import build_fleet
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
+from .routing import build_routing, start_digests, start_polling
 from .services import build_services
 
 
@@ -57,6 +58,8 @@
     fleet = build_fleet(core)
     admission = build_admission(core, membership)
     routing = build_routing(core, membership)
+    start_polling(core, fleet, routing)
+    start_digests(core, fleet, routing, membership)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -36,6 +36,14 @@
 UPSTREAM_POLL_PERIOD_MS = 250
 UPSTREAM_BLOCK_BYTES = 64
 
+# Routing
+#: One way between two failure domains.
+ROUTING_CROSS_DOMAIN_MS = 1.0
+ROUTING_EVENT_PERIOD_MS = 100
+ROUTING_DIGEST_PERIOD_MS = 100
+#: Cached blocks that the index keeps for one engine.
+ROUTING_MAX_BLOCKS_PER_UPSTREAM = 65_536
+
 # Profiles
 PROFILE_NAME = "default"
 
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -103,6 +103,52 @@
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
 
 
+class RoutingTermSettings(NamedTuple):
+    """Terms of the cost estimate; each can be switched off to measure its worth.
+
+    Parameters
+    ----------
+    queue : bool
+        Prompt tokens that wait at the engine, from its load report.
+    own_sends, peers : bool
+        Corrections of the report by sends that it does not show yet.
+    hits : bool
+        Cached prefixes from cache events.
+    expected : bool
+        Prefixes that an engine is computing for this instance.
+    transit : bool
+        Time between failure domains.
+    homes, widening : bool
+        Rendezvous homes, and more of them for hot prefixes.
+    imports : bool
+        Prefixes from the kept-cache store.
+    random_ties : bool
+        Near-equal engines at random.
+    """
+
+    queue: bool = True
+    own_sends: bool = True
+    peers: bool = True
+    hits: bool = True
+    expected: bool = True
+    transit: bool = True
+    homes: bool = True
+    widening: bool = True
+    imports: bool = True
+    random_ties: bool = True
+
+
+class RoutingSettings(NamedTuple):
+    """How an engine is chosen."""
+
+    policy: Literal["cost", "round_robin", "least_loaded", "prefix_home"] = "cost"
+    terms: RoutingTermSettings = RoutingTermSettings()
+    cross_domain_ms: float = defaults.ROUTING_CROSS_DOMAIN_MS
+    event_period_ms: int = defaults.ROUTING_EVENT_PERIOD_MS
+    digest_period_ms: int = defaults.ROUTING_DIGEST_PERIOD_MS
+    max_blocks_per_upstream: int = defaults.ROUTING_MAX_BLOCKS_PER_UPSTREAM
+
+
 class CallerKeySettings(NamedTuple):
     """The hash of a caller's key and the client account (and member) it names."""
 
@@ -134,4 +180,5 @@
     region: str = ""
     default_profile: str = defaults.PROFILE_NAME
     wire: WireSettings = WireSettings()
+    routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -113,6 +113,7 @@
     ) -> None:
         parts = self._parts
         progress.excluded.add(choice.upstream_id)
+        parts.fleet.note_outcome(choice.upstream_id, is_ok=False)
         parts.routing.on_failed(query, choice, parts.now_ms())
         parts.telemetry.metrics.incr(ATTEMPTS_FAILED)
         parts.telemetry.log(
@@ -142,6 +143,7 @@
             return self._relay(query, choice, chunks.ok, sink, progress)
         finally:
             parts.fleet.end(choice.upstream_id)
+            parts.routing.on_ended(query, choice, parts.now_ms())
 
     def _relay(
         self,
--- a/buckthornrock/fleet/registry.py
+++ b/buckthornrock/fleet/registry.py
@@ -1,12 +1,16 @@
 """Holds what is known of each upstream and hands out views of the eligible ones."""
 
+import random
 import threading
-from collections.abc import Callable
-
-from expression import Result
+from collections.abc import Callable, Iterable
 
 from ..conf.settings import UpstreamSettings
+from ..events import fleet as events
+from ..telemetry import Log
 from ..upstreams.engine_messages import LoadReport
+from ..upstreams.errors import AttemptFailed
+from .health import HealthTracker
+from .leaving import LeavingTracker, Source
 from .views import EngineView, ServiceView
 
 
@@ -18,12 +22,10 @@
         self.report: LoadReport | None = None
         self.report_at_ms = 0.0
         self.n_own_requests = 0
-        self.is_leaving = False
-        self.health = 1.0
 
 
 class Fleet:
-    """The upstreams of the settings, with their last load reports.
+    """The upstreams of the settings: load reports, health, and who is leaving.
 
     Parameters
     ----------
@@ -31,45 +33,120 @@
         All upstreams.
     now_ms : callable
         Monotonic clock.
+    log : callable
+        Event log.
+    rng : random.Random
+        Source of the jitter of ejections.
     """
 
     def __init__(
-        self, servers: tuple[UpstreamSettings, ...], now_ms: Callable[[], float]
+        self,
+        servers: tuple[UpstreamSettings, ...],
+        now_ms: Callable[[], float],
+        log: Log,
+        rng: random.Random,
     ) -> None:
         self._now_ms = now_ms
+        self._log = log
         self._lock = threading.Lock()
         self._records = {server.id: _Record(server) for server in servers}
+        self._health = {
+            kind: HealthTracker(tuple(s.id for s in servers if s.kind == kind), rng)
+            for kind in ("engine", "service")
+        }
+        self._leaving = LeavingTracker()
+
+    def engine_settings(self) -> tuple[UpstreamSettings, ...]:
+        """Return the settings of all engines, by id."""
+        settings = (record.settings for record in self._records.values())
+        return tuple(sorted(s for s in settings if s.kind == "engine"))
 
     def engines(self, model: str) -> tuple[EngineView, ...]:
         """Return the engines that serve ``model`` and may get new work."""
+        now_ms = self._now_ms()
         with self._lock:
-            records = [r for r in self._records.values() if _serves(r, model)]
-            return tuple(self._engine_view(record) for record in records)
+            records = [r for r in self._records.values() if self._serves(r, model)]
+            views = [self._engine_view(record, now_ms) for record in records]
+        return tuple(view for view in views if view.health > 0.0)
 
     def services(self, service: str) -> tuple[ServiceView, ...]:
         """Return the servers of ``service`` that may get new work."""
+        now_ms = self._now_ms()
         with self._lock:
-            return tuple(
-                _service_view(record)
+            records = [
+                record
                 for record in self._records.values()
-                if record.settings.service == service and not record.is_leaving
+                if record.settings.service == service
+                and not self._leaving.is_leaving(record.settings.id, now_ms)
+            ]
+            views = [self._service_view(record, now_ms) for record in records]
+        # An ejected server is better than a refusal.
+        return tuple(v for v in views if v.health > 0.0) or tuple(views)
+
+    def note_report(self, upstream_id: str, report: LoadReport) -> None:
+        """Take in an engine's load report."""
+        now_ms = self._now_ms()
+        with self._lock:
+            record = self._records[upstream_id]
+            record.report = report
+            record.report_at_ms = now_ms
+            health = self._health["engine"]
+            is_cold = health.note_poll(upstream_id, report.incarnation, now_ms)
+            if is_cold:
+                self._leaving.forget_peers(upstream_id)
+        self.set_leaving(upstream_id, report.state == "leaving", "report")
+        if is_cold:
+            self._log(
+                events.COLD_START,
+                upstream_id=upstream_id,
+                incarnation=report.incarnation,
+            )
+
+    def note_failed_poll(self, upstream_id: str, failure: AttemptFailed) -> None:
+        """Count a load poll without an answer."""
+        is_refused = failure.not_run == "true"
+        with self._lock:
+            health = self._health["engine"]
+            is_down = health.note_failed_poll(upstream_id, is_refused)
+        if is_down:
+            self._log(
+                events.UPSTREAM_DOWN, upstream_id=upstream_id, reason=failure.reason
             )
 
-    def poll(self, load: Callable[[str], Result[LoadReport, object]]) -> None:
-        """Ask every engine for its load report."""
-        for record in list(self._records.values()):
-            if record.settings.kind != "engine":
-                continue
-            report = load(record.settings.address)
-            with self._lock:
-                record.report = report.default_value(None)
-                record.report_at_ms = self._now_ms()
-
-    def set_leaving(self, upstream_id: str, is_leaving: bool) -> None:
+    def note_outcome(self, upstream_id: str, is_ok: bool) -> None:
+        """Count a request that the upstream served or failed."""
+        now_ms = self._now_ms()
+        with self._lock:
+            health = self._health[self._records[upstream_id].settings.kind]
+            if is_ok:
+                health.note_success(upstream_id, now_ms)
+                return
+            is_ejected = health.note_failure(upstream_id, now_ms)
+        if is_ejected:
+            self._log(events.UPSTREAM_EJECTED, upstream_id=upstream_id)
+
+    def set_leaving(
+        self, upstream_id: str, is_leaving: bool, source: Source = "list"
+    ) -> None:
         """Note that an upstream leaves, or is back."""
+        if upstream_id not in self._records:
+            return
+        with self._lock:
+            was_leaving = self._leaving.is_leaving(upstream_id, self._now_ms())
+            self._leaving.note(source, upstream_id, is_leaving)
+        if is_leaving and not was_leaving:
+            self._log(events.UPSTREAM_LEAVING, upstream_id=upstream_id, source=source)
+
+    def note_leaving_by_peer(self, upstream_ids: Iterable[str]) -> None:
+        """Take in upstreams that a peer knows first-hand to be leaving."""
+        known = [id_ for id_ in upstream_ids if id_ in self._records]
+        with self._lock:
+            self._leaving.note_peer(known, self._now_ms())
+
+    def leaving_first_hand(self) -> tuple[str, ...]:
+        """Return the upstreams that are leaving by the list or their own word."""
         with self._lock:
-            if upstream_id in self._records:
-                self._records[upstream_id].is_leaving = is_leaving
+            return self._leaving.first_hand()
 
     def begin(self, upstream_id: str) -> None:
         """Count a request that is sent to the upstream."""
@@ -81,7 +158,13 @@
         with self._lock:
             self._records[upstream_id].n_own_requests -= 1
 
-    def _engine_view(self, record: _Record) -> EngineView:
+    def _serves(self, record: _Record, model: str) -> bool:
+        report = record.report
+        if report is None or report.state != "live" or model not in report.models:
+            return False
+        return not self._leaving.is_leaving(record.settings.id, self._now_ms())
+
+    def _engine_view(self, record: _Record, now_ms: float) -> EngineView:
         report = record.report
         return EngineView(
             upstream_id=record.settings.id,
@@ -97,23 +180,16 @@
             n_own_requests=record.n_own_requests,
             prefill_tokens_per_s=report.prefill_tokens_per_s,
             inter_token_ms=report.inter_token_ms,
-            report_age_ms=self._now_ms() - record.report_at_ms,
-            health=record.health,
+            report_age_ms=now_ms - record.report_at_ms,
+            health=self._health["engine"].health(record.settings.id, now_ms),
         )
 
-
-def _serves(record: _Record, model: str) -> bool:
-    if record.is_leaving or record.report is None:
-        return False
-    return record.report.state == "live" and model in record.report.models
-
-
-def _service_view(record: _Record) -> ServiceView:
-    return ServiceView(
-        upstream_id=record.settings.id,
-        service=record.settings.service,
-        address=record.settings.address,
-        failure_domain=record.settings.failure_domain,
-        n_own_requests=record.n_own_requests,
-        health=record.health,
-    )
+    def _service_view(self, record: _Record, now_ms: float) -> ServiceView:
+        return ServiceView(
+            upstream_id=record.settings.id,
+            service=record.settings.service,
+            address=record.settings.address,
+            failure_domain=record.settings.failure_domain,
+            n_own_requests=record.n_own_requests,
+            health=self._health["service"].health(record.settings.id, now_ms),
+        )
--- /dev/null
+++ b/buckthornrock/routing/cost.py
@@ -0,0 +1,246 @@
+"""Routing by the least estimated time to first token."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from ..conf.settings import RoutingSettings
+from .baselines import TOKEN_BYTES, salt_for
+from .blocks import BlockHasher
+from .demand import DemandMeter
+from .eligibility import eligible
+from .errors import NoEngine
+from .estimate import Estimate, Prompt, Unseen, estimate, near_best
+from .index import NO_MATCH, CacheEventLike, CacheIndex, Match
+from .inflight import InFlight, Sent
+from .levels import homes, n_shared_blocks, prefix_levels
+from .port import Candidate, RouteChoice, RouteQuery, RoutingPort
+
+#: Engines within this of the best estimate are taken at random.
+TIE_MARGIN_MS = 1.0
+TIE_MARGIN_SHARE = 0.05
+#: Age of a load report's contents when it arrives; own sends within it are added.
+REPORT_LAG_MS = 250.0
+#: Requests that an engine decodes together, for the share of its time one takes.
+DECODE_BATCH_SIZE = 32
+
+
+class RoutingContext(NamedTuple):
+    """What the cost policy is built on.
+
+    Parameters
+    ----------
+    secret : str
+        Isolation secret.
+    failure_domain : str
+        Of this instance.
+    block_bytes : int
+        Bytes of a block of a rendered prompt.
+    n_instances : callable
+        ``n_instances() -> int``, this one included.
+    """
+
+    secret: str
+    failure_domain: str
+    block_bytes: int
+    settings: RoutingSettings
+    rng: random.Random
+    n_instances: Callable[[], int]
+
+
+class CostRouter:
+    """State of the cost policy: hashes, cache index, sends and demand."""
+
+    def __init__(self, context: RoutingContext) -> None:
+        self._context = context
+        self._terms = context.settings.terms
+        self._block_tokens = context.block_bytes // TOKEN_BYTES
+        self._hasher = BlockHasher(context.block_bytes)
+        self.index = CacheIndex(context.settings.max_blocks_per_upstream)
+        self._in_flight = InFlight()
+        self._demand = DemandMeter()
+
+    def choose(
+        self, query: RouteQuery, candidates: Sequence[Candidate], now_ms: float
+    ) -> Result[RouteChoice, NoEngine]:
+        """Return the engine with about the least estimate."""
+        engines = eligible(query, candidates, self._context.rng)
+        if not engines:
+            return Error(NoEngine(query.model))
+        prompts = self._prompts(query, engines, now_ms)
+        estimates = [
+            self._estimate(prompts[engine.weights_version], engine, now_ms)
+            for engine in engines
+        ]
+        chosen = self._pick(estimates)
+        prompt = prompts[chosen.candidate.weights_version]
+        return Ok(_choice(prompt, chosen, self._block_tokens))
+
+    def _prompts(
+        self, query: RouteQuery, engines: Sequence[Candidate], now_ms: float
+    ) -> dict[str, Prompt]:
+        by_weights: dict[str, list[Candidate]] = {}
+        for engine in engines:
+            by_weights.setdefault(engine.weights_version, []).append(engine)
+        return {
+            weights_version: self._prompt(query, group, now_ms)
+            for weights_version, group in by_weights.items()
+        }
+
+    def _prompt(
+        self, query: RouteQuery, engines: Sequence[Candidate], now_ms: float
+    ) -> Prompt:
+        salt = salt_for(query, engines[0], self._context.secret)
+        chain = self._hasher.chain(salt, query.prompt)
+        levels = prefix_levels(chain, query.prefix_levels, self._context.block_bytes)
+        ids = sorted(engine.upstream_id for engine in engines)
+        n_instances = self._context.n_instances() if self._terms.widening else 0
+        home_ids = homes(
+            levels,
+            ids,
+            lambda level: self._demand.n_homes(level.block_hash, n_instances, now_ms),
+        )
+        return Prompt(
+            salt=salt,
+            chain=chain,
+            n_tokens=max(1, len(query.prompt) // TOKEN_BYTES),
+            n_shared_blocks=n_shared_blocks(levels, query.prefix_levels, len(chain)),
+            homes=home_ids,
+        )
+
+    def _estimate(self, prompt: Prompt, engine: Candidate, now_ms: float) -> Estimate:
+        since_ms = now_ms - engine.report_age_ms - REPORT_LAG_MS
+        unseen = Unseen(
+            self._in_flight.own_tokens(engine.upstream_id, since_ms),
+            self._in_flight.peer_tokens(engine.upstream_id, now_ms),
+        )
+        is_near = engine.failure_domain == self._context.failure_domain
+        transit_ms = 0.0 if is_near else self._context.settings.cross_domain_ms
+        match = self._match(prompt, engine, now_ms)
+        return estimate(
+            prompt, engine, match, unseen, transit_ms, self._block_tokens, self._terms
+        )
+
+    def _match(self, prompt: Prompt, engine: Candidate, now_ms: float) -> Match:
+        index = self.index.observe(
+            engine.upstream_id, engine.incarnation, engine.weights_version
+        )
+        if not self._terms.hits:
+            return NO_MATCH
+        return index.match(prompt.chain, now_ms, self._terms.expected)
+
+    def _pick(self, estimates: Sequence[Estimate]) -> Estimate:
+        if not self._terms.random_ties:
+            return min(estimates, key=lambda e: (e.total_ms, e.candidate.upstream_id))
+        near = near_best(estimates, TIE_MARGIN_MS, TIE_MARGIN_SHARE)
+        return self._context.rng.choice(near)
+
+    def on_sent(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> None:
+        """Count the send, and expect its prefix at the engine."""
+        n_missed = max(1, choice.n_prompt_tokens - choice.n_hit_tokens)
+        sent = Sent(now_ms, n_missed)
+        self._in_flight.add(choice.upstream_id, query.request_id, sent)
+        chain = self._hasher.chain(choice.cache_salt, query.prompt)
+        self._expect(choice, chain, now_ms)
+        self._note_demand(query, choice, chain, now_ms)
+
+    def _expect(self, choice: RouteChoice, chain: Sequence[int], now_ms: float) -> None:
+        index = self.index.get(choice.upstream_id)
+        if index is not None and index.incarnation == choice.incarnation:
+            index.expect(chain, now_ms)
+
+    def _note_demand(
+        self,
+        query: RouteQuery,
+        choice: RouteChoice,
+        chain: Sequence[int],
+        now_ms: float,
+    ) -> None:
+        levels = prefix_levels(chain, query.prefix_levels, self._context.block_bytes)
+        decode_ms = choice.decode_token_ms * query.n_output_tokens
+        for level in levels:
+            n_tokens = choice.n_prompt_tokens - level.n_blocks * self._block_tokens
+            work_ms = max(1, n_tokens) * choice.prefill_token_ms + decode_ms
+            self._demand.note(level.block_hash, work_ms, now_ms)
+
+    def on_first_token(
+        self, query: RouteQuery, choice: RouteChoice, ttft_ms: float, now_ms: float
+    ) -> None:
+        """Stop counting the send: its prefill is done and its prefix present."""
+        self._in_flight.remove(choice.upstream_id, query.request_id)
+        chain = self._hasher.chain(choice.cache_salt, query.prompt)
+        self._expect(choice, chain, now_ms)
+
+    def on_failed(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> None:
+        """Take back what the send let expect."""
+        self._in_flight.remove(choice.upstream_id, query.request_id)
+        index = self.index.get(choice.upstream_id)
+        if index is not None and index.incarnation == choice.incarnation:
+            index.unexpect(self._hasher.chain(choice.cache_salt, query.prompt))
+
+    def on_ended(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> None:
+        """Stop counting the send."""
+        self._in_flight.remove(choice.upstream_id, query.request_id)
+
+    def on_events(
+        self,
+        upstream_id: str,
+        incarnation: str,
+        events: Sequence[CacheEventLike],
+        now_ms: float,
+    ) -> None:
+        """Apply a batch of an engine's cache events."""
+        self.index.apply(upstream_id, incarnation, events, now_ms)
+
+    def events_since(self, upstream_id: str) -> int:
+        """Return the number of the last event that is known in order."""
+        index = self.index.get(upstream_id)
+        if index is None or index.sequencer.next_seq is None:
+            return 0
+        return index.sequencer.next_seq - 1
+
+    def in_flight(self, now_ms: float) -> Mapping[str, int]:
+        """Return own waiting tokens that load reports may not show yet."""
+        return self._in_flight.digest(now_ms, 2.0 * REPORT_LAG_MS)
+
+    def on_peer(
+        self, instance_id: str, n_tokens: Mapping[str, int], now_ms: float
+    ) -> None:
+        """Take in a peer's waiting tokens."""
+        self._in_flight.note_peer(instance_id, n_tokens, now_ms)
+
+
+def open_cost(context: RoutingContext) -> RoutingPort:
+    """Return routing by the least estimated time to first token."""
+    router = CostRouter(context)
+    return RoutingPort(
+        choose=router.choose,
+        on_sent=router.on_sent,
+        on_first_token=router.on_first_token,
+        on_failed=router.on_failed,
+        on_ended=router.on_ended,
+        on_events=router.on_events,
+        events_since=router.events_since,
+        in_flight=router.in_flight,
+        on_peer=router.on_peer,
+    )
+
+
+def _choice(prompt: Prompt, chosen: Estimate, block_tokens: int) -> RouteChoice:
+    candidate = chosen.candidate
+    n_hit_tokens = min(prompt.n_tokens, chosen.match.n_blocks * block_tokens)
+    return RouteChoice(
+        upstream_id=candidate.upstream_id,
+        address=candidate.address,
+        incarnation=candidate.incarnation,
+        weights_version=candidate.weights_version,
+        cache_salt=prompt.salt,
+        n_prompt_tokens=prompt.n_tokens,
+        n_hit_tokens=n_hit_tokens,
+        estimated_ttft_ms=chosen.ttft_ms,
+        terms=chosen.terms,
+        prefill_token_ms=1000.0 / max(1.0, candidate.prefill_tokens_per_s),
+        decode_token_ms=candidate.inter_token_ms / DECODE_BATCH_SIZE,
+    )
--- /dev/null
+++ b/buckthornrock/routing/estimate.py
@@ -0,0 +1,114 @@
+"""Estimates the time to first token of a request at one engine."""
+
+from array import array
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from ..conf.settings import RoutingTermSettings
+from .index import Match
+from .port import Candidate
+
+#: Share of its prefill time that a doubtful block is expected to save.
+DOUBTFUL_SHARE = 0.5
+#: Prefill time of a shared prefix, as a share, that a copy outside of its homes costs
+#: later requests, which look for it at the homes.
+STRAY_COPY_SHARE = 0.5
+
+
+class Prompt(NamedTuple):
+    """A prompt's hashes for one owner and one version of the weights.
+
+    Parameters
+    ----------
+    salt : str
+        Hexadecimal cache salt.
+    chain : array of uint64
+        One hash for each whole block.
+    n_tokens : int
+        Tokens of the whole prompt.
+    n_shared_blocks : int
+        Blocks that other prompts are likely to share.
+    homes : tuple of str
+        Upstreams on which the shared part belongs.
+    """
+
+    salt: str
+    chain: array
+    n_tokens: int
+    n_shared_blocks: int
+    homes: tuple[str, ...]
+
+
+class Unseen(NamedTuple):
+    """Tokens that wait at an engine but are not in its load report yet."""
+
+    n_own_tokens: int
+    n_peer_tokens: int
+
+
+class Estimate(NamedTuple):
+    """The estimate for one engine.
+
+    ``ttft_ms`` leaves out the cost to later requests, which ``total_ms`` holds.
+    """
+
+    candidate: Candidate
+    match: Match
+    n_missed_tokens: int
+    ttft_ms: float
+    total_ms: float
+    terms: tuple[tuple[str, float], ...]
+
+
+def estimate(
+    prompt: Prompt,
+    candidate: Candidate,
+    match: Match,
+    unseen: Unseen,
+    transit_ms: float,
+    block_tokens: int,
+    switches: RoutingTermSettings,
+) -> Estimate:
+    """Return the estimate of ``prompt`` at ``candidate``."""
+    token_ms = 1000.0 / max(1.0, candidate.prefill_tokens_per_s)
+    n_missed = _n_missed_tokens(prompt, match, block_tokens)
+    doubt_ms = match.n_doubtful_blocks * block_tokens * token_ms * (1 - DOUBTFUL_SHARE)
+    terms = [
+        ("queue", _n_queued_tokens(candidate, unseen, switches) * token_ms),
+        ("prefill", n_missed * token_ms + doubt_ms),
+        ("transit", 2.0 * transit_ms if switches.transit else 0.0),
+    ]
+    ttft_ms = sum(duration_ms for _, duration_ms in terms)
+    if switches.homes and candidate.upstream_id not in prompt.homes:
+        n_stray_blocks = max(0, prompt.n_shared_blocks - match.n_blocks)
+        stray_ms = n_stray_blocks * block_tokens * token_ms * STRAY_COPY_SHARE
+        terms.append(("stray_copy", stray_ms))
+    total_ms = sum(duration_ms for _, duration_ms in terms)
+    return Estimate(candidate, match, n_missed, ttft_ms, total_ms, tuple(terms))
+
+
+def _n_missed_tokens(prompt: Prompt, match: Match, block_tokens: int) -> int:
+    return max(1, prompt.n_tokens - match.n_blocks * block_tokens)
+
+
+def _n_queued_tokens(
+    candidate: Candidate, unseen: Unseen, switches: RoutingTermSettings
+) -> float:
+    n_tokens = 0.0
+    if switches.queue:
+        n_drained = candidate.report_age_ms * candidate.prefill_tokens_per_s / 1000.0
+        n_tokens = max(0.0, candidate.n_waiting_tokens - n_drained)
+    if switches.own_sends:
+        n_tokens += unseen.n_own_tokens
+    if switches.peers:
+        n_tokens += unseen.n_peer_tokens
+    return n_tokens
+
+
+def near_best(
+    estimates: Sequence[Estimate], margin_ms: float, margin_share: float
+) -> list[Estimate]:
+    """Return the estimates that are about as good as the best."""
+    best_ms = min(e.total_ms for e in estimates)
+    limit_ms = best_ms + max(margin_ms, best_ms * margin_share)
+    return [e for e in estimates if e.total_ms <= limit_ms]
--- /dev/null
+++ b/buckthornrock/routing/inflight.py
@@ -0,0 +1,74 @@
+"""Work that engines' load reports do not show yet: own sends and peers' sends."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+#: A peer's digest counts this long after it came.
+PEER_TTL_MS = 1_500.0
+#: Own sends without a first token are forgotten after this long.
+SENT_TTL_MS = 60_000.0
+
+
+class Sent(NamedTuple):
+    """A request that awaits its first token."""
+
+    sent_at_ms: float
+    n_missed_tokens: int
+
+
+class _PeerDigest(NamedTuple):
+    received_at_ms: float
+    n_tokens: Mapping[str, int]
+
+
+class InFlight:
+    """Prompt tokens that were sent to each engine and await their first token."""
+
+    def __init__(self) -> None:
+        self._sent: dict[str, dict[str, Sent]] = {}
+        self._peers: dict[str, _PeerDigest] = {}
+
+    def add(self, upstream_id: str, request_id: str, sent: Sent) -> None:
+        """Count a request from its send on."""
+        self._sent.setdefault(upstream_id, {})[request_id] = sent
+
+    def remove(self, upstream_id: str, request_id: str) -> None:
+        """Stop counting a request: it has its first token, or ended."""
+        self._sent.get(upstream_id, {}).pop(request_id, None)
+
+    def own_tokens(self, upstream_id: str, since_ms: float) -> int:
+        """Return own tokens that wait there and were sent after ``since_ms``."""
+        waiting = self._sent.get(upstream_id)
+        if not waiting:
+            return 0
+        return sum(
+            s.n_missed_tokens for s in waiting.values() if s.sent_at_ms > since_ms
+        )
+
+    def digest(self, now_ms: float, max_age_ms: float) -> dict[str, int]:
+        """Return the recent own sends by engine, to be told to peers."""
+        for waiting in self._sent.values():
+            stale = [
+                r for r, s in waiting.items() if now_ms - s.sent_at_ms > SENT_TTL_MS
+            ]
+            for request_id in stale:
+                del waiting[request_id]
+        totals = {
+            upstream_id: self.own_tokens(upstream_id, now_ms - max_age_ms)
+            for upstream_id in self._sent
+        }
+        return {upstream_id: n for upstream_id, n in totals.items() if n}
+
+    def note_peer(
+        self, instance_id: str, n_tokens: Mapping[str, int], now_ms: float
+    ) -> None:
+        """Take in a peer's digest in place of its last one."""
+        self._peers[instance_id] = _PeerDigest(now_ms, n_tokens)
+
+    def peer_tokens(self, upstream_id: str, now_ms: float) -> int:
+        """Return tokens that peers sent there lately."""
+        return sum(
+            digest.n_tokens.get(upstream_id, 0)
+            for digest in self._peers.values()
+            if now_ms - digest.received_at_ms < PEER_TTL_MS
+        )
--- a/buckthornrock/routing/port.py
+++ b/buckthornrock/routing/port.py
@@ -1,11 +1,12 @@
 """The port through which dispatch chooses an engine."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from expression import Result
 
 from .errors import NoEngine
+from .index import CacheEventLike
 
 
 class Candidate(Protocol):
@@ -20,6 +21,7 @@
     n_waiting_tokens: int
     n_own_requests: int
     prefill_tokens_per_s: float
+    inter_token_ms: float
     report_age_ms: float
     health: float
 
@@ -35,6 +37,8 @@
         Byte offsets at which shared levels end (contract, lot, question).
     excluded : frozenset of str
         Upstreams that already failed this request.
+    weights_version : str
+        The only version that may answer; "" allows any.
     """
 
     request_id: str
@@ -47,12 +51,16 @@
     n_output_tokens: int
     rank: int
     excluded: frozenset[str]
+    weights_version: str = ""
 
 
 class RouteChoice(NamedTuple):
     """Where the request goes, and why.
 
     ``terms`` names each term of the estimate with its milliseconds.
+    ``import_hashes`` are the blocks to be fetched from the kept-cache store first.
+    ``prefill_token_ms`` and ``decode_token_ms`` are the engine's time that one token
+    takes.
     """
 
     upstream_id: str
@@ -64,6 +72,9 @@
     n_hit_tokens: int
     estimated_ttft_ms: float
     terms: tuple[tuple[str, float], ...]
+    import_hashes: tuple[str, ...] = ()
+    prefill_token_ms: float = 0.0
+    decode_token_ms: float = 0.0
 
 
 class RoutingPort(NamedTuple):
@@ -79,8 +90,16 @@
         ``on_first_token(query, choice, ttft_ms, now_ms)``: it is present there.
     on_failed : callable
         ``on_failed(query, choice, now_ms)``.
+    on_ended : callable
+        ``on_ended(query, choice, now_ms)``: the attempt is over, however it ended.
     on_events : callable
-        ``on_events(upstream_id, cache_events, now_ms)``.
+        ``on_events(upstream_id, incarnation, cache_events, now_ms)``.
+    events_since : callable
+        ``events_since(upstream_id) -> int``: the last event number that is known.
+    in_flight : callable
+        ``in_flight(now_ms) -> dict``: own waiting tokens by upstream, for peers.
+    on_peer : callable
+        ``on_peer(instance_id, n_tokens, now_ms)``: a peer's :attr:`in_flight`.
     """
 
     choose: Callable[
@@ -89,4 +108,8 @@
     on_sent: Callable[[RouteQuery, RouteChoice, float], None]
     on_first_token: Callable[[RouteQuery, RouteChoice, float, float], None]
     on_failed: Callable[[RouteQuery, RouteChoice, float], None]
-    on_events: Callable[[str, object, float], None]
+    on_ended: Callable[[RouteQuery, RouteChoice, float], None]
+    on_events: Callable[[str, str, Sequence[CacheEventLike], float], None]
+    events_since: Callable[[str], int]
+    in_flight: Callable[[float], Mapping[str, int]]
+    on_peer: Callable[[str, Mapping[str, int], float], None]
--- a/buckthornrock/upstreams/engine_messages.py
+++ b/buckthornrock/upstreams/engine_messages.py
@@ -57,3 +57,4 @@
 
     incarnation: str
     events: list[CacheEvent]
+    oldest_seq: int = 0
--- /dev/null
+++ b/tests/routing/test_policies.py
@@ -0,0 +1,174 @@
+"""Choice of an engine under each policy and each term of the estimate."""
+
+import random
+
+import pytest
+
+from buckthornrock.conf.settings import RoutingSettings, RoutingTermSettings
+from buckthornrock.fleet import EngineView
+from buckthornrock.routing import RouteQuery
+from buckthornrock.routing.blocks import BlockHasher, hex_from_hashes
+from buckthornrock.routing.cost import CostRouter, RoutingContext
+from buckthornrock.routing.policies import open_routing
+from buckthornrock.upstreams.engine_messages import CacheEvent
+
+SECRET = "a-secret-of-the-tests"
+CONTRACT = b"contract" * 256
+POLICIES = ["cost", "round_robin", "least_loaded", "prefix_home"]
+
+
+def context(n_instances=1, **settings):
+    terms = RoutingTermSettings(**settings.pop("terms", {}))
+    section = RoutingSettings(terms=terms, **settings)
+    rng = random.Random(7)
+    return RoutingContext(SECRET, "fd-0", 64, section, rng, lambda: n_instances)
+
+
+def engine(name, **changes):
+    view = EngineView(
+        upstream_id=name,
+        address="127.0.0.1:1",
+        failure_domain="fd-0",
+        incarnation="i1",
+        weights_version="w1",
+        models=("small",),
+        adapters=(),
+        n_running=0,
+        n_waiting=0,
+        n_waiting_tokens=0,
+        n_own_requests=0,
+        prefill_tokens_per_s=10_000.0,
+        inter_token_ms=10.0,
+        report_age_ms=0.0,
+        health=1.0,
+    )
+    return view._replace(**changes)
+
+
+def query(question=b"?" * 64, **changes):
+    base = RouteQuery(
+        request_id="r1",
+        client_account="agency",
+        member="north",
+        model="small",
+        adapter="",
+        prompt=CONTRACT + question,
+        prefix_levels=(len(CONTRACT),),
+        n_output_tokens=16,
+        rank=0,
+        excluded=frozenset(),
+    )
+    return base._replace(**changes)
+
+
+def store(router, name, salt, prompt, now_ms=0.0):
+    hashes = hex_from_hashes(BlockHasher(64).chain(salt, prompt))
+    router.on_events(name, "i1", [CacheEvent(1, "stored", hashes)], now_ms)
+
+
+ENGINES = [engine(f"e{i}") for i in range(4)]
+
+
+def chosen(router, query_, engines=ENGINES, now_ms=0.0):
+    return router.choose(query_, engines, now_ms).ok
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_excluded_other_weights_and_ejected_are_never_chosen(policy):
+    router = open_routing(context(policy=policy))
+    engines = [
+        engine("failed"),
+        engine("old", weights_version="w0"),
+        engine("ejected", health=0.0),
+        engine("good"),
+    ]
+    asked = query(excluded=frozenset({"failed"}), weights_version="w1")
+    for _ in range(20):
+        assert chosen(router, asked, engines).upstream_id == "good"
+    refused = router.choose(asked, engines[:2], 0.0)
+    assert refused.error.code == "no-engine"
+
+
+def test_home_is_agreed_on_without_talking():
+    picks = {chosen(CostRouter(context()), query()).upstream_id for _ in range(10)}
+    assert len(picks) == 1
+
+
+@pytest.mark.parametrize(("is_on", "n_hit_tokens"), [(True, 512), (False, 0)])
+def test_cached_prefix_attracts(is_on, n_hit_tokens):
+    router = CostRouter(context(terms={"hits": is_on, "homes": False}))
+    salt = chosen(router, query()).cache_salt
+    store(router, "e2", salt, CONTRACT)
+    choice = chosen(router, query())
+    assert choice.n_hit_tokens == n_hit_tokens
+    assert not is_on or choice.upstream_id == "e2"
+
+
+MEMBERS = [("agency", "north", 512), ("agency", "south", 0), ("shop", "north", 0)]
+
+
+@pytest.mark.parametrize(("client_account", "member", "n_hit_tokens"), MEMBERS)
+def test_hits_belong_to_one_member(client_account, member, n_hit_tokens):
+    router = CostRouter(context(terms={"homes": False}))
+    store(router, "e2", chosen(router, query()).cache_salt, CONTRACT)
+    asked = query(client_account=client_account, member=member)
+    assert chosen(router, asked).n_hit_tokens == n_hit_tokens
+
+
+WORSE = [
+    ("queue", {"n_waiting_tokens": 5_000}),
+    ("transit", {"failure_domain": "fd-1"}),
+]
+
+
+@pytest.mark.parametrize("is_on", [True, False])
+@pytest.mark.parametrize(("term", "changes"), WORSE)
+def test_term_counts_unless_switched_off(term, changes, is_on):
+    terms = {"homes": False, "random_ties": False, term: is_on}
+    router = CostRouter(context(terms=terms, cross_domain_ms=5.0))
+    engines = [engine("a", **changes), engine("b")]
+    assert chosen(router, query(), engines).upstream_id == ("b" if is_on else "a")
+
+
+@pytest.mark.parametrize("is_on", [True, False])
+@pytest.mark.parametrize("term", ["own_sends", "peers"])
+def test_sends_that_no_report_shows_count(term, is_on):
+    terms = {"homes": False, "random_ties": False, "expected": False, term: is_on}
+    router = CostRouter(context(terms=terms))
+    first = chosen(router, query(), ENGINES[:2])
+    if term == "own_sends":
+        router.on_sent(query(), first, 0.0)
+    else:
+        router.on_peer("peer", {first.upstream_id: 5_000}, 0.0)
+    second = chosen(router, query(request_id="r2"), ENGINES[:2], 1.0)
+    assert (second.upstream_id != first.upstream_id) == is_on
+
+
+@pytest.mark.parametrize("is_on", [True, False])
+def test_prefix_in_computation_attracts_a_burst(is_on):
+    terms = {"homes": False, "own_sends": False, "expected": is_on}
+    router = CostRouter(context(terms=terms))
+    first = chosen(router, query())
+    router.on_sent(query(), first, 0.0)
+    picks = {chosen(router, query(), now_ms=1.0).upstream_id for _ in range(20)}
+    assert (picks == {first.upstream_id}) == is_on
+
+
+def test_failed_attempt_takes_its_prefix_back():
+    router = CostRouter(context())
+    first = chosen(router, query())
+    router.on_sent(query(), first, 0.0)
+    router.on_failed(query(), first, 1.0)
+    assert chosen(router, query(), now_ms=2.0).n_hit_tokens == 0
+
+
+@pytest.mark.parametrize(("is_on", "is_wide"), [(True, True), (False, False)])
+def test_hot_prefix_widens_and_narrows(is_on, is_wide):
+    router = CostRouter(context(n_instances=7, terms={"widening": is_on}))
+    for at_ms in range(0, 4_000, 40):
+        asked = query(request_id=str(at_ms), n_output_tokens=200)
+        router.on_sent(asked, chosen(router, asked, now_ms=at_ms), at_ms)
+    level = BlockHasher(64).chain(chosen(router, query()).cache_salt, CONTRACT)[-1]
+    n_instances = 7 if is_on else 0
+    assert (router._demand.n_homes(level, n_instances, 4_000.0) > 1) == is_wide
+    assert router._demand.n_homes(level, n_instances, 60_000.0) == 1
