--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -10,13 +10,14 @@
 from ..events import lifecycle as events
 from ..httpd import HttpServer, start_server
 from .admission import build_admission
-from .completions import build_completions, build_routing
+from .completions import build_completions
 from .core import Core, build_core
 from .deferred import build_deferred
 from .fleet import build_fleet
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
+from .routing import build_routing, start_digests, start_polling
 from .services import build_services
 
 
@@ -58,6 +59,8 @@
     fleet = build_fleet(core)
     admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
+    start_polling(core, fleet, routing)
+    start_digests(core, fleet, routing, membership)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
@@ -100,4 +103,6 @@
     core.timer.stop()
     entry.stop()
     operator.stop()
+    for close in core.closers:
+        close()
     return 0
