--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -2,7 +2,6 @@
 
 from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
-from ..membership import MembershipPort
 from ..routing import RoutingPort
 from .core import Core
 from .fleet import FleetParts
