Share fleet-wide limits through short-lived grants

Cause: a fixed part of limit / instances refuses an account whose requests arrive at few instances. Change: each instance reports demand to the account's rendezvous owner once a period, batched by owner; the owner divides the limit max-min fair. A share counts from the time of the report that asked for it; an owner grants nothing until its predecessor's shares have run out, nothing to reporters with another view of the fleet, and keeps back the parts of instances that vanished lately. Conclusion: a running share is renewed even when it shrinks.

--- a/buckthornrock/compose/admission.py
+++ b/buckthornrock/compose/admission.py
@@ -3,19 +3,18 @@
 from collections.abc import Callable
 
 from ..admission import AdmissionPort, AdmissionQuery
-from ..admission.buckets import Rates
-from ..admission.entry import Entry
 from ..admission.front import Admission, AdmissionRules, open_admission
 from ..admission.gate import GateRules
-from ..admission.limits import AccountLimiter, open_limits
+from ..admission.limits import open_limits
 from ..admission.policy import ModelCapacity, WorkPolicy
 from ..conf import Settings
 from ..fleet import Fleet
 from ..membership import MembershipPort
-from ..profiles import AccountLimits, Profile, ProfilePort
+from ..profiles import ProfilePort
 from ..profiles.start import start_profile
 from ..telemetry.metrics import WAITING_TOKENS, WINDOW_TOKENS
 from .core import Core, run_periodically
+from .limits import account_limits, build_limits
 
 REFRESH_PERIOD_MS = 250
 
@@ -25,12 +24,7 @@
 ) -> AdmissionPort:
     """Wire limits and queues."""
 
-    def rates_of(entry: Entry, now_ms: float) -> Rates:
-        n_live = max(1, len(membership.live()))
-        policy = entry.policy
-        return Rates(policy.requests_per_s / n_live, policy.tokens_per_s / n_live)
-
-    limiter = AccountLimiter(rates_of, lambda entry: None)
+    limiter = build_limits(core, membership, profiles)
     admission = Admission(
         admission_rules(core.settings),
         lambda query: work_policy(profiles, query),
@@ -101,8 +95,3 @@
         requests_per_s=limits["requests_per_s"],
         tokens_per_s=limits["tokens_per_s"],
     )
-
-
-def account_limits(profile: Profile, client_account: str) -> AccountLimits:
-    """Return the limits of one client account."""
-    return profile["client_accounts"].get(client_account, profile["default_limits"])
