Keep shared prefixes in the kept-cache store and compute each once

Cause: engines evict within seconds, and a burst behind one cold prefix computed it once a request. Change: a prefix level that is used again is exported, and imported where that is faster than computing it; a request waits while one of at least its rank computes its prefix at the same engine. Peers learn of exports from digests. Conclusion: off without routing.cache_store.

--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -2,6 +2,7 @@
 
 from ..admission import AdmissionPort, open_unlimited
 from ..dispatch import CompletionDispatcher
+from ..dispatch.preparation import open_preparation
 from ..membership import MembershipPort
 from ..routing import RoutingPort
 from .core import Core
@@ -27,4 +28,10 @@
         fleet.engines,
         core.telemetry,
         core.clock.now_ms,
+        open_preparation(
+            routing,
+            fleet.control.import_cache,
+            core.settings.routing.cache_store,
+            core.clock,
+        ),
     )
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -16,7 +16,7 @@
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
-from .routing import build_routing, start_digests, start_polling
+from .routing import build_routing, start_digests, start_exports, start_polling
 from .services import build_services
 
 
@@ -60,6 +60,7 @@
     routing = build_routing(core, membership)
     start_polling(core, fleet, routing)
     start_digests(core, fleet, routing, membership)
+    start_exports(core, fleet, routing)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
--- a/buckthornrock/compose/routing.py
+++ b/buckthornrock/compose/routing.py
@@ -6,13 +6,16 @@
 
 from ..conf.settings import UpstreamSettings
 from ..membership import MembershipPort
-from ..routing import RoutingPort
+from ..routing import PeerDigest, RoutingPort
 from ..routing.cost import RoutingContext
 from ..routing.policies import open_routing
 from ..wire.routing_messages import RoutingDigest
 from .core import Core, run_periodically
 from .fleet import FleetParts
 
+EXPORT_PERIOD_MS = 100
+MAX_EXPORTS_PER_STEP = 8
+
 T = TypeVar("T")
 
 
@@ -90,12 +93,15 @@
     """Exchange digests of sends in flight and of leaving upstreams with peers."""
 
     def receive(sender_id: str, digest: RoutingDigest) -> None:
-        routing.on_peer(sender_id, digest.n_tokens, core.clock.now_ms())
+        peer_digest = PeerDigest(digest.n_tokens, digest.kept)
+        routing.on_peer(sender_id, peer_digest, core.clock.now_ms())
         fleet.fleet.note_leaving_by_peer(digest.leaving)
 
     def send() -> None:
-        n_tokens = dict(routing.in_flight(core.clock.now_ms()))
-        digest = RoutingDigest(n_tokens, fleet.fleet.leaving_first_hand())
+        own = routing.digest(core.clock.now_ms())
+        digest = RoutingDigest(
+            dict(own.n_tokens), fleet.fleet.leaving_first_hand(), tuple(own.kept)
+        )
         self_id = membership.self_view().instance_id
         for view in membership.live():
             if view.instance_id != self_id:
@@ -104,3 +110,28 @@
     membership.subscribe(RoutingDigest, receive)
     period_ms = core.settings.routing.digest_period_ms
     run_periodically(core, "routing.digests", send, period_ms)
+
+
+def start_exports(core: Core, fleet: FleetParts, routing: RoutingPort) -> None:
+    """Copy prefixes that are used again to the kept-cache store, one at a time."""
+    store = core.settings.routing.cache_store
+    if not store or not core.settings.routing.terms.imports:
+        return
+
+    def step() -> None:
+        for _ in range(MAX_EXPORTS_PER_STEP):
+            export = routing.next_export(core.clock.now_ms())
+            if export is None:
+                return
+            started_at_ms = core.clock.now_ms()
+            moved = fleet.control.export_cache(
+                export.address, export.cache_salt, export.hashes, store
+            )
+            if moved.is_error():
+                continue
+            now_ms = core.clock.now_ms()
+            routing.on_exported(
+                export, moved.ok.n_blocks, now_ms - started_at_ms, now_ms
+            )
+
+    run_periodically(core, "routing.exports", step, EXPORT_PERIOD_MS)
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -139,10 +139,14 @@
 
 
 class RoutingSettings(NamedTuple):
-    """How an engine is chosen."""
+    """How an engine is chosen.
+
+    ``cache_store`` is the kept-cache store's ``IP:PORT``; "" uses none.
+    """
 
     policy: Literal["cost", "round_robin", "least_loaded", "prefix_home"] = "cost"
     terms: RoutingTermSettings = RoutingTermSettings()
+    cache_store: str = ""
     cross_domain_ms: float = defaults.ROUTING_CROSS_DOMAIN_MS
     event_period_ms: int = defaults.ROUTING_EVENT_PERIOD_MS
     digest_period_ms: int = defaults.ROUTING_DIGEST_PERIOD_MS
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -16,6 +16,7 @@
 from ..upstreams.engine_client import EngineCall, EngineClient
 from ..upstreams.errors import StreamFailure
 from .errors import AnswerIncomplete
+from .preparation import Preparation
 from .requests import (
     CompletionChunk,
     CompletionDone,
@@ -47,6 +48,7 @@
     engines: EngineClient
     telemetry: Telemetry
     now_ms: Callable[[], float]
+    preparation: Preparation
 
 
 class CompletionDispatcher:
@@ -60,8 +62,11 @@
         engines: EngineClient,
         telemetry: Telemetry,
         now_ms: Callable[[], float],
+        preparation: Preparation,
     ) -> None:
-        self._parts = _Parts(admission, routing, fleet, engines, telemetry, now_ms)
+        self._parts = _Parts(
+            admission, routing, fleet, engines, telemetry, now_ms, preparation
+        )
 
     def run(
         self, request: CompletionRequest, sink: CompletionSink
@@ -133,9 +138,11 @@
         progress: _Progress,
     ) -> Result[CompletionDone, CallerGone | StreamFailure]:
         parts = self._parts
+        parts.preparation.hold(query, choice, sink.is_gone)
         parts.fleet.begin(choice.upstream_id)
         parts.routing.on_sent(query, choice, parts.now_ms())
         try:
+            parts.preparation.fetch(query, choice)
             call = _engine_call(request, choice, progress)
             chunks = parts.engines.open_stream(call)
             if chunks.is_error():
--- a/buckthornrock/routing/__init__.py
+++ b/buckthornrock/routing/__init__.py
@@ -1,5 +1,5 @@
 """Choice of an engine: block hashes, the cache index and the cost estimate."""
 
-from .port import RouteChoice, RouteQuery, RoutingPort
+from .port import PeerDigest, RouteChoice, RouteQuery, RoutingPort
 
-__all__ = ["RouteChoice", "RouteQuery", "RoutingPort"]
+__all__ = ["PeerDigest", "RouteChoice", "RouteQuery", "RoutingPort"]
--- a/buckthornrock/routing/baselines.py
+++ b/buckthornrock/routing/baselines.py
@@ -10,7 +10,7 @@
 from .eligibility import eligible
 from .errors import NoEngine
 from .isolation import cache_salt
-from .port import Candidate, RouteChoice, RouteQuery, RoutingPort
+from .port import Candidate, PeerDigest, RouteChoice, RouteQuery, RoutingPort
 
 TOKEN_BYTES = 4
 #: Prompt bytes that name a home where the caller states no prefix level.
@@ -71,7 +71,11 @@
         on_ended=ignore,
         on_events=ignore,
         events_since=lambda upstream_id: 0,
-        in_flight=lambda now_ms: {},
+        must_wait=lambda query, choice, now_ms: False,
+        next_export=lambda now_ms: None,
+        on_exported=ignore,
+        on_imported=ignore,
+        digest=lambda now_ms: PeerDigest({}, ()),
         on_peer=ignore,
     )
 
--- a/buckthornrock/routing/cost.py
+++ b/buckthornrock/routing/cost.py
@@ -1,22 +1,25 @@
 """Routing by the least estimated time to first token."""
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from array import array
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
 from ..conf.settings import RoutingSettings
 from .baselines import TOKEN_BYTES, salt_for
-from .blocks import BlockHasher
+from .blocks import BlockHasher, hex_from_hashes
+from .computing import Computations
 from .demand import DemandMeter
 from .eligibility import eligible
 from .errors import NoEngine
 from .estimate import Estimate, Prompt, Unseen, estimate, near_best
 from .index import NO_MATCH, CacheEventLike, CacheIndex, Match
 from .inflight import InFlight, Sent
-from .levels import homes, n_shared_blocks, prefix_levels
-from .port import Candidate, RouteChoice, RouteQuery, RoutingPort
+from .kept import Export, KeptPrefixes
+from .levels import Level, homes, n_shared_blocks, prefix_levels
+from .port import Candidate, PeerDigest, RouteChoice, RouteQuery, RoutingPort
 
 #: Engines within this of the best estimate are taken at random.
 TIE_MARGIN_MS = 1.0
@@ -61,6 +64,8 @@
         self.index = CacheIndex(context.settings.max_blocks_per_upstream)
         self._in_flight = InFlight()
         self._demand = DemandMeter()
+        self._kept = KeptPrefixes()
+        self._computing = Computations()
 
     def choose(
         self, query: RouteQuery, candidates: Sequence[Candidate], now_ms: float
@@ -108,6 +113,8 @@
             n_tokens=max(1, len(query.prompt) // TOKEN_BYTES),
             n_shared_blocks=n_shared_blocks(levels, query.prefix_levels, len(chain)),
             homes=home_ids,
+            levels=levels,
+            n_kept_blocks=self._kept.deepest(levels, now_ms),
         )
 
     def _estimate(self, prompt: Prompt, engine: Candidate, now_ms: float) -> Estimate:
@@ -120,7 +127,14 @@
         transit_ms = 0.0 if is_near else self._context.settings.cross_domain_ms
         match = self._match(prompt, engine, now_ms)
         return estimate(
-            prompt, engine, match, unseen, transit_ms, self._block_tokens, self._terms
+            prompt,
+            engine,
+            match,
+            unseen,
+            transit_ms,
+            lambda n_blocks: self._kept.import_ms(n_blocks, now_ms),
+            self._block_tokens,
+            self._terms,
         )
 
     def _match(self, prompt: Prompt, engine: Candidate, now_ms: float) -> Match:
@@ -137,16 +151,41 @@
         near = near_best(estimates, TIE_MARGIN_MS, TIE_MARGIN_SHARE)
         return self._context.rng.choice(near)
 
+    def must_wait(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> bool:
+        """Tell whether another request computes a prefix of this one there."""
+        if not self._terms.expected:
+            return False
+        _, levels = self._shared(query, choice)
+        hashes = [level.block_hash for level in levels]
+        return self._computing.is_running(
+            choice.upstream_id, query.rank, hashes, now_ms
+        )
+
+    def _shared(
+        self, query: RouteQuery, choice: RouteChoice
+    ) -> tuple[array, list[Level]]:
+        """Return the prompt's hashes, and its levels that others may share."""
+        chain = self._hasher.chain(choice.cache_salt, query.prompt)
+        levels = prefix_levels(chain, query.prefix_levels, self._context.block_bytes)
+        n_shared = n_shared_blocks(levels, query.prefix_levels, len(chain))
+        return chain, [level for level in levels if level.n_blocks <= n_shared]
+
     def on_sent(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> None:
         """Count the send, and expect its prefix at the engine."""
         n_missed = max(1, choice.n_prompt_tokens - choice.n_hit_tokens)
         sent = Sent(now_ms, n_missed)
         self._in_flight.add(choice.upstream_id, query.request_id, sent)
-        chain = self._hasher.chain(choice.cache_salt, query.prompt)
+        chain, levels = self._shared(query, choice)
         self._expect(choice, chain, now_ms)
-        self._note_demand(query, choice, chain, now_ms)
+        n_hit_blocks = choice.n_hit_tokens // self._block_tokens
+        n_hit_blocks -= len(choice.import_hashes)
+        missed = [v.block_hash for v in levels if v.n_blocks > n_hit_blocks]
+        self._computing.start(
+            choice.upstream_id, query.request_id, query.rank, missed, now_ms
+        )
+        self._note_demand(query, choice, levels, now_ms)
 
-    def _expect(self, choice: RouteChoice, chain: Sequence[int], now_ms: float) -> None:
+    def _expect(self, choice: RouteChoice, chain: array, now_ms: float) -> None:
         index = self.index.get(choice.upstream_id)
         if index is not None and index.incarnation == choice.incarnation:
             index.expect(chain, now_ms)
@@ -155,10 +194,9 @@
         self,
         query: RouteQuery,
         choice: RouteChoice,
-        chain: Sequence[int],
+        levels: Sequence[Level],
         now_ms: float,
     ) -> None:
-        levels = prefix_levels(chain, query.prefix_levels, self._context.block_bytes)
         decode_ms = choice.decode_token_ms * query.n_output_tokens
         for level in levels:
             n_tokens = choice.n_prompt_tokens - level.n_blocks * self._block_tokens
@@ -169,13 +207,62 @@
         self, query: RouteQuery, choice: RouteChoice, ttft_ms: float, now_ms: float
     ) -> None:
         """Stop counting the send: its prefill is done and its prefix present."""
-        self._in_flight.remove(choice.upstream_id, query.request_id)
-        chain = self._hasher.chain(choice.cache_salt, query.prompt)
+        self.on_ended(query, choice, now_ms)
+        chain, levels = self._shared(query, choice)
         self._expect(choice, chain, now_ms)
+        if self._terms.imports:
+            self._want_export(choice, chain, levels, now_ms)
+
+    def _want_export(
+        self,
+        choice: RouteChoice,
+        chain: array,
+        levels: Sequence[Level],
+        now_ms: float,
+    ) -> None:
+        due = [v for v in levels if self._kept.note_use(v)]
+        if not due or self._kept.is_kept(due[-1], now_ms):
+            return
+        n_kept_blocks = self._kept.deepest(due, now_ms)
+        hashes = hex_from_hashes(chain[n_kept_blocks : due[-1].n_blocks])
+        export = Export(
+            choice.upstream_id,
+            choice.address,
+            choice.cache_salt,
+            tuple(hashes),
+            tuple(due),
+        )
+        self._kept.want(export)
+
+    def next_export(self, now_ms: float) -> Export | None:
+        """Return blocks to copy to the kept-cache store."""
+        return self._kept.take_wanted(now_ms)
+
+    def on_exported(
+        self, export: Export, n_blocks: int, duration_ms: float, now_ms: float
+    ) -> None:
+        """Take in an export; fewer blocks than wanted are no whole level."""
+        if n_blocks < len(export.hashes):
+            return
+        for level in export.levels:
+            self._kept.note_kept(level.block_hash, now_ms, is_own=True)
+
+    def on_imported(
+        self,
+        query: RouteQuery,
+        choice: RouteChoice,
+        n_blocks: int,
+        duration_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Take in an import; the store lacks what it did not return."""
+        self._kept.note_transfer(n_blocks, duration_ms, now_ms)
+        if n_blocks < len(choice.import_hashes):
+            self._kept.forget(self._shared(query, choice)[1])
 
     def on_failed(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> None:
         """Take back what the send let expect."""
-        self._in_flight.remove(choice.upstream_id, query.request_id)
+        self.on_ended(query, choice, now_ms)
         index = self.index.get(choice.upstream_id)
         if index is not None and index.incarnation == choice.incarnation:
             index.unexpect(self._hasher.chain(choice.cache_salt, query.prompt))
@@ -183,6 +270,7 @@
     def on_ended(self, query: RouteQuery, choice: RouteChoice, now_ms: float) -> None:
         """Stop counting the send."""
         self._in_flight.remove(choice.upstream_id, query.request_id)
+        self._computing.end(query.request_id)
 
     def on_events(
         self,
@@ -201,15 +289,16 @@
             return 0
         return index.sequencer.next_seq - 1
 
-    def in_flight(self, now_ms: float) -> Mapping[str, int]:
-        """Return own waiting tokens that load reports may not show yet."""
-        return self._in_flight.digest(now_ms, 2.0 * REPORT_LAG_MS)
+    def digest(self, now_ms: float) -> PeerDigest:
+        """Return what peers can't know: sends that no report shows, and exports."""
+        n_tokens = self._in_flight.digest(now_ms, 2.0 * REPORT_LAG_MS)
+        return PeerDigest(n_tokens, self._kept.take_told())
 
-    def on_peer(
-        self, instance_id: str, n_tokens: Mapping[str, int], now_ms: float
-    ) -> None:
-        """Take in a peer's waiting tokens."""
-        self._in_flight.note_peer(instance_id, n_tokens, now_ms)
+    def on_peer(self, instance_id: str, digest: PeerDigest, now_ms: float) -> None:
+        """Take in a peer's digest."""
+        self._in_flight.note_peer(instance_id, digest.n_tokens, now_ms)
+        for block_hash in digest.kept:
+            self._kept.note_kept(block_hash, now_ms, is_own=False)
 
 
 def open_cost(context: RoutingContext) -> RoutingPort:
@@ -223,14 +312,20 @@
         on_ended=router.on_ended,
         on_events=router.on_events,
         events_since=router.events_since,
-        in_flight=router.in_flight,
+        must_wait=router.must_wait,
+        next_export=router.next_export,
+        on_exported=router.on_exported,
+        on_imported=router.on_imported,
+        digest=router.digest,
         on_peer=router.on_peer,
     )
 
 
 def _choice(prompt: Prompt, chosen: Estimate, block_tokens: int) -> RouteChoice:
     candidate = chosen.candidate
-    n_hit_tokens = min(prompt.n_tokens, chosen.match.n_blocks * block_tokens)
+    n_hit_blocks = chosen.match.n_blocks
+    n_import_end = n_hit_blocks + chosen.n_import_blocks
+    n_hit_tokens = min(prompt.n_tokens, n_import_end * block_tokens)
     return RouteChoice(
         upstream_id=candidate.upstream_id,
         address=candidate.address,
@@ -241,6 +336,7 @@
         n_hit_tokens=n_hit_tokens,
         estimated_ttft_ms=chosen.ttft_ms,
         terms=chosen.terms,
+        import_hashes=tuple(hex_from_hashes(prompt.chain[n_hit_blocks:n_import_end])),
         prefill_token_ms=1000.0 / max(1.0, candidate.prefill_tokens_per_s),
         decode_token_ms=candidate.inter_token_ms / DECODE_BATCH_SIZE,
     )
--- a/buckthornrock/routing/estimate.py
+++ b/buckthornrock/routing/estimate.py
@@ -1,11 +1,12 @@
 """Estimates the time to first token of a request at one engine."""
 
 from array import array
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from ..conf.settings import RoutingTermSettings
 from .index import Match
+from .levels import Level
 from .port import Candidate
 
 #: Share of its prefill time that a doubtful block is expected to save.
@@ -30,6 +31,10 @@
         Blocks that other prompts are likely to share.
     homes : tuple of str
         Upstreams on which the shared part belongs.
+    levels : tuple of Level
+        Prefix levels, shallow first.
+    n_kept_blocks : int
+        Leading blocks that are in the kept-cache store.
     """
 
     salt: str
@@ -37,6 +42,8 @@
     n_tokens: int
     n_shared_blocks: int
     homes: tuple[str, ...]
+    levels: tuple[Level, ...]
+    n_kept_blocks: int
 
 
 class Unseen(NamedTuple):
@@ -58,6 +65,7 @@
     ttft_ms: float
     total_ms: float
     terms: tuple[tuple[str, float], ...]
+    n_import_blocks: int
 
 
 def estimate(
@@ -66,29 +74,53 @@
     match: Match,
     unseen: Unseen,
     transit_ms: float,
+    import_ms: Callable[[int], float],
     block_tokens: int,
     switches: RoutingTermSettings,
 ) -> Estimate:
-    """Return the estimate of ``prompt`` at ``candidate``."""
+    """Return the estimate of ``prompt`` at ``candidate``.
+
+    ``import_ms`` gives the time to import a number of blocks from the store.
+    """
     token_ms = 1000.0 / max(1.0, candidate.prefill_tokens_per_s)
-    n_missed = _n_missed_tokens(prompt, match, block_tokens)
+    n_import_blocks = 0
+    if switches.imports:
+        n_import_blocks = _n_import_blocks(
+            prompt, match, import_ms, block_tokens * token_ms
+        )
+    n_missed = _n_missed_tokens(prompt, match.n_blocks + n_import_blocks, block_tokens)
     doubt_ms = match.n_doubtful_blocks * block_tokens * token_ms * (1 - DOUBTFUL_SHARE)
     terms = [
         ("queue", _n_queued_tokens(candidate, unseen, switches) * token_ms),
         ("prefill", n_missed * token_ms + doubt_ms),
         ("transit", 2.0 * transit_ms if switches.transit else 0.0),
     ]
+    if n_import_blocks:
+        terms.append(("import", import_ms(n_import_blocks)))
     ttft_ms = sum(duration_ms for _, duration_ms in terms)
     if switches.homes and candidate.upstream_id not in prompt.homes:
-        n_stray_blocks = max(0, prompt.n_shared_blocks - match.n_blocks)
+        n_known_blocks = match.n_blocks + n_import_blocks
+        n_stray_blocks = max(0, prompt.n_shared_blocks - n_known_blocks)
         stray_ms = n_stray_blocks * block_tokens * token_ms * STRAY_COPY_SHARE
         terms.append(("stray_copy", stray_ms))
     total_ms = sum(duration_ms for _, duration_ms in terms)
-    return Estimate(candidate, match, n_missed, ttft_ms, total_ms, tuple(terms))
+    return Estimate(
+        candidate, match, n_missed, ttft_ms, total_ms, tuple(terms), n_import_blocks
+    )
+
+
+def _n_missed_tokens(prompt: Prompt, n_known_blocks: int, block_tokens: int) -> int:
+    return max(1, prompt.n_tokens - n_known_blocks * block_tokens)
 
 
-def _n_missed_tokens(prompt: Prompt, match: Match, block_tokens: int) -> int:
-    return max(1, prompt.n_tokens - match.n_blocks * block_tokens)
+def _n_import_blocks(
+    prompt: Prompt, match: Match, import_ms: Callable[[int], float], block_ms: float
+) -> int:
+    """Return the blocks whose import is faster than computing them."""
+    n_blocks = prompt.n_kept_blocks - match.n_blocks
+    if n_blocks <= 0 or import_ms(n_blocks) >= n_blocks * block_ms:
+        return 0
+    return n_blocks
 
 
 def _n_queued_tokens(
--- a/buckthornrock/routing/port.py
+++ b/buckthornrock/routing/port.py
@@ -7,6 +7,7 @@
 
 from .errors import NoEngine
 from .index import CacheEventLike
+from .kept import Export
 
 
 class Candidate(Protocol):
@@ -77,6 +78,21 @@
     decode_token_ms: float = 0.0
 
 
+class PeerDigest(NamedTuple):
+    """What one instance tells its peers about its routing.
+
+    Parameters
+    ----------
+    n_tokens : mapping of str to int
+        Own prompt tokens that wait, by upstream.
+    kept : sequence of int
+        Last block hashes of the prefix levels that it had copied to the store.
+    """
+
+    n_tokens: Mapping[str, int]
+    kept: Sequence[int]
+
+
 class RoutingPort(NamedTuple):
     """Functions of routing; all are pure but for the state they close over.
 
@@ -96,10 +112,21 @@
         ``on_events(upstream_id, incarnation, cache_events, now_ms)``.
     events_since : callable
         ``events_since(upstream_id) -> int``: the last event number that is known.
-    in_flight : callable
-        ``in_flight(now_ms) -> dict``: own waiting tokens by upstream, for peers.
+    must_wait : callable
+        ``must_wait(query, choice, now_ms) -> bool``: another request of this
+        instance computes a prefix of this one there, so sending it now would
+        compute that prefix twice.
+    next_export : callable
+        ``next_export(now_ms) -> Export | None``: blocks to copy to the kept-cache
+        store.
+    on_exported : callable
+        ``on_exported(export, n_blocks, duration_ms, now_ms)``.
+    on_imported : callable
+        ``on_imported(query, choice, n_blocks, duration_ms, now_ms)``.
+    digest : callable
+        ``digest(now_ms) -> PeerDigest``: what peers can't know, since the last one.
     on_peer : callable
-        ``on_peer(instance_id, n_tokens, now_ms)``: a peer's :attr:`in_flight`.
+        ``on_peer(instance_id, digest, now_ms)``: a peer's :attr:`digest`.
     """
 
     choose: Callable[
@@ -111,5 +138,9 @@
     on_ended: Callable[[RouteQuery, RouteChoice, float], None]
     on_events: Callable[[str, str, Sequence[CacheEventLike], float], None]
     events_since: Callable[[str], int]
-    in_flight: Callable[[float], Mapping[str, int]]
-    on_peer: Callable[[str, Mapping[str, int], float], None]
+    must_wait: Callable[[RouteQuery, RouteChoice, float], bool]
+    next_export: Callable[[float], Export | None]
+    on_exported: Callable[[Export, int, float, float], None]
+    on_imported: Callable[[RouteQuery, RouteChoice, int, float, float], None]
+    digest: Callable[[float], PeerDigest]
+    on_peer: Callable[[str, PeerDigest, float], None]
--- a/buckthornrock/upstreams/engine_control.py
+++ b/buckthornrock/upstreams/engine_control.py
@@ -1,7 +1,8 @@
-"""Calls to model engines beside the completions: load, cache events, cancel.
+"""Calls to model engines beside the completions.
 
-They have short timeouts and connections of their own, so that a stalled engine
-holds up neither streams nor the calls to other engines.
+Load reports, cache events, cancels and transfers of cached blocks have short
+timeouts and connections of their own, so that a stalled engine holds up neither
+streams nor the calls to other engines.
 """
 
 from typing import Any, TypeVar
@@ -10,7 +11,12 @@
 import urllib3
 from expression import Error, Ok, Result
 
-from .engine_messages import CacheEvents, LoadReport
+from .engine_messages import (
+    CacheEvents,
+    CacheTransfer,
+    CacheTransferred,
+    LoadReport,
+)
 from .errors import AttemptFailed
 
 N_POOLED_CONNECTIONS = 4
@@ -41,11 +47,32 @@
         """Free the engine from a stream that nobody reads."""
         return self._call("POST", address, f"/v1/streams/{stream_id}/cancel", Any)
 
+    def export_cache(
+        self, address: str, cache_salt: str, hashes: tuple[str, ...], store: str
+    ) -> Result[CacheTransferred, AttemptFailed]:
+        """Have the engine copy blocks to the kept-cache store."""
+        body = CacheTransfer(cache_salt, hashes, store)
+        return self._call("POST", address, "/kv_cache/export", CacheTransferred, body)
+
+    def import_cache(
+        self, address: str, cache_salt: str, hashes: tuple[str, ...], store: str
+    ) -> Result[CacheTransferred, AttemptFailed]:
+        """Have the engine copy blocks from the kept-cache store."""
+        body = CacheTransfer(cache_salt, hashes, store)
+        return self._call("POST", address, "/kv_cache/import", CacheTransferred, body)
+
     def _call(
-        self, method: str, address: str, path: str, answer: type[T]
+        self,
+        method: str,
+        address: str,
+        path: str,
+        answer: type[T],
+        body: CacheTransfer | None = None,
     ) -> Result[T, AttemptFailed]:
+        url = f"http://{address}{path}"
+        raw = msgspec.json.encode(body) if body is not None else None
         try:
-            response = self._pool.request(method, f"http://{address}{path}")
+            response = self._pool.request(method, url, body=raw)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/buckthornrock/upstreams/engine_messages.py
+++ b/buckthornrock/upstreams/engine_messages.py
@@ -58,3 +58,17 @@
     incarnation: str
     events: list[CacheEvent]
     oldest_seq: int = 0
+
+
+class CacheTransfer(msgspec.Struct):
+    """Orders an engine to copy blocks to, or from, the kept-cache store."""
+
+    cache_salt: str
+    hashes: tuple[str, ...]
+    store: str
+
+
+class CacheTransferred(msgspec.Struct):
+    """How many of the blocks were copied."""
+
+    n_blocks: int
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -6,7 +6,7 @@
 
 from buckthornrock.conf.settings import RoutingSettings, RoutingTermSettings
 from buckthornrock.fleet import EngineView
-from buckthornrock.routing import RouteQuery
+from buckthornrock.routing import PeerDigest, RouteQuery
 from buckthornrock.routing.blocks import BlockHasher, hex_from_hashes
 from buckthornrock.routing.cost import CostRouter, RoutingContext
 from buckthornrock.routing.policies import open_routing
@@ -139,7 +139,8 @@
     if term == "own_sends":
         router.on_sent(query(), first, 0.0)
     else:
-        router.on_peer("peer", {first.upstream_id: 5_000}, 0.0)
+        digest = PeerDigest({first.upstream_id: 5_000}, ())
+        router.on_peer("peer", digest, 0.0)
     second = chosen(router, query(request_id="r2"), ENGINES[:2], 1.0)
     assert (second.upstream_id != first.upstream_id) == is_on
 
@@ -172,3 +173,51 @@
     n_instances = 7 if is_on else 0
     assert (router._demand.n_homes(level, n_instances, 4_000.0) > 1) == is_wide
     assert router._demand.n_homes(level, n_instances, 60_000.0) == 1
+
+
+def test_follower_waits_for_the_prefix_it_shares():
+    router = CostRouter(context())
+    leader, follower = query(request_id="r1"), query(b"!" * 64, request_id="r2")
+    choice = chosen(router, leader)
+    assert not router.must_wait(leader, choice, 0.0)
+    router.on_sent(leader, choice, 0.0)
+    assert router.must_wait(follower, chosen(router, follower, now_ms=1.0), 1.0)
+    router.on_first_token(leader, choice, 50.0, 50.0)
+    assert not router.must_wait(follower, choice, 51.0)
+
+
+def used_twice(router, now_ms=0.0):
+    for number in range(2):
+        asked = query(request_id=str(number))
+        choice = chosen(router, asked, now_ms=now_ms)
+        router.on_sent(asked, choice, now_ms)
+        router.on_first_token(asked, choice, 10.0, now_ms)
+    return choice
+
+
+def test_reused_prefix_is_exported_once_and_imported_where_cheaper():
+    router = CostRouter(context(terms={"homes": False}))
+    first = used_twice(router)
+    export = router.next_export(1.0)
+    assert len(export.hashes) == len(CONTRACT) // 64
+    assert router.next_export(1.0) is None
+    router.on_exported(export, len(export.hashes), 5.0, 2.0)
+    assert router.digest(3.0).kept == [export.levels[-1].block_hash]
+    cold = [e for e in ENGINES if e.upstream_id != first.upstream_id]
+    choice = chosen(router, query(), cold, now_ms=4.0)
+    assert choice.import_hashes == export.hashes
+    assert choice.n_hit_tokens == len(CONTRACT) // 4
+    fast = [e._replace(prefill_tokens_per_s=1e7) for e in cold]
+    assert chosen(router, query(), fast, now_ms=4.0).import_hashes == ()
+    # The store has evicted it: the next request does not ask for it again.
+    router.on_imported(query(), choice, 0, 5.0, 5.0)
+    assert chosen(router, query(), cold, now_ms=6.0).import_hashes == ()
+
+
+def test_kept_prefix_of_another_member_is_not_imported():
+    router = CostRouter(context())
+    used_twice(router)
+    export = router.next_export(1.0)
+    router.on_exported(export, len(export.hashes), 5.0, 2.0)
+    other = query(member="south")
+    assert chosen(router, other, now_ms=4.0).import_hashes == ()
