--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -36,6 +36,14 @@
 UPSTREAM_POLL_PERIOD_MS = 250
 UPSTREAM_BLOCK_BYTES = 64
 
+# Routing
+#: One way between two failure domains.
+ROUTING_CROSS_DOMAIN_MS = 1.0
+ROUTING_EVENT_PERIOD_MS = 100
+ROUTING_DIGEST_PERIOD_MS = 100
+#: Cached blocks that the index keeps for one engine.
+ROUTING_MAX_BLOCKS_PER_UPSTREAM = 65_536
+
 # Profiles
 PROFILE_NAME = "default"
 
@@ -43,3 +51,22 @@
 STATSD_HOST = ""
 STATSD_PORT = 8125
 STATSD_PREFIX = "buckthornrock"
+
+# Admission: ranks, queues and limits
+#: "aimd", "gradient" or "fixed".
+ADMISSION_CONTROLLER = "aimd"
+#: Delay of first tokens beyond their own prefill at which the window shrinks.
+ADMISSION_TARGET_DELAY_MS = 100
+#: Work at one engine before anything was measured, in tokens.
+ADMISSION_WINDOW_TOKENS = 8_192
+#: Work of one output token, in prompt tokens.
+ADMISSION_OUTPUT_TOKEN_COST = 3.0
+#: Share of the window that deferrable work leaves free.
+ADMISSION_URGENT_HEADROOM = 0.1
+ADMISSION_DEFERRABLE_WAIT_MS = 60_000
+#: Shares of the entry port's threads that may be held by all completions, and by
+#: deferrable ones; the rest answers refusals and reads.
+ADMISSION_CALLER_SHARE = 0.9
+ADMISSION_DEFERRABLE_SHARE = 0.5
+#: Time between two reports of demand; a share is good for a few periods.
+ADMISSION_SHARE_PERIOD_MS = 1_000
