--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -1,19 +1,13 @@
 """Wires completions: admission, routing and dispatch."""
 
-from ..admission import AdmissionPort, open_unlimited
+from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
 from ..dispatch.preparation import open_preparation
-from ..membership import MembershipPort
 from ..routing import RoutingPort
 from .core import Core
 from .fleet import FleetParts
 
 
-def build_admission(core: Core, membership: MembershipPort) -> AdmissionPort:
-    """Wire limits and queues."""
-    return open_unlimited(core.clock.now_ms)
-
-
 def build_completions(
     core: Core,
     fleet: FleetParts,
