--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -8,6 +8,7 @@
 from ..conf import Settings
 from ..events import lifecycle as events
 from ..platform import KvPort, open_kv
+from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
 from ..telemetry import Telemetry, open_log, open_metrics
 
@@ -16,7 +17,8 @@
     """Parts that the others are built on.
 
     ``loops`` collects every periodic actor, to be stopped at shutdown, and
-    ``closers`` the functions that close what the parts opened.
+    ``closers`` the functions that close what the parts opened. ``list_listeners``
+    take in the platform's instance list whenever it was read.
     """
 
     settings: Settings
@@ -27,6 +29,7 @@
     rng: random.Random
     loops: list[PeriodicHandle]
     closers: list[Callable[[], None]]
+    list_listeners: list[Callable[[InstanceList], None]]
 
 
 def build_core(settings: Settings, log_stream: IO[str] | None) -> Core:
@@ -44,6 +47,7 @@
         rng=random.Random(os.urandom(16)),
         loops=[],
         closers=[],
+        list_listeners=[],
     )
 
 
--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from ..fleet import Fleet
+from ..platform.instance_list import InstanceList
 from ..upstreams.engine_client import EngineClient
 from ..upstreams.engine_control import EngineControl
 from ..upstreams.service_client import ServiceClient
@@ -22,6 +23,12 @@
     """Wire the registry of upstreams and the clients."""
     section = core.settings.upstreams
     fleet = Fleet(section.servers, core.clock.now_ms, core.telemetry.log, core.rng)
+    core.list_listeners.append(lambda body: _note_list(fleet, body))
     return FleetParts(
         fleet, EngineClient(section), ServiceClient(section), EngineControl()
     )
+
+
+def _note_list(fleet: Fleet, body: InstanceList) -> None:
+    for listed in body.upstreams:
+        fleet.set_leaving(listed.id, listed.state != "live", "list")
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -54,9 +54,10 @@
     """
     started_at_s = time.monotonic()
     core = build_core(settings, log_stream)
+    # The fleet listens to the instance list, which membership starts to read.
+    fleet = build_fleet(core)
     membership = build_membership(core)
     profiles = build_profiles(core)
-    fleet = build_fleet(core)
     admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
     start_polling(core, fleet, routing)
--- a/buckthornrock/compose/membership.py
+++ b/buckthornrock/compose/membership.py
@@ -1,6 +1,9 @@
 """Wires membership and the inner protocol."""
 
 import os
+from collections.abc import Callable
+
+from expression import Result
 
 from ..membership import InstanceView, MembershipPort
 from ..membership.port import alone
@@ -8,9 +11,11 @@
     NEWS_PERIOD_MS,
     PROBE_PERIOD_MS,
     MembershipService,
+    ReadList,
     open_membership,
 )
-from ..platform.instance_list import open_instance_list
+from ..platform.errors import ListUnavailable
+from ..platform.instance_list import ListedInstance, open_instance_list
 from ..wire import Identity, PeerAddress, Transport, open_transport
 from .core import Core, run_periodically
 
@@ -22,13 +27,14 @@
     settings = core.settings
     incarnation = os.urandom(INCARNATION_BYTES).hex()
     if settings.wire.port == 0:
+        _poll_list(core, lambda read_list: read_list())
         return alone(_view(core, "", incarnation))
     identity = Identity(settings.instance_id, incarnation)
     transport = open_transport(identity, settings.wire, core.telemetry)
     service = _build_service(core, transport)
     run_periodically(core, "membership.probe", service.probe, PROBE_PERIOD_MS)
     run_periodically(core, "membership.news", service.spread_news, NEWS_PERIOD_MS)
-    _poll_list(core, service)
+    _poll_list(core, service.read_list)
     core.closers.append(service.close)
     core.closers.append(transport.close)
     return open_membership(service)
@@ -47,16 +53,23 @@
     )
 
 
-def _poll_list(core: Core, service: MembershipService) -> None:
+def _poll_list(core: Core, take_turn: Callable[[ReadList], object]) -> None:
+    """Read the list whenever ``take_turn`` asks for it, and tell the listeners."""
     section = core.settings.platform.instance_list
     if not section.url:
         return
     read_list = open_instance_list(section)
 
-    def step() -> None:
-        service.read_list(lambda: read_list().map(lambda body: body.instances))
+    def read() -> Result[tuple[ListedInstance, ...], ListUnavailable]:
+        body = read_list()
+        if body.is_ok():
+            for listen in core.list_listeners:
+                listen(body.ok)
+        return body.map(lambda b: b.instances)
 
-    run_periodically(core, "membership.list", step, section.period_ms)
+    run_periodically(
+        core, "membership.list", lambda: take_turn(read), section.period_ms
+    )
 
 
 def _view(core: Core, address: str, incarnation: str) -> InstanceView:
--- a/buckthornrock/compose/routing.py
+++ b/buckthornrock/compose/routing.py
@@ -13,6 +13,8 @@
 from .core import Core, run_periodically
 from .fleet import FleetParts
 
+#: Peers that get one digest; a node's cost must not grow with the fleet.
+DIGEST_FAN_OUT = 6
 EXPORT_PERIOD_MS = 100
 MAX_EXPORTS_PER_STEP = 8
 
@@ -102,10 +104,10 @@
         digest = RoutingDigest(
             dict(own.n_tokens), fleet.fleet.leaving_first_hand(), tuple(own.kept)
         )
-        self_id = membership.self_view().instance_id
-        for view in membership.live():
-            if view.instance_id != self_id:
-                membership.tell(view.instance_id, digest)
+        if not digest.n_tokens and not digest.leaving and not digest.kept:
+            return
+        for instance_id in _some_peers(core, membership):
+            membership.tell(instance_id, digest)
 
     membership.subscribe(RoutingDigest, receive)
     period_ms = core.settings.routing.digest_period_ms
@@ -135,3 +137,10 @@
             )
 
     run_periodically(core, "routing.exports", step, EXPORT_PERIOD_MS)
+
+
+def _some_peers(core: Core, membership: MembershipPort) -> list[str]:
+    """Return the peers that one digest goes to: all, in a small fleet."""
+    self_id = membership.self_view().instance_id
+    peers = [v.instance_id for v in membership.live() if v.instance_id != self_id]
+    return core.rng.sample(peers, min(len(peers), DIGEST_FAN_OUT))
--- /dev/null
+++ b/buckthornrock/dispatch/continuation.py
@@ -0,0 +1,149 @@
+"""Event ids with which a caller continues a stream through any instance.
+
+An id has two parts. The first names the engine stream and is encrypted for the
+client account and member, once a stream. The second says how much of the answer the
+event completes, and carries a MAC over the whole id.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import os
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+from expression import Error, Ok, Result
+
+from .errors import BadEventId
+from .requests import Caller
+
+NONCE_BYTES = 12
+MAC_BYTES = 12
+TEXT_DIGEST_BYTES = 8
+MAX_EVENT_ID_CHARS = 2_048
+
+
+class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
+    """Where an answer comes from, and to which request body it belongs."""
+
+    request_id: str
+    upstream_id: str
+    stream_id: str
+    weights_version: str
+    body_digest: bytes
+
+
+class Delivered(NamedTuple):
+    """How much of an answer a caller has.
+
+    ``text_digest`` covers the ``n_chars`` characters of the first ``n_tokens`` tokens.
+    """
+
+    n_tokens: int
+    n_chars: int
+    text_digest: bytes
+
+
+class ResumePoint(NamedTuple):
+    """From where on a caller wants the rest of an answer."""
+
+    origin: StreamOrigin
+    delivered: Delivered
+
+
+class DeliveredText:
+    """The text that a caller has so far, and its running digest."""
+
+    def __init__(self) -> None:
+        self._hash = hashlib.blake2b(digest_size=TEXT_DIGEST_BYTES)
+        self._parts: list[str] = []
+        self._n_tokens = 0
+        self._n_chars = 0
+
+    def add(self, text: str, n_tokens: int) -> None:
+        """Append a piece of the answer."""
+        self._hash.update(text.encode())
+        self._parts.append(text)
+        self._n_tokens += n_tokens
+        self._n_chars += len(text)
+
+    def text(self) -> str:
+        """Return all of it."""
+        return "".join(self._parts)
+
+    def delivered(self) -> Delivered:
+        """Return its length and digest."""
+        return Delivered(self._n_tokens, self._n_chars, self._hash.digest())
+
+
+def body_digest(body: dict) -> bytes:
+    """Return a digest that two equal request bodies share."""
+    raw = msgspec.json.encode(body, order="deterministic")
+    return hashlib.blake2b(raw, digest_size=16).digest()
+
+
+class EventIds:
+    """Seals and opens event ids with keys derived from the isolation secret."""
+
+    def __init__(self, isolation_secret: str) -> None:
+        self._aead = AESGCM(_derive_key(isolation_secret, b"event-id.origin"))
+        self._mac_key = _derive_key(isolation_secret, b"event-id.mac")
+
+    def seal(
+        self, caller: Caller, origin: StreamOrigin
+    ) -> Callable[[Delivered], bytes]:
+        """Return a function that gives the id of each event of one stream."""
+        nonce = os.urandom(NONCE_BYTES)
+        plain = msgspec.msgpack.encode(origin)
+        sealed = nonce + self._aead.encrypt(nonce, plain, _binding(caller))
+        prefix = base64.urlsafe_b64encode(sealed).rstrip(b"=")
+
+        def event_id(delivered: Delivered) -> bytes:
+            unsigned = b"%b.%d.%d.%b" % (
+                prefix,
+                delivered.n_tokens,
+                delivered.n_chars,
+                delivered.text_digest.hex().encode(),
+            )
+            return unsigned + b"." + self._mac(unsigned).encode()
+
+        return event_id
+
+    def open(self, caller: Caller, event_id: str) -> Result[ResumePoint, BadEventId]:
+        """Return what an id names, if it was sealed for this caller."""
+        if len(event_id) > MAX_EVENT_ID_CHARS or not event_id.isascii():
+            return Error(BadEventId())
+        unsigned, _, mac = event_id.rpartition(".")
+        if not hmac.compare_digest(mac, self._mac(unsigned.encode())):
+            return Error(BadEventId())
+        prefix, n_tokens, n_chars, digest = unsigned.split(".")
+        origin = self._open_origin(caller, prefix)
+        if origin is None:
+            return Error(BadEventId())
+        delivered = Delivered(int(n_tokens), int(n_chars), bytes.fromhex(digest))
+        return Ok(ResumePoint(origin, delivered))
+
+    def _open_origin(self, caller: Caller, prefix: str) -> StreamOrigin | None:
+        try:
+            sealed = base64.urlsafe_b64decode(prefix + "=" * (-len(prefix) % 4))
+            nonce, encrypted = sealed[:NONCE_BYTES], sealed[NONCE_BYTES:]
+            plain = self._aead.decrypt(nonce, encrypted, _binding(caller))
+        except (binascii.Error, ValueError, InvalidTag):
+            return None
+        return msgspec.msgpack.decode(plain, type=StreamOrigin)
+
+    def _mac(self, unsigned: bytes) -> str:
+        mac = hashlib.blake2b(unsigned, digest_size=MAC_BYTES, key=self._mac_key)
+        return mac.hexdigest()
+
+
+def _binding(caller: Caller) -> bytes:
+    return msgspec.msgpack.encode((caller.client_account, caller.member))
+
+
+def _derive_key(secret: str, purpose: bytes) -> bytes:
+    return hmac.new(secret.encode(), purpose, hashlib.sha256).digest()
--- a/buckthornrock/dispatch/errors.py
+++ b/buckthornrock/dispatch/errors.py
@@ -30,3 +30,15 @@
     service: str
 
     code = "no-server"
+
+
+class BadEventId(NamedTuple):
+    """The ``Last-Event-ID`` was not given out to this client account and member."""
+
+    code = "bad-event-id"
+
+
+class EventIdMismatch(NamedTuple):
+    """The ``Last-Event-ID`` belongs to another request body."""
+
+    code = "event-id-mismatch"
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -47,6 +47,8 @@
     upstreams.UpstreamRefused: ProblemRule(502, "The upstream refused", "unknown"),
     dispatch.AnswerIncomplete: ProblemRule(502, "The answer broke off", "false"),
     dispatch.CallOutcomeUnknown: ProblemRule(504, "The outcome is unknown", None),
+    dispatch.BadEventId: ProblemRule(403, "Not an event id of this caller", "true"),
+    dispatch.EventIdMismatch: ProblemRule(409, "Another request body", "true"),
     dispatch.NoServer: ProblemRule(503, "No server is available", "true"),
     deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
     deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -12,7 +12,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from . import membership_messages, message
+from . import membership_messages, message, routing_messages
 from .errors import BadFrame
 from .message import Message
 
@@ -33,6 +33,7 @@
     membership_messages.Probe,
     membership_messages.ProbeReply,
     membership_messages.News,
+    routing_messages.RoutingDigest,
 )
 
 
--- a/buckthornrock/wire/routing_messages.py
+++ b/buckthornrock/wire/routing_messages.py
@@ -1,9 +1,9 @@
 """Messages of routing between instances."""
 
-import msgspec
+from .message import Message
 
 
-class RoutingDigest(msgspec.Struct):
+class RoutingDigest(Message, tag="routing.digest"):
     """What an instance knows first-hand and its peers do not.
 
     ``n_tokens`` are its own waiting prompt tokens by upstream, ``leaving`` the
