--- a/buckthornrock/compose/admission.py
+++ b/buckthornrock/compose/admission.py
@@ -23,7 +23,6 @@
     core: Core, membership: MembershipPort, profiles: ProfilePort, fleet: Fleet
 ) -> AdmissionPort:
     """Wire limits and queues."""
-
     limiter = build_limits(core, membership, profiles)
     admission = Admission(
         admission_rules(core.settings),
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -17,7 +17,7 @@
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
-from .routing import build_routing, start_digests, start_polling
+from .routing import build_routing, start_digests, start_exports, start_polling
 from .services import build_services
 
 
@@ -54,13 +54,15 @@
     """
     started_at_s = time.monotonic()
     core = build_core(settings, log_stream)
+    # The fleet listens to the instance list, which membership starts to read.
+    fleet = build_fleet(core)
     membership = build_membership(core)
     profiles = build_profiles(core)
-    fleet = build_fleet(core)
     admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
     start_polling(core, fleet, routing)
     start_digests(core, fleet, routing, membership)
+    start_exports(core, fleet, routing)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -12,7 +12,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from . import membership_messages, message, share_messages
+from . import membership_messages, message, routing_messages, share_messages
 from .errors import BadFrame
 from .message import Message
 
@@ -35,6 +35,7 @@
     membership_messages.News,
     share_messages.DemandReport,
     share_messages.ShareGrant,
+    routing_messages.RoutingDigest,
 )
 
 
