--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -6,6 +6,7 @@
 
 import re
 from collections.abc import Callable, Iterator
+from operator import attrgetter
 
 from .decoding import Problem
 from .settings import Settings
@@ -23,6 +24,20 @@
 MIN_SECRET_BYTES = 16
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})")
+_SHARES = (
+    "admission.urgent_headroom",
+    "admission.caller_thread_share",
+    "admission.deferrable_thread_share",
+    "deferred.submitter_thread_share",
+    "deferred.kv_write_share",
+)
+_POSITIVES = (
+    "admission.window_tokens",
+    "admission.output_token_cost",
+    "deferred.n_workers",
+    "deferred.max_held_jobs",
+    "deferred.kv_write_share",
+)
 _POSITIVE_SUFFIXES = ("_ms", "_s", "_bytes", "_per_s", "n_threads", "n_contexts")
 
 
@@ -95,17 +110,15 @@
 
 
 def _check_shares(settings: Settings) -> Iterator[Problem]:
-    section = settings.admission
-    for key in ("urgent_headroom", "caller_thread_share", "deferrable_thread_share"):
-        value = getattr(section, key)
+    for path in _SHARES:
+        value = attrgetter(path)(settings)
         if not 0.0 <= value <= 1.0:
-            path = f"$.admission.{key}"
-            yield Problem(BAD_SHARE, path, str(value), "write 0 to 1")
-    for key in ("window_tokens", "output_token_cost"):
-        value = getattr(section, key)
+            yield Problem(BAD_SHARE, f"$.{path}", str(value), "write 0 to 1")
+    for path in _POSITIVES:
+        value = attrgetter(path)(settings)
         if value <= 0:
             hint = "write more than 0"
-            yield Problem(BAD_POSITIVE, f"$.admission.{key}", str(value), hint)
+            yield Problem(BAD_POSITIVE, f"$.{path}", str(value), hint)
 
 
 #: All checks, in the order in which they are reported.
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -70,3 +70,19 @@
 ADMISSION_DEFERRABLE_SHARE = 0.5
 #: Time between two reports of demand; a share is good for a few periods.
 ADMISSION_SHARE_PERIOD_MS = 1_000
+
+# Deferred work
+#: Runs at once; each waits for admission in a thread of its own.
+DEFERRED_N_WORKERS = 32
+DEFERRED_SCAN_PERIOD_MS = 3_000
+#: Jobs that one instance holds; it accepts more, but leaves them to others.
+DEFERRED_MAX_HELD_JOBS = 2_000
+#: Answers that may wait in memory for the key-value service.
+DEFERRED_MAX_UNSAVED_BYTES = 16_000_000
+#: Share of the entry port's threads that may wait for a job's acceptance.
+DEFERRED_SUBMITTER_SHARE = 0.25
+DEFERRED_SUBMIT_TIMEOUT_MS = 3_000
+#: Results are kept this long beyond the deadline.
+DEFERRED_RETENTION_MS = 86_400_000
+#: Share of the key-value service's writes that deferred work may use.
+DEFERRED_KV_WRITE_SHARE = 0.5
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -184,6 +184,19 @@
     share_period_ms: int = defaults.ADMISSION_SHARE_PERIOD_MS
 
 
+class DeferredSettings(NamedTuple):
+    """Deferred work."""
+
+    n_workers: int = defaults.DEFERRED_N_WORKERS
+    scan_period_ms: int = defaults.DEFERRED_SCAN_PERIOD_MS
+    max_held_jobs: int = defaults.DEFERRED_MAX_HELD_JOBS
+    max_unsaved_bytes: int = defaults.DEFERRED_MAX_UNSAVED_BYTES
+    submitter_thread_share: float = defaults.DEFERRED_SUBMITTER_SHARE
+    submit_timeout_ms: int = defaults.DEFERRED_SUBMIT_TIMEOUT_MS
+    retention_ms: int = defaults.DEFERRED_RETENTION_MS
+    kv_write_share: float = defaults.DEFERRED_KV_WRITE_SHARE
+
+
 class Settings(NamedTuple):
     """All settings of one instance."""
 
@@ -201,3 +214,4 @@
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     admission: AdmissionSettings = AdmissionSettings()
+    deferred: DeferredSettings = DeferredSettings()
--- /dev/null
+++ b/buckthornrock/deferred/backlog.py
@@ -0,0 +1,198 @@
+"""The jobs that this instance holds, and which of them runs next.
+
+Jobs that are projected to miss their deadline go first, earliest deadline first.
+Otherwise client accounts take turns by work, and inside an account the job with the
+earliest deadline runs, or, while that job has slack, one that shares the prefix of
+the job that ran last.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .ids import JobAddress
+from .records import Job
+
+#: A job's deadline is near once less than this part of its time is left.
+NEAR_PART = 0.25
+#: It is very near once less than this part is left.
+VERY_NEAR_PART = 0.1
+#: Projections assume that jobs take this much longer than they did.
+PROJECTION_MARGIN = 1.5
+#: Weight of the newest job in the mean time between two finished jobs.
+LEARNING_RATE = 0.1
+
+
+class HeldJob(NamedTuple):
+    """A job of a segment that this instance holds.
+
+    ``is_raised`` tells whether it was taken at a higher rank than its class has.
+    """
+
+    address: JobAddress
+    job: Job
+    n_attempts: int = 0
+    not_before_wall_ms: int = 0
+    is_raised: bool = False
+
+    @property
+    def prefix(self) -> tuple[str, str, str]:
+        """What jobs have in common that find each other's blocks in the cache."""
+        return self.job.client_account, self.job.member, self.job.prefix_id
+
+
+class _Account:
+    """The waiting jobs of one client account, earliest deadline first."""
+
+    def __init__(self) -> None:
+        self.jobs: list[HeldJob] = []
+        self.start = 0.0
+        self.last_prefix: tuple[str, str, str] | None = None
+
+
+class Backlog:
+    """Waiting and running jobs of one instance; callers hold a lock."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+        self._running: dict[JobAddress, HeldJob] = {}
+        self._virtual = 0.0
+        self._ms_per_job = 0.0
+        self._finished_at_ms: float | None = None
+        self._late: frozenset[JobAddress] = frozenset()
+
+    @property
+    def n_waiting(self) -> int:
+        """Jobs that wait."""
+        return sum(len(account.jobs) for account in self._accounts.values())
+
+    def state(self, address: JobAddress) -> str:
+        """Return ``waiting`` or ``running``, or an empty string for other jobs."""
+        if address in self._running:
+            return "running"
+        waiting = (held for a in self._accounts.values() for held in a.jobs)
+        return "waiting" if any(held.address == address for held in waiting) else ""
+
+    def add(self, jobs: Iterable[HeldJob]) -> None:
+        """Take jobs in."""
+        for held in jobs:
+            account = self._account(held)
+            if not account.jobs:
+                account.start = max(account.start, self._virtual)
+            account.jobs.append(held)
+        for account in self._accounts.values():
+            account.jobs.sort(key=lambda held: held.job.deadline_wall_ms)
+
+    def drop_segment(self, segment_id: str) -> None:
+        """Forget the waiting jobs of a segment that is held no more."""
+        for account in self._accounts.values():
+            account.jobs = [
+                held for held in account.jobs if held.address.segment_id != segment_id
+            ]
+
+    def drop(self, address: JobAddress) -> None:
+        """Forget one waiting job."""
+        for account in self._accounts.values():
+            account.jobs = [held for held in account.jobs if held.address != address]
+
+    def expired(self, wall_ms: int) -> list[HeldJob]:
+        """Take out the waiting jobs whose deadline has passed."""
+        gone: list[HeldJob] = []
+        for account in self._accounts.values():
+            gone += [h for h in account.jobs if h.job.deadline_wall_ms <= wall_ms]
+            account.jobs = [
+                held for held in account.jobs if held.job.deadline_wall_ms > wall_ms
+            ]
+        return gone
+
+    def take(self, wall_ms: int) -> HeldJob | None:
+        """Take the job that runs next, if one is ready."""
+        held = self._next(wall_ms)
+        if held is None:
+            return None
+        account = self._account(held)
+        account.jobs.remove(held)
+        is_near = remaining_part(held.job, wall_ms) <= NEAR_PART
+        held = held._replace(is_raised=is_near or held.address in self._late)
+        self._virtual = max(self._virtual, account.start)
+        account.start += 1.0
+        account.last_prefix = held.prefix
+        self._running[held.address] = held
+        return held
+
+    def finish(self, held: HeldJob, now_ms: float) -> None:
+        """Note that a running job ended."""
+        self._running.pop(held.address, None)
+        if self._finished_at_ms is not None and self.n_waiting:
+            gap_ms = now_ms - self._finished_at_ms
+            weight = LEARNING_RATE if self._ms_per_job else 1.0
+            self._ms_per_job += weight * (gap_ms - self._ms_per_job)
+        self._finished_at_ms = now_ms
+
+    def retry(self, held: HeldJob) -> None:
+        """Put a running job back."""
+        self._running.pop(held.address, None)
+        self.add((held,))
+
+    def project(self, wall_ms: int) -> None:
+        """Find the jobs that would be late if they ran in turn at today's pace."""
+        jobs = [held for account in self._accounts.values() for held in account.jobs]
+        jobs.sort(key=lambda held: held.job.deadline_wall_ms)
+        ms_per_job = self._ms_per_job * PROJECTION_MARGIN
+        late = (
+            held.address
+            for index, held in enumerate(jobs)
+            if wall_ms + (index + 1) * ms_per_job > held.job.deadline_wall_ms
+            or remaining_part(held.job, wall_ms) <= VERY_NEAR_PART
+        )
+        self._late = frozenset(late)
+
+    def rank(self, held: HeldJob, class_rank: int, wall_ms: int) -> int:
+        """Return the rank at which the job runs; it rises as the deadline nears."""
+        if held.address in self._late:
+            return 0
+        if remaining_part(held.job, wall_ms) <= NEAR_PART:
+            return max(0, class_rank - 1)
+        return class_rank
+
+    def should_yield(self, held: HeldJob, wall_ms: int) -> bool:
+        """Return whether a job that has not been sent yet should wait again."""
+        if held.address in self._late:
+            return not held.is_raised
+        if held.is_raised:
+            return False
+        if remaining_part(held.job, wall_ms) <= NEAR_PART:
+            return True
+        late = (h for a in self._accounts.values() for h in a.jobs)
+        return any(
+            h.address in self._late and h.not_before_wall_ms <= wall_ms for h in late
+        )
+
+    def _next(self, wall_ms: int) -> HeldJob | None:
+        ready = [
+            (account, jobs)
+            for account in self._accounts.values()
+            if (jobs := _ready(account.jobs, wall_ms))
+        ]
+        if not ready:
+            return None
+        late = [h for _, jobs in ready for h in jobs if h.address in self._late]
+        if late:
+            return min(late, key=lambda held: held.job.deadline_wall_ms)
+        account, jobs = min(ready, key=lambda pair: pair[0].start)
+        if remaining_part(jobs[0].job, wall_ms) <= NEAR_PART:
+            return jobs[0]
+        same = (held for held in jobs if held.prefix == account.last_prefix)
+        return next(same, jobs[0])
+
+    def _account(self, held: HeldJob) -> _Account:
+        return self._accounts.setdefault(held.job.client_account, _Account())
+
+
+def remaining_part(job: Job, wall_ms: int) -> float:
+    """Return which part of the time between acceptance and deadline is left."""
+    allowed_ms = max(1, job.deadline_wall_ms - job.accepted_wall_ms)
+    return (job.deadline_wall_ms - wall_ms) / allowed_ms
+
+
+def _ready(jobs: list[HeldJob], wall_ms: int) -> list[HeldJob]:
+    return [held for held in jobs if held.not_before_wall_ms <= wall_ms]
--- a/buckthornrock/deferred/errors.py
+++ b/buckthornrock/deferred/errors.py
@@ -8,15 +8,34 @@
 class NotAccepted(NamedTuple):
     """The job could not be made durable.
 
-    ``not_run`` is ``"unknown"`` when the key-value service gave no answer.
+    ``not_run`` is ``"unknown"`` when the key-value service gave no answer: the job
+    may come to be. Submitting again with the same idempotency key settles it.
     """
 
     reason: str
     not_run: NotRun
+    retry_after_ms: int = 1_000
 
     code = "not-accepted"
 
 
+class KeyReused(NamedTuple):
+    """The idempotency key already stands for a job with another body."""
+
+    job_id: str
+
+    code = "key-reused"
+
+
+class NoTrustedProfile(NamedTuple):
+    """No accepted profile is known yet, only the settings' start profile."""
+
+    profile: str
+    retry_after_ms: int = 1_000
+
+    code = "no-trusted-profile"
+
+
 class UnknownJob(NamedTuple):
     """No such job of this client account and member exists."""
 
@@ -29,5 +48,10 @@
     """The key-value service is unavailable; the job may well exist."""
 
     job_id: str
+    retry_after_ms: int = 1_000
 
     code = "job-unreadable"
+
+
+SubmitFailure = NotAccepted | KeyReused | NoTrustedProfile
+ReadFailure = UnknownJob | JobUnreadable
--- /dev/null
+++ b/buckthornrock/deferred/ids.py
@@ -0,0 +1,73 @@
+"""Ids of deferred jobs.
+
+An id names the segment and the index in it, so that any instance finds the job with
+one read, and carries a seal of its owner, so that nobody else can read it.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from typing import NamedTuple
+
+N_SEGMENT_DIGITS = 24
+SEAL_BYTES = 8
+
+
+class JobAddress(NamedTuple):
+    """Where a job is kept."""
+
+    segment_id: str
+    index: int
+
+
+class JobIds(NamedTuple):
+    """Functions that make and read ids under one secret.
+
+    Parameters
+    ----------
+    make : callable
+        ``make(address, client_account, member) -> str``.
+    parse : callable
+        ``parse(job_id, client_account, member) -> JobAddress | None``; None unless
+        the job belongs to this client account and member.
+    owner_tag : callable
+        ``owner_tag(client_account, member) -> str``; keeps owners' blobs apart.
+    """
+
+    make: Callable[[JobAddress, str, str], str]
+    parse: Callable[[str, str, str], JobAddress | None]
+    owner_tag: Callable[[str, str], str]
+
+
+def open_job_ids(secret: str) -> JobIds:
+    """Return the ids' functions."""
+
+    def seal(*parts: str) -> str:
+        # Length prefixes keep ("a", "bc") and ("ab", "c") apart.
+        raw = [part.encode() for part in parts]
+        message = b"".join(len(one).to_bytes(4, "big") + one for one in raw)
+        digest = hmac.new(secret.encode(), message, hashlib.sha256).digest()
+        return digest[:SEAL_BYTES].hex()
+
+    def make(address: JobAddress, client_account: str, member: str) -> str:
+        name = f"{address.segment_id}-{address.index}"
+        return f"{name}-{seal('job', name, client_account, member)}"
+
+    def parse(job_id: str, client_account: str, member: str) -> JobAddress | None:
+        segment_id, _, rest = job_id.partition("-")
+        index = rest.partition("-")[0]
+        if len(segment_id) != N_SEGMENT_DIGITS or not _is_index(index):
+            return None
+        address = JobAddress(segment_id, int(index))
+        wanted = make(address, client_account, member)
+        is_owner = hmac.compare_digest(wanted.encode(), job_id.encode())
+        return address if is_owner else None
+
+    def owner_tag(client_account: str, member: str) -> str:
+        return seal("owner", client_account, member)
+
+    return JobIds(make, parse, owner_tag)
+
+
+def _is_index(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= 6
--- a/buckthornrock/deferred/port.py
+++ b/buckthornrock/deferred/port.py
@@ -5,7 +5,7 @@
 
 from expression import Result
 
-from .errors import JobUnreadable, NotAccepted, UnknownJob
+from .errors import ReadFailure, SubmitFailure
 
 JobState = Literal["waiting", "running", "done", "failed", "cancelled", "expired"]
 
@@ -41,13 +41,15 @@
     Parameters
     ----------
     submit : callable
-        ``submit(submission) -> Result[str, NotAccepted]``, the job id, once durable.
+        ``submit(submission, wait_ms=0) -> Result[str, SubmitFailure]``, the job id,
+        once durable. ``wait_ms`` is how much longer than a commit's usual time the
+        submitter waits while the key-value service is down.
     read : callable
-        ``read(client_account, member, job_id) -> Result[JobView, ...]``.
+        ``read(client_account, member, job_id) -> Result[JobView, ReadFailure]``.
     cancel : callable
-        ``cancel(client_account, member, job_id) -> Result[JobView, ...]``.
+        ``cancel(client_account, member, job_id) -> Result[JobView, ReadFailure]``.
     """
 
-    submit: Callable[[JobSubmission], Result[str, NotAccepted]]
-    read: Callable[[str, str, str], Result[JobView, UnknownJob | JobUnreadable]]
-    cancel: Callable[[str, str, str], Result[JobView, UnknownJob | JobUnreadable]]
+    submit: Callable[..., Result[str, SubmitFailure]]
+    read: Callable[[str, str, str], Result[JobView, ReadFailure]]
+    cancel: Callable[[str, str, str], Result[JobView, ReadFailure]]
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -1,7 +1,10 @@
-"""Jobs in the key-value service, run by worker threads of this instance."""
+"""Deferred jobs of one instance: acceptance, claims, runs and results.
 
-import os
-import queue
+The steps are driven by periodic actors and the runs by worker threads; nothing here
+starts a thread.
+"""
+
+import random
 import threading
 from collections.abc import Callable
 from typing import NamedTuple
@@ -11,129 +14,516 @@
 
 from ..errors import Failure
 from ..events import deferred as events
-from ..platform import CommitDone, CommitNotDone, Compare, KvPort, Put, Transaction
+from ..platform import Compare, KvPort
+from ..runtime import Clock
 from ..telemetry import Telemetry
-from .errors import JobUnreadable, NotAccepted, UnknownJob
+from ..telemetry.metrics import DEFERRED_FINISHED, DEFERRED_WAITING
+from .acceptance import Acceptance, AcceptedSegment, Pending
+from .backlog import Backlog, HeldJob
+from .blobs import BlobStore
+from .claims import ClaimTerms, LeasePort, read_terms
+from .collection import Collector
+from .errors import NotAccepted, ReadFailure, SubmitFailure, UnknownJob
+from .holdings import Finished, HeldSegment, Holdings, SavedJob
+from .ids import JobAddress, JobIds
+from .packing import PackedJob, pack, unpack
 from .port import DeferredPort, JobSubmission, JobView
+from .reachability import Reachability
+from .reading import cancel_job, read_job
+from .records import HOUR_MS, Job, Outcome, claim_key
+from .running import (
+    MAX_LOSSES,
+    MAX_NOTED_ATTEMPTS,
+    RETRY_DELAY_MS,
+    judge,
+    retry_delay_ms,
+)
+from .scan import FoundSegment, adopt, claim_again, release, scan_shard, shards_to_scan
+
+
+class JobControl(NamedTuple):
+    """What a run asks while it waits and works.
+
+    Parameters
+    ----------
+    rank : callable
+        ``rank(class_rank) -> int``, by how near the deadline is.
+    is_lost : callable
+        ``is_lost() -> bool``: another instance may run the job.
+    should_yield : callable
+        ``should_yield() -> bool``: as long as nothing was sent, the job had better
+        wait again, because another is more urgent or its own rank has risen.
+    """
+
+    rank: Callable[[int], int]
+    is_lost: Callable[[], bool]
+    should_yield: Callable[[], bool]
 
-KEY_PREFIX = "jobs/"
 
-#: Runs one submission to its answer (a JSON object).
-RunJob = Callable[[str, JobSubmission], Result[dict, Failure]]
+#: ``run_job(job_id, submission, control)``; runs to the answer.
+RunJob = Callable[[str, JobSubmission, JobControl], Result[dict, Failure]]
 
+#: The service counts as down this long after a call without an answer.
+DOWN_MS = 2_000.0
+SUBMIT_RETRY_MS = 200.0
 
-class _Stored(msgspec.Struct):
-    """A job as it is kept in the key-value service."""
 
-    submission: JobSubmission
-    state: str = "waiting"
-    answer: dict | None = None
-    failure_code: str = ""
+class DeferredRules(NamedTuple):
+    """Settings of deferred work; see ``conf.settings.DeferredSettings``."""
 
+    max_held_jobs: int
+    max_unsaved_bytes: int
+    max_waiting_submitters: int
+    submit_timeout_ms: int
+    retention_ms: int
+    fleet_writes_per_s: float
 
-class _Loaded(NamedTuple):
-    """A stored job with the revision it was read at."""
 
-    stored: _Stored
-    mod_revision: int
+class DeferredParts(NamedTuple):
+    """What deferred work is built on.
+
+    Parameters
+    ----------
+    holder : str
+        This run of this instance, as it appears in claims.
+    self_id : str
+        This instance.
+    live_ids : callable
+        ``live_ids() -> Sequence[str]``.
+    """
+
+    kv: KvPort
+    lease: LeasePort
+    ids: JobIds
+    run_job: RunJob
+    clock: Clock
+    telemetry: Telemetry
+    rng: random.Random
+    holder: str
+    self_id: str
+    live_ids: Callable[[], tuple[str, ...]]
 
 
 class DeferredService:
-    """Accepts jobs, runs them and keeps their results."""
-
-    def __init__(
-        self, kv: KvPort, run_job: RunJob, telemetry: Telemetry, n_workers: int = 4
-    ) -> None:
-        self._kv = kv
-        self._run_job = run_job
-        self._telemetry = telemetry
-        self._queue: queue.SimpleQueue[str] = queue.SimpleQueue()
-        for index in range(n_workers):
-            threading.Thread(
-                target=self._work, name=f"deferred-{index}", daemon=True
-            ).start()
-
-    def submit(self, submission: JobSubmission) -> Result[str, NotAccepted]:
-        """Make the job durable and return its id."""
-        job_id = os.urandom(12).hex()
-        key = KEY_PREFIX + job_id
-        value = msgspec.json.encode(_Stored(submission))
-        outcome = self._kv.commit(Transaction((Compare(key, 0),), (Put(key, value),)))
-        if isinstance(outcome, CommitNotDone):
-            return Error(NotAccepted(outcome.reason, "true"))
-        if not isinstance(outcome, CommitDone):
-            return Error(NotAccepted(outcome.code, "unknown"))
-        self._telemetry.log(
-            events.JOB_ACCEPTED, job_id=job_id, client_account=submission.client_account
+    """Accepts jobs, runs those it holds and keeps their results."""
+
+    def __init__(self, parts: DeferredParts, rules: DeferredRules) -> None:
+        self._parts = parts
+        self._rules = rules
+        self._lock = threading.Lock()
+        self._backlog = Backlog()
+        self._blobs = BlobStore(parts.kv)
+        self._collector = Collector(parts.kv)
+        self._reachability = Reachability(DOWN_MS)
+        self._acceptance = Acceptance(
+            parts.kv, parts.ids, self._claim_terms, self._on_accepted
         )
-        self._queue.put(job_id)
-        return Ok(job_id)
+        self._holdings = Holdings(
+            parts.kv, parts.clock.wall_ms, rules.retention_ms, self._on_saved
+        )
+        self._to_check: set[str] = set()
+        self._n_submitters = 0
+        self._next_commit_at_ms = 0.0
+        self._is_stopping = False
+
+    def submit(
+        self, submission: JobSubmission, wait_ms: float = 0.0
+    ) -> Result[str, SubmitFailure]:
+        """Make the job durable and return its id."""
+        clock = self._parts.clock
+        if wait_ms <= 0.0 and not self._reachability.may_try(clock.now_ms()):
+            return Error(NotAccepted("kv-unavailable", "true"))
+        if not self._enter_submitter():
+            return Error(NotAccepted("too-many-submitters", "true"))
+        try:
+            give_up_at_ms = clock.now_ms() + self._rules.submit_timeout_ms + wait_ms
+            return self._submit(submission, give_up_at_ms)
+        finally:
+            with self._lock:
+                self._n_submitters -= 1
+
+    def enqueue(self, submission: JobSubmission) -> Result[Pending, NotAccepted]:
+        """Hand a job to the next commit; its blobs are durable on return."""
+        packed = pack(submission, self._parts.ids, self._parts.clock.wall_ms())
+        pins = self._ensure_blobs(packed)
+        if pins.is_error():
+            return pins
+        pending = Pending(packed, pins.ok)
+        self._acceptance.enqueue(pending)
+        return pins.map(lambda _: pending)
 
     def read(
         self, client_account: str, member: str, job_id: str
-    ) -> Result[JobView, UnknownJob | JobUnreadable]:
+    ) -> Result[JobView, ReadFailure]:
         """Return the job's state, and its answer when it is done."""
-        loaded = self._load(job_id)
-        if loaded.is_error():
-            return loaded
-        stored = loaded.ok.stored
-        owner = (stored.submission.client_account, stored.submission.member)
-        if owner != (client_account, member):
+        address = self._parts.ids.parse(job_id, client_account, member)
+        if address is None:
             return Error(UnknownJob(job_id))
-        return Ok(JobView(job_id, stored.state, stored.answer, stored.failure_code))
+        local = self._local_view(job_id, address)
+        return local or read_job(self._parts.kv, job_id, address)
 
     def cancel(
         self, client_account: str, member: str, job_id: str
-    ) -> Result[JobView, UnknownJob | JobUnreadable]:
+    ) -> Result[JobView, ReadFailure]:
         """Cancel the job unless it has ended."""
-        view = self.read(client_account, member, job_id)
-        if view.is_error() or view.ok.state != "waiting":
-            return view
-        loaded = self._load(job_id)
-        if loaded.is_error():
-            return loaded
-        loaded.ok.stored.state = "cancelled"
-        self._store(job_id, loaded.ok)
-        return self.read(client_account, member, job_id)
-
-    def _work(self) -> None:
-        while True:
-            self._run(self._queue.get())
-
-    def _run(self, job_id: str) -> None:
-        loaded = self._load(job_id)
-        if loaded.is_error() or loaded.ok.stored.state != "waiting":
+        address = self._parts.ids.parse(job_id, client_account, member)
+        if address is None:
+            return Error(UnknownJob(job_id))
+        view = cancel_job(self._parts.kv, job_id, address)
+        if view.is_ok() and view.ok.state == "cancelled":
+            with self._lock:
+                self._backlog.drop(address)
+            self._holdings.refresh(address.segment_id)
+        return view
+
+    def commit_step(self) -> None:
+        """Commit accepted jobs and outcomes, within the fleet's write budget."""
+        now_ms = self._parts.clock.now_ms()
+        if now_ms < self._next_commit_at_ms:
             return
-        stored = loaded.ok.stored
-        result = self._run_job(job_id, stored.submission)
-        if result.is_ok():
-            stored.state = "done"
-            stored.answer = result.ok
-        else:
-            stored.state = "failed"
-            stored.failure_code = result.error.code
-        self._store(job_id, loaded.ok)
-        self._telemetry.log(
+        has_answered = self._acceptance.step()
+        has_answered = self._holdings.step() and has_answered
+        now_ms = self._parts.clock.now_ms()
+        if not has_answered:
+            self._reachability.note(False, now_ms)
+        n_live = max(1, len(self._parts.live_ids()))
+        self._next_commit_at_ms = (
+            now_ms + 1000.0 * n_live / self._rules.fleet_writes_per_s
+        )
+
+    def scan_step(self) -> None:
+        """Renew lost claims, adopt segments without a holder, end expired jobs."""
+        self._expire_jobs()
+        self._claim_lost_again()
+        self._check_claims()
+        self._scan()
+        with self._lock:
+            self._backlog.project(self._parts.clock.wall_ms())
+            n_waiting = self._backlog.n_waiting
+        self._parts.telemetry.metrics.gauge(DEFERRED_WAITING, n_waiting)
+
+    def collect_step(self) -> None:
+        """Delete what is needed no more, if this instance is the one to do it."""
+        live_ids = self._parts.live_ids()
+        if live_ids and live_ids[0] == self._parts.self_id:
+            self._collector.step(self._parts.clock.wall_ms())
+
+    def run_next(self) -> bool:
+        """Run one job, if one is ready and may be started; return whether one was."""
+        if self._is_stopping or not self._may_run():
+            return False
+        with self._lock:
+            held = self._backlog.take(self._parts.clock.wall_ms())
+        if held is None:
+            return False
+        if self._holdings.get(held.address.segment_id) is None:
+            with self._lock:
+                self._backlog.finish(held, self._parts.clock.now_ms())
+            return True
+        if not self._is_claimed(held):
+            self._put_back(held, RETRY_DELAY_MS)
+            return False
+        self._run(held)
+        return True
+
+    def stop(self) -> None:
+        """Start no more jobs; what has ended is saved by the last steps."""
+        self._is_stopping = True
+
+    def close(self) -> None:
+        """Save what has ended and give every segment back."""
+        self._next_commit_at_ms = 0.0
+        self.commit_step()
+        for segment in self._holdings.all():
+            if segment.epoch:
+                release(self._parts.kv, segment)
+
+    def _submit(
+        self, submission: JobSubmission, give_up_at_ms: float
+    ) -> Result[str, SubmitFailure]:
+        clock = self._parts.clock
+        pending = self.enqueue(submission)
+        while pending.is_error():
+            if clock.now_ms() + SUBMIT_RETRY_MS > give_up_at_ms:
+                return pending
+            clock.sleep_ms(SUBMIT_RETRY_MS)
+            pending = self.enqueue(submission)
+        remaining_s = max(0.0, give_up_at_ms - clock.now_ms()) / 1000.0
+        if not pending.ok.settled.wait(remaining_s):
+            self._acceptance.abandon(pending.ok)
+        return pending.ok.result
+
+    def _enter_submitter(self) -> bool:
+        with self._lock:
+            if self._n_submitters >= self._rules.max_waiting_submitters:
+                return False
+            self._n_submitters += 1
+            return True
+
+    def _ensure_blobs(
+        self, packed: PackedJob
+    ) -> Result[tuple[Compare, ...], NotAccepted]:
+        until_ms = packed.job.deadline_wall_ms + HOUR_MS
+        pins = []
+        for blob in packed.blobs:
+            pin = self._blobs.ensure(blob, until_ms)
+            if pin.is_error():
+                self._blobs.forget_pin(blob.blob_id)
+                return pin
+            pins.append(pin.ok)
+        return Ok(tuple(pins))
+
+    def _claim_terms(self) -> ClaimTerms | None:
+        with self._lock:
+            is_full = self._backlog.n_waiting >= self._rules.max_held_jobs
+        if is_full or self._is_stopping:
+            return None
+        return read_terms(self._parts.lease, self._parts.holder)
+
+    def _on_accepted(self, accepted: AcceptedSegment) -> None:
+        for job in accepted.segment.jobs:
+            self._parts.telemetry.log(
+                events.JOB_ACCEPTED,
+                job_id=accepted.segment_id,
+                client_account=job.client_account,
+            )
+        if accepted.claim == "unknown":
+            self._to_check.add(accepted.segment_id)
+        if accepted.claim == "held":
+            self._hold(
+                HeldSegment(
+                    accepted.segment_id,
+                    accepted.segment,
+                    accepted.outcomes,
+                    accepted.revision,
+                    accepted.epoch,
+                )
+            )
+
+    def _hold(self, segment: HeldSegment) -> None:
+        if not self._holdings.add(segment):
+            return
+        with self._lock:
+            self._backlog.drop_segment(segment.segment_id)
+            self._backlog.add(_open_jobs(segment))
+
+    def _on_saved(self, saved: SavedJob) -> None:
+        self._parts.telemetry.metrics.incr(DEFERRED_FINISHED, label=saved.state)
+        self._parts.telemetry.log(
             events.JOB_FINISHED,
-            job_id=job_id,
-            client_account=stored.submission.client_account,
-            state=stored.state,
+            job_id=f"{saved.address.segment_id}-{saved.address.index}",
+            client_account=saved.client_account,
+            state=saved.state,
         )
 
-    def _load(self, job_id: str) -> Result[_Loaded, UnknownJob | JobUnreadable]:
-        entry = self._kv.get(KEY_PREFIX + job_id)
-        if entry.is_error():
-            return Error(JobUnreadable(job_id))
-        if entry.ok is None:
-            return Error(UnknownJob(job_id))
-        stored = msgspec.json.decode(entry.ok.value, type=_Stored)
-        return Ok(_Loaded(stored, entry.ok.mod_revision))
-
-    def _store(self, job_id: str, loaded: _Loaded) -> None:
-        key = KEY_PREFIX + job_id
-        compare = Compare(key, loaded.mod_revision)
-        put = Put(key, msgspec.json.encode(loaded.stored))
-        self._kv.commit(Transaction((compare,), (put,)))
+    def _local_view(
+        self, job_id: str, address: JobAddress
+    ) -> Result[JobView, ReadFailure] | None:
+        with self._lock:
+            state = self._backlog.state(address)
+        if not state:
+            return None
+        return Ok(JobView(job_id, state, None, ""))
+
+    def _expire_jobs(self) -> None:
+        with self._lock:
+            expired = self._backlog.expired(self._parts.clock.wall_ms())
+        for held in expired:
+            self._finish(held.address, "expired", "deadline-exceeded")
+
+    def _claim_lost_again(self) -> None:
+        terms = read_terms(self._parts.lease, self._parts.holder)
+        if terms is None:
+            return
+        segments = self._holdings.all()
+        stale = [s for s in segments if s.epoch not in (0, terms.epoch)]
+        held, lost = claim_again(self._parts.kv, stale, terms)
+        for segment in held:
+            segment.epoch = terms.epoch
+        for segment in lost:
+            self._lose(segment)
+
+    def _lose(self, segment: HeldSegment) -> None:
+        with self._lock:
+            self._backlog.drop_segment(segment.segment_id)
+        segment.epoch = 0
+        self._holdings.drop(segment.segment_id)
+        self._parts.telemetry.log(events.SEGMENT_LOST, segment_id=segment.segment_id)
+
+    def _scan(self) -> None:
+        parts = self._parts
+        with self._lock:
+            is_idle = self._backlog.n_waiting * 2 < self._rules.max_held_jobs
+        for shard in shards_to_scan(
+            parts.self_id, parts.live_ids(), is_idle, parts.rng
+        ):
+            found = scan_shard(parts.kv, shard)
+            self._reachability.note(found.is_ok(), parts.clock.now_ms())
+            if found.is_error():
+                return
+            for segment in found.ok:
+                self._consider(segment)
+
+    def _consider(self, found: FoundSegment) -> None:
+        """Adopt a segment without a holder, if there is room for its jobs."""
+        if found.holder or self._acceptance.is_unsettled(found.segment_id):
+            return
+        terms = self._claim_terms()
+        if terms is not None:
+            self._adopt(found.segment_id, terms, claim_revision=0)
+
+    def _adopt(self, segment_id: str, terms: ClaimTerms, claim_revision: int) -> None:
+        adopted = adopt(self._parts.kv, segment_id, terms, claim_revision)
+        if adopted.is_error():
+            # The claim may have been made; nobody else would look into that.
+            self._to_check.add(segment_id)
+            return
+        if adopted.ok is None:
+            return
+        self._hold(adopted.ok)
+        self._parts.telemetry.log(
+            events.SEGMENT_ADOPTED,
+            segment_id=segment_id,
+            n_jobs=len(adopted.ok.segment.jobs),
+            n_losses=adopted.ok.outcomes.n_losses,
+        )
+
+    def _check_claims(self) -> None:
+        """Take in segments that are claimed here without this instance knowing."""
+        terms = read_terms(self._parts.lease, self._parts.holder)
+        if terms is None:
+            return
+        for segment_id in tuple(self._to_check):
+            claim = self._parts.kv.get(claim_key(segment_id))
+            if claim.is_error():
+                return
+            self._to_check.discard(segment_id)
+            if claim.ok and claim.ok.value == terms.holder.encode():
+                self._adopt(segment_id, terms, claim.ok.mod_revision)
+
+    def _may_run(self) -> bool:
+        """Return whether jobs may be started now.
+
+        While the service is down nobody can take this instance's segments over, so
+        it works on what it holds, as long as the results fit in memory.
+        """
+        if self._holdings.n_unsaved_bytes > self._rules.max_unsaved_bytes:
+            return False
+        return self._reachability.is_down or self._parts.lease.holds()
+
+    def _is_claimed(self, held: HeldJob) -> bool:
+        if self._reachability.is_down:
+            return True
+        segment = self._holdings.get(held.address.segment_id)
+        if segment is None or not self._parts.lease.holds():
+            return False
+        return segment.epoch == self._parts.lease.epoch()
+
+    def _run(self, held: HeldJob) -> None:
+        submission = self._load(held.job)
+        if submission.is_error():
+            self._put_back(held, RETRY_DELAY_MS)
+            return
+        if submission.ok is None:
+            self._end(held, "failed", "prompt-gone")
+            return
+        if not self._note_start(held):
+            return
+        address, job = held.address, held.job
+        job_id = self._parts.ids.make(address, job.client_account, job.member)
+        result = self._parts.run_job(
+            job_id,
+            submission.ok,
+            JobControl(
+                rank=lambda class_rank: self._rank(held, class_rank),
+                is_lost=lambda: not self._is_claimed(held),
+                should_yield=lambda: self._should_yield(held),
+            ),
+        )
+        if result.is_ok():
+            answer = msgspec.json.encode(result.ok)
+            self._holdings.finish(address, Finished(Outcome("done"), answer))
+            self._leave(held)
+            return
+        self._judge(held, result.error)
+
+    def _load(self, job: Job) -> Result[JobSubmission | None, Failure]:
+        """Return the job as it was submitted, None if its prompt is gone."""
+        contents = []
+        for blob_id in (job.prefix_id, job.blob_id):
+            content = self._blobs.load(blob_id) if blob_id else Ok(b"")
+            if content.is_error() or content.ok is None:
+                return content
+            contents.append(content.ok)
+        return Ok(unpack(job, *contents))
+
+    def _note_start(self, held: HeldJob) -> bool:
+        """Make the start durable where jobs of the segment ended their holders."""
+        segment = self._holdings.get(held.address.segment_id)
+        if segment is None:
+            self._leave(held)
+            return False
+        if segment.outcomes.n_losses < MAX_LOSSES:
+            return True
+        outcome = segment.outcomes.jobs[held.address.index]
+        if outcome.n_attempts >= MAX_NOTED_ATTEMPTS:
+            self._end(held, "failed", "holders-lost")
+            return False
+        if self._holdings.note_attempt(held.address):
+            return True
+        self._put_back(held, RETRY_DELAY_MS)
+        return False
+
+    def _judge(self, held: HeldJob, failure: Failure) -> None:
+        verdict = judge(failure, held.n_attempts + 1)
+        if verdict == "fail":
+            self._end(held, "failed", failure.code)
+            return
+        n_attempts = held.n_attempts + (verdict == "retry")
+        self._parts.telemetry.log(
+            events.JOB_RETRIED,
+            segment_id=held.address.segment_id,
+            index=held.address.index,
+            failure=failure.code,
+            n_attempts=n_attempts,
+        )
+        delay_ms = retry_delay_ms(failure, n_attempts)
+        self._put_back(held._replace(n_attempts=n_attempts), delay_ms)
+
+    def _rank(self, held: HeldJob, class_rank: int) -> int:
+        with self._lock:
+            return self._backlog.rank(held, class_rank, self._parts.clock.wall_ms())
+
+    def _should_yield(self, held: HeldJob) -> bool:
+        if self._is_stopping:
+            return True
+        with self._lock:
+            return self._backlog.should_yield(held, self._parts.clock.wall_ms())
+
+    def _put_back(self, held: HeldJob, delay_ms: int) -> None:
+        not_before_wall_ms = self._parts.clock.wall_ms() + delay_ms
+        with self._lock:
+            self._backlog.retry(held._replace(not_before_wall_ms=not_before_wall_ms))
+
+    def _end(self, held: HeldJob, state: str, failure_code: str) -> None:
+        self._finish(held.address, state, failure_code)
+        self._leave(held)
+
+    def _finish(self, address: JobAddress, state: str, failure_code: str) -> None:
+        self._holdings.finish(address, Finished(Outcome(state, failure_code)))
+
+    def _leave(self, held: HeldJob) -> None:
+        with self._lock:
+            self._backlog.finish(held, self._parts.clock.now_ms())
+
+
+def _open_jobs(segment: HeldSegment) -> list[HeldJob]:
+    jobs = zip(segment.segment.jobs, segment.outcomes.jobs, strict=True)
+    return [
+        HeldJob(JobAddress(segment.segment_id, index), job, outcome.n_attempts)
+        for index, (job, outcome) in enumerate(jobs)
+        if not outcome.is_final
+    ]
 
 
 def open_deferred(service: DeferredService) -> DeferredPort:
--- a/buckthornrock/entry/deferred.py
+++ b/buckthornrock/entry/deferred.py
@@ -1,12 +1,18 @@
 """Serves deferred jobs: submission, reading and cancelling."""
 
+import re
+
 from ..deferred import JobSubmission, JobView
+from ..deferred.errors import NoTrustedProfile
 from ..dispatch import Caller, CompletionRequest
 from ..httpd import Exchange
 from .context import EntryParts, refuse
 from .errors import MethodNotAllowed, NotDeferrable
 
 PATH_PREFIX = "/v1/deferred/"
+#: Longest wait that ``Prefer: wait=N`` is granted.
+MAX_WAIT_S = 3_600
+_WAIT = re.compile(r"\bwait=(\d{1,6})\b")
 
 
 def submit_deferred(
@@ -17,7 +23,14 @@
         failure = NotDeferrable(request.work_class_name)
         refuse(parts, exchange, failure, request.request_id, request.caller)
         return
-    job_id = parts.deferred.submit(_submission(parts, exchange, request, is_chat))
+    record = parts.profiles.current(request.profile)
+    if record.is_error() or record.ok.trust == "start":
+        failure = NoTrustedProfile(request.profile)
+        refuse(parts, exchange, failure, request.request_id, request.caller)
+        return
+    submission = _submission(parts, exchange, request, is_chat)
+    wait_ms = _wait_ms(exchange.headers["prefer"])
+    job_id = parts.deferred.submit(submission, wait_ms)
     if job_id.is_error():
         refuse(parts, exchange, job_id.error, request.request_id, request.caller)
         return
@@ -25,6 +38,12 @@
     exchange.respond_json(202, {"id": job_id.ok, "state": "waiting"}, head)
 
 
+def _wait_ms(prefer: str) -> float:
+    """Return how long the caller waits while nothing can be made durable."""
+    found = _WAIT.search(prefer)
+    return 1000.0 * min(int(found.group(1)), MAX_WAIT_S) if found else 0.0
+
+
 def _submission(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> JobSubmission:
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -51,6 +51,8 @@
     dispatch.EventIdMismatch: ProblemRule(409, "Another request body", "true"),
     dispatch.NoServer: ProblemRule(503, "No server is available", "true"),
     deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
+    deferred.KeyReused: ProblemRule(422, "The key names another job", "true"),
+    deferred.NoTrustedProfile: ProblemRule(503, "No accepted profile yet", "true"),
     deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
     deferred.JobUnreadable: ProblemRule(503, "The job can't be read now", "true"),
     DeadlineExceeded: ProblemRule(504, "The deadline passed", None),
--- a/buckthornrock/events/deferred.py
+++ b/buckthornrock/events/deferred.py
@@ -16,3 +16,24 @@
     ("job_id", "client_account", "state"),
     "A deferred job has its result or its final failure.",
 )
+SEGMENT_ADOPTED = Event(
+    1802,
+    "deferred.adopted",
+    "info",
+    ("segment_id", "n_jobs", "n_losses"),
+    "Jobs without a holder were taken over; n_losses holders vanished before.",
+)
+SEGMENT_LOST = Event(
+    1803,
+    "deferred.lost",
+    "warning",
+    ("segment_id",),
+    "Another instance took over jobs while this one's lease had lapsed.",
+)
+JOB_RETRIED = Event(
+    1804,
+    "deferred.retried",
+    "info",
+    ("segment_id", "index", "failure", "n_attempts"),
+    "A run did not succeed; the job waits and runs again.",
+)
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -15,6 +15,8 @@
 KV_FAILURES = "kv_failures"
 WAITING_TOKENS = "waiting_tokens"
 WINDOW_TOKENS = "window_tokens"
+DEFERRED_WAITING = "deferred_waiting"
+DEFERRED_FINISHED = "deferred_finished"
 WIRE_BYTES = "wire_bytes"
 WIRE_FRAMES_DROPPED = "wire_frames_dropped"
 MEMBERS_LIVE = "members_live"
@@ -31,6 +33,8 @@
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
     WAITING_TOKENS: ("gauge", "work that waits for admission, by model"),
     WINDOW_TOKENS: ("gauge", "work that may be at one engine, by model"),
+    DEFERRED_WAITING: ("gauge", "deferred jobs held here that wait"),
+    DEFERRED_FINISHED: ("counter", "deferred jobs that ended, by state"),
     WIRE_BYTES: ("counter", "bytes of frames between instances, by direction"),
     WIRE_FRAMES_DROPPED: ("counter", "frames that were dropped, by reason"),
     MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -23,9 +23,14 @@
     ({"entry": {}}, {("SET-E002", "$.entry.port")}),
     ({"entry": {"port": 70000}}, {("SET-E010", "$.entry.port")}),
     (
-        {"admission": {"urgent_headroom": 2.0, "window_tokens": 0}},
+        {
+            "admission": {"urgent_headroom": 2.0, "window_tokens": 0},
+            "deferred": {"kv_write_share": -1.0},
+        },
         {
             ("SET-E030", "$.admission.urgent_headroom"),
+            ("SET-E030", "$.deferred.kv_write_share"),
+            ("SET-E011", "$.deferred.kv_write_share"),
             ("SET-E011", "$.admission.window_tokens"),
         },
     ),
--- /dev/null
+++ b/tests/deferred/test_service.py
@@ -0,0 +1,311 @@
+"""Acceptance, blobs, keys, outages and retention, one case at a time."""
+
+import sys
+from pathlib import Path
+
+import pytest
+from expression import Ok
+from hypothesis import given
+from hypothesis import strategies as st
+
+sys.path.insert(0, str(Path(__file__).parent))
+from fleet import (  # noqa: E402
+    HOUR_MS,
+    IDS,
+    RULES,
+    Fleet,
+    expected_answer,
+    submission,
+)
+
+from buckthornrock.deferred.packing import pack, unpack  # noqa: E402
+from buckthornrock.dispatch.errors import AnswerIncomplete  # noqa: E402
+from buckthornrock.entry.errors import BadRequest  # noqa: E402
+from buckthornrock.routing.errors import NoEngine  # noqa: E402
+from buckthornrock.upstreams.errors import AttemptFailed  # noqa: E402
+
+
+def make_fleet(n_instances=1, rules=RULES):
+    fleet = Fleet(n_instances, rules)
+    for name in fleet.instances:
+        fleet.step(name, "lease")
+    return fleet
+
+
+def view(fleet, name, job_id, job):
+    service = fleet.instances[name].service
+    return service.read(job.client_account, job.member, job_id).ok
+
+
+def accept(fleet, name, *jobs):
+    for job in jobs:
+        assert fleet.submit(name, job).is_ok()
+    fleet.step(name, "commit")
+    return list(fleet.accepted())
+
+
+def test_many_jobs_are_one_commit():
+    fleet = make_fleet()
+    before = fleet.kv.n_commits
+    ids = accept(fleet, "i0", *(submission(f"job {i}") for i in range(400)))
+    assert len(set(ids)) == 400
+    assert fleet.kv.n_commits - before == 1
+
+
+def test_write_budget_spaces_commits_by_fleet_size():
+    rules = RULES._replace(fleet_writes_per_s=150.0)
+    fleet = make_fleet(1, rules)
+    for index in range(1, 340):
+        fleet.instances[f"j{index}"] = None
+    before = fleet.kv.n_commits
+    for _ in range(200):
+        fleet.submit("i0", submission("x"))
+        fleet.step("i0", "commit")
+        fleet.kv.advance(50.0)
+    # 10 s at 150 / 340 commits a second; a commit step may write twice.
+    assert fleet.kv.n_commits - before <= 2 * (1 + 10 * 150 / 340)
+
+
+def test_shared_prefix_is_stored_once():
+    fleet = make_fleet()
+    contract = "clause " * 60_000
+    jobs = [
+        submission(contract + f"lot {i}", prefix_levels=[10, len(contract)])
+        for i in range(30)
+    ]
+    ids = accept(fleet, "i0", *jobs)
+    assert len(ids) == 30
+    n_bytes = sum(len(entry.value) for entry in fleet.kv.entries.values())
+    assert n_bytes < 1.2 * len(contract)
+    fleet.settle()
+    for job_id, job in zip(ids, jobs, strict=True):
+        assert view(fleet, "i0", job_id, job).answer == expected_answer(job)
+
+
+def test_prefix_is_not_shared_between_members():
+    fleet = make_fleet()
+    text = "clause " * 1_000
+    for member in "xy":
+        job = submission(text, member=member, prefix_levels=[len(text)])
+        accept(fleet, "i0", job)
+    pins = [key for key in fleet.kv.entries if "/q/" in key]
+    assert len(pins) == 2
+
+
+@pytest.mark.parametrize("n_bytes", [150_000, 900_000, 3_000_000])
+def test_large_prompt_and_result_come_back_whole(n_bytes):
+    fleet = make_fleet(2)
+    job = submission("z" * n_bytes)
+    answer = {"text": "y" * n_bytes}
+    ids = accept(fleet, "i0", job)
+    seen = []
+
+    def run_job(job_id, run, control):
+        seen.append(run.body)
+        return Ok(answer)
+
+    service = fleet.instances["i0"].service
+    service._parts = service._parts._replace(run_job=run_job)
+    fleet.step("i0", "run")
+    fleet.step("i0", "commit")
+    assert seen == [job.body]
+    assert view(fleet, "i1", ids[0], job).answer == answer
+
+
+KEYS = [("k", "same", "k", "same", 1), ("k", "one", "k", "other", None)]
+
+
+@pytest.mark.parametrize(("key", "text", "key_2", "text_2", "n_ids"), KEYS)
+@pytest.mark.parametrize("is_same_commit", [True, False])
+def test_idempotency_key_names_one_job(key, text, key_2, text_2, n_ids, is_same_commit):
+    fleet = make_fleet(2)
+    first = fleet.submit("i0", submission(text, key=key)).ok
+    if not is_same_commit:
+        fleet.step("i0", "commit")
+    second = fleet.submit("i1", submission(text_2, key=key_2)).ok
+    for name in ("i0", "i1", "i0", "i1"):
+        fleet.step(name, "commit")
+    if n_ids == 1:
+        assert first.result.ok == second.result.ok
+        return
+    results = [first.result, second.result]
+    assert [r.error.code for r in results if r.is_error()] == ["key-reused"]
+
+
+def test_same_key_twice_in_one_segment_is_one_job():
+    fleet = make_fleet()
+    pendings = [fleet.submit("i0", submission("x", key="k")).ok for _ in range(3)]
+    for _ in range(3):
+        fleet.step("i0", "commit")
+    assert len({pending.result.ok for pending in pendings}) == 1
+
+
+def test_refusal_during_outage_is_true():
+    fleet = make_fleet()
+    fleet.kv.is_down = True
+    service = fleet.instances["i0"].service
+    result = service.submit(submission("x"))
+    fleet.kv.is_down = False
+    fleet.settle()
+    assert result.error.not_run == "true"
+    assert not fleet.runs
+
+
+@pytest.mark.parametrize("fault", ["lost", "dropped"])
+def test_lost_answer_is_settled_by_trying_again(fault):
+    fleet = make_fleet()
+    pending = fleet.submit("i0", submission("x")).ok
+    fleet.kv.faults.append(fault)
+    fleet.step("i0", "commit")
+    assert pending.result is None
+    fleet.step("i0", "commit")
+    assert pending.result.is_ok()
+    fleet.settle()
+    assert len(fleet.runs) == 1
+
+
+def test_abandoned_unknown_is_not_called_not_run():
+    fleet = make_fleet()
+    pending = fleet.submit("i0", submission("x")).ok
+    fleet.kv.faults.append("dropped")
+    fleet.step("i0", "commit")
+    fleet.instances["i0"].service._acceptance.abandon(pending)
+    assert pending.result.error.not_run == "unknown"
+
+
+def test_jobs_run_on_through_an_outage_and_come_back():
+    fleet = make_fleet(2)
+    jobs = [submission(f"note {i}") for i in range(10)]
+    ids = accept(fleet, "i0", *jobs)
+    fleet.kv.is_down = True
+    for _ in range(20):
+        fleet.kv.advance(1_000.0)
+        for name in ("i0", "i1"):
+            for step in ("lease", "scan", "run", "commit"):
+                fleet.step(name, step)
+    assert len(fleet.runs) == 10
+    fleet.settle(n_rounds=10)
+    for job_id, job in zip(ids, jobs, strict=True):
+        assert view(fleet, "i1", job_id, job).answer == expected_answer(job)
+    assert len(fleet.runs) == 10
+
+
+def test_paused_holder_starts_nothing_before_its_claims_are_checked():
+    fleet = make_fleet(2)
+    accept(fleet, "i0", *(submission(f"note {i}") for i in range(4)))
+    fleet.kv.advance(30_000.0)
+    for _ in range(4):
+        fleet.step("i0", "run")
+    assert fleet.runs == []
+
+
+VERDICTS = [
+    (NoEngine("small"), 10, "done", ""),
+    (AttemptFailed("e", "x", "unknown"), 2, "done", ""),
+    (AttemptFailed("e", "x", "unknown"), 9, "failed", "attempt-failed"),
+    (AnswerIncomplete(3, "x"), 9, "failed", "answer-incomplete"),
+    (BadRequest("$", "x"), 1, "failed", "bad-request"),
+]
+
+
+@pytest.mark.parametrize(("failure", "n_failures", "state", "code"), VERDICTS)
+def test_runs_that_fail_are_bounded(failure, n_failures, state, code):
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=10 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    fleet.failures = [failure] * n_failures
+    fleet.settle(n_rounds=80, step_ms=9_000.0)
+    found = view(fleet, "i0", ids[0], job)
+    assert (found.state, found.failure_code) == (state, code)
+
+
+def test_job_that_ends_its_holders_fails_and_its_neighbours_run():
+    fleet = make_fleet()
+    jobs = [submission("poison"), submission("good", account="b")]
+    ids = accept(fleet, "i0", *jobs)
+
+    def run_job(instance):
+        def run(job_id, job, control):
+            if job.body["prompt"] == "poison":
+                instance.connection.n_calls_left = 0
+                instance.service.stop()
+            return instance.run_job(job_id, job, control)
+
+        return run
+
+    for index in range(20):
+        name = f"n{index}"
+        fleet.instances.clear()
+        instance = fleet.start(name)
+        service = instance.service
+        service._parts = service._parts._replace(run_job=run_job(instance))
+        for step in ("lease", "scan", "run", "commit", "run", "commit"):
+            if name in fleet.instances:
+                fleet.step(name, step)
+        fleet.kv.advance(11_000.0)
+    fleet.instances.clear()
+    reader = fleet.start("reader").service
+    poison = reader.read("a", "m", ids[0]).ok
+    good = reader.read("b", "m", ids[1]).ok
+    assert (poison.state, poison.failure_code) == ("failed", "holders-lost")
+    assert good.state == "done"
+
+
+def test_expired_job_is_final():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=1_000)
+    ids = accept(fleet, "i0", job)
+    fleet.settle(n_rounds=3)
+    assert view(fleet, "i0", ids[0], job).state == "expired"
+    assert not fleet.runs
+
+
+def test_cancelled_job_stays_cancelled():
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    fleet.instances["i1"].service.cancel("a", "m", ids[0])
+    fleet.settle(n_rounds=5)
+    assert view(fleet, "i0", ids[0], job).state == "cancelled"
+    assert not [key for key in fleet.kv.entries if "/s/" in key or "/i/" in key]
+
+
+def test_everything_is_deleted_once_its_time_is_over():
+    fleet = make_fleet()
+    text = "clause " * 1_000
+    jobs = [submission(text + str(i), prefix_levels=[len(text)]) for i in range(3)]
+    ids = accept(fleet, "i0", *jobs, submission("k", key="k"))
+    fleet.settle()
+    fleet.step("i0", "collect")
+    assert view(fleet, "i0", ids[0], jobs[0]).state == "done"
+    for _ in range(40):
+        fleet.kv.advance(HOUR_MS)
+        for _ in range(3):
+            fleet.step("i0", "collect")
+    kinds = {key.split("/")[1] for key in fleet.kv.entries if "deferred" in key}
+    assert kinds == {"trash-cursor"}
+
+
+def test_full_instance_leaves_segments_to_others():
+    fleet = make_fleet(2, RULES._replace(max_held_jobs=5))
+    accept(fleet, "i0", *(submission(f"a{i}") for i in range(5)))
+    accept(fleet, "i0", *(submission(f"b{i}") for i in range(5)))
+    for _ in range(10):
+        fleet.step("i1", "scan")
+    while fleet.instances["i1"].service.run_next():
+        pass
+    assert {name for name, _ in fleet.runs} == {"i1"}
+    assert len(fleet.runs) == 5
+
+
+texts = st.text(alphabet="aé€", min_size=0, max_size=3_000)
+
+
+@given(texts, st.lists(st.integers(0, 9_000), max_size=3), st.text(max_size=5))
+def test_packed_job_is_unpacked_as_it_was(text, levels, adapter):
+    job = submission(text * 3, prefix_levels=sorted(set(levels)), adapter=adapter)
+    packed = pack(job, IDS, 0)
+    contents = {blob.blob_id: blob.content for blob in packed.blobs}
+    prefix = contents.get(packed.job.prefix_id, b"")
+    blob = contents.get(packed.job.blob_id, b"")
+    assert unpack(packed.job, prefix, blob) == job
