--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -24,4 +24,4 @@
     run_periodically(
         core, "fleet.poll", lambda: fleet.poll(engines.load), section.poll_period_ms
     )
-    return FleetParts(fleet, engines, ServiceClient(section))
+    return FleetParts(fleet, engines, ServiceClient(section, core.clock.now_ms))
--- a/buckthornrock/compose/services.py
+++ b/buckthornrock/compose/services.py
@@ -1,14 +1,59 @@
-"""Wires calls to plain services."""
+"""Wires calls to plain services and their idempotency keys."""
 
 from ..dispatch import ServiceDispatcher
+from ..idempotency.claims import ClaimedCalls, Identity
+from ..idempotency.issued_calls import IssuedCalls
+from ..idempotency.service import derive_secret, open_idempotency
 from ..membership import MembershipPort
 from ..profiles import ProfilePort
-from .core import Core
+from .core import Core, run_periodically
 from .fleet import FleetParts
 
+RECORD_PERIOD_MS = 250.0
+
 
 def build_services(
     core: Core, fleet: FleetParts, profiles: ProfilePort, membership: MembershipPort
 ) -> ServiceDispatcher:
     """Wire the dispatcher of plain-service calls."""
-    return ServiceDispatcher(fleet.fleet, fleet.services, core.rng)
+    secret = derive_secret(core.settings.isolation_secret)
+    claimed = build_claims(core, membership, secret)
+    issued = IssuedCalls(membership, secret, core.settings.idempotency, core.clock)
+    dispatcher = ServiceDispatcher(
+        fleet.fleet,
+        fleet.services,
+        profiles,
+        open_idempotency(claimed, issued),
+        core.telemetry,
+        core.clock,
+        core.rng,
+    )
+    issued.serve(dispatcher.run_forwarded)
+    return dispatcher
+
+
+def build_claims(core: Core, membership: MembershipPort, secret: bytes) -> ClaimedCalls:
+    """Wire claims in the key-value service and the recording of outcomes."""
+    view = membership.self_view()
+
+    def is_live(instance_id: str, incarnation: str) -> bool:
+        live = membership.live()
+        return any(
+            (v.instance_id, v.incarnation) == (instance_id, incarnation) for v in live
+        )
+
+    claimed = ClaimedCalls(
+        core.kv,
+        Identity(view.instance_id, view.incarnation),
+        is_live,
+        secret,
+        core.settings.idempotency,
+        core.telemetry,
+        core.clock,
+        core.rng,
+    )
+    recorder = run_periodically(
+        core, "idempotency.record", claimed.record_outcomes, RECORD_PERIOD_MS
+    )
+    claimed.wake_with(recorder.run_now)
+    return claimed
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -8,6 +8,9 @@
 ENTRY_READ_TIMEOUT_MS = 10_000
 #: Deadline of a request that states none.
 ENTRY_DEADLINE_MS = 60_000
+#: How long a stopping instance still accepts, while the balancer hears of it.
+ENTRY_DRAIN_GRACE_MS = 3_000
+#: Longest wait for requests in flight; those that are left are cut.
 ENTRY_DRAIN_LIMIT_MS = 120_000
 
 # Operator port
@@ -35,6 +38,17 @@
 UPSTREAM_READ_TIMEOUT_MS = 30_000
 UPSTREAM_POLL_PERIOD_MS = 250
 UPSTREAM_BLOCK_BYTES = 64
+#: Answers of plain services up to this size are read whole before they are passed on.
+UPSTREAM_ANSWER_BUFFER_BYTES = 262_144
+UPSTREAM_MAX_ANSWER_BYTES = 67_108_864
+
+# Idempotency keys
+IDEMPOTENCY_RETENTION_S = 86_400
+#: Larger answers are recorded as having run, without their body.
+IDEMPOTENCY_MAX_OUTCOME_BYTES = 65_536
+IDEMPOTENCY_ISSUED_KEY_TTL_MS = 600_000
+#: Issued keys in use whose outcome an instance keeps in memory.
+IDEMPOTENCY_N_ISSUED_KEYS = 10_000
 
 # Profiles
 PROFILE_NAME = "default"
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -18,6 +18,7 @@
     max_body_bytes: int = defaults.ENTRY_MAX_BODY_BYTES
     read_timeout_ms: int = defaults.ENTRY_READ_TIMEOUT_MS
     deadline_ms: int = defaults.ENTRY_DEADLINE_MS
+    drain_grace_ms: int = defaults.ENTRY_DRAIN_GRACE_MS
     drain_limit_ms: int = defaults.ENTRY_DRAIN_LIMIT_MS
 
 
@@ -101,6 +102,17 @@
     read_timeout_ms: int = defaults.UPSTREAM_READ_TIMEOUT_MS
     poll_period_ms: int = defaults.UPSTREAM_POLL_PERIOD_MS
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
+    answer_buffer_bytes: int = defaults.UPSTREAM_ANSWER_BUFFER_BYTES
+    max_answer_bytes: int = defaults.UPSTREAM_MAX_ANSWER_BYTES
+
+
+class IdempotencySettings(NamedTuple):
+    """How long and how much is remembered of calls with an idempotency key."""
+
+    retention_s: int = defaults.IDEMPOTENCY_RETENTION_S
+    max_outcome_bytes: int = defaults.IDEMPOTENCY_MAX_OUTCOME_BYTES
+    issued_key_ttl_ms: int = defaults.IDEMPOTENCY_ISSUED_KEY_TTL_MS
+    n_issued_keys: int = defaults.IDEMPOTENCY_N_ISSUED_KEYS
 
 
 class CallerKeySettings(NamedTuple):
@@ -135,3 +147,4 @@
     default_profile: str = defaults.PROFILE_NAME
     wire: WireSettings = WireSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    idempotency: IdempotencySettings = IdempotencySettings()
--- a/buckthornrock/dispatch/errors.py
+++ b/buckthornrock/dispatch/errors.py
@@ -25,8 +25,22 @@
 
 
 class NoServer(NamedTuple):
-    """No server of the service may get new work."""
+    """No server of the service may get new work, or none could be connected to."""
 
     service: str
+    not_run: NotRun = "true"
 
     code = "no-server"
+
+
+class ProfileNotInForce(NamedTuple):
+    """The instance has heard of no accepted profile yet.
+
+    Calls that may not be repeated wait for one: only it says how they are treated.
+    """
+
+    profile: str
+    not_run: NotRun
+    retry_after_ms: int = 1_000
+
+    code = "profile-not-in-force"
--- /dev/null
+++ b/buckthornrock/dispatch/service_retry.py
@@ -0,0 +1,36 @@
+"""When a repeatable call to a plain service is sent again."""
+
+import random
+import threading
+
+RETRY_RATIO = 0.1
+MAX_SAVED_RETRIES = 10.0
+BASE_DELAY_MS = 20.0
+MAX_DELAY_MS = 1_000.0
+
+
+class RetryBudget:
+    """Bounds retries to a share of the calls, so that they can't add to a flood."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._n_saved = MAX_SAVED_RETRIES
+
+    def on_call(self) -> None:
+        """Count a first attempt."""
+        with self._lock:
+            self._n_saved = min(MAX_SAVED_RETRIES, self._n_saved + RETRY_RATIO)
+
+    def take(self) -> bool:
+        """Take one retry, if any is left."""
+        with self._lock:
+            if self._n_saved < 1.0:
+                return False
+            self._n_saved -= 1.0
+            return True
+
+
+def retry_delay_ms(n_failed: int, rng: random.Random) -> float:
+    """Return the wait before the next attempt: exponential, with full jitter."""
+    ceiling_ms = min(MAX_DELAY_MS, BASE_DELAY_MS * 2.0 ** (n_failed - 1))
+    return rng.uniform(0.0, ceiling_ms)
--- a/buckthornrock/dispatch/services.py
+++ b/buckthornrock/dispatch/services.py
@@ -1,34 +1,89 @@
-"""Runs calls to plain services; at most one attempt may reach a server."""
+"""Runs calls to plain services.
+
+A call that may not be repeated gets at most one attempt that may have reached a
+server. A repeatable one is retried within a budget and within its deadline.
+"""
 
 import random
 from collections.abc import Callable
 
 from expression import Error, Result
 
-from ..errors import Failure
-from ..fleet import Fleet
-from ..upstreams.service_client import ServiceAnswer, ServiceCall, ServiceClient
-from .errors import CallOutcomeUnknown, NoServer
-from .requests import ServiceRequest
+from ..errors import DeadlineExceeded, Failure, NotRun
+from ..fleet import Fleet, ServiceView
+from ..idempotency import IdempotencyPort, IssuedKey, KeyedRequest
+from ..profiles import ProfilePort, ProfileRecord
+from ..runtime import Clock
+from ..telemetry import Telemetry
+from ..telemetry.metrics import ATTEMPTS_FAILED, CROSSED_ANSWERS, SERVICE_RETRIES
+from ..upstreams.errors import AttemptFailed
+from ..upstreams.service_client import (
+    CROSSED_ANSWER,
+    ServiceAnswer,
+    ServiceCall,
+    ServiceClient,
+)
+from .errors import CallOutcomeUnknown, NoServer, ProfileNotInForce
+from .requests import Caller, ServiceRequest
+from .routes import is_repeatable
+from .service_retry import RetryBudget, retry_delay_ms
 
 
 class ServiceDispatcher:
     """Runs calls against the servers of plain services."""
 
-    def __init__(self, fleet: Fleet, client: ServiceClient, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        client: ServiceClient,
+        profiles: ProfilePort,
+        idempotency: IdempotencyPort,
+        telemetry: Telemetry,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         self._fleet = fleet
         self._client = client
+        self._profiles = profiles
+        self._idempotency = idempotency
+        self._telemetry = telemetry
+        self._clock = clock
         self._rng = rng
+        self._budget = RetryBudget()
 
     def run(self, request: ServiceRequest) -> Result[ServiceAnswer, Failure]:
         """Return the server's answer, or why there is none."""
-        servers = list(self._fleet.services(request.service))
-        self._rng.shuffle(servers)
-        for server in servers:
-            call = _service_call(request, server.upstream_id, server.address)
-            answer = self._counted(
-                server.upstream_id, lambda c=call: self._client.call(c)
-            )
+        record = self._profiles.current(request.profile)
+        if record.is_error():
+            return record
+        if self._is_repeatable(record.ok, request):
+            return self._run_repeatable(request)
+        if record.ok.trust == "start":
+            return Error(ProfileNotInForce(request.profile, _unseen(request)))
+        if request.idempotency_key:
+            keyed = _keyed_request(request)
+            return self._idempotency.run(keyed, lambda: self.run_once(request))
+        return self.run_once(request)
+
+    def issue_key(self, caller: Caller) -> IssuedKey:
+        """Return a new idempotency key for ``caller``."""
+        return self._idempotency.issue(caller.client_account, caller.member)
+
+    def run_forwarded(self, keyed: KeyedRequest) -> Result[ServiceAnswer, Failure]:
+        """Run a call whose key this instance issued, for another instance."""
+        fields = keyed._asdict()
+        caller = Caller(fields.pop("client_account"), fields.pop("member"))
+        key = fields.pop("key")
+        return self.run_once(
+            ServiceRequest(caller=caller, idempotency_key=key, **fields)
+        )
+
+    def run_once(self, request: ServiceRequest) -> Result[ServiceAnswer, Failure]:
+        """Make at most one attempt that may have reached a server."""
+        for server in self._shuffled_servers(request.service):
+            if self._clock.now_ms() >= request.deadline_at_ms:
+                return Error(DeadlineExceeded(0, "true"))
+            answer = self._attempt(request, server, is_repeatable=False)
             if answer.is_ok():
                 return answer
             if answer.error.not_run != "true":
@@ -36,25 +91,117 @@
                 return Error(CallOutcomeUnknown(failure.upstream_id, failure.reason))
         return Error(NoServer(request.service))
 
-    def _counted(
-        self, upstream_id: str, call: Callable[[], Result[ServiceAnswer, Failure]]
+    def _run_repeatable(
+        self, request: ServiceRequest
     ) -> Result[ServiceAnswer, Failure]:
+        self._budget.on_call()
+        n_failed = 0
+        tried: set[str] = set()
+        not_run: NotRun = "true"
+        while True:
+            server = self._next_server(request.service, tried)
+            if server is None:
+                return Error(NoServer(request.service, not_run))
+            answer = self._attempt(request, server, is_repeatable=True)
+            if answer.is_ok():
+                return answer
+            if answer.error.not_run != "true":
+                not_run = "unknown"
+            n_failed += 1
+            tried.add(server.upstream_id)
+            if not self._wait_to_retry(n_failed, request.deadline_at_ms):
+                failure = answer.error
+                return Error(
+                    CallOutcomeUnknown(failure.upstream_id, failure.reason, not_run)
+                )
+
+    def _wait_to_retry(self, n_failed: int, deadline_at_ms: float) -> bool:
+        delay_ms = retry_delay_ms(n_failed, self._rng)
+        if self._clock.now_ms() + delay_ms >= deadline_at_ms:
+            return False
+        if not self._budget.take():
+            return False
+        self._telemetry.metrics.incr(SERVICE_RETRIES)
+        self._clock.sleep_ms(delay_ms)
+        return True
+
+    def _next_server(self, service: str, tried: set[str]) -> ServiceView | None:
+        servers = self._shuffled_servers(service)
+        untried = [s for s in servers if s.upstream_id not in tried]
+        return next(iter(untried or servers), None)
+
+    def _shuffled_servers(self, service: str) -> list[ServiceView]:
+        servers = list(self._fleet.services(service))
+        self._rng.shuffle(servers)
+        return servers
+
+    def _attempt(
+        self, request: ServiceRequest, server: ServiceView, is_repeatable: bool
+    ) -> Result[ServiceAnswer, AttemptFailed]:
+        upstream_id = server.upstream_id
+        call = _service_call(request, server, is_repeatable)
+        answer = self._counted(upstream_id, lambda: self._client.call(call))
+        if answer.is_error():
+            self._telemetry.metrics.incr(ATTEMPTS_FAILED, label=upstream_id)
+            if answer.error.reason == CROSSED_ANSWER:
+                self._telemetry.metrics.incr(CROSSED_ANSWERS, label=upstream_id)
+        return answer
+
+    def _counted(
+        self,
+        upstream_id: str,
+        call: Callable[[], Result[ServiceAnswer, AttemptFailed]],
+    ) -> Result[ServiceAnswer, AttemptFailed]:
         self._fleet.begin(upstream_id)
+        is_open = False
         try:
-            return call()
+            answer = call()
+            if answer.is_ok() and answer.ok.rest is not None:
+                answer.ok.rest.on_close(lambda _: self._fleet.end(upstream_id))
+                is_open = True
+            return answer
         finally:
-            self._fleet.end(upstream_id)
+            if not is_open:
+                self._fleet.end(upstream_id)
+
+    def _is_repeatable(self, record: ProfileRecord, request: ServiceRequest) -> bool:
+        return is_repeatable(
+            record.profile, request.service, request.method, request.path
+        )
+
+
+def _unseen(request: ServiceRequest) -> NotRun:
+    # An earlier request with the same key may have run through another instance.
+    return "unknown" if request.idempotency_key else "true"
+
+
+def _keyed_request(request: ServiceRequest) -> KeyedRequest:
+    return KeyedRequest(
+        client_account=request.caller.client_account,
+        member=request.caller.member,
+        key=request.idempotency_key,
+        profile=request.profile,
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        request_id=request.request_id,
+        deadline_at_ms=request.deadline_at_ms,
+    )
 
 
 def _service_call(
-    request: ServiceRequest, upstream_id: str, address: str
+    request: ServiceRequest, server: ServiceView, is_repeatable: bool
 ) -> ServiceCall:
     return ServiceCall(
-        upstream_id=upstream_id,
-        address=address,
+        upstream_id=server.upstream_id,
+        address=server.address,
         request_id=request.request_id,
         method=request.method,
         path=request.path,
         headers=request.headers,
         body=request.body,
+        deadline_at_ms=request.deadline_at_ms,
+        is_repeatable=is_repeatable,
     )
--- a/buckthornrock/entry/app.py
+++ b/buckthornrock/entry/app.py
@@ -10,8 +10,8 @@
 from .deferred import PATH_PREFIX as DEFERRED_PREFIX
 from .deferred import serve_deferred
 from .errors import InternalError, MethodNotAllowed, NoSuchPath
+from .services import KEYS_PATH, serve_issued_key, serve_service
 from .services import PATH_PREFIX as SERVICES_PREFIX
-from .services import serve_service
 
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 
@@ -58,6 +58,8 @@
 def _serve_function(path: str) -> _Serve | None:
     if path in COMPLETION_PATHS:
         return serve_completion
+    if path == KEYS_PATH:
+        return serve_issued_key
     if path.startswith(DEFERRED_PREFIX):
         return serve_deferred
     if path.startswith(SERVICES_PREFIX):
--- a/buckthornrock/entry/parsing.py
+++ b/buckthornrock/entry/parsing.py
@@ -1,5 +1,6 @@
 """Turns a caller's JSON and headers into checked requests."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -10,6 +11,8 @@
 MAX_OUTPUT_TOKENS = 32_768
 DEFAULT_OUTPUT_TOKENS = 16
 MAX_DEADLINE_MS = 7 * 24 * 3_600_000
+MAX_KEY_CHARS = 512
+_KEY = re.compile(r"[\x21-\x7e]+")
 
 
 class CompletionFields(msgspec.Struct):
@@ -62,6 +65,16 @@
     return fields.prompt.encode()
 
 
+def parse_idempotency_key(header: str | None) -> Result[str, BadRequest]:
+    """Return the key of an ``Idempotency-Key`` header; "" if there is none."""
+    if header is None:
+        return Ok("")
+    if not 1 <= len(header) <= MAX_KEY_CHARS or not _KEY.fullmatch(header):
+        reason = f"write 1 to {MAX_KEY_CHARS} printable ASCII characters"
+        return Error(BadRequest("Idempotency-Key", reason))
+    return Ok(header)
+
+
 def parse_deadline_ms(header: str, default_ms: int) -> Result[int, BadRequest]:
     """Return the milliseconds of an ``X-Deadline-Ms`` header."""
     if not header:
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -7,6 +7,7 @@
 from ..dispatch import errors as dispatch
 from ..errors import CallerGone, DeadlineExceeded, Failure, NotRun, Unavailable
 from ..httpd import BodyProblem, Exchange
+from ..idempotency import errors as idempotency
 from ..profiles import errors as profiles
 from ..routing.errors import NoEngine
 from ..upstreams import errors as upstreams
@@ -47,7 +48,21 @@
     upstreams.UpstreamRefused: ProblemRule(502, "The upstream refused", "unknown"),
     dispatch.AnswerIncomplete: ProblemRule(502, "The answer broke off", "false"),
     dispatch.CallOutcomeUnknown: ProblemRule(504, "The outcome is unknown", None),
-    dispatch.NoServer: ProblemRule(503, "No server is available", "true"),
+    dispatch.NoServer: ProblemRule(503, "No server is available", None),
+    dispatch.ProfileNotInForce: ProblemRule(503, "No profile is in force", None),
+    idempotency.KeyReused: ProblemRule(422, "The key names another call", "true"),
+    idempotency.CallInProgress: ProblemRule(409, "The call is running", "unknown"),
+    idempotency.KeyedOutcomeUnknown: ProblemRule(
+        504, "The outcome is unknown", "unknown"
+    ),
+    idempotency.AnswerNotKept: ProblemRule(410, "The answer was not kept", "false"),
+    idempotency.KeyStoreUnavailable: ProblemRule(
+        503, "The key can't be claimed", "unknown"
+    ),
+    idempotency.KeyNotGenuine: ProblemRule(422, "The key is not genuine", "true"),
+    idempotency.KeyExpired: ProblemRule(410, "The key expired", "unknown"),
+    idempotency.TooManyKeys: ProblemRule(503, "Too many keys in use", "true"),
+    idempotency.ForwardedNotRun: ProblemRule(503, "The issuer did not run it", "true"),
     deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
     deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
     deferred.JobUnreadable: ProblemRule(503, "The job can't be read now", "true"),
--- a/buckthornrock/entry/services.py
+++ b/buckthornrock/entry/services.py
@@ -1,75 +1,104 @@
 """Serves calls to plain services."""
 
+from contextlib import closing
+
+from expression import Error, Ok, Result
+
 from ..dispatch import Caller, ServiceRequest
+from ..errors import Failure
 from ..httpd import Exchange
+from ..upstreams.service_client import ServiceAnswer
 from .context import EntryParts, refuse
-from .errors import NoSuchPath
-from .parsing import parse_deadline_ms
+from .errors import MethodNotAllowed, NoSuchPath
+from .parsing import parse_deadline_ms, parse_idempotency_key
+from .service_headers import (
+    answer_headers,
+    check_method,
+    check_target,
+    request_headers,
+)
 
 PATH_PREFIX = "/services/"
-#: Headers that belong to one connection, or to the router itself.
-DROPPED_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "idempotency-key",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-deadline-ms",
-        "x-profile",
-        "x-request-id",
-        "x-work-class",
-    }
-)
+KEYS_PATH = "/v1/idempotency-keys"
+DEFAULT_DEADLINE_MS = 60_000
+_BODYLESS_STATUSES = frozenset({204, 205, 304})
 
 
 def serve_service(
     parts: EntryParts, exchange: Exchange, caller: Caller, request_id: str
 ) -> None:
     """Answer one call to a plain service."""
-    service, _, path = exchange.path.removeprefix(PATH_PREFIX).partition("/")
-    if not service:
-        refuse(parts, exchange, NoSuchPath(exchange.path), request_id, caller)
-        return
-    body = exchange.read_body()
-    if body.is_error():
-        refuse(parts, exchange, body.error, request_id, caller)
+    request = _parse(parts, exchange, caller, request_id)
+    if request.is_error():
+        refuse(parts, exchange, request.error, request_id, caller)
         return
-    header = exchange.headers.get("x-deadline-ms", "")
-    deadline_ms = parse_deadline_ms(header, 60_000)
-    if deadline_ms.is_error():
-        refuse(parts, exchange, deadline_ms.error, request_id, caller)
-        return
-    query = f"?{exchange.query}" if exchange.query else ""
-    request = ServiceRequest(
-        request_id=request_id,
-        caller=caller,
-        profile=exchange.headers.get("x-profile", parts.default_profile),
-        service=service,
-        method=exchange.method,
-        path=f"/{path}{query}",
-        headers=_passed_on(exchange.headers),
-        body=body.ok,
-        idempotency_key=exchange.headers.get("idempotency-key", ""),
-        deadline_at_ms=parts.clock.now_ms() + deadline_ms.ok,
-    )
-    answer = parts.services.run(request)
+    answer = parts.services.run(request.ok)
     if answer.is_error():
         refuse(parts, exchange, answer.error, request_id, caller)
         return
-    headers = _passed_on({k.lower(): v for k, v in answer.ok.headers.items()})
-    exchange.respond(
-        answer.ok.status, answer.ok.body, {**headers, "X-Request-Id": request_id}
+    _respond(exchange, answer.ok, request_id)
+
+
+def serve_issued_key(
+    parts: EntryParts, exchange: Exchange, caller: Caller, request_id: str
+) -> None:
+    """Answer with a new idempotency key that this instance vouches for."""
+    if exchange.method != "POST":
+        failure = MethodNotAllowed(exchange.method, ("POST",))
+        refuse(parts, exchange, failure, request_id, caller)
+        return
+    issued = parts.services.issue_key(caller)
+    body = {"key": issued.key, "ttl_ms": issued.ttl_ms}
+    exchange.respond_json(201, body, {"X-Request-Id": request_id})
+
+
+def _parse(
+    parts: EntryParts, exchange: Exchange, caller: Caller, request_id: str
+) -> Result[ServiceRequest, Failure]:
+    service, _, rest = exchange.target.removeprefix(PATH_PREFIX).partition("/")
+    if not service or not exchange.target.startswith(PATH_PREFIX):
+        return Error(NoSuchPath(exchange.path))
+    checks = (
+        check_method(exchange.method),
+        check_target(f"/{rest}"),
+        request_headers(exchange.headers),
+        parse_deadline_ms(
+            exchange.headers.get("x-deadline-ms", ""), DEFAULT_DEADLINE_MS
+        ),
+        parse_idempotency_key(exchange.headers.get("idempotency-key")),
+        exchange.read_body(),
+    )
+    for check in checks:
+        if check.is_error():
+            return Error(check.error)
+    method, path, headers, deadline_ms, key, body = (check.ok for check in checks)
+    return Ok(
+        ServiceRequest(
+            request_id=request_id,
+            caller=caller,
+            profile=exchange.headers.get("x-profile", parts.default_profile),
+            service=service,
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            idempotency_key=key,
+            deadline_at_ms=parts.clock.now_ms() + deadline_ms,
+        )
     )
 
 
-def _passed_on(headers: dict[str, str]) -> dict[str, str]:
-    return {k: v for k, v in headers.items() if k not in DROPPED_HEADERS}
+def _respond(exchange: Exchange, answer: ServiceAnswer, request_id: str) -> None:
+    headers = answer_headers(answer.headers, request_id)
+    length = [(n, v) for n, v in answer.headers if n.lower() == "content-length"]
+    if exchange.method == "HEAD" or answer.status in _BODYLESS_STATUSES:
+        exchange.start_stream(answer.status, headers + length[:1])
+        return
+    if answer.rest is None:
+        exchange.respond(answer.status, answer.body, headers)
+        return
+    with closing(answer.rest):
+        exchange.start_stream(answer.status, headers + length[:1])
+        exchange.send_part(answer.body)
+        for part in answer.rest:
+            exchange.send_part(part)
--- a/buckthornrock/httpd/exchange.py
+++ b/buckthornrock/httpd/exchange.py
@@ -46,7 +46,9 @@
     Attributes
     ----------
     method, path, query : str
-        From the request line.
+        From the request line; the path is percent-decoded.
+    target : str
+        Path and query as they stand in the request line.
     headers : dict of str to str
         Names are lower case.
     is_started : bool
@@ -58,6 +60,7 @@
         self.method = request.method.decode("ascii")
         self.path = request.path.decode("latin-1")
         self.query = request.qs.decode("latin-1")
+        self.target = request.uri.decode("latin-1")
         self.headers = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in request.inheaders.items()
@@ -126,9 +129,9 @@
     def _set_head(self, status: int, headers: dict[str, str]) -> None:
         reason = _REASONS.get(status, "Status")
         self._request.status = f"{status} {reason}".encode()
+        pairs = headers.items() if isinstance(headers, dict) else headers
         self._request.outheaders = [
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in headers.items()
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs
         ]
 
     def _send_head(self) -> None:
--- a/buckthornrock/idempotency/__init__.py
+++ b/buckthornrock/idempotency/__init__.py
@@ -1,1 +1,5 @@
-"""Calls that may not be repeated: claims, issued keys and outcomes."""
+"""Calls with an idempotency key run at most once."""
+
+from .port import IdempotencyPort, IssuedKey, KeyedRequest
+
+__all__ = ["IdempotencyPort", "IssuedKey", "KeyedRequest"]
--- /dev/null
+++ b/buckthornrock/idempotency/keyed_call.py
@@ -0,0 +1,259 @@
+"""The way of one call from its claim through the attempt to the outcome.
+
+The class decides and does nothing itself: each method takes what happened and returns
+the next step, which the caller carries out. Whoever holds a claim may send; a claim is
+never taken over, so a paused holder stays the only one that may.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+from expression import Error, Ok, Result
+
+from ..errors import DeadlineExceeded, Failure
+from ..platform import (
+    CommitConflict,
+    CommitDone,
+    CommitNotDone,
+    CommitOutcome,
+    Compare,
+    KvEntry,
+    Put,
+    Transaction,
+)
+from ..upstreams.service_client import ServiceAnswer
+from .errors import (
+    AnswerNotKept,
+    CallInProgress,
+    KeyedOutcomeUnknown,
+    KeyReused,
+    KeyStoreUnavailable,
+)
+from .records import ClaimRecord, StoredAnswer, decode, encode, store_answer
+
+FIRST_WAIT_MS = 20.0
+MAX_WAIT_MS = 1_000.0
+#: How long a claimer that is not seen any more may still turn out to be alive.
+GONE_GRACE_MS = 2_000.0
+RETRY_AFTER_MS = 1_000
+#: A claim is only acted on for this long after it was asked for, which is far less
+#: than its retention: a process that was paused for longer must not send.
+CLAIM_USE_MS = 60_000.0
+
+
+class CommitClaim(NamedTuple):
+    """Commit the claim; then call ``on_commit``."""
+
+    transaction: Transaction
+
+
+class MakeAttempt(NamedTuple):
+    """Make the one attempt; then call ``on_attempt``."""
+
+
+class Wait(NamedTuple):
+    """Wait, read the key; then call ``on_read``."""
+
+    duration_ms: float
+
+
+class Settlement(NamedTuple):
+    """What becomes of a claim.
+
+    Parameters
+    ----------
+    kind : {"record", "release"}
+        Whether the outcome is recorded or the claim is withdrawn.
+    value : bytes
+        The record with its outcome.
+    mod_revision : int
+        Of the claim; 0 if it is unknown whether the claim was written.
+    """
+
+    storage_key: str
+    claim_id: str
+    kind: Literal["record", "release"]
+    value: bytes
+    lease_id: int
+    mod_revision: int
+
+
+class Finish(NamedTuple):
+    """Give ``result`` to the caller and carry out ``settlement``, if any."""
+
+    result: Result[ServiceAnswer, Failure]
+    settlement: Settlement | None = None
+
+
+Step = CommitClaim | MakeAttempt | Wait | Finish
+
+
+class KeyedCall:
+    """One call's state.
+
+    Parameters
+    ----------
+    storage_key : str
+        Where the key is kept.
+    claim : ClaimRecord
+        The claim to write.
+    lease_id : int
+        Lease that ends the record's retention.
+    deadline_at_ms : float
+        Monotonic.
+    max_outcome_bytes : int
+        Larger bodies are not recorded.
+    is_live : callable
+        ``is_live(instance_id, incarnation)``, as far as this instance knows.
+    rng : random.Random
+        Spreads the reads of waiting calls.
+    """
+
+    def __init__(
+        self,
+        storage_key: str,
+        claim: ClaimRecord,
+        lease_id: int,
+        deadline_at_ms: float,
+        max_outcome_bytes: int,
+        is_live: Callable[[str, str], bool],
+        rng: random.Random,
+    ) -> None:
+        self._storage_key = storage_key
+        self._claim = claim
+        self._lease_id = lease_id
+        self._deadline_at_ms = deadline_at_ms
+        self._max_outcome_bytes = max_outcome_bytes
+        self._is_live = is_live
+        self._rng = rng
+        self._mod_revision = 0
+        self._wait_ms = FIRST_WAIT_MS
+        self._gone_since_ms: float | None = None
+        self._claim_asked_at_ms = 0.0
+
+    def start(self, now_ms: float) -> Step:
+        """Return the first step."""
+        return self._commit_claim(now_ms)
+
+    def on_commit(self, outcome: CommitOutcome, now_ms: float) -> Step:
+        """Take the outcome of the claim's commit."""
+        if isinstance(outcome, CommitDone):
+            return self._on_claimed(outcome.revision, now_ms)
+        if isinstance(outcome, CommitConflict):
+            return self._on_entry(next(iter(outcome.entries), None), now_ms)
+        failure = KeyStoreUnavailable(outcome.reason, RETRY_AFTER_MS)
+        if isinstance(outcome, CommitNotDone):
+            return Finish(Error(failure))
+        # The claim may have been written, or may still be: nothing was sent under
+        # it, so it is withdrawn for the next request with this key.
+        return Finish(Error(failure), self._settle("release", self._claim))
+
+    def on_read(self, entry: Result[KvEntry | None, Failure], now_ms: float) -> Step:
+        """Take what a read of the key found."""
+        if entry.is_ok():
+            return self._on_entry(entry.ok, now_ms)
+        if now_ms >= self._deadline_at_ms:
+            failure = KeyStoreUnavailable(entry.error.reason, RETRY_AFTER_MS)
+            return Finish(Error(failure))
+        return self._next_wait(now_ms)
+
+    def on_attempt(
+        self, result: Result[ServiceAnswer, Failure], now_ms: float
+    ) -> Finish:
+        """Take the result of the attempt."""
+        if result.is_ok():
+            answer = store_answer(result.ok, self._max_outcome_bytes)
+            return Finish(result, self._settle("record", self._answered(answer)))
+        if getattr(result.error, "not_run", "unknown") == "true":
+            return Finish(result, self._settle("release", self._claim))
+        return Finish(result, self._settle("record", self._unknown()))
+
+    def _on_claimed(self, mod_revision: int, now_ms: float) -> Step:
+        self._mod_revision = mod_revision
+        use_until_ms = self._claim_asked_at_ms + CLAIM_USE_MS
+        if now_ms >= min(self._deadline_at_ms, use_until_ms):
+            failure = DeadlineExceeded(int(self._deadline_at_ms), "true")
+            return Finish(Error(failure), self._settle("release", self._claim))
+        return MakeAttempt()
+
+    def _on_entry(self, entry: KvEntry | None, now_ms: float) -> Step:
+        if entry is None:
+            return self._claim_again(now_ms)
+        record = decode(entry.value)
+        if record.fingerprint != self._claim.fingerprint:
+            return Finish(Error(KeyReused()))
+        if record.state == "answered":
+            return Finish(replay(record.answer))
+        if record.state == "unknown":
+            return Finish(Error(KeyedOutcomeUnknown("Recorded")))
+        return self._on_foreign_claim(record, now_ms)
+
+    def _claim_again(self, now_ms: float) -> Step:
+        if now_ms >= self._deadline_at_ms:
+            return Finish(Error(CallInProgress(RETRY_AFTER_MS)))
+        return self._commit_claim(now_ms)
+
+    def _on_foreign_claim(self, record: ClaimRecord, now_ms: float) -> Step:
+        if self._is_live(record.instance_id, record.incarnation):
+            self._gone_since_ms = None
+        elif self._gone_since_ms is None:
+            self._gone_since_ms = now_ms
+        elif now_ms - self._gone_since_ms >= GONE_GRACE_MS:
+            return Finish(Error(KeyedOutcomeUnknown("ClaimerGone")))
+        if now_ms < self._deadline_at_ms:
+            return self._next_wait(now_ms)
+        if self._gone_since_ms is not None:
+            return Finish(Error(KeyedOutcomeUnknown("ClaimerGone")))
+        return Finish(Error(CallInProgress(RETRY_AFTER_MS)))
+
+    def _next_wait(self, now_ms: float) -> Wait:
+        remaining_ms = max(0.0, self._deadline_at_ms - now_ms)
+        duration_ms = self._wait_ms * self._rng.uniform(0.75, 1.25)
+        self._wait_ms = min(MAX_WAIT_MS, 2.0 * self._wait_ms)
+        return Wait(min(duration_ms, remaining_ms))
+
+    def _commit_claim(self, now_ms: float) -> CommitClaim:
+        self._claim_asked_at_ms = now_ms
+        put = Put(self._storage_key, encode(self._claim), self._lease_id)
+        compare = Compare(self._storage_key, 0)
+        return CommitClaim(Transaction((compare,), (put,)))
+
+    def _answered(self, answer: StoredAnswer) -> ClaimRecord:
+        return _settled(self._claim, "answered", answer)
+
+    def _unknown(self) -> ClaimRecord:
+        return _settled(self._claim, "unknown", None)
+
+    def _settle(
+        self, kind: Literal["record", "release"], record: ClaimRecord
+    ) -> Settlement:
+        return Settlement(
+            self._storage_key,
+            self._claim.claim_id,
+            kind,
+            encode(record),
+            self._lease_id,
+            self._mod_revision,
+        )
+
+
+def replay(stored: StoredAnswer) -> Result[ServiceAnswer, Failure]:
+    """Return a recorded answer as it is given to a later request."""
+    if stored.body is None:
+        return Error(AnswerNotKept(stored.status, stored.n_body_bytes))
+    headers = (*stored.headers, ("Idempotency-Replayed", "true"))
+    return Ok(ServiceAnswer(stored.status, headers, stored.body))
+
+
+def _settled(
+    claim: ClaimRecord, state: Literal["answered", "unknown"], answer: object
+) -> ClaimRecord:
+    return ClaimRecord(
+        fingerprint=claim.fingerprint,
+        claim_id=claim.claim_id,
+        instance_id=claim.instance_id,
+        incarnation=claim.incarnation,
+        state=state,
+        answer=answer,
+    )
--- /dev/null
+++ b/buckthornrock/idempotency/outcome_queue.py
@@ -0,0 +1,137 @@
+"""Outcomes that wait until they are recorded.
+
+The caller has its answer already; what waits here makes a later request with the same
+key find it. Nothing is sent upstream because of anything in this module.
+"""
+
+import random
+from collections.abc import Iterable
+
+from ..platform import (
+    CommitConflict,
+    CommitDone,
+    CommitOutcome,
+    Compare,
+    Delete,
+    KvEntry,
+    Put,
+    Transaction,
+)
+from .keyed_call import Settlement
+from .records import decode
+
+FIRST_RETRY_MS = 100.0
+MAX_RETRY_MS = 5_000.0
+#: How long a claim whose write had no answer is looked for.
+SEARCH_MS = 30_000.0
+
+
+class _Pending:
+    """A settlement with its retries."""
+
+    def __init__(self, settlement: Settlement, now_ms: float) -> None:
+        self.settlement = settlement
+        self.added_at_ms = now_ms
+        self.due_at_ms = now_ms
+        self.retry_ms = FIRST_RETRY_MS
+
+
+class OutcomeQueue:
+    """Settlements by claim; the caller holds a lock around each method.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads retries.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._pending: dict[str, _Pending] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def add(self, settlement: Settlement, now_ms: float) -> None:
+        """Take over a settlement until it is recorded."""
+        self._pending[settlement.claim_id] = _Pending(settlement, now_ms)
+
+    def due_commits(self, now_ms: float, limit: int) -> list[Settlement]:
+        """Return up to ``limit`` settlements to commit now."""
+        due = (s for s in self._due(now_ms) if s.mod_revision)
+        return [s for s, _ in zip(due, range(limit), strict=False)]
+
+    def due_searches(self, now_ms: float, limit: int) -> list[Settlement]:
+        """Return up to ``limit`` settlements whose claim must be found first."""
+        due = (s for s in self._due(now_ms) if not s.mod_revision)
+        return [s for s, _ in zip(due, range(limit), strict=False)]
+
+    def on_commit(
+        self, settlement: Settlement, outcome: CommitOutcome, now_ms: float
+    ) -> bool:
+        """Take the outcome of a commit; return whether the settlement is done."""
+        if isinstance(outcome, CommitDone):
+            return self._drop(settlement)
+        if not isinstance(outcome, CommitConflict):
+            return self._retry(settlement, now_ms)
+        entry = next(iter(outcome.entries), None)
+        if not _is_open_claim(entry, settlement.claim_id):
+            return self._drop(settlement)
+        return self._retry_at(settlement, entry.mod_revision, now_ms)
+
+    def on_search(
+        self, settlement: Settlement, entry: KvEntry | None, now_ms: float
+    ) -> bool:
+        """Take what a search found; return whether the settlement is done."""
+        if _is_open_claim(entry, settlement.claim_id):
+            return self._retry_at(settlement, entry.mod_revision, now_ms)
+        pending = self._pending[settlement.claim_id]
+        # The write may still be on its way until the search ends.
+        if entry is None and now_ms - pending.added_at_ms < SEARCH_MS:
+            return self._retry(settlement, now_ms)
+        return self._drop(settlement)
+
+    def on_search_failed(self, settlement: Settlement, now_ms: float) -> None:
+        """Search again later; an outage doesn't end a search."""
+        self._retry(settlement, now_ms)
+
+    def _due(self, now_ms: float) -> Iterable[Settlement]:
+        return (
+            pending.settlement
+            for pending in self._pending.values()
+            if pending.due_at_ms <= now_ms
+        )
+
+    def _drop(self, settlement: Settlement) -> bool:
+        del self._pending[settlement.claim_id]
+        return True
+
+    def _retry(self, settlement: Settlement, now_ms: float) -> bool:
+        pending = self._pending[settlement.claim_id]
+        pending.due_at_ms = now_ms + pending.retry_ms * self._rng.uniform(0.5, 1.5)
+        pending.retry_ms = min(MAX_RETRY_MS, 2.0 * pending.retry_ms)
+        return False
+
+    def _retry_at(
+        self, settlement: Settlement, mod_revision: int, now_ms: float
+    ) -> bool:
+        pending = self._pending[settlement.claim_id]
+        pending.settlement = settlement._replace(mod_revision=mod_revision)
+        pending.due_at_ms = now_ms
+        return False
+
+
+def transaction_of(settlement: Settlement) -> Transaction:
+    """Return the transaction that settles a claim."""
+    compare = Compare(settlement.storage_key, settlement.mod_revision)
+    if settlement.kind == "release":
+        return Transaction((compare,), (Delete(settlement.storage_key),))
+    put = Put(settlement.storage_key, settlement.value, settlement.lease_id)
+    return Transaction((compare,), (put,))
+
+
+def _is_open_claim(entry: KvEntry | None, claim_id: str) -> bool:
+    if entry is None:
+        return False
+    record = decode(entry.value)
+    return record.claim_id == claim_id and record.state == "claimed"
--- /dev/null
+++ b/buckthornrock/idempotency/service.py
@@ -0,0 +1,28 @@
+"""Sends a keyed call the way that its key asks for."""
+
+import hashlib
+
+from expression import Result
+
+from ..errors import Failure
+from ..upstreams.service_client import ServiceAnswer
+from .claims import ClaimedCalls
+from .issued_calls import IssuedCalls
+from .issued_keys import is_issued
+from .port import Attempt, IdempotencyPort, KeyedRequest
+
+
+def open_idempotency(claimed: ClaimedCalls, issued: IssuedCalls) -> IdempotencyPort:
+    """Return the port to calls with callers' keys and with issued ones."""
+
+    def run(request: KeyedRequest, attempt: Attempt) -> Result[ServiceAnswer, Failure]:
+        calls = issued if is_issued(request.key) else claimed
+        return calls.run(request, attempt)
+
+    return IdempotencyPort(run=run, issue=issued.issue)
+
+
+def derive_secret(isolation_secret: str) -> bytes:
+    """Return the secret under which keys are sealed and digested."""
+    raw = isolation_secret.encode()
+    return hashlib.blake2b(raw, person=b"idempotency-keys").digest()
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -11,6 +11,10 @@
 INTER_TOKEN_MS = "inter_token_ms"
 TOKENS = "tokens"
 ATTEMPTS_FAILED = "attempts_failed"
+CROSSED_ANSWERS = "crossed_answers"
+SERVICE_RETRIES = "service_retries"
+KEYED_CALLS = "keyed_calls"
+OUTCOMES_PENDING = "outcomes_pending"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
 
@@ -22,6 +26,10 @@
     INTER_TOKEN_MS: ("timing", "time between tokens, by work class"),
     TOKENS: ("counter", "tokens delivered, by work class"),
     ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
+    CROSSED_ANSWERS: ("counter", "answers that named another request, by upstream"),
+    SERVICE_RETRIES: ("counter", "repeated attempts of calls to plain services"),
+    KEYED_CALLS: ("counter", "calls with an idempotency key, by how they ended"),
+    OUTCOMES_PENDING: ("gauge", "outcomes that are not yet recorded"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
 }
--- a/buckthornrock/upstreams/service_client.py
+++ b/buckthornrock/upstreams/service_client.py
@@ -1,16 +1,49 @@
-"""Calls to plain services."""
+"""Calls to plain services, with what is known of each attempt.
 
+A call that may not be repeated always gets a connection of its own: on a reused one
+the server may have closed its end, and then nobody can tell whether the request was
+read. Only a connect that failed is proof that nothing was sent.
+"""
+
+import http.client
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import suppress
 from typing import NamedTuple
 
 import urllib3
 from expression import Error, Ok, Result
+from urllib3.connection import HTTPConnection
+from urllib3.response import HTTPResponse
+from urllib3.util import SKIP_HEADER
 
 from ..conf.settings import UpstreamsSettings
 from .errors import AttemptFailed
+from .idle_connections import IdleConnections
+from .strict_connection import StrictConnection
+
+READ_BYTES = 65_536
+#: Headers that urllib3 adds unless told not to.
+_ADDED_HEADERS = ("accept-encoding", "user-agent")
+_TRANSPORT_ERRORS = (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError)
+#: Reason of an answer that names another request.
+CROSSED_ANSWER = "CrossedAnswer"
+
+HeaderItems = tuple[tuple[str, str], ...]
 
 
 class ServiceCall(NamedTuple):
-    """A call as it is sent to one server of a plain service."""
+    """A call as it is sent to one server of a plain service.
+
+    Parameters
+    ----------
+    path : str
+        Path and query as in the caller's request line.
+    deadline_at_ms : float
+        Monotonic time after which nothing more is read.
+    is_repeatable : bool
+        Whether a reused connection may carry the call.
+    """
 
     upstream_id: str
     address: str
@@ -19,42 +52,201 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    deadline_at_ms: float
+    is_repeatable: bool
 
 
 class ServiceAnswer(NamedTuple):
-    """A server's whole answer."""
+    """A server's answer.
+
+    Parameters
+    ----------
+    body : bytes
+        The whole body, or its first part if ``rest`` is given.
+    rest : AnswerRest or None
+        What follows; must be read to its end or closed.
+    """
 
     status: int
-    headers: dict[str, str]
+    headers: HeaderItems
     body: bytes
+    rest: "AnswerRest | None" = None
+
+
+class AnswerTruncatedError(ConnectionError):
+    """The server broke off in the middle of an answer's body."""
+
+
+class AnswerRest:
+    """The part of a large answer that has not been read yet."""
+
+    def __init__(
+        self, read: Callable[[], bytes], close: Callable[[bool], None]
+    ) -> None:
+        self._read = read
+        self._on_close = [close]
+
+    def on_close(self, function: Callable[[bool], None]) -> None:
+        """Call ``function(is_whole)`` once, when the answer is read or closed."""
+        self._on_close.append(function)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the parts.
+
+        Raises
+        ------
+        AnswerTruncatedError
+            If the body ends early, is too long or passes the deadline.
+        """
+        try:
+            while part := self._read():
+                yield part
+        except _TRANSPORT_ERRORS as error:
+            raise AnswerTruncatedError(type(error).__name__) from error
+        self._finish(is_whole=True)
+
+    def close(self) -> None:
+        """Drop what was not read, with its connection."""
+        self._finish(is_whole=False)
+
+    def _finish(self, is_whole: bool) -> None:
+        functions, self._on_close = self._on_close, []
+        for function in functions:
+            function(is_whole)
 
 
 class ServiceClient:
-    """Connection pools to plain services."""
+    """Connections to plain services.
 
-    def __init__(self, settings: UpstreamsSettings) -> None:
-        timeout = urllib3.Timeout(
-            connect=settings.connect_timeout_ms / 1000.0,
-            read=settings.read_timeout_ms / 1000.0,
-        )
-        self._pool = urllib3.PoolManager(retries=False, timeout=timeout)
+    Parameters
+    ----------
+    settings : UpstreamsSettings
+        Time-outs and bounds.
+    now_ms : callable
+        Monotonic clock.
+    """
+
+    def __init__(
+        self, settings: UpstreamsSettings, now_ms: Callable[[], float]
+    ) -> None:
+        self._settings = settings
+        self._now_ms = now_ms
+        self._idle = IdleConnections(now_ms)
 
     def call(self, call: ServiceCall) -> Result[ServiceAnswer, AttemptFailed]:
         """Send one call, once."""
-        headers = {**call.headers, "X-Request-Id": call.request_id}
-        url = f"http://{call.address}{call.path}"
+        connection = self._idle.take(call.address) if call.is_repeatable else None
+        if connection is not None:
+            return self._exchange(call, connection)
+        opened = self._open(call)
+        if opened.is_error():
+            return opened
+        return self._exchange(call, opened.ok)
+
+    def _open(self, call: ServiceCall) -> Result[HTTPConnection, AttemptFailed]:
+        remaining_ms = call.deadline_at_ms - self._now_ms()
+        if remaining_ms <= 0:
+            return Error(AttemptFailed(call.upstream_id, "DeadlinePassed", "true"))
+        timeout_ms = min(self._settings.connect_timeout_ms, remaining_ms)
+        host, _, port = call.address.rpartition(":")
+        connection = StrictConnection(
+            host.strip("[]"), int(port), timeout=timeout_ms / 1000.0
+        )
+        try:
+            connection.connect()
+        except _TRANSPORT_ERRORS as error:
+            connection.close()
+            reason = type(error).__name__
+            return Error(AttemptFailed(call.upstream_id, reason, "true"))
+        return Ok(connection)
+
+    def _exchange(
+        self, call: ServiceCall, connection: HTTPConnection
+    ) -> Result[ServiceAnswer, AttemptFailed]:
+        sock = connection.sock
         try:
-            response = self._pool.request(
-                call.method, url, body=call.body, headers=headers, redirect=False
+            connection.timeout = self._timeout_s(call)
+            self._send(call, connection)
+            connection.timeout = self._timeout_s(call)
+            response = connection.getresponse()
+            return self._answer(call, connection, sock, response)
+        except _TRANSPORT_ERRORS as error:
+            # The connection is never used again, so a late answer finds no reader.
+            connection.close()
+            reason = type(error).__name__
+            return Error(AttemptFailed(call.upstream_id, reason, "unknown"))
+
+    def _send(self, call: ServiceCall, connection: HTTPConnection) -> None:
+        headers: dict[str, str] = dict(call.headers)
+        headers["X-Request-Id"] = call.request_id
+        for name in _ADDED_HEADERS:
+            headers.setdefault(name, SKIP_HEADER)
+        # A server may answer before it has read the whole body and then close;
+        # its answer is read all the same.
+        with suppress(BrokenPipeError, ConnectionResetError):
+            connection.request(
+                call.method,
+                call.path,
+                body=call.body or None,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
             )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            name = type(error).__name__
-            return Error(AttemptFailed(call.upstream_id, name, "true"))
-        except urllib3.exceptions.HTTPError as error:
-            name = type(error).__name__
-            return Error(AttemptFailed(call.upstream_id, name, "unknown"))
-        answer_headers = dict(response.headers)
-        return Ok(ServiceAnswer(response.status, answer_headers, response.data))
+
+    def _answer(
+        self,
+        call: ServiceCall,
+        connection: HTTPConnection,
+        sock: socket.socket,
+        response: HTTPResponse,
+    ) -> Result[ServiceAnswer, AttemptFailed]:
+        echoed_id = response.headers.get("x-request-id", call.request_id)
+        if echoed_id != call.request_id:
+            connection.close()
+            return Error(AttemptFailed(call.upstream_id, CROSSED_ANSWER, "unknown"))
+        read = self._reader(call, sock, response)
+
+        def close(is_whole: bool) -> None:
+            if is_whole and call.is_repeatable and connection.sock is not None:
+                self._idle.put(call.address, connection)
+                return
+            response.close()
+            connection.close()
+
+        rest = AnswerRest(read, close)
+        first = self._first_part(read)
+        headers = tuple(response.headers.iteritems())
+        if len(first) >= self._settings.answer_buffer_bytes:
+            return Ok(ServiceAnswer(response.status, headers, first, rest))
+        close(is_whole=True)
+        return Ok(ServiceAnswer(response.status, headers, first))
+
+    def _first_part(self, read: Callable[[], bytes]) -> bytes:
+        parts: list[bytes] = []
+        n_bytes = 0
+        while n_bytes < self._settings.answer_buffer_bytes and (part := read()):
+            parts.append(part)
+            n_bytes += len(part)
+        return b"".join(parts)
+
+    def _reader(
+        self, call: ServiceCall, sock: socket.socket, response: HTTPResponse
+    ) -> Callable[[], bytes]:
+        n_left = self._settings.max_answer_bytes
+
+        def read() -> bytes:
+            nonlocal n_left
+            sock.settimeout(self._timeout_s(call))
+            part = response.read1(READ_BYTES, decode_content=False) or b""
+            n_left -= len(part)
+            if n_left < 0:
+                raise AnswerTruncatedError("the answer is too large")
+            return part
+
+        return read
+
+    def _timeout_s(self, call: ServiceCall) -> float:
+        remaining_ms = call.deadline_at_ms - self._now_ms()
+        if remaining_ms <= 0:
+            raise TimeoutError
+        return min(self._settings.read_timeout_ms, remaining_ms) / 1000.0
--- /dev/null
+++ b/buckthornrock/wire/idempotency_messages.py
@@ -0,0 +1,40 @@
+"""Messages about calls with issued idempotency keys."""
+
+from typing import Literal
+
+import msgspec
+
+
+class IssuedCall(msgspec.Struct, frozen=True, tag="idempotency.call"):
+    """Asks the issuer of a key to run a call, or for its outcome.
+
+    Asking again never runs the call again.
+    """
+
+    key: str
+    client_account: str
+    member: str
+    profile: str
+    service: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    request_id: str
+    remaining_ms: int
+
+
+class IssuedOutcome(msgspec.Struct, frozen=True, tag="idempotency.outcome"):
+    """What the issuer knows of the call.
+
+    ``code`` and ``reason`` describe a failure; the other fields an answer, whose
+    ``body`` is None if it was too large to be kept.
+    """
+
+    state: Literal["pending", "answered", "failed"]
+    code: str = ""
+    reason: str = ""
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+    n_body_bytes: int = 0
--- /dev/null
+++ b/tests/idempotency/test_group_commit.py
@@ -0,0 +1,70 @@
+"""Transactions that are committed together end as they would have alone."""
+
+import threading
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornrock.idempotency.group_commit import GroupCommitter, commit_together
+from buckthornrock.platform import CommitUnknown, Compare, Put, Transaction
+from tests.idempotency.fakes import FakeKv
+
+
+def create(key, value=b"v"):
+    return Transaction((Compare(key, 0),), (Put(key, value),))
+
+
+@given(st.sets(st.integers(0, 9)), st.sets(st.integers(0, 9)))
+def test_each_gets_the_outcome_that_it_had_alone(present, wanted):
+    together, alone = FakeKv(), FakeKv()
+    for number in present:
+        together.commit(create(f"k{number}", b"old"))
+        alone.commit(create(f"k{number}", b"old"))
+    transactions = [create(f"k{number}") for number in sorted(wanted)]
+    found = commit_together(together.commit, transactions)
+    expected = [alone.commit(t) for t in transactions]
+    assert [type(o) for o in found] == [type(o) for o in expected]
+    for outcome, other in zip(found, expected, strict=True):
+        if hasattr(outcome, "entries"):
+            assert [e.value for e in outcome.entries] == [
+                e.value for e in other.entries
+            ]
+    values = {key: entry.value for key, entry in together.entries.items()}
+    assert values == {key: entry.value for key, entry in alone.entries.items()}
+
+
+def test_lost_answer_is_unknown_for_all():
+    kv = FakeKv()
+    kv.fault = "lost"
+    outcomes = commit_together(kv.commit, [create("a"), create("b")])
+    assert all(isinstance(outcome, CommitUnknown) for outcome in outcomes)
+
+
+@pytest.mark.parametrize("n_threads", [1, 40])
+def test_concurrent_commits_share_calls(n_threads):
+    kv = FakeKv()
+    gate = threading.Event()
+    first = threading.Event()
+
+    def commit(transaction):
+        first.set()
+        gate.wait(10)
+        return kv.commit(transaction)
+
+    committer = GroupCommitter(commit)
+    threads = [
+        threading.Thread(target=committer.commit, args=(create(f"k{i}"),))
+        for i in range(n_threads)
+    ]
+    threads[0].start()
+    first.wait(10)
+    for thread in threads[1:]:
+        thread.start()
+    while len(committer._waiting) < n_threads - 1:
+        pass
+    gate.set()
+    for thread in threads:
+        thread.join(10)
+    assert len(kv.entries) == n_threads
+    assert kv.n_writes <= 2
