--- a/buckthornrock/idempotency/issued_keys.py
+++ b/buckthornrock/idempotency/issued_keys.py
@@ -20,6 +20,8 @@
 NONCE_BYTES = 12
 MAC_BYTES = 16
 RETRY_AFTER_MS = 1_000
+#: Requests that may find no server with one key before the key is refused.
+MAX_REFUSALS = 32
 
 
 class IssuedKeyClaims(msgspec.Struct, array_like=True, frozen=True):
@@ -53,10 +55,10 @@
         self, key: str, client_account: str, member: str
     ) -> Result[IssuedKeyClaims, KeyNotGenuine]:
         """Return what a genuine key of this caller says."""
+        text = key.removeprefix(PREFIX)
+        padded = text + "=" * (-len(text) % 4)
         try:
-            sealed = base64.b64decode(
-                key.removeprefix(PREFIX) + "==", altchars=b"-_", validate=True
-            )
+            sealed = base64.b64decode(padded, altchars=b"-_", validate=True)
         except ValueError:
             return Error(KeyNotGenuine())
         mac, raw = sealed[:MAC_BYTES], sealed[MAC_BYTES:]
@@ -89,13 +91,18 @@
 
 
 class _Entry:
-    """Memory of one key; ``request_id`` names the request that ran it last."""
+    """Memory of one key.
+
+    ``refusals`` are the requests that were told that the call did not run: a
+    duplicate of one that arrives late must not run it after all.
+    """
 
     def __init__(
         self, fingerprint: bytes, request_id: str, expires_at_ms: float
     ) -> None:
         self.fingerprint = fingerprint
         self.request_id = request_id
+        self.refusals: dict[str, Failure] = {}
         self.expires_at_ms = expires_at_ms
         self.state: Literal["running", "settled", "released"] = "running"
         self.outcome: object = None
@@ -148,13 +155,17 @@
 
     def _begin_again(
         self, entry: _Entry, fingerprint: bytes, request_id: str
-    ) -> Result[Run | Pending | Settled, KeyReused]:
+    ) -> Result[Run | Pending | Settled, KeyReused | TooManyKeys]:
         if entry.fingerprint != fingerprint:
             return Error(KeyReused())
+        if request_id in entry.refusals:
+            return Ok(Settled(entry.refusals[request_id]))
         if entry.state == "running":
             return Ok(Pending())
-        if entry.state == "settled" or entry.request_id == request_id:
+        if entry.state == "settled":
             return Ok(Settled(entry.outcome))
+        if len(entry.refusals) >= MAX_REFUSALS:
+            return Error(TooManyKeys(RETRY_AFTER_MS))
         entry.state = "running"
         entry.request_id = request_id
         return Ok(Run())
@@ -169,7 +180,7 @@
         """Note that the call provably did not run; another request may run it."""
         entry = self._entries[nonce]
         entry.state = "released"
-        entry.outcome = failure
+        entry.refusals[entry.request_id] = failure
 
     def _expire(self, now_ms: float) -> None:
         # Keys enter in about the order in which they expire.
--- a/tests/upstreams/raw_server.py
+++ b/tests/upstreams/raw_server.py
@@ -16,9 +16,10 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
+        listener = self._listener
         while True:
             try:
-                connection, _ = self._listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             self.n_connections += 1
@@ -49,7 +50,18 @@
         self.requests.append(head + b"\r\n\r\n" + body)
         return head
 
+    def pause(self):
+        """Refuse connections until :meth:`resume`."""
+        self.stop()
+
+    def resume(self):
+        host, _, port = self.address.partition(":")
+        self._listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def stop(self):
+        # Closing alone leaves a blocked accept, which would take one more connection.
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
 
