--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -8,6 +8,7 @@
 from ..conf import Settings
 from ..events import lifecycle as events
 from ..platform import KvPort, open_kv
+from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
 from ..telemetry import Telemetry, open_log, open_metrics
 
@@ -15,7 +16,9 @@
 class Core(NamedTuple):
     """Parts that the others are built on.
 
-    ``loops`` collects every periodic actor, to be stopped at shutdown.
+    ``loops`` collects every periodic actor, to be stopped at shutdown, and
+    ``closers`` the functions that close what the parts opened. ``list_listeners``
+    take in the platform's instance list whenever it was read.
     """
 
     settings: Settings
@@ -25,6 +28,8 @@
     kv: KvPort
     rng: random.Random
     loops: list[PeriodicHandle]
+    closers: list[Callable[[], None]]
+    list_listeners: list[Callable[[InstanceList], None]]
 
 
 def build_core(settings: Settings, log_stream: IO[str] | None) -> Core:
@@ -41,6 +46,8 @@
         kv=open_kv(settings.platform.kv, telemetry),
         rng=random.Random(os.urandom(16)),
         loops=[],
+        closers=[],
+        list_listeners=[],
     )
 
 
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -9,13 +9,15 @@
 from ..entry.auth import CallerKeys
 from ..events import lifecycle as events
 from ..httpd import HttpServer, start_server
-from .completions import build_admission, build_completions, build_routing
+from .admission import build_admission
+from .completions import build_completions
 from .core import Core, build_core
 from .deferred import build_deferred
 from .fleet import build_fleet
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
+from .routing import build_routing, start_digests, start_exports, start_polling
 from .services import build_services
 
 
@@ -52,11 +54,15 @@
     """
     started_at_s = time.monotonic()
     core = build_core(settings, log_stream)
+    # The fleet listens to the instance list, which membership starts to read.
+    fleet = build_fleet(core)
     membership = build_membership(core)
     profiles = build_profiles(core)
-    fleet = build_fleet(core)
-    admission = build_admission(core, membership)
+    admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
+    start_polling(core, fleet, routing)
+    start_digests(core, fleet, routing, membership)
+    start_exports(core, fleet, routing)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
@@ -99,4 +105,6 @@
     core.timer.stop()
     entry.stop()
     operator.stop()
+    for close in core.closers:
+        close()
     return 0
--- a/buckthornrock/dispatch/errors.py
+++ b/buckthornrock/dispatch/errors.py
@@ -44,3 +44,15 @@
     retry_after_ms: int = 1_000
 
     code = "profile-not-in-force"
+
+
+class BadEventId(NamedTuple):
+    """The ``Last-Event-ID`` was not given out to this client account and member."""
+
+    code = "bad-event-id"
+
+
+class EventIdMismatch(NamedTuple):
+    """The ``Last-Event-ID`` belongs to another request body."""
+
+    code = "event-id-mismatch"
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -63,6 +63,8 @@
     idempotency.KeyExpired: ProblemRule(410, "The key expired", "unknown"),
     idempotency.TooManyKeys: ProblemRule(503, "Too many keys in use", "true"),
     idempotency.ForwardedNotRun: ProblemRule(503, "The issuer did not run it", "true"),
+    dispatch.BadEventId: ProblemRule(403, "Not an event id of this caller", "true"),
+    dispatch.EventIdMismatch: ProblemRule(409, "Another request body", "true"),
     deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
     deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
     deferred.JobUnreadable: ProblemRule(503, "The job can't be read now", "true"),
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -17,6 +17,11 @@
 OUTCOMES_PENDING = "outcomes_pending"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
+WAITING_TOKENS = "waiting_tokens"
+WINDOW_TOKENS = "window_tokens"
+WIRE_BYTES = "wire_bytes"
+WIRE_FRAMES_DROPPED = "wire_frames_dropped"
+MEMBERS_LIVE = "members_live"
 
 #: Metric name -> (kind, meaning).
 CATALOGUE: dict[str, tuple[str, str]] = {
@@ -32,6 +37,11 @@
     OUTCOMES_PENDING: ("gauge", "outcomes that are not yet recorded"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
+    WAITING_TOKENS: ("gauge", "work that waits for admission, by model"),
+    WINDOW_TOKENS: ("gauge", "work that may be at one engine, by model"),
+    WIRE_BYTES: ("counter", "bytes of frames between instances, by direction"),
+    WIRE_FRAMES_DROPPED: ("counter", "frames that were dropped, by reason"),
+    MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
 }
 
 
