Add the load tool and the benchmark's launcher

Cause: nothing sent traffic of the deployments' shape, and nothing judged answers. The oracle and the event feed of the stand-ins look at fewer entries.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: router processes, stand-ins and load in processes of their own."""
--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -5,6 +5,7 @@
 from .. import __version__
 from .check import check
 from .demo import demo
+from .load import load
 from .serve import serve
 
 
@@ -17,3 +18,4 @@
 main.add_command(serve)
 main.add_command(check)
 main.add_command(demo)
+main.add_command(load)
--- a/buckthornrock/load/__init__.py
+++ b/buckthornrock/load/__init__.py
@@ -1,1 +1,1 @@
-"""The load tool: open-loop arrivals, seeded mixes and comparison of results."""
+"""Load generation: seeded mixes, open-loop arrivals, results and their comparison."""
--- a/buckthornrock/standins/cache_oracle.py
+++ b/buckthornrock/standins/cache_oracle.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .engine_parameters import BLOCK_TOKENS
@@ -61,8 +61,7 @@
         """Account for a prefill that begins now on engine ``name``."""
         missed = hashes[n_hit_blocks:]
         with self._lock:
-            n_held = sum(any(self._held_by_others(name, h)) for h in missed)
-            n_computed = sum(self._computed_by_others(name, h) for h in missed)
+            n_held, n_computed = self._n_in_vain(name, missed)
             n_pooled = self._use_pooled(hashes)
             self._computing[name].update(missed)
             n_missed_tokens = (len(hashes) - n_pooled) * BLOCK_TOKENS
@@ -81,19 +80,16 @@
                 if computing[block_hash] <= 0:
                     del computing[block_hash]
 
-    def _held_by_others(self, name: str, block_hash: str) -> Iterator[bool]:
-        return (
-            holds(block_hash) for other, holds in self._holds.items() if other != name
-        )
-
-    def _computed_by_others(self, name: str, block_hash: str) -> bool:
-        if any(self._held_by_others(name, block_hash)):
-            return False
-        return any(
-            block_hash in computing
-            for other, computing in self._computing.items()
-            if other != name
-        )
+    def _n_in_vain(self, name: str, missed: list[str]) -> tuple[int, int]:
+        holders = [holds for other, holds in self._holds.items() if other != name]
+        computing = [c for other, c in self._computing.items() if other != name and c]
+        n_held = n_computed = 0
+        for block_hash in missed:
+            if any([holds(block_hash) for holds in holders]):
+                n_held += 1
+            elif any([block_hash in c for c in computing]):
+                n_computed += 1
+        return n_held, n_computed
 
     def _use_pooled(self, hashes: list[str]) -> int:
         n_hits = 0
--- a/buckthornrock/standins/engine_cache.py
+++ b/buckthornrock/standins/engine_cache.py
@@ -1,5 +1,6 @@
 """An engine's block cache and the feed of its cache events."""
 
+import itertools
 import random
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
@@ -55,7 +56,8 @@
     def since(self, seq: int, now_ms: float) -> list[FeedEvent]:
         """Return the events after ``seq`` that have appeared by ``now_ms``."""
         newest_at_ms = now_ms - self._lag_ms
-        return [e for e in self._events if e.seq > seq and e.at_ms <= newest_at_ms]
+        later = itertools.takewhile(lambda e: e.seq > seq, reversed(self._events))
+        return [e for e in later if e.at_ms <= newest_at_ms][::-1]
 
 
 class BlockCache:
--- a/tests/standins/test_engine_http.py
+++ b/tests/standins/test_engine_http.py
@@ -1,5 +1,6 @@
 """The emulated engine over HTTP: streams, faults, transfers."""
 
+import threading
 import time
 from typing import NamedTuple
 
@@ -68,12 +69,33 @@
     return _Answer(texts, chunks, events[-1:] == [b"[DONE]"])
 
 
+@pytest.fixture(scope="module")
+def servers():
+    servers = []
+    yield servers
+    # Each stop waits for idle threads, so all are stopped at once.
+    stops = [threading.Thread(target=server.stop) for server in servers]
+    for stop in stops:
+        stop.start()
+    for stop in stops:
+        stop.join()
+
+
+@pytest.fixture
+def start(servers):
+    def start_one(**parameters):
+        fields = {"load_lag_ms": 0.0, "events_lag_ms": 0.0} | parameters
+        standin = EngineStandin(EngineParameters(**fields))
+        server = start_engine(standin, n_threads=8)
+        servers.append(server)
+        return _Engine(standin, server.port, urllib3.PoolManager(retries=False))
+
+    return start_one
+
+
 @pytest.fixture
-def engine():
-    standin = EngineStandin(EngineParameters(load_lag_ms=0.0, events_lag_ms=0.0))
-    server = start_engine(standin, n_threads=8)
-    yield _Engine(standin, server.port, urllib3.PoolManager(retries=False))
-    server.stop()
+def engine(start):
+    return start()
 
 
 def _expected(begin=0, end=N_TOKENS, version="w1"):
@@ -97,12 +119,8 @@
     assert counters["n_hit_tokens"] > 0.4 * counters["n_prompt_tokens"]
 
 
-def test_tokens_are_grouped_after_first():
-    parameters = EngineParameters(tokens_per_event=4)
-    server = start_engine(EngineStandin(parameters), n_threads=4)
-    http = urllib3.PoolManager(retries=False)
-    answer = _Engine(None, server.port, http).complete()
-    server.stop()
+def test_tokens_are_grouped_after_first(start):
+    answer = start(tokens_per_event=4).complete()
     assert "".join(answer.texts) == _expected()
     assert answer.chunks[0]["n_tokens"] == 1
     assert all(c["n_tokens"] >= 3 for c in answer.chunks[1:])
@@ -182,19 +200,15 @@
     assert answer.status == 400
 
 
-def test_cache_moves_through_store(engine):
+def test_cache_moves_through_store(engine, start, servers):
     engine.complete()
     store = CacheStoreStandin(CacheStoreParameters(n_blocks=10))
-    store_server = start_cache_store(store)
-    other = start_engine(EngineStandin(EngineParameters(load_lag_ms=0.0)), n_threads=4)
-    target = _Engine(None, other.port, engine.http)
+    servers.append(start_cache_store(store))
     hashes = block_hashes(PROMPT.encode(), "aa")
-    body = {"hashes": hashes, "store": f"127.0.0.1:{store_server.port}"}
+    body = {"hashes": hashes, "store": f"127.0.0.1:{servers[-1].port}"}
     body["cache_salt"] = "aa"
     exported = engine.call("POST", "/kv_cache/export", body).json()
-    imported = target.call("POST", "/kv_cache/import", body).json()
-    other.stop()
-    store_server.stop()
+    imported = start().call("POST", "/kv_cache/import", body).json()
     assert exported == {"n_blocks": len(hashes)}
     # The store holds ten blocks and kept those at the chain's start.
     assert imported == {"n_blocks": 10}
