Share prefix demand and holders through one owner a level

Cause: an instance saw only its own share of a prefix's demand, and full indexes at every instance would grow with the fleet. Change: instances report sends of prefix levels to the level's rendezvous owner and get back demand and holders; beyond 8 instances two keep an engine's full index; beyond 16 engines only homes, holders and a sample of 8 are estimated. Entries without news become doubtful after 2 s and void after 5 s. Conclusion: a node's cost follows its own traffic.

--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -17,7 +17,8 @@
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
-from .routing import build_routing, start_digests, start_exports, start_polling
+from .routing import build_routing, start_exports, start_polling
+from .routing_peers import start_digests, start_level_reports
 from .services import build_services
 
 
@@ -60,8 +61,9 @@
     profiles = build_profiles(core)
     admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
-    start_polling(core, fleet, routing)
+    start_polling(core, fleet, routing, membership)
     start_digests(core, fleet, routing, membership)
+    start_level_reports(core, routing, membership)
     start_exports(core, fleet, routing)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
--- a/buckthornrock/compose/routing.py
+++ b/buckthornrock/compose/routing.py
@@ -6,15 +6,17 @@
 
 from ..conf.settings import UpstreamSettings
 from ..membership import MembershipPort
-from ..routing import PeerDigest, RoutingPort
+from ..routing import RoutingPort
 from ..routing.cost import RoutingContext
 from ..routing.policies import open_routing
-from ..wire.routing_messages import RoutingDigest
+from ..runtime.rendezvous import rank
 from .core import Core, run_periodically
 from .fleet import FleetParts
 
-#: Peers that get one digest; a node's cost must not grow with the fleet.
-DIGEST_FAN_OUT = 6
+#: Up to this many instances, each reads the cache events of every engine.
+SMALL_FLEET_N_INSTANCES = 8
+#: Instances that read one engine's cache events in a larger fleet.
+N_INDEX_REPLICAS = 2
 EXPORT_PERIOD_MS = 100
 MAX_EXPORTS_PER_STEP = 8
 
@@ -45,7 +47,9 @@
     return call
 
 
-def start_polling(core: Core, fleet: FleetParts, routing: RoutingPort) -> None:
+def start_polling(
+    core: Core, fleet: FleetParts, routing: RoutingPort, membership: MembershipPort
+) -> None:
     """Poll each engine in an actor of its own, so that none delays another."""
     for engine in fleet.fleet.engine_settings():
         run_periodically(
@@ -57,7 +61,7 @@
         run_periodically(
             core,
             f"routing.events.{engine.id}",
-            _events_step(core, fleet, routing, engine),
+            _events_step(core, fleet, routing, membership, engine),
             core.settings.routing.event_period_ms,
         )
 
@@ -74,9 +78,15 @@
 
 
 def _events_step(
-    core: Core, fleet: FleetParts, routing: RoutingPort, engine: UpstreamSettings
+    core: Core,
+    fleet: FleetParts,
+    routing: RoutingPort,
+    membership: MembershipPort,
+    engine: UpstreamSettings,
 ) -> Callable[[], None]:
     def step() -> None:
+        if not _is_responsible(membership, engine.id):
+            return
         since = routing.events_since(engine.id)
         batch = fleet.control.events(engine.address, since)
         # A silent engine is the load poll's matter.
@@ -89,29 +99,13 @@
     return step
 
 
-def start_digests(
-    core: Core, fleet: FleetParts, routing: RoutingPort, membership: MembershipPort
-) -> None:
-    """Exchange digests of sends in flight and of leaving upstreams with peers."""
-
-    def receive(sender_id: str, digest: RoutingDigest) -> None:
-        peer_digest = PeerDigest(digest.n_tokens, digest.kept)
-        routing.on_peer(sender_id, peer_digest, core.clock.now_ms())
-        fleet.fleet.note_leaving_by_peer(digest.leaving)
-
-    def send() -> None:
-        own = routing.digest(core.clock.now_ms())
-        digest = RoutingDigest(
-            dict(own.n_tokens), fleet.fleet.leaving_first_hand(), tuple(own.kept)
-        )
-        if not digest.n_tokens and not digest.leaving and not digest.kept:
-            return
-        for instance_id in _some_peers(core, membership):
-            membership.tell(instance_id, digest)
-
-    membership.subscribe(RoutingDigest, receive)
-    period_ms = core.settings.routing.digest_period_ms
-    run_periodically(core, "routing.digests", send, period_ms)
+def _is_responsible(membership: MembershipPort, upstream_id: str) -> bool:
+    """Tell whether this instance keeps the full index of the engine's cache."""
+    ids = [view.instance_id for view in membership.live()]
+    if len(ids) <= SMALL_FLEET_N_INSTANCES:
+        return True
+    responsible = rank(upstream_id.encode(), ids)[:N_INDEX_REPLICAS]
+    return membership.self_view().instance_id in responsible
 
 
 def start_exports(core: Core, fleet: FleetParts, routing: RoutingPort) -> None:
@@ -137,10 +131,3 @@
             )
 
     run_periodically(core, "routing.exports", step, EXPORT_PERIOD_MS)
-
-
-def _some_peers(core: Core, membership: MembershipPort) -> list[str]:
-    """Return the peers that one digest goes to: all, in a small fleet."""
-    self_id = membership.self_view().instance_id
-    peers = [v.instance_id for v in membership.live() if v.instance_id != self_id]
-    return core.rng.sample(peers, min(len(peers), DIGEST_FAN_OUT))
--- a/buckthornrock/routing/baselines.py
+++ b/buckthornrock/routing/baselines.py
@@ -77,6 +77,9 @@
         on_imported=ignore,
         digest=lambda now_ms: PeerDigest({}, ()),
         on_peer=ignore,
+        take_level_sends=lambda: [],
+        on_level_sends=lambda sends, now_ms: [],
+        on_level_views=ignore,
     )
 
 
--- a/buckthornrock/routing/cost.py
+++ b/buckthornrock/routing/cost.py
@@ -12,6 +12,7 @@
 from .blocks import BlockHasher, hex_from_hashes
 from .computing import Computations
 from .demand import DemandMeter
+from .directory import LevelOwner, LevelSend, LevelView, LevelViews
 from .eligibility import eligible
 from .errors import NoEngine
 from .estimate import Estimate, Prompt, Unseen, estimate, near_best
@@ -26,6 +27,9 @@
 TIE_MARGIN_SHARE = 0.05
 #: Age of a load report's contents when it arrives; own sends within it are added.
 REPORT_LAG_MS = 250.0
+#: Up to this many engines all are estimated; beyond, homes, holders and a sample.
+MAX_CONSIDERED = 16
+N_SAMPLED = 8
 #: Requests that an engine decodes together, for the share of its time one takes.
 DECODE_BATCH_SIZE = 32
 
@@ -66,6 +70,8 @@
         self._demand = DemandMeter()
         self._kept = KeptPrefixes()
         self._computing = Computations()
+        self._views = LevelViews()
+        self._owner = LevelOwner()
 
     def choose(
         self, query: RouteQuery, candidates: Sequence[Candidate], now_ms: float
@@ -77,7 +83,7 @@
         prompts = self._prompts(query, engines, now_ms)
         estimates = [
             self._estimate(prompts[engine.weights_version], engine, now_ms)
-            for engine in engines
+            for engine in self._considered(prompts, engines)
         ]
         chosen = self._pick(estimates)
         prompt = prompts[chosen.candidate.weights_version]
@@ -101,12 +107,7 @@
         chain = self._hasher.chain(salt, query.prompt)
         levels = prefix_levels(chain, query.prefix_levels, self._context.block_bytes)
         ids = sorted(engine.upstream_id for engine in engines)
-        n_instances = self._context.n_instances() if self._terms.widening else 0
-        home_ids = homes(
-            levels,
-            ids,
-            lambda level: self._demand.n_homes(level.block_hash, n_instances, now_ms),
-        )
+        home_ids = homes(levels, ids, lambda level: self._n_homes(level, now_ms))
         return Prompt(
             salt=salt,
             chain=chain,
@@ -117,6 +118,35 @@
             n_kept_blocks=self._kept.deepest(levels, now_ms),
         )
 
+    def _n_homes(self, level: Level, now_ms: float) -> int:
+        if not self._terms.widening:
+            return 1
+        view = self._views.view(level.block_hash, now_ms)
+        if view is not None:
+            return self._demand.n_homes(level.block_hash, view.n_engines)
+        # Peers see about as much of the traffic as this instance.
+        own = self._demand.utilisation(level.block_hash, now_ms)
+        n_engines = own * self._context.n_instances()
+        return self._demand.n_homes(level.block_hash, n_engines)
+
+    def _considered(
+        self, prompts: dict[str, Prompt], engines: list[Candidate]
+    ) -> list[Candidate]:
+        """Return the engines worth an estimate; all of them in a small fleet."""
+        if len(engines) <= MAX_CONSIDERED:
+            return engines
+        sample = self._context.rng.sample(engines, N_SAMPLED)
+        sampled = {engine.upstream_id for engine in sample}
+        return [
+            engine
+            for engine in engines
+            if engine.upstream_id in sampled
+            or engine.upstream_id in prompts[engine.weights_version].homes
+            or self.index.holds_first(
+                engine.upstream_id, prompts[engine.weights_version].chain
+            )
+        ]
+
     def _estimate(self, prompt: Prompt, engine: Candidate, now_ms: float) -> Estimate:
         since_ms = now_ms - engine.report_age_ms - REPORT_LAG_MS
         unseen = Unseen(
@@ -143,7 +173,22 @@
         )
         if not self._terms.hits:
             return NO_MATCH
-        return index.match(prompt.chain, now_ms, self._terms.expected)
+        match = index.match(prompt.chain, now_ms, self._terms.expected)
+        if not index.is_silent(now_ms):
+            return match
+        return self._told_match(prompt, engine.upstream_id, match, now_ms)
+
+    def _told_match(
+        self, prompt: Prompt, upstream_id: str, match: Match, now_ms: float
+    ) -> Match:
+        """Extend a match by what owners of levels say; their word is doubtful."""
+        for level in reversed(prompt.levels):
+            if level.n_blocks <= match.n_blocks:
+                break
+            view = self._views.view(level.block_hash, now_ms)
+            if view is not None and upstream_id in view.holders:
+                return Match(level.n_blocks, level.n_blocks)
+        return match
 
     def _pick(self, estimates: Sequence[Estimate]) -> Estimate:
         if not self._terms.random_ties:
@@ -202,6 +247,8 @@
             n_tokens = choice.n_prompt_tokens - level.n_blocks * self._block_tokens
             work_ms = max(1, n_tokens) * choice.prefill_token_ms + decode_ms
             self._demand.note(level.block_hash, work_ms, now_ms)
+            send = LevelSend(level.block_hash, choice.upstream_id, work_ms)
+            self._views.note_send(send)
 
     def on_first_token(
         self, query: RouteQuery, choice: RouteChoice, ttft_ms: float, now_ms: float
@@ -300,6 +347,20 @@
         for block_hash in digest.kept:
             self._kept.note_kept(block_hash, now_ms, is_own=False)
 
+    def take_level_sends(self) -> list[LevelSend]:
+        """Return the sends that the levels' owners don't know yet."""
+        return self._views.take_pending()
+
+    def on_level_sends(
+        self, sends: Sequence[LevelSend], now_ms: float
+    ) -> list[LevelView]:
+        """Take in sends of levels that this instance owns; return their views."""
+        return self._owner.report(sends, now_ms)
+
+    def on_level_views(self, views: Sequence[LevelView], now_ms: float) -> None:
+        """Take in the views of levels that another instance owns."""
+        self._views.note_views(views, now_ms)
+
 
 def open_cost(context: RoutingContext) -> RoutingPort:
     """Return routing by the least estimated time to first token."""
@@ -318,6 +379,9 @@
         on_imported=router.on_imported,
         digest=router.digest,
         on_peer=router.on_peer,
+        take_level_sends=router.take_level_sends,
+        on_level_sends=router.on_level_sends,
+        on_level_views=router.on_level_views,
     )
 
 
--- a/buckthornrock/routing/demand.py
+++ b/buckthornrock/routing/demand.py
@@ -42,13 +42,12 @@
         # A steady rate r keeps the decaying sum at r * half-life / ln 2.
         return _decayed(demand, now_ms) * 0.693 / HALF_LIFE_MS
 
-    def n_homes(self, level_hash: int, n_instances: int, now_ms: float) -> int:
-        """Return how many homes the level has, given that peers see as much of it."""
+    def n_homes(self, level_hash: int, n_engines: float) -> int:
+        """Return how many homes a level has that takes ``n_engines`` engines' time."""
         demand = self._levels.get(level_hash)
         if demand is None:
             return 1
-        engines = self.utilisation(level_hash, now_ms) * n_instances
-        wanted = engines / HOME_UTILISATION
+        wanted = n_engines / HOME_UTILISATION
         n_homes = demand.n_homes
         if wanted > n_homes:
             n_homes = int(wanted) + 1
--- a/buckthornrock/routing/index.py
+++ b/buckthornrock/routing/index.py
@@ -65,7 +65,7 @@
         self.n_dropped = 0
         self.sequencer = EventSequencer(GAP_WAIT_MS)
         self._max_blocks = max_blocks
-        self._heard_at_ms = 0.0
+        self._heard_at_ms = -SILENT_AFTER_MS - 1.0
         self._present: set[int] = set()
         self._doubtful: set[int] = set()
         self._doubtful_until_ms = 0.0
@@ -135,11 +135,25 @@
         for block_hash in chain:
             self._expected.pop(block_hash, None)
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Tell whether no event poll was answered lately."""
+        return now_ms - self._heard_at_ms > SILENT_AFTER_MS
+
+    def holds(self, block_hash: int) -> bool:
+        """Tell whether a block is present, expected or doubtful."""
+        return (
+            block_hash in self._present
+            or block_hash in self._expected
+            or block_hash in self._doubtful
+        )
+
     def match(self, chain: array, now_ms: float, uses_expected: bool = True) -> Match:
         """Return the longest known prefix of ``chain``."""
+        if now_ms - self._heard_at_ms > DOUBTFUL_TTL_MS:
+            # Also frees what another instance keeps by now.
+            self._present, self._doubtful = set(), set()
         n_blocks = sum(1 for _ in takewhile(self._present.__contains__, chain))
-        is_silent = now_ms - self._heard_at_ms > SILENT_AFTER_MS
-        n_doubtful = n_blocks if is_silent else 0
+        n_doubtful = n_blocks if self.is_silent(now_ms) else 0
         doubtful = self._doubtful if now_ms < self._doubtful_until_ms else ()
         expected = self._expected if uses_expected else {}
         for block_hash in chain[n_blocks:]:
@@ -205,10 +219,10 @@
         """Return the index of the engine's current incarnation, if there is one."""
         return self._engines.get(upstream_id)
 
-    def keep_only(self, upstream_ids: frozenset[str]) -> None:
-        """Drop the indexes of all other engines."""
-        for upstream_id in self._engines.keys() - upstream_ids:
-            del self._engines[upstream_id]
+    def holds_first(self, upstream_id: str, chain: array) -> bool:
+        """Tell whether the engine may hold the first block of ``chain``."""
+        engine = self._engines.get(upstream_id)
+        return engine is not None and bool(chain) and engine.holds(chain[0])
 
     @property
     def n_blocks(self) -> int:
--- a/buckthornrock/routing/port.py
+++ b/buckthornrock/routing/port.py
@@ -5,6 +5,7 @@
 
 from expression import Result
 
+from .directory import LevelSend, LevelView
 from .errors import NoEngine
 from .index import CacheEventLike
 from .kept import Export
@@ -127,6 +128,12 @@
         ``digest(now_ms) -> PeerDigest``: what peers can't know, since the last one.
     on_peer : callable
         ``on_peer(instance_id, digest, now_ms)``: a peer's :attr:`digest`.
+    take_level_sends : callable
+        ``take_level_sends() -> list of LevelSend``, for the levels' owners.
+    on_level_sends : callable
+        ``on_level_sends(sends, now_ms) -> list of LevelView``, at the owner.
+    on_level_views : callable
+        ``on_level_views(views, now_ms)``: the owner's answer.
     """
 
     choose: Callable[
@@ -144,3 +151,6 @@
     on_imported: Callable[[RouteQuery, RouteChoice, int, float, float], None]
     digest: Callable[[float], PeerDigest]
     on_peer: Callable[[str, PeerDigest, float], None]
+    take_level_sends: Callable[[], list[LevelSend]]
+    on_level_sends: Callable[[Sequence[LevelSend], float], list[LevelView]]
+    on_level_views: Callable[[Sequence[LevelView], float], None]
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -34,6 +34,8 @@
     membership_messages.ProbeReply,
     membership_messages.News,
     routing_messages.RoutingDigest,
+    routing_messages.LevelReport,
+    routing_messages.LevelAnswer,
 )
 
 
--- a/buckthornrock/wire/routing_messages.py
+++ b/buckthornrock/wire/routing_messages.py
@@ -14,3 +14,21 @@
     n_tokens: dict[str, int]
     leaving: tuple[str, ...] = ()
     kept: tuple[int, ...] = ()
+
+
+class LevelReport(Message, tag="routing.level_report"):
+    """Sends of prefix levels that the receiver owns.
+
+    Each row is (hash of the level's last block, upstream, its work in milliseconds).
+    """
+
+    sends: tuple[tuple[int, str, float], ...]
+
+
+class LevelAnswer(Message, tag="routing.level_answer"):
+    """The owner's views of the levels of a report.
+
+    Each row is (hash, engines' time that the level takes, upstreams that hold it).
+    """
+
+    views: tuple[tuple[int, float, tuple[str, ...]], ...]
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -9,6 +9,8 @@
 from buckthornrock.routing import PeerDigest, RouteQuery
 from buckthornrock.routing.blocks import BlockHasher, hex_from_hashes
 from buckthornrock.routing.cost import CostRouter, RoutingContext
+from buckthornrock.routing.directory import LevelOwner, LevelView
+from buckthornrock.routing.levels import Level
 from buckthornrock.routing.policies import open_routing
 from buckthornrock.upstreams.engine_messages import CacheEvent
 
@@ -163,16 +165,54 @@
     assert chosen(router, query(), now_ms=2.0).n_hit_tokens == 0
 
 
-@pytest.mark.parametrize(("is_on", "is_wide"), [(True, True), (False, False)])
-def test_hot_prefix_widens_and_narrows(is_on, is_wide):
-    router = CostRouter(context(n_instances=7, terms={"widening": is_on}))
+def send_for_a_while(router, name="r"):
     for at_ms in range(0, 4_000, 40):
-        asked = query(request_id=str(at_ms), n_output_tokens=200)
+        asked = query(request_id=f"{name}{at_ms}", n_output_tokens=200)
         router.on_sent(asked, chosen(router, asked, now_ms=at_ms), at_ms)
-    level = BlockHasher(64).chain(chosen(router, query()).cache_salt, CONTRACT)[-1]
-    n_instances = 7 if is_on else 0
-    assert (router._demand.n_homes(level, n_instances, 4_000.0) > 1) == is_wide
-    assert router._demand.n_homes(level, n_instances, 60_000.0) == 1
+
+
+@pytest.mark.parametrize("is_on", [True, False])
+def test_hot_prefix_widens_and_narrows(is_on):
+    router = CostRouter(context(n_instances=7, terms={"widening": is_on}))
+    send_for_a_while(router)
+    chain = BlockHasher(64).chain(chosen(router, query()).cache_salt, CONTRACT)
+    level = Level(len(chain), chain[-1])
+    assert (router._n_homes(level, 4_000.0) > 1) == is_on
+    assert router._n_homes(level, 60_000.0) == 1
+
+
+def test_owner_of_a_level_sums_the_demand_of_all_instances():
+    owner = CostRouter(context())
+    routers = [CostRouter(context(n_instances=3)) for _ in range(3)]
+    for number, router in enumerate(routers):
+        send_for_a_while(router, f"r{number}-")
+        sends = router.take_level_sends()
+        views = owner.on_level_sends(sends, 4_000.0)
+    alone = LevelOwner().report(sends, 4_000.0)
+    assert views[0].n_engines == pytest.approx(3 * alone[0].n_engines)
+    assert set(views[0].holders) <= {engine.upstream_id for engine in ENGINES}
+
+
+def test_level_view_stands_in_for_an_index_that_others_keep():
+    router = CostRouter(context(terms={"homes": False, "random_ties": False}))
+    chain = BlockHasher(64).chain(chosen(router, query()).cache_salt, CONTRACT)
+    router.on_level_views([LevelView(chain[-1], 0.1, ("e2",))], 0.0)
+    choice = chosen(router, query(), now_ms=1.0)
+    assert (choice.upstream_id, choice.n_hit_tokens) == ("e2", 512)
+    assert chosen(router, query(), now_ms=5_000.0).n_hit_tokens == 0
+    # Events are better than hints: an engine that is heard of holds what they say.
+    router.on_events("e2", "i1", [], 5_000.0)
+    router.on_level_views([LevelView(chain[-1], 0.1, ("e2",))], 5_000.0)
+    assert chosen(router, query(), now_ms=5_001.0).n_hit_tokens == 0
+
+
+def test_large_fleet_estimates_homes_holders_and_a_sample():
+    router = CostRouter(context())
+    engines = [engine(f"e{i}") for i in range(200)]
+    salt = chosen(router, query(), engines).cache_salt
+    store(router, "e77", salt, CONTRACT)
+    picks = [chosen(router, query(), engines).upstream_id for _ in range(5)]
+    assert picks == ["e77"] * 5
 
 
 def test_follower_waits_for_the_prefix_it_shares():
@@ -221,3 +261,17 @@
     router.on_exported(export, len(export.hashes), 5.0, 2.0)
     other = query(member="south")
     assert chosen(router, other, now_ms=4.0).import_hashes == ()
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "n_hit_tokens", "is_doubtful"),
+    [(1_000.0, 512, False), (3_000.0, 512, True), (6_000.0, 0, False)],
+)
+def test_entries_without_news_become_doubtful_and_then_void(
+    now_ms, n_hit_tokens, is_doubtful
+):
+    router = CostRouter(context(terms={"homes": False}))
+    store(router, "e2", chosen(router, query()).cache_salt, CONTRACT)
+    choice = chosen(router, query(), now_ms=now_ms)
+    assert choice.n_hit_tokens == n_hit_tokens
+    assert (dict(choice.terms)["prefill"] > 10.0) == (is_doubtful or not n_hit_tokens)
