--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -2,6 +2,7 @@
 
 from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
+from ..dispatch.preparation import open_preparation
 from ..routing import RoutingPort
 from .core import Core
 from .fleet import FleetParts
@@ -21,4 +22,10 @@
         fleet.engines,
         core.telemetry,
         core.clock.now_ms,
+        open_preparation(
+            routing,
+            fleet.control.import_cache,
+            core.settings.routing.cache_store,
+            core.clock,
+        ),
     )
