Add decision records, the burn report and explain

Cause: nothing told an operator which account burns its error budget, nor why a request went where it went. Change: telemetry keeps a bounded ring of decision records and ring-buffered counts a profile, work class and account; operator routes /v1/burn and /v1/decisions/ID; buckthornrock report burn (text and one HTML page) and explain, read from all instances with the unreachable ones named. Figures: tests/telemetry: windows forget at 5 and 60 slots, 10 accounts on 4 keys give 5 rows and lose no count, 8 threads lose none of 1,600 endings. Conclusion: the report says what it lacks: unreachable instances, windows that went with a replaced instance, accounts that are counted together.

--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -5,7 +5,9 @@
 from .. import __version__
 from .check import check
 from .demo import demo
+from .explain import explain
 from .load import load
+from .report import report
 from .serve import serve
 
 
@@ -19,3 +21,5 @@
 main.add_command(check)
 main.add_command(demo)
 main.add_command(load)
+main.add_command(report)
+main.add_command(explain)
--- a/buckthornrock/commands/demo.py
+++ b/buckthornrock/commands/demo.py
@@ -4,7 +4,7 @@
 
 import click
 
-from .demo_steps import STEPS
+from .demo_steps import STEPS, burn_lines
 from .demo_world import start_world
 
 
@@ -20,6 +20,8 @@
             click.echo(f"{'FAILED' if problem else 'held  '}  {title}")
             if problem:
                 click.echo(f"        {problem}")
+        for line in burn_lines(world):
+            click.echo(line)
     finally:
         world.stop()
     click.echo(f"{len(STEPS) - n_failed} of {len(STEPS)} held")
--- a/buckthornrock/commands/demo_steps.py
+++ b/buckthornrock/commands/demo_steps.py
@@ -6,6 +6,9 @@
 import msgspec
 
 from ..standins.engine import output_token
+from ..telemetry.burn import BurnDocument
+from ..telemetry.burn_report import merge_documents
+from ..telemetry.burn_text import report_lines
 from .demo_world import World, demo_profile
 
 WAIT_LIMIT_S = 10.0
@@ -56,6 +59,13 @@
     return _difference(response.json()["n_runs"], 1)
 
 
+def burn_lines(world: World) -> list[str]:
+    """Return the burn report over what the demo sent."""
+    raw = world.operate("GET", "/v1/burn").data
+    document = msgspec.json.decode(raw, type=BurnDocument)
+    return report_lines(merge_documents([document], ()))
+
+
 def _expected(prompt: str, n_tokens: int) -> str:
     return "".join(output_token("w1", prompt, index) for index in range(n_tokens))
 
--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -10,7 +10,9 @@
 from ..platform import KvPort, open_kv
 from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
-from ..telemetry import Telemetry, open_log, open_metrics
+from ..telemetry import Telemetry
+from ..telemetry.burn import BurnAccounts
+from .telemetry import build_telemetry
 
 
 class Core(NamedTuple):
@@ -23,6 +25,7 @@
 
     settings: Settings
     telemetry: Telemetry
+    burn: BurnAccounts
     clock: Clock
     timer: Timer
     kv: KvPort
@@ -34,14 +37,13 @@
 
 def build_core(settings: Settings, log_stream: IO[str] | None) -> Core:
     """Wire telemetry, clock, timer and the key-value service."""
-    section = settings.telemetry
-    prefix = f"{section.statsd_prefix}.{settings.instance_id}"
-    metrics = open_metrics(section.statsd_host, section.statsd_port, prefix)
-    telemetry = Telemetry(open_log(log_stream), metrics)
+    clock = system_clock()
+    telemetry, burn = build_telemetry(settings, clock, log_stream)
     return Core(
         settings=settings,
         telemetry=telemetry,
-        clock=system_clock(),
+        burn=burn,
+        clock=clock,
         timer=Timer(),
         kv=open_kv(settings.platform.kv, telemetry),
         rng=random.Random(os.urandom(16)),
--- a/buckthornrock/compose/operator.py
+++ b/buckthornrock/compose/operator.py
@@ -3,8 +3,10 @@
 from ..entry import EntryParts
 from ..httpd import HttpServer, start_server
 from ..membership import MembershipPort
-from ..operator import OperatorParts, build_operator
+from ..operator import OperatorParts, OperatorRoute, build_operator
 from ..operator.profiles import profile_routes
+from ..operator.reports import report_routes
+from ..telemetry.burn import BurnDocument
 from .core import Core
 
 
@@ -17,12 +19,19 @@
         keys_sha256=section.keys_sha256,
         is_ready=lambda: True,
         status=lambda: _status(core, parts, membership),
-        routes=profile_routes(parts.profiles),
+        routes=(*profile_routes(parts.profiles), *_report_routes(core)),
     )
     handler = build_operator(operator_parts)
     return start_server(section.host, section.port, handler, section.n_threads)
 
 
+def _report_routes(core: Core) -> tuple[OperatorRoute, ...]:
+    def burn() -> BurnDocument:
+        return core.burn.document(core.settings.instance_id, core.clock.now_ms())
+
+    return report_routes(burn, core.telemetry.decisions.find)
+
+
 def _status(core: Core, parts: EntryParts, membership: MembershipPort) -> dict:
     records = [parts.profiles.current(name).ok for name in parts.profiles.names()]
     return {
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -108,6 +108,17 @@
             yield Problem(BAD_POSITIVE, f"$.admission.{key}", str(value), hint)
 
 
+def _check_telemetry(settings: Settings) -> Iterator[Problem]:
+    section = settings.telemetry
+    if not 0.0 < section.objective < 1.0:
+        hint = "write a share between 0 and 1"
+        yield Problem(BAD_SHARE, "$.telemetry.objective", str(section.objective), hint)
+    if section.n_decisions <= 0:
+        found = str(section.n_decisions)
+        hint = "write more than 0"
+        yield Problem(BAD_POSITIVE, "$.telemetry.n_decisions", found, hint)
+
+
 #: All checks, in the order in which they are reported.
 CHECKS: tuple[Callable[[Settings], Iterator[Problem]], ...] = (
     _check_names,
@@ -116,4 +127,5 @@
     _check_hashes,
     _check_upstreams,
     _check_shares,
+    _check_telemetry,
 )
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -65,6 +65,12 @@
 STATSD_HOST = ""
 STATSD_PORT = 8125
 STATSD_PREFIX = "buckthornrock"
+#: Share of requests that has to be on time.
+TELEMETRY_OBJECTIVE = 0.95
+#: The burn report counts in slots of this length, over 30 and over 360 of them.
+TELEMETRY_BURN_SLOT_MS = 10_000
+#: Decision records that an instance keeps.
+TELEMETRY_DECISIONS = 1_024
 
 # Admission: ranks, queues and limits
 #: "aimd", "gradient" or "fixed".
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -174,12 +174,19 @@
 
 
 class TelemetrySettings(NamedTuple):
-    """Where metrics and logs go; an empty ``statsd_host`` sends no metrics."""
+    """Where metrics and logs go, and what the instance keeps for reports.
+
+    An empty ``statsd_host`` sends no metrics. ``objective`` is the share of requests
+    that has to be on time.
+    """
 
     statsd_host: str = defaults.STATSD_HOST
     statsd_port: int = defaults.STATSD_PORT
     statsd_prefix: str = defaults.STATSD_PREFIX
     log_path: str = "-"
+    objective: float = defaults.TELEMETRY_OBJECTIVE
+    burn_slot_ms: int = defaults.TELEMETRY_BURN_SLOT_MS
+    n_decisions: int = defaults.TELEMETRY_DECISIONS
 
 
 class AdmissionSettings(NamedTuple):
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -17,6 +17,7 @@
 from ..upstreams.errors import StreamFailure
 from .errors import AnswerIncomplete
 from .preparation import Preparation
+from .recording import ending_of, facts_of
 from .requests import (
     CompletionChunk,
     CompletionDone,
@@ -72,12 +73,27 @@
         self, request: CompletionRequest, sink: CompletionSink
     ) -> Result[CompletionDone, Failure]:
         """Deliver the whole answer to ``sink``, or return why not."""
+        parts = self._parts
+        decisions = parts.telemetry.decisions
+        decisions.begin(facts_of(request), parts.now_ms())
+        # What stands if an exception passes through.
+        result = Error(AnswerIncomplete(0, "internal-error"))
+        try:
+            result = self._admit_and_run(request, sink)
+        finally:
+            decisions.end(request.request_id, *ending_of(result), parts.now_ms())
+        return result
+
+    def _admit_and_run(
+        self, request: CompletionRequest, sink: CompletionSink
+    ) -> Result[CompletionDone, Failure]:
         parts = self._parts
         query = _admission_query(request)
         ticket = parts.admission.admit(query, sink.is_gone)
         if ticket.is_error():
             return ticket
         progress = _Progress(parts.now_ms())
+        parts.telemetry.decisions.on_admitted(request.request_id, parts.now_ms())
         try:
             return self._attempt_until_done(request, sink, progress)
         finally:
@@ -101,6 +117,9 @@
             if choice.is_error():
                 return Error(_no_more_engines(choice.error, failure, progress))
             progress.n_prompt_tokens = choice.ok.n_prompt_tokens
+            self._parts.telemetry.decisions.on_choice(
+                request.request_id, choice.ok, len(candidates), self._parts.now_ms()
+            )
             result = self._attempt(request, query, choice.ok, sink, progress)
             if result.is_ok() or isinstance(result.error, CallerGone):
                 return result
@@ -118,6 +137,7 @@
     ) -> None:
         parts = self._parts
         progress.excluded.add(choice.upstream_id)
+        parts.telemetry.decisions.on_failed(request.request_id, failure.code)
         parts.fleet.note_outcome(choice.upstream_id, is_ok=False)
         parts.routing.on_failed(query, choice, parts.now_ms())
         parts.telemetry.metrics.incr(ATTEMPTS_FAILED)
@@ -182,6 +202,7 @@
     ) -> None:
         now_ms = self._parts.now_ms()
         progress.ttft_ms = now_ms - progress.started_at_ms
+        self._parts.telemetry.decisions.on_first_token(query.request_id, now_ms)
         self._parts.routing.on_first_token(query, choice, progress.ttft_ms, now_ms)
 
 
--- a/buckthornrock/entry/errors.py
+++ b/buckthornrock/entry/errors.py
@@ -56,3 +56,11 @@
     """The instance failed in a way that it should not."""
 
     code = "internal-error"
+
+
+class UnknownRequest(NamedTuple):
+    """No decision record of the request is kept here."""
+
+    request_id: str
+
+    code = "unknown-request"
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -67,6 +67,7 @@
     dispatch.EventIdMismatch: ProblemRule(409, "Another request body", "true"),
     deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
     deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
+    entry.UnknownRequest: ProblemRule(404, "No record of the request", "true"),
     deferred.JobUnreadable: ProblemRule(503, "The job can't be read now", "true"),
     DeadlineExceeded: ProblemRule(504, "The deadline passed", None),
     Unavailable: ProblemRule(503, "Unavailable", "true"),
--- a/buckthornrock/telemetry/port.py
+++ b/buckthornrock/telemetry/port.py
@@ -2,12 +2,14 @@
 
 from typing import NamedTuple
 
+from .decisions import Decisions, no_decisions
 from .log import Log
 from .metrics import Metrics
 
 
 class Telemetry(NamedTuple):
-    """Log and metrics, passed to every part together."""
+    """Log, metrics and decision records, passed to every part together."""
 
     log: Log
     metrics: Metrics
+    decisions: Decisions = no_decisions()
