--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -25,7 +25,10 @@
     fleet = Fleet(section.servers, core.clock.now_ms, core.telemetry.log, core.rng)
     core.list_listeners.append(lambda body: _note_list(fleet, body))
     return FleetParts(
-        fleet, EngineClient(section), ServiceClient(section), EngineControl()
+        fleet,
+        EngineClient(section),
+        ServiceClient(section, core.clock.now_ms),
+        EngineControl(),
     )
 
 
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -18,6 +18,7 @@
     max_body_bytes: int = defaults.ENTRY_MAX_BODY_BYTES
     read_timeout_ms: int = defaults.ENTRY_READ_TIMEOUT_MS
     deadline_ms: int = defaults.ENTRY_DEADLINE_MS
+    drain_grace_ms: int = defaults.ENTRY_DRAIN_GRACE_MS
     drain_limit_ms: int = defaults.ENTRY_DRAIN_LIMIT_MS
 
 
@@ -101,6 +102,17 @@
     read_timeout_ms: int = defaults.UPSTREAM_READ_TIMEOUT_MS
     poll_period_ms: int = defaults.UPSTREAM_POLL_PERIOD_MS
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
+    answer_buffer_bytes: int = defaults.UPSTREAM_ANSWER_BUFFER_BYTES
+    max_answer_bytes: int = defaults.UPSTREAM_MAX_ANSWER_BYTES
+
+
+class IdempotencySettings(NamedTuple):
+    """How long and how much is remembered of calls with an idempotency key."""
+
+    retention_s: int = defaults.IDEMPOTENCY_RETENTION_S
+    max_outcome_bytes: int = defaults.IDEMPOTENCY_MAX_OUTCOME_BYTES
+    issued_key_ttl_ms: int = defaults.IDEMPOTENCY_ISSUED_KEY_TTL_MS
+    n_issued_keys: int = defaults.IDEMPOTENCY_N_ISSUED_KEYS
 
 
 class RoutingTermSettings(NamedTuple):
@@ -162,12 +174,19 @@
 
 
 class TelemetrySettings(NamedTuple):
-    """Where metrics and logs go; an empty ``statsd_host`` sends no metrics."""
+    """Where metrics and logs go, and what the instance keeps for reports.
+
+    An empty ``statsd_host`` sends no metrics. ``objective`` is the share of requests
+    that has to be on time.
+    """
 
     statsd_host: str = defaults.STATSD_HOST
     statsd_port: int = defaults.STATSD_PORT
     statsd_prefix: str = defaults.STATSD_PREFIX
     log_path: str = "-"
+    objective: float = defaults.TELEMETRY_OBJECTIVE
+    burn_slot_ms: int = defaults.TELEMETRY_BURN_SLOT_MS
+    n_decisions: int = defaults.TELEMETRY_DECISIONS
 
 
 class AdmissionSettings(NamedTuple):
@@ -213,5 +232,6 @@
     wire: WireSettings = WireSettings()
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    idempotency: IdempotencySettings = IdempotencySettings()
     admission: AdmissionSettings = AdmissionSettings()
     deferred: DeferredSettings = DeferredSettings()
