Settle lost answers of the key-value service, and hold a lease

Cause: one read-back was taken as proof, calls had no budget, and nothing held a lease. Change: a client with a token bucket a kind (the instance's share of the fleet's budget, urgent kinds first), circuit breaker, jittered retries, paging and watches. A lost answer is settled by sending the same compare-and-swap with the same write id again; a read-back only ever proves that it took effect.

--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -7,16 +7,33 @@
 
 from ..conf import Settings
 from ..events import lifecycle as events
-from ..platform import KvPort, open_kv
+from ..platform import KvPort, LeaseHolder, open_kv
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
 from ..telemetry import Telemetry, open_log, open_metrics
 
+INCARNATION_BYTES = 8
+LEASE_STEP_PERIOD_MS = 500.0
+
+
+class FleetSize:
+    """The number of instances that share the fleet's budgets.
+
+    Attributes
+    ----------
+    n_instances : callable
+        Membership replaces it; until then the instance counts itself only.
+    """
+
+    def __init__(self) -> None:
+        self.n_instances: Callable[[], int] = lambda: 1
+
 
 class Core(NamedTuple):
     """Parts that the others are built on.
 
-    ``loops`` collects every periodic actor, to be stopped at shutdown, and
-    ``closers`` the functions that close what the parts opened.
+    ``lease`` is the one lease of this instance. ``loops`` collects every periodic
+    actor, to be stopped at shutdown, and ``closers`` the functions that close what
+    the parts opened; they are called last to first.
     """
 
     settings: Settings
@@ -24,6 +41,9 @@
     clock: Clock
     timer: Timer
     kv: KvPort
+    lease: LeaseHolder
+    fleet_size: FleetSize
+    incarnation: str
     rng: random.Random
     loops: list[PeriodicHandle]
     closers: list[Callable[[], None]]
@@ -35,16 +55,34 @@
     prefix = f"{section.statsd_prefix}.{settings.instance_id}"
     metrics = open_metrics(section.statsd_host, section.statsd_port, prefix)
     telemetry = Telemetry(open_log(log_stream), metrics)
-    return Core(
+    clock = system_clock()
+    rng = random.Random(os.urandom(16))
+    fleet_size = FleetSize()
+    kv_settings = settings.platform.kv
+    kv = open_kv(kv_settings, telemetry, clock, rng, lambda: fleet_size.n_instances())
+    incarnation = os.urandom(INCARNATION_BYTES).hex()
+    lease = LeaseHolder(
+        kv,
+        kv_settings.lease_ttl_s,
+        clock.now_ms,
+        telemetry,
+        guard_key=f"instances/{settings.instance_id}/{incarnation}",
+    )
+    core = Core(
         settings=settings,
         telemetry=telemetry,
-        clock=system_clock(),
+        clock=clock,
         timer=Timer(),
-        kv=open_kv(settings.platform.kv, telemetry),
-        rng=random.Random(os.urandom(16)),
+        kv=kv,
+        lease=lease,
+        fleet_size=fleet_size,
+        incarnation=incarnation,
+        rng=rng,
         loops=[],
-        closers=[],
+        closers=[lease.close],
     )
+    run_periodically(core, "platform.lease", lease.step, LEASE_STEP_PERIOD_MS)
+    return core
 
 
 def run_periodically(
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -102,6 +102,6 @@
     core.timer.stop()
     entry.stop()
     operator.stop()
-    for close in core.closers:
+    for close in reversed(core.closers):
         close()
     return 0
--- a/buckthornrock/compose/membership.py
+++ b/buckthornrock/compose/membership.py
@@ -1,7 +1,5 @@
 """Wires membership and the inner protocol."""
 
-import os
-
 from ..membership import InstanceView, MembershipPort
 from ..membership.port import alone
 from ..membership.service import (
@@ -14,18 +12,16 @@
 from ..wire import Identity, PeerAddress, Transport, open_transport
 from .core import Core, run_periodically
 
-INCARNATION_BYTES = 8
-
 
 def build_membership(core: Core) -> MembershipPort:
     """Wire the view of the live instances."""
     settings = core.settings
-    incarnation = os.urandom(INCARNATION_BYTES).hex()
     if settings.wire.port == 0:
-        return alone(_view(core, "", incarnation))
-    identity = Identity(settings.instance_id, incarnation)
+        return alone(_view(core, ""))
+    identity = Identity(settings.instance_id, core.incarnation)
     transport = open_transport(identity, settings.wire, core.telemetry)
     service = _build_service(core, transport)
+    core.fleet_size.n_instances = service.n_known
     run_periodically(core, "membership.probe", service.probe, PROBE_PERIOD_MS)
     run_periodically(core, "membership.news", service.spread_news, NEWS_PERIOD_MS)
     _poll_list(core, service)
@@ -37,7 +33,7 @@
 def _build_service(core: Core, transport: Transport) -> MembershipService:
     section = core.settings.wire
     return MembershipService(
-        view=_view(core, transport.address, transport.identity.incarnation),
+        view=_view(core, transport.address),
         transport=transport,
         seeds=[PeerAddress(peer.id, peer.address) for peer in section.peers],
         probe_timeout_ms=section.timeout_ms,
@@ -59,12 +55,12 @@
     run_periodically(core, "membership.list", step, section.period_ms)
 
 
-def _view(core: Core, address: str, incarnation: str) -> InstanceView:
+def _view(core: Core, address: str) -> InstanceView:
     settings = core.settings
     return InstanceView(
         instance_id=settings.instance_id,
         address=address,
         failure_domain=settings.failure_domain,
         region=settings.region,
-        incarnation=incarnation,
+        incarnation=core.incarnation,
     )
--- a/buckthornrock/events/platform.py
+++ b/buckthornrock/events/platform.py
@@ -1,1 +1,33 @@
-"""Log events of the platform's services (numbers 1200 to 1299)."""
+"""Log events of the platform's services and of leases (numbers 1200 to 1299)."""
+
+from .event import Event
+
+KV_DOWN = Event(
+    1200,
+    "platform.kv_down",
+    "warning",
+    ("reason",),
+    "The key-value service failed several times in a row; calls are held back but "
+    "for trials.",
+)
+KV_BACK = Event(
+    1201,
+    "platform.kv_back",
+    "info",
+    (),
+    "The key-value service answers again.",
+)
+LEASE_GRANTED = Event(
+    1202,
+    "platform.lease_granted",
+    "info",
+    ("lease_id", "ttl_s"),
+    "The instance holds a new lease.",
+)
+LEASE_LOST = Event(
+    1203,
+    "platform.lease_lost",
+    "warning",
+    ("lease_id", "reason"),
+    "The lease lapsed or is gone; what it guarded may now belong to others.",
+)
--- a/buckthornrock/membership/detector.py
+++ b/buckthornrock/membership/detector.py
@@ -127,6 +127,12 @@
         """Return the live and suspected instances, sorted by id."""
         return self._live
 
+    def n_known(self) -> int:
+        """Return the number of instances that have not said that they left."""
+        staying = {id_ for id_, r in self._records.items() if r.state != "left"}
+        unseen = self._candidates.keys() - self._records.keys()
+        return max(1, len(staying) + len(unseen))
+
     def record(self, instance_id: str) -> MemberRecord | None:
         """Return what is known about an instance."""
         return self._records.get(instance_id)
--- a/buckthornrock/membership/service.py
+++ b/buckthornrock/membership/service.py
@@ -66,6 +66,7 @@
         self._detector = Detector(_record_of(view, clock.wall_ms()))
         self._detector.set_candidates(self._seeds)
         self._views: tuple[InstanceView, ...] = (view,)
+        self._n_known = self._detector.n_known()
         self._news: list[MemberRecord] = []
         self._list_read_at_ms = -RARE_LIST_PERIOD_MS
         self._pool = ThreadPoolExecutor(N_PROBE_THREADS, "probe")
@@ -80,6 +81,15 @@
         """Return the live instances, sorted by id, with this one."""
         return self._views
 
+    def n_known(self) -> int:
+        """Return how many instances may be running, this one included.
+
+        More than the live ones: those that were live of late and those that the list
+        and the settings name. Shares of a budget are cut by this number, so that a
+        split or a herd of restarts does not overdraw it.
+        """
+        return self._n_known
+
     def tell(self, instance_id: str, message: Message) -> None:
         """Send in the background, at best effort."""
         peer = self._peer(instance_id)
@@ -134,6 +144,7 @@
         live = [ProbeTarget(i.id, i.address) for i in listed.ok if i.state == "live"]
         with self._lock:
             self._detector.set_candidates(self._seeds + live)
+            self._n_known = self._detector.n_known()
 
     def leave(self) -> None:
         """Tell a few instances that this one leaves; they tell the others."""
@@ -208,6 +219,7 @@
             return
         with self._lock:
             self._views = tuple(map(_view_of, self._detector.live()))
+            self._n_known = self._detector.n_known()
             self._news += fresh if to_spread is None else to_spread
         for record in fresh:
             self._log(record)
--- a/buckthornrock/platform/__init__.py
+++ b/buckthornrock/platform/__init__.py
@@ -14,6 +14,7 @@
     Put,
     Transaction,
 )
+from .lease import LeaseHolder
 
 __all__ = [
     "CommitConflict",
@@ -25,6 +26,7 @@
     "Delete",
     "KvEntry",
     "KvPort",
+    "LeaseHolder",
     "Put",
     "Transaction",
     "open_kv",
--- a/buckthornrock/platform/kv_client.py
+++ b/buckthornrock/platform/kv_client.py
@@ -1,38 +1,65 @@
-"""The key-value service over its etcd v3 JSON gateway."""
+"""The key-value service over its etcd v3 JSON gateway: retries and outcomes."""
 
-import base64
 import os
+import random
+from collections.abc import Callable, Iterator
 
-import msgspec
-import urllib3
 from expression import Error, Ok, Result
 
 from ..conf.settings import KvSettings
+from ..runtime import Clock, system_clock
 from ..telemetry import Telemetry
-from ..telemetry.metrics import KV_CALLS, KV_FAILURES
+from .breaker import backoff_ms
+from .budget import LEASE_KIND, CallKind, kind_of
 from .errors import KvUnavailable, LeaseGone
+from .kv_codec import WRITE_ID_BYTES, KvCodec
+from .kv_http import CallFailed, KvHttp
 from .kv_port import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
     CommitOutcome,
     CommitUnknown,
-    Compare,
-    Delete,
     KvEntry,
     KvPort,
     LeaseGrant,
     Put,
     Transaction,
+    WatchBatch,
 )
 
-WRITE_ID_BYTES = 16
-N_POOLED_CONNECTIONS = 8
-
-
-def open_kv(settings: KvSettings, telemetry: Telemetry) -> KvPort:
-    """Return the port to the key-value service at ``settings.url``."""
-    client = _KvClient(settings, telemetry)
+READ_LIMIT_MS = 2_500.0
+COMMIT_LIMIT_MS = 4_000.0
+READ_BACK_LIMIT_MS = 500.0
+PAGE_ENTRIES = 200
+
+
+def open_kv(
+    settings: KvSettings,
+    telemetry: Telemetry,
+    clock: Clock | None = None,
+    rng: random.Random | None = None,
+    n_instances: Callable[[], int] = lambda: 1,
+) -> KvPort:
+    """Return the port to the key-value service at ``settings.url``.
+
+    Parameters
+    ----------
+    settings : KvSettings
+        URL, time-outs, key prefix and the fleet's budget.
+    telemetry : Telemetry
+        Counts every call by kind.
+    clock : Clock, optional
+        Defaults to this machine's.
+    rng : random.Random, optional
+        Source of the jitter.
+    n_instances : callable
+        Number of instances that share the fleet's budget.
+    """
+    clock = clock or system_clock()
+    rng = rng or random.Random()
+    http = KvHttp(settings, telemetry, clock, rng, n_instances)
+    client = KvClient(http, KvCodec(settings.key_prefix), clock, rng)
     return KvPort(
         get=client.get,
         get_prefix=client.get_prefix,
@@ -40,143 +67,148 @@
         grant_lease=client.grant_lease,
         keep_alive=client.keep_alive,
         revoke_lease=client.revoke_lease,
+        watch=client.watch,
     )
 
 
-class _KvClient:
-    """Connection pool and codec; holds no other state."""
+class KvClient:
+    """Retries over one HTTP client; holds no other state.
 
-    def __init__(self, settings: KvSettings, telemetry: Telemetry) -> None:
-        self._url = settings.url.rstrip("/")
-        self._prefix = settings.key_prefix
-        self._telemetry = telemetry
-        self._pool = urllib3.PoolManager(
-            maxsize=N_POOLED_CONNECTIONS,
-            retries=False,
-            timeout=urllib3.Timeout(total=settings.timeout_ms / 1000.0),
-        )
+    The methods are those of :class:`KvPort`.
+    """
+
+    def __init__(
+        self, http: KvHttp, codec: KvCodec, clock: Clock, rng: random.Random
+    ) -> None:
+        self._http = http
+        self._codec = codec
+        self._clock = clock
+        self._rng = rng
 
     def get(self, key: str) -> Result[KvEntry | None, KvUnavailable]:
-        answer = self._call("range", "/v3/kv/range", {"key": self._encode(key)})
-        return answer.map(lambda body: next(iter(self._entries(body)), None))
+        """Return one key."""
+        answer = self._read(kind_of(key), self._codec.encode_get(key))
+        return answer.map(
+            lambda body: next(iter(self._codec.decode_entries(body)), None)
+        )
 
     def get_prefix(self, prefix: str) -> Result[list[KvEntry], KvUnavailable]:
-        start = (self._prefix + prefix).encode()
-        end = start[:-1] + bytes([start[-1] + 1])
-        body = {"key": _b64(start), "range_end": _b64(end)}
-        return self._call("range", "/v3/kv/range", body).map(self._entries)
-
-    def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Return all keys with a prefix, read in pages."""
+        entries: list[KvEntry] = []
+        key, end = self._codec.raw_range(prefix)
+        while key is not None:
+            body = self._codec.encode_range(key, end, PAGE_ENTRIES)
+            answer = self._read(kind_of(prefix), body)
+            if answer.is_error():
+                return answer
+            page = self._codec.decode_page(answer.ok)
+            entries += page.entries
+            key = page.next_key
+        return Ok(entries)
+
+    def commit(
+        self, transaction: Transaction, limit_ms: float = COMMIT_LIMIT_MS
+    ) -> CommitOutcome:
+        """Write, and settle a lost answer until ``limit_ms`` has passed."""
         write_id = os.urandom(WRITE_ID_BYTES)
-        body = self._encode_transaction(transaction, write_id)
-        answer = self._call("txn", "/v3/kv/txn", body)
-        if answer.is_ok():
-            return self._outcome(answer.ok)
-        if answer.error.reason.startswith("NewConnectionError"):
-            return CommitNotDone(answer.error.reason)
-        return self._read_back(transaction, write_id, answer.error.reason)
+        body = self._codec.encode_transaction(transaction, write_id)
+        kind = kind_of(transaction.writes[0].key)
+        give_up_at_ms = self._clock.now_ms() + limit_ms
+        was_sent = False
+        attempt = 0
+        while True:
+            answer = self._http.call(kind, "write", "/v3/kv/txn", body, give_up_at_ms)
+            if answer.is_ok():
+                return self._outcome(answer.ok, write_id, was_sent)
+            was_sent = was_sent or answer.error.was_sent
+            revision = self._own_revision(transaction, write_id) if was_sent else 0
+            if revision:
+                return CommitDone(revision)
+            if not self._wait_to_retry(attempt, give_up_at_ms):
+                break
+            attempt += 1
+        if was_sent:
+            return CommitUnknown(answer.error.reason, write_id)
+        return CommitNotDone(answer.error.reason)
 
     def grant_lease(self, ttl_s: int) -> Result[LeaseGrant, KvUnavailable]:
-        answer = self._call("lease", "/v3/lease/grant", {"TTL": str(ttl_s)})
+        """Ask for a lease."""
+        answer = self._lease_call("/v3/lease/grant", {"TTL": str(ttl_s)})
         return answer.map(lambda body: LeaseGrant(int(body["ID"]), int(body["TTL"])))
 
     def keep_alive(self, lease_id: int) -> Result[int, KvUnavailable | LeaseGone]:
-        body = {"ID": str(lease_id)}
-        answer = self._call("lease", "/v3/lease/keepalive", body)
+        """Renew a lease; return its time to live in seconds."""
+        answer = self._lease_call("/v3/lease/keepalive", {"ID": str(lease_id)})
         if answer.is_error():
             return answer
         ttl_s = int(answer.ok.get("result", {}).get("TTL", 0))
         return Ok(ttl_s) if ttl_s > 0 else Error(LeaseGone(lease_id))
 
     def revoke_lease(self, lease_id: int) -> Result[None, KvUnavailable]:
-        body = {"ID": str(lease_id)}
-        return self._call("lease", "/v3/lease/revoke", body).map(lambda _: None)
-
-    def _call(self, kind: str, path: str, body: dict) -> Result[dict, KvUnavailable]:
-        metrics = self._telemetry.metrics
-        metrics.incr(KV_CALLS, label=kind)
-        try:
-            response = self._pool.request(
-                "POST", self._url + path, body=msgspec.json.encode(body)
-            )
-        except urllib3.exceptions.HTTPError as error:
-            metrics.incr(KV_FAILURES, label=kind)
-            return Error(KvUnavailable(type(error).__name__))
-        if response.status != 200:
-            metrics.incr(KV_FAILURES, label=kind)
-            return Error(KvUnavailable(f"status {response.status}"))
-        try:
-            return Ok(msgspec.json.decode(response.data))
-        except msgspec.DecodeError:
-            return Error(KvUnavailable("malformed answer"))
-
-    def _read_back(
-        self, transaction: Transaction, write_id: bytes, reason: str
-    ) -> CommitOutcome:
-        for write in transaction.writes:
-            if isinstance(write, Delete):
-                continue
-            entry = self.get(write.key)
-            if entry.is_ok() and entry.ok and entry.ok.write_id == write_id:
-                return CommitDone(entry.ok.mod_revision)
-        return CommitUnknown(reason)
-
-    def _outcome(self, body: dict) -> CommitOutcome:
-        if body.get("succeeded"):
-            return CommitDone(int(body["header"]["revision"]))
-        ranges = (
-            response.get("response_range", {}) for response in body.get("responses", ())
-        )
-        return CommitConflict(
-            tuple(entry for body in ranges for entry in self._entries(body))
-        )
-
-    def _encode_transaction(self, transaction: Transaction, write_id: bytes) -> dict:
-        return {
-            "compare": [self._encode_compare(c) for c in transaction.compares],
-            "success": [self._encode_write(w, write_id) for w in transaction.writes],
-            "failure": [
-                {"request_range": {"key": self._encode(c.key)}}
-                for c in transaction.compares
-            ],
-        }
-
-    def _encode_compare(self, compare: Compare) -> dict:
-        return {
-            "key": self._encode(compare.key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(compare.mod_revision),
-        }
-
-    def _encode_write(self, write: Put | Delete, write_id: bytes) -> dict:
-        if isinstance(write, Delete):
-            return {"request_delete_range": {"key": self._encode(write.key)}}
-        return {
-            "request_put": {
-                "key": self._encode(write.key),
-                "value": _b64(write_id + write.value),
-                "lease": str(write.lease_id),
-            }
-        }
-
-    def _entries(self, body: dict) -> list[KvEntry]:
-        return [self._entry(kv) for kv in body.get("kvs", ())]
-
-    def _entry(self, kv: dict) -> KvEntry:
-        raw = base64.b64decode(kv.get("value", ""))
-        key = base64.b64decode(kv["key"]).decode()
-        return KvEntry(
-            key=key.removeprefix(self._prefix),
-            value=raw[WRITE_ID_BYTES:],
-            mod_revision=int(kv["mod_revision"]),
-            lease_id=int(kv.get("lease", 0)),
-            write_id=raw[:WRITE_ID_BYTES],
+        """Give a lease back."""
+        answer = self._lease_call("/v3/lease/revoke", {"ID": str(lease_id)})
+        return answer.map(lambda _: None)
+
+    def watch(self, prefix: str, start_revision: int) -> Iterator[WatchBatch]:
+        """Yield changes until the watch ends."""
+        body = self._codec.encode_watch(prefix, start_revision)
+        for answer in self._http.stream(kind_of(prefix), "/v3/watch", body):
+            batch = self._codec.decode_watch(answer)
+            if batch is None:
+                return
+            yield batch
+
+    def _read(self, kind: CallKind, body: dict) -> Result[dict, KvUnavailable]:
+        give_up_at_ms = self._clock.now_ms() + READ_LIMIT_MS
+        attempt = 0
+        while True:
+            answer = self._http.call(kind, "read", "/v3/kv/range", body, give_up_at_ms)
+            if answer.is_ok() or not self._wait_to_retry(attempt, give_up_at_ms):
+                return answer.map_error(_unavailable)
+            attempt += 1
+
+    def _lease_call(self, path: str, body: dict) -> Result[dict, KvUnavailable]:
+        # One attempt: the lease holder decides when to try again.
+        give_up_at_ms = self._clock.now_ms() + READ_LIMIT_MS
+        answer = self._http.call(LEASE_KIND, "write", path, body, give_up_at_ms)
+        return answer.map_error(_unavailable)
+
+    def _wait_to_retry(self, attempt: int, give_up_at_ms: float) -> bool:
+        wait_ms = backoff_ms(attempt, self._rng)
+        if self._clock.now_ms() + wait_ms >= give_up_at_ms:
+            return False
+        self._clock.sleep_ms(wait_ms)
+        return True
+
+    def _own_revision(self, transaction: Transaction, write_id: bytes) -> int:
+        """Return where the transaction is seen to have taken effect, or 0.
+
+        Seeing nothing proves nothing: the request may still be on its way.
+        """
+        keys = [write.key for write in transaction.writes if isinstance(write, Put)]
+        if not keys:
+            return 0
+        give_up_at_ms = self._clock.now_ms() + READ_BACK_LIMIT_MS
+        body = self._codec.encode_get(keys[0])
+        answer = self._http.call(
+            kind_of(keys[0]), "read", "/v3/kv/range", body, give_up_at_ms
         )
+        entries = self._codec.decode_entries(answer.default_value({}))
+        own = [entry for entry in entries if entry.write_id == write_id]
+        return own[0].mod_revision if own else 0
 
-    def _encode(self, key: str) -> str:
-        return _b64((self._prefix + key).encode())
-
-
-def _b64(raw: bytes) -> str:
-    return base64.b64encode(raw).decode("ascii")
+    def _outcome(self, body: dict, write_id: bytes, was_sent: bool) -> CommitOutcome:
+        if body.get("succeeded"):
+            return CommitDone(int(body["header"]["revision"]))
+        entries = self._codec.decode_conflict(body)
+        if not was_sent:
+            return CommitConflict(entries)
+        # An earlier copy of this transaction may be what made this one fail.
+        own = [entry for entry in entries if entry.write_id == write_id]
+        if own:
+            return CommitDone(own[0].mod_revision)
+        return CommitUnknown("another write came between", write_id, entries)
+
+
+def _unavailable(failure: CallFailed) -> KvUnavailable:
+    return KvUnavailable(failure.reason)
--- a/buckthornrock/platform/kv_port.py
+++ b/buckthornrock/platform/kv_port.py
@@ -4,7 +4,7 @@
 when it is read back.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from expression import Result
@@ -76,9 +76,16 @@
 
 
 class CommitUnknown(NamedTuple):
-    """The transaction may have taken effect, or may still do so."""
+    """The transaction may have taken effect, or may still do so.
+
+    ``write_id`` is what it would have written with. ``entries`` are the compared
+    keys if the service showed them: they were written by someone since, perhaps
+    over this transaction's own values.
+    """
 
     reason: str
+    write_id: bytes = b""
+    entries: tuple[KvEntry, ...] = ()
 
     code = "kv-unknown"
 
@@ -93,6 +100,18 @@
     ttl_s: int
 
 
+class WatchBatch(NamedTuple):
+    """Changes under a watched prefix, up to ``revision``."""
+
+    revision: int
+    entries: tuple[KvEntry, ...]
+    deleted: tuple[str, ...]
+
+
+def _no_watch(prefix: str, start_revision: int) -> Iterator[WatchBatch]:
+    return iter(())
+
+
 class KvPort(NamedTuple):
     """Functions of the key-value service; keys exclude the settings' prefix.
 
@@ -103,7 +122,10 @@
     get_prefix : callable
         ``get_prefix(prefix) -> Result[list[KvEntry], KvUnavailable]``.
     commit : callable
-        ``commit(transaction) -> CommitOutcome``.
+        ``commit(transaction, limit_ms=...) -> CommitOutcome``. A lost answer is
+        settled by sending the same transaction with the same write id again until
+        the answer is definite or the limit has passed. At least one written key
+        should be compared: only then can a late copy have no second effect.
     grant_lease : callable
         ``grant_lease(ttl_s) -> Result[LeaseGrant, KvUnavailable]``.
     keep_alive : callable
@@ -111,11 +133,16 @@
         time to live in seconds.
     revoke_lease : callable
         ``revoke_lease(lease_id) -> Result[None, KvUnavailable]``.
+    watch : callable
+        ``watch(prefix, start_revision) -> Iterator[WatchBatch]``; the first batch is
+        empty and says that the watch is established (0: from now on). Ends when the
+        service ends it, fails, or is silent for long.
     """
 
     get: Callable[[str], Result[KvEntry | None, KvUnavailable]]
     get_prefix: Callable[[str], Result[list[KvEntry], KvUnavailable]]
-    commit: Callable[[Transaction], CommitOutcome]
+    commit: Callable[..., CommitOutcome]
     grant_lease: Callable[[int], Result[LeaseGrant, KvUnavailable]]
     keep_alive: Callable[[int], Result[int, KvUnavailable | LeaseGone]]
     revoke_lease: Callable[[int], Result[None, KvUnavailable]]
+    watch: Callable[[str, int], Iterator[WatchBatch]] = _no_watch
--- a/buckthornrock/standins/kv.py
+++ b/buckthornrock/standins/kv.py
@@ -1,13 +1,29 @@
 """A key-value service with the etcd v3 JSON gateway's subset that we use."""
 
 import base64
+import copy
+import random
 import threading
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
 
-from ..httpd import Exchange, HttpServer, start_server
+from ..httpd import Exchange, start_server
+from .kv_faults import (
+    HANG_S,
+    NAMED_FAULTS,
+    WATCH_PATH,
+    WRITE_PATHS,
+    CallCounts,
+    KvFaults,
+    draw_fate,
+)
+from .kv_watches import Change, Watches
+
+CONTROL_PATH = "/control"
+N_THREADS = 48
 
 
 class _Value(NamedTuple):
@@ -18,50 +34,161 @@
     lease_id: int
 
 
+class _Image(NamedTuple):
+    """Everything that a snapshot holds."""
+
+    values: dict[bytes, _Value]
+    leases: dict[int, tuple[int, float]]
+    revision: int
+
+
 class KvStandin:
-    """Keys with revisions, transactions and leases, in memory.
+    """Keys with revisions, transactions, leases and watches, in memory.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the draws of faults.
 
     Attributes
     ----------
-    fault : str
-        "" for none, "down" refuses every call, "lose_answers" applies a write and
-        then answers with status 503.
+    faults : KvFaults
+        What goes wrong now.
+    counts : CallCounts
+        Calls by kind; a waiting watch counts as one.
     """
 
-    def __init__(self) -> None:
-        self.fault = ""
-        self.n_calls = 0
+    def __init__(self, seed: int = 0) -> None:
+        self.faults = KvFaults()
+        self.counts = CallCounts()
+        self._fault = ""
+        self._rng = random.Random(seed)
         self._lock = threading.RLock()
         self._values: dict[bytes, _Value] = {}
         self._leases: dict[int, tuple[int, float]] = {}
         self._revision = 1
         self._next_lease_id = 1000
+        self._changes: list[Change] = []
+        self._watches = Watches(self.counts)
+        self._snapshot = _Image({}, {}, 1)
+
+    @property
+    def n_calls(self) -> int:
+        """Number of calls of all kinds so far."""
+        return sum(self.counts.by_kind.values())
+
+    @property
+    def fault(self) -> str:
+        """Name of the fault in force, one of ``NAMED_FAULTS``; "" for none."""
+        return self._fault
+
+    @fault.setter
+    def fault(self, name: str) -> None:
+        self._fault = name
+        self.set_faults(NAMED_FAULTS[name])
+
+    def set_faults(self, faults: KvFaults) -> None:
+        """Change what goes wrong; when nothing is answered, watches end too."""
+        self.faults = faults
+        if faults.refused_share == 1.0 or faults.hang_share == 1.0:
+            self._watches.cancel_all()
+
+    def close_watches(self) -> None:
+        """End every watch."""
+        self._watches.cancel_all()
+
+    def take_snapshot(self) -> None:
+        """Keep the present keys and leases for :meth:`restore`."""
+        with self._lock:
+            self._snapshot = copy.deepcopy(
+                _Image(self._values, self._leases, self._revision)
+            )
+
+    def restore(self) -> None:
+        """Go back to the snapshot, as after an outage that lost the newest writes."""
+        with self._lock:
+            image = copy.deepcopy(self._snapshot)
+            self._values, self._leases, self._revision = image
+            self._watches.cancel_all(forget=True)
+
+    def expire_leases(self) -> None:
+        """Drop every lease now, before its time."""
+        with self._lock:
+            for lease_id in list(self._leases):
+                self._drop_lease(lease_id)
+            self._publish()
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
-        self.n_calls += 1
-        body = msgspec.json.decode(exchange.read_body().default_value(b"{}") or b"{}")
-        if self.fault == "down":
-            exchange.respond_json(503, {"error": "down"})
+        raw = exchange.read_body().default_value(b"{}") or b"{}"
+        body = msgspec.json.decode(raw)
+        if exchange.path == CONTROL_PATH:
+            self._control(exchange, body)
             return
-        operation = _OPERATIONS.get(exchange.path)
-        if operation is None:
+        with self._lock:
+            self.counts.add(exchange.path)
+            is_write = exchange.path in WRITE_PATHS
+            fate = draw_fate(self.faults, is_write, self._rng)
+        if self.faults.latency_ms:
+            time.sleep(self.faults.latency_ms / 1000.0)
+        if fate == "refuse":
+            exchange.respond_json(503, {"error": "down"})
+        elif fate == "hang":
+            _hang(exchange)
+        elif fate == "apply_late":
+            self._apply_late(exchange, body)
+        elif exchange.path == WATCH_PATH:
+            self._watches.serve(exchange, body, self._revision)
+        else:
+            self._answer(exchange, body, is_lost=fate == "lose_answer")
+
+    def _answer(self, exchange: Exchange, body: dict, is_lost: bool) -> None:
+        if exchange.path not in _OPERATIONS:
             exchange.respond_json(404, {"error": "not found"})
             return
-        with self._lock:
-            self._expire_leases()
-            answer = operation(self, body)
-        if self.fault == "lose_answers" and exchange.path in _WRITING_PATHS:
+        answer = self._perform(exchange.path, body)
+        if is_lost:
             exchange.respond_json(503, {"error": "answer lost"})
             return
-        answer["header"] = {"revision": str(self._revision)}
         exchange.respond_json(200, answer)
 
+    def _perform(self, path: str, body: dict) -> dict:
+        with self._lock:
+            self._expire_leases()
+            answer = _OPERATIONS[path](self, body)
+            answer["header"] = {"revision": str(self._revision)}
+            self._publish()
+        return answer
+
+    def _apply_late(self, exchange: Exchange, body: dict) -> None:
+        path = exchange.path
+        delay_s = self.faults.late_ms / 1000.0
+        timer = threading.Timer(delay_s, lambda: self._perform(path, body))
+        timer.daemon = True
+        timer.start()
+        exchange.respond_json(503, {"error": "timed out"})
+
+    def _control(self, exchange: Exchange, body: dict) -> None:
+        if "fault" in body:
+            self.fault = body["fault"]
+        if "faults" in body:
+            self.set_faults(KvFaults(**body["faults"]))
+        for name in ("take_snapshot", "restore", "expire_leases"):
+            if body.get(name):
+                getattr(self, name)()
+        exchange.respond_json(200, {**self.counts.report(), "fault": self._fault})
+
     def _range(self, body: dict) -> dict:
         start = base64.b64decode(body["key"])
         end = base64.b64decode(body.get("range_end", ""))
+        limit = int(body.get("limit", 0))
         keys = sorted(k for k in self._values if _in_range(k, start, end))
-        return {"kvs": [self._encode(k) for k in keys], "count": str(len(keys))}
+        shown = keys[:limit] if limit else keys
+        return {
+            "kvs": [self._encode(k) for k in shown],
+            "count": str(len(keys)),
+            "more": len(shown) < len(keys),
+        }
 
     def _put(self, body: dict) -> dict:
         self._revision += 1
@@ -101,8 +228,8 @@
             return {"response_put": {}}
         if "request_delete_range" in operation:
             key = base64.b64decode(operation["request_delete_range"]["key"])
-            deleted = self._values.pop(key, None)
-            return {"response_delete_range": {"deleted": str(int(bool(deleted)))}}
+            deleted = self._delete(key)
+            return {"response_delete_range": {"deleted": str(int(deleted))}}
         return {"response_range": self._range(operation["request_range"])}
 
     def _apply_put(self, put: dict) -> None:
@@ -115,6 +242,21 @@
             version=old.version + 1 if old else 1,
             lease_id=int(put.get("lease", 0)),
         )
+        event = {"type": "PUT", "kv": self._encode(key)}
+        self._changes.append(Change(key, self._revision, event))
+
+    def _delete(self, key: bytes) -> bool:
+        if self._values.pop(key, None) is None:
+            return False
+        kv = {"key": _b64(key), "mod_revision": str(self._revision)}
+        event = {"type": "DELETE", "kv": kv}
+        self._changes.append(Change(key, self._revision, event))
+        return True
+
+    def _publish(self) -> None:
+        changes, self._changes = self._changes, []
+        if changes:
+            self._watches.publish(changes)
 
     def _compare(self, compare: dict) -> bool:
         value = self._values.get(base64.b64decode(compare["key"]))
@@ -131,16 +273,16 @@
     def _drop_lease(self, lease_id: int) -> None:
         self._leases.pop(lease_id, None)
         keys = [k for k, v in self._values.items() if v.lease_id == lease_id]
-        for key in keys:
-            del self._values[key]
         if keys:
             self._revision += 1
+        for key in keys:
+            self._delete(key)
 
     def _encode(self, key: bytes) -> dict:
         value = self._values[key]
         return {
-            "key": base64.b64encode(key).decode(),
-            "value": base64.b64encode(value.value).decode(),
+            "key": _b64(key),
+            "value": _b64(value.value),
             "create_revision": str(value.create_revision),
             "mod_revision": str(value.mod_revision),
             "version": str(value.version),
@@ -154,6 +296,15 @@
     return start <= key < end
 
 
+def _hang(exchange: Exchange) -> None:
+    time.sleep(HANG_S)
+    exchange.respond_json(503, {"error": "hung"})
+
+
+def _b64(raw: bytes) -> str:
+    return base64.b64encode(raw).decode()
+
+
 _OPERATIONS = {
     "/v3/kv/range": KvStandin._range,
     "/v3/kv/put": KvStandin._put,
@@ -162,9 +313,21 @@
     "/v3/lease/keepalive": KvStandin._lease_keepalive,
     "/v3/lease/revoke": KvStandin._lease_revoke,
 }
-_WRITING_PATHS = {"/v3/kv/put", "/v3/kv/txn"}
 
 
-def start_kv(standin: KvStandin, port: int = 0) -> HttpServer:
+class KvServer(NamedTuple):
+    """The running stand-in's port, and the function that stops it."""
+
+    port: int
+    stop: Callable[[], None]
+
+
+def start_kv(standin: KvStandin, port: int = 0) -> KvServer:
     """Serve ``standin`` on loopback."""
-    return start_server("127.0.0.1", port, standin.handle, n_threads=16)
+    server = start_server("127.0.0.1", port, standin.handle, n_threads=N_THREADS)
+
+    def stop() -> None:
+        standin.close_watches()
+        server.stop()
+
+    return KvServer(server.port, stop)
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -13,6 +13,7 @@
 ATTEMPTS_FAILED = "attempts_failed"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
+KV_WAITS_MS = "kv_waits_ms"
 WIRE_BYTES = "wire_bytes"
 WIRE_FRAMES_DROPPED = "wire_frames_dropped"
 MEMBERS_LIVE = "members_live"
@@ -27,6 +28,7 @@
     ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
+    KV_WAITS_MS: ("timing", "waits for the key-value service's budget, by kind"),
     WIRE_BYTES: ("counter", "bytes of frames between instances, by direction"),
     WIRE_FRAMES_DROPPED: ("counter", "frames that were dropped, by reason"),
     MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
--- /dev/null
+++ b/tests/platform/test_budget.py
@@ -0,0 +1,77 @@
+"""Budget and circuit breaker, under a clock that the test moves."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornrock.platform.breaker import MAX_OPEN_MS, N_FAILURES_TO_OPEN, Breaker
+from buckthornrock.platform.budget import MIN_BURST_CALLS, Budget, kind_of
+
+FLEET_WRITES_PER_S = 300.0
+
+KINDS = [
+    ("profiles/default", "urgent"),
+    ("instances/a/b", "urgent"),
+    ("jobs/1", "bulk"),
+    ("whatever", "normal"),
+]
+
+
+@pytest.mark.parametrize(("key", "urgency"), KINDS)
+def test_kind_of_key_gives_its_urgency(key, urgency):
+    assert kind_of(key).urgency == urgency
+
+
+@given(
+    n_instances=st.sampled_from([1, 7, 21, 340]),
+    gaps_ms=st.lists(st.floats(0.0, 400.0), min_size=1, max_size=80),
+)
+def test_fleet_stays_within_its_budget_but_for_one_burst(n_instances, gaps_ms):
+    now_ms = 0.0
+    budget = Budget(2_000.0, FLEET_WRITES_PER_S, now_ms)
+    budget.set_fleet_size(n_instances, now_ms)
+    n_taken = 0
+    for gap_ms in gaps_ms:
+        now_ms += gap_ms
+        while budget.take("write", "urgent", now_ms) == 0.0:
+            n_taken += 1
+    share_per_s = FLEET_WRITES_PER_S / n_instances
+    burst = max(MIN_BURST_CALLS, share_per_s)
+    assert n_taken <= burst + share_per_s * now_ms / 1000.0
+
+
+def test_urgent_calls_find_tokens_that_bulk_left():
+    budget = Budget(2_000.0, 100.0, 0.0)
+    now_ms = 10_000.0
+    while budget.take("write", "bulk", now_ms) == 0.0:
+        pass
+    assert budget.take("write", "normal", now_ms) == 0.0
+    while budget.take("write", "normal", now_ms) == 0.0:
+        pass
+    assert budget.take("write", "urgent", now_ms) == 0.0
+
+
+def test_waiting_as_told_is_enough():
+    budget = Budget(2_000.0, 100.0, 0.0)
+    now_ms = 0.0
+    for _ in range(50):
+        wait_ms = budget.take("write", "bulk", now_ms)
+        now_ms += wait_ms + 0.001
+        assert wait_ms == 0.0 or budget.take("write", "bulk", now_ms) == 0.0
+
+
+def test_breaker_opens_and_lets_single_trials_through():
+    breaker = Breaker()
+    rng = random.Random(1)
+    for _ in range(N_FAILURES_TO_OPEN):
+        assert breaker.allows(0.0)
+        breaker.on_failure(0.0, rng)
+    assert not breaker.allows(0.0)
+    now_ms = 2 * MAX_OPEN_MS
+    assert breaker.allows(now_ms)
+    breaker.on_start(now_ms)
+    assert not breaker.allows(now_ms)
+    breaker.on_success()
+    assert breaker.allows(now_ms)
--- /dev/null
+++ b/tests/platform/test_commits.py
@@ -0,0 +1,156 @@
+"""Outcomes of commits hold against what the service did, then and later."""
+
+import random
+from base64 import b64encode
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from buckthornrock.platform import (
+    CommitConflict,
+    CommitDone,
+    CommitNotDone,
+    CommitUnknown,
+    Compare,
+    Put,
+    Transaction,
+)
+from buckthornrock.platform.kv_client import KvClient
+from buckthornrock.platform.kv_codec import KvCodec
+
+from .fake_kv import FakeHttp, FakeTime
+
+KEY = "profiles/default"
+LIMIT_MS = 1_500.0
+
+
+class Bench:
+    """One client against the stand-in without sockets."""
+
+    def __init__(self):
+        self.time = FakeTime()
+        self.http = FakeHttp(self.time)
+        self.n_commits = 0
+        codec = KvCodec("btr/")
+        self.client = KvClient(self.http, codec, self.time.clock(), random.Random(1))
+
+    def revision(self):
+        entry = self.client.get(KEY).ok
+        return entry.mod_revision if entry else 0
+
+    def write_other(self):
+        """Let another writer change the key, whatever the faults."""
+        fates, rest = self.http.fates, self.http.rest
+        self.http.fates, self.http.rest = [], "answer"
+        self.commit_at(self.revision())
+        self.http.fates, self.http.rest = fates, rest
+
+    def commit_at(self, revision, fates=(), rest="answer"):
+        """Commit a value of its own; return it and the outcome."""
+        self.n_commits += 1
+        value = b"value-%d" % self.n_commits
+        transaction = Transaction((Compare(KEY, revision),), (Put(KEY, value),))
+        self.http.fates, self.http.rest = list(fates), rest
+        outcome = self.client.commit(transaction, LIMIT_MS)
+        self.http.fates, self.http.rest = [], "answer"
+        return value, outcome
+
+    def n_applied(self, value):
+        suffix = b64encode(b"0" * 16 + value)[24:]
+        applied = self.http.n_applied.items()
+        return sum(n for key, n in applied if key.encode()[24:] == suffix)
+
+
+PLAIN_FATES = ["answer", "unsent", "ignored", "lost"]
+
+
+class CommitMachine(RuleBasedStateMachine):
+    """Commits meet lost, late and overtaken requests, outages and old data."""
+
+    def __init__(self):
+        super().__init__()
+        self.bench = Bench()
+        self.outcomes = []
+        self.was_restored = False
+
+    fates = st.lists(
+        st.one_of(
+            st.sampled_from([(fate, None) for fate in PLAIN_FATES]),
+            st.tuples(st.just("late"), st.sampled_from([1.0, 60.0, 900.0, 9_000.0])),
+            st.sampled_from([("overtaken", True), ("lost_then_overtaken", True)]),
+        ),
+        max_size=6,
+    )
+
+    @rule(
+        fates=fates,
+        rest=st.sampled_from(["answer", "unsent", "ignored"]),
+        is_stale=st.booleans(),
+    )
+    def commit(self, fates, rest, is_stale):
+        other = self.bench.write_other
+        fates = [(fate, other if arg is True else arg) for fate, arg in fates]
+        revision = max(0, self.bench.revision() - is_stale)
+        self.outcomes.append(self.bench.commit_at(revision, fates, rest))
+
+    @rule(duration_ms=st.sampled_from([10.0, 1_000.0, 20_000.0]))
+    def pass_time(self, duration_ms):
+        self.bench.time.advance(duration_ms)
+
+    @rule()
+    def take_snapshot(self):
+        self.bench.http.standin.take_snapshot()
+
+    @rule()
+    def restore(self):
+        self.was_restored = True
+        self.bench.http.standin.restore()
+
+    @invariant()
+    def outcomes_are_true(self):
+        for value, outcome in self.outcomes:
+            n_applied = self.bench.n_applied(value)
+            if isinstance(outcome, CommitDone):
+                assert n_applied >= 1
+            if isinstance(outcome, CommitConflict | CommitNotDone):
+                assert n_applied == 0
+            assert n_applied <= 1 or self.was_restored
+
+    def teardown(self):
+        self.bench.time.advance(100_000.0)
+        self.outcomes_are_true()
+
+
+TestCommitMachine = CommitMachine.TestCase
+TestCommitMachine.settings = settings(max_examples=200, stateful_step_count=15)
+
+SETTLED = [
+    ([], CommitDone, 1),
+    ([("lost", None)], CommitDone, 1),
+    ([("ignored", None), ("ignored", None)], CommitDone, 1),
+    ([("late", 5.0), ("ignored", None)], CommitDone, 1),
+    ([("unsent", None)], CommitDone, 1),
+    ([("unsent", None)] * 50, CommitNotDone, 0),
+    ([("ignored", None)] * 50, CommitUnknown, 0),
+    # Every copy lands late; the compare lets only the first one take effect.
+    ([("late", 300.0)] * 50, CommitUnknown, 1),
+]
+
+
+@pytest.mark.parametrize(("fates", "expected", "n_applied"), SETTLED)
+def test_lost_answer_is_settled_by_sending_again(fates, expected, n_applied):
+    bench = Bench()
+    value, outcome = bench.commit_at(0, fates)
+    assert type(outcome) is expected
+    bench.time.advance(10_000.0)
+    assert bench.n_applied(value) == n_applied
+
+
+def test_overwritten_after_a_lost_answer_stays_unknown():
+    bench = Bench()
+    fates = [("lost_then_overtaken", bench.write_other)]
+    value, outcome = bench.commit_at(0, fates)
+    assert isinstance(outcome, CommitUnknown)
+    assert outcome.entries[0].write_id != outcome.write_id
--- /dev/null
+++ b/tests/platform/test_kv_sockets.py
@@ -0,0 +1,132 @@
+"""The client against the stand-in over HTTP: faults, paging, watches."""
+
+import threading
+
+import pytest
+
+from buckthornrock.conf.settings import KvSettings
+from buckthornrock.platform import (
+    CommitDone,
+    CommitNotDone,
+    CommitUnknown,
+    Compare,
+    Put,
+    Transaction,
+    open_kv,
+)
+from buckthornrock.platform.kv_client import PAGE_ENTRIES
+from buckthornrock.standins.kv import KvStandin, start_kv
+from buckthornrock.telemetry import Telemetry, open_log, open_metrics
+
+TELEMETRY = Telemetry(open_log(None), open_metrics("", 0, ""))
+WAIT_LIMIT_S = 10.0
+
+
+@pytest.fixture(scope="module")
+def server():
+    standin = KvStandin(seed=1)
+    server = start_kv(standin)
+    yield standin, f"http://127.0.0.1:{server.port}"
+    server.stop()
+
+
+@pytest.fixture
+def standin(server):
+    standin, _ = server
+    standin.fault = ""
+    # The snapshot is still that of the start, so this empties the stand-in.
+    standin.restore()
+    standin.counts.by_kind.clear()
+    return standin
+
+
+@pytest.fixture
+def kv(server, standin):
+    _, url = server
+    return open_kv(KvSettings(url, timeout_ms=300), TELEMETRY)
+
+
+def put(kv, key, value=b"v", revision=0, limit_ms=1_500.0):
+    writes = (Put(key, value),)
+    return kv.commit(Transaction((Compare(key, revision),), writes), limit_ms)
+
+
+OUTCOMES = [
+    ("", CommitDone),
+    ("lose_answers", CommitDone),
+    ("late", CommitDone),
+    ("down", CommitUnknown),
+    # Slower than the client's time-out: the effect comes after it gave up.
+    ("slow", CommitUnknown),
+]
+
+
+@pytest.mark.parametrize(("fault", "expected"), OUTCOMES)
+def test_commit_under_fault(kv, standin, fault, expected):
+    standin.fault = fault
+    if fault == "late":
+        standin.set_faults(standin.faults._replace(late_ms=100.0))
+    assert isinstance(put(kv, "a/1"), expected)
+
+
+def test_refused_connection_proves_that_nothing_was_done():
+    kv = open_kv(KvSettings("http://127.0.0.1:1", timeout_ms=300), TELEMETRY)
+    assert isinstance(put(kv, "a/1"), CommitNotDone)
+    assert kv.get("a/1").is_error()
+
+
+def test_prefix_is_read_in_pages(kv, standin):
+    n_entries = PAGE_ENTRIES + 5
+    writes = tuple(Put(f"a/{index:04d}", b"v") for index in range(n_entries))
+    kv.commit(Transaction((Compare("a/0000", 0),), writes))
+    entries = kv.get_prefix("a/").ok
+    assert [entry.key for entry in entries] == [write.key for write in writes]
+    assert standin.counts.by_kind["read"] == 2
+
+
+def test_watch_shows_changes_and_ends_with_an_outage(kv, standin):
+    seen = []
+    established = threading.Event()
+
+    def follow():
+        for batch in kv.watch("a/", 0):
+            established.set()
+            seen.extend(entry.key for entry in batch.entries)
+
+    thread = threading.Thread(target=follow)
+    thread.start()
+    assert established.wait(WAIT_LIMIT_S)
+    put(kv, "b/1")
+    put(kv, "a/1")
+    assert standin.counts.n_watches == 1
+    standin.fault = "down"
+    thread.join(WAIT_LIMIT_S)
+    assert not thread.is_alive()
+    assert seen == ["a/1"]
+
+
+def test_watch_from_an_earlier_revision_misses_nothing(kv):
+    revision = put(kv, "a/1").revision
+    put(kv, "a/2")
+    watch = kv.watch("a/", revision)
+    keys = []
+    while len(keys) < 2:
+        keys += [entry.key for entry in next(watch).entries]
+    watch.close()
+    assert keys == ["a/1", "a/2"]
+
+
+def test_lease_dropped_early_takes_its_keys(kv, standin):
+    lease = kv.grant_lease(30).ok
+    kv.commit(Transaction((Compare("a/1", 0),), (Put("a/1", b"v", lease.lease_id),)))
+    standin.expire_leases()
+    assert kv.get("a/1").ok is None
+    assert kv.keep_alive(lease.lease_id).error.code == "lease-gone"
+
+
+def test_restored_snapshot_brings_old_values_back(kv, standin):
+    put(kv, "a/1", b"old")
+    standin.take_snapshot()
+    put(kv, "a/1", b"new", kv.get("a/1").ok.mod_revision)
+    standin.restore()
+    assert kv.get("a/1").ok.value == b"old"
