--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -1,18 +1,13 @@
 """Wires completions: admission, routing and dispatch."""
 
-from ..admission import AdmissionPort, open_unlimited
+from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
-from ..membership import MembershipPort
+from ..dispatch.preparation import open_preparation
 from ..routing import RoutingPort
 from .core import Core
 from .fleet import FleetParts
 
 
-def build_admission(core: Core, membership: MembershipPort) -> AdmissionPort:
-    """Wire limits and queues."""
-    return open_unlimited(core.clock.now_ms)
-
-
 def build_completions(
     core: Core,
     fleet: FleetParts,
@@ -27,4 +22,10 @@
         fleet.engines,
         core.telemetry,
         core.clock.now_ms,
+        open_preparation(
+            routing,
+            fleet.control.import_cache,
+            core.settings.routing.cache_store,
+            core.clock,
+        ),
     )
--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -8,6 +8,7 @@
 from ..conf import Settings
 from ..events import lifecycle as events
 from ..platform import KvPort, LeaseHolder, open_kv
+from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
 from ..telemetry import Telemetry, open_log, open_metrics
 
@@ -33,7 +34,8 @@
 
     ``lease`` is the one lease of this instance. ``loops`` collects every periodic
     actor, to be stopped at shutdown, and ``closers`` the functions that close what
-    the parts opened; they are called last to first.
+    the parts opened; they are called last to first. ``list_listeners`` take
+    in the platform's instance list whenever it was read.
     """
 
     settings: Settings
@@ -47,6 +49,7 @@
     rng: random.Random
     loops: list[PeriodicHandle]
     closers: list[Callable[[], None]]
+    list_listeners: list[Callable[[InstanceList], None]]
 
 
 def build_core(settings: Settings, log_stream: IO[str] | None) -> Core:
@@ -80,6 +83,7 @@
         rng=rng,
         loops=[],
         closers=[lease.close],
+        list_listeners=[],
     )
     run_periodically(core, "platform.lease", lease.step, LEASE_STEP_PERIOD_MS)
     return core
--- a/buckthornrock/compose/membership.py
+++ b/buckthornrock/compose/membership.py
@@ -1,14 +1,20 @@
 """Wires membership and the inner protocol."""
 
+from collections.abc import Callable
+
+from expression import Result
+
 from ..membership import InstanceView, MembershipPort
 from ..membership.port import alone
 from ..membership.service import (
     NEWS_PERIOD_MS,
     PROBE_PERIOD_MS,
     MembershipService,
+    ReadList,
     open_membership,
 )
-from ..platform.instance_list import open_instance_list
+from ..platform.errors import ListUnavailable
+from ..platform.instance_list import ListedInstance, open_instance_list
 from ..wire import Identity, PeerAddress, Transport, open_transport
 from .core import Core, run_periodically
 
@@ -17,6 +23,7 @@
     """Wire the view of the live instances."""
     settings = core.settings
     if settings.wire.port == 0:
+        _poll_list(core, lambda read_list: read_list())
         return alone(_view(core, ""))
     identity = Identity(settings.instance_id, core.incarnation)
     transport = open_transport(identity, settings.wire, core.telemetry)
@@ -24,7 +31,7 @@
     core.fleet_size.n_instances = service.n_known
     run_periodically(core, "membership.probe", service.probe, PROBE_PERIOD_MS)
     run_periodically(core, "membership.news", service.spread_news, NEWS_PERIOD_MS)
-    _poll_list(core, service)
+    _poll_list(core, service.read_list)
     core.closers.append(service.close)
     core.closers.append(transport.close)
     return open_membership(service)
@@ -43,16 +50,23 @@
     )
 
 
-def _poll_list(core: Core, service: MembershipService) -> None:
+def _poll_list(core: Core, take_turn: Callable[[ReadList], object]) -> None:
+    """Read the list whenever ``take_turn`` asks for it, and tell the listeners."""
     section = core.settings.platform.instance_list
     if not section.url:
         return
     read_list = open_instance_list(section)
 
-    def step() -> None:
-        service.read_list(lambda: read_list().map(lambda body: body.instances))
+    def read() -> Result[tuple[ListedInstance, ...], ListUnavailable]:
+        body = read_list()
+        if body.is_ok():
+            for listen in core.list_listeners:
+                listen(body.ok)
+        return body.map(lambda b: b.instances)
 
-    run_periodically(core, "membership.list", step, section.period_ms)
+    run_periodically(
+        core, "membership.list", lambda: take_turn(read), section.period_ms
+    )
 
 
 def _view(core: Core, address: str) -> InstanceView:
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -139,10 +139,14 @@
 
 
 class RoutingSettings(NamedTuple):
-    """How an engine is chosen."""
+    """How an engine is chosen.
+
+    ``cache_store`` is the kept-cache store's ``IP:PORT``; "" uses none.
+    """
 
     policy: Literal["cost", "round_robin", "least_loaded", "prefix_home"] = "cost"
     terms: RoutingTermSettings = RoutingTermSettings()
+    cache_store: str = ""
     cross_domain_ms: float = defaults.ROUTING_CROSS_DOMAIN_MS
     event_period_ms: int = defaults.ROUTING_EVENT_PERIOD_MS
     digest_period_ms: int = defaults.ROUTING_DIGEST_PERIOD_MS
@@ -166,6 +170,20 @@
     log_path: str = "-"
 
 
+class AdmissionSettings(NamedTuple):
+    """Ranks, queues and limits of completions."""
+
+    controller: Literal["aimd", "gradient", "fixed"] = defaults.ADMISSION_CONTROLLER
+    target_delay_ms: int = defaults.ADMISSION_TARGET_DELAY_MS
+    window_tokens: int = defaults.ADMISSION_WINDOW_TOKENS
+    output_token_cost: float = defaults.ADMISSION_OUTPUT_TOKEN_COST
+    urgent_headroom: float = defaults.ADMISSION_URGENT_HEADROOM
+    deferrable_wait_ms: int = defaults.ADMISSION_DEFERRABLE_WAIT_MS
+    caller_thread_share: float = defaults.ADMISSION_CALLER_SHARE
+    deferrable_thread_share: float = defaults.ADMISSION_DEFERRABLE_SHARE
+    share_period_ms: int = defaults.ADMISSION_SHARE_PERIOD_MS
+
+
 class Settings(NamedTuple):
     """All settings of one instance."""
 
@@ -182,3 +200,4 @@
     wire: WireSettings = WireSettings()
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    admission: AdmissionSettings = AdmissionSettings()
--- a/buckthornrock/membership/service.py
+++ b/buckthornrock/membership/service.py
@@ -35,9 +35,9 @@
 N_PROBE_THREADS = 4
 LEAVE_TIMEOUT_MS = 200.0
 #: Instances that read the platform's list every period; the others read it rarely.
-N_LIST_READERS = 3
+N_LIST_READERS = 8
 LIST_KEY = b"instance-list"
-RARE_LIST_PERIOD_MS = 30_000.0
+RARE_LIST_PERIOD_MS = 10_000.0
 
 ReadList = Callable[[], Result[tuple[ListedInstance, ...], ListUnavailable]]
 
