--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -36,6 +36,8 @@
     share_messages.DemandReport,
     share_messages.ShareGrant,
     routing_messages.RoutingDigest,
+    routing_messages.LevelReport,
+    routing_messages.LevelAnswer,
 )
 
 
