Keep the circuit breaker's open time short and show it

Cause: after an outage the breaker refused calls for up to 4.5 s, and a held-back call failed at once or only after its whole limit. Change: it stays open for 250 to 750 ms; a held-back call waits at most 1 s for the next trial. The status page says whether calls are held back; the fixture of the keyed calls waits for that, because its tests start an outage of their own right after one. Conclusion: no assertion was changed.

--- a/buckthornrock/compose/operator.py
+++ b/buckthornrock/compose/operator.py
@@ -29,6 +29,7 @@
         "instance_id": core.settings.instance_id,
         "failure_domain": core.settings.failure_domain,
         "incarnation": membership.self_view().incarnation,
+        "kv": "answering" if core.kv.is_answering() else "failing",
         "live": [view.instance_id for view in membership.live()],
         "profiles": {r.name: {"version": r.version, "trust": r.trust} for r in records},
     }
--- a/buckthornrock/platform/breaker.py
+++ b/buckthornrock/platform/breaker.py
@@ -4,7 +4,8 @@
 
 N_FAILURES_TO_OPEN = 5
 MIN_OPEN_MS = 200.0
-MAX_OPEN_MS = 3_000.0
+#: Short, because callers wait for the service's return.
+MAX_OPEN_MS = 500.0
 #: A trial whose caller never reported back is given up after this time.
 TRIAL_LIMIT_MS = 10_000.0
 
--- a/buckthornrock/platform/kv_client.py
+++ b/buckthornrock/platform/kv_client.py
@@ -31,6 +31,8 @@
 READ_LIMIT_MS = 2_500.0
 COMMIT_LIMIT_MS = 4_000.0
 READ_BACK_LIMIT_MS = 500.0
+#: Longer than the breaker stays open between two trials.
+HELD_BACK_LIMIT_MS = 1_000.0
 PAGE_ENTRIES = 200
 
 
@@ -68,6 +70,7 @@
         keep_alive=client.keep_alive,
         revoke_lease=client.revoke_lease,
         watch=client.watch,
+        is_answering=http.is_answering,
     )
 
 
@@ -113,7 +116,8 @@
         write_id = os.urandom(WRITE_ID_BYTES)
         body = self._codec.encode_transaction(transaction, write_id)
         kind = kind_of(transaction.writes[0].key)
-        give_up_at_ms = self._clock.now_ms() + limit_ms
+        started_at_ms = self._clock.now_ms()
+        give_up_at_ms = started_at_ms + limit_ms
         was_sent = False
         attempt = 0
         while True:
@@ -124,7 +128,10 @@
             revision = self._own_revision(transaction, write_id) if was_sent else 0
             if revision:
                 return CommitDone(revision)
-            if not self._wait_to_retry(attempt, give_up_at_ms):
+            if answer.error.is_held_back and not was_sent:
+                # Nothing to settle: fail soon, but outwait the breaker's next trial.
+                limit_ms = min(limit_ms, HELD_BACK_LIMIT_MS)
+            if not self._wait_to_retry(attempt, started_at_ms + limit_ms):
                 break
             attempt += 1
         if was_sent:
@@ -159,10 +166,16 @@
             yield batch
 
     def _read(self, kind: CallKind, body: dict) -> Result[dict, KvUnavailable]:
-        give_up_at_ms = self._clock.now_ms() + READ_LIMIT_MS
+        started_at_ms = self._clock.now_ms()
+        limit_ms = READ_LIMIT_MS
         attempt = 0
         while True:
-            answer = self._http.call(kind, "read", "/v3/kv/range", body, give_up_at_ms)
+            answer = self._http.call(
+                kind, "read", "/v3/kv/range", body, started_at_ms + limit_ms
+            )
+            if answer.is_error() and answer.error.is_held_back:
+                limit_ms = HELD_BACK_LIMIT_MS
+            give_up_at_ms = started_at_ms + limit_ms
             if answer.is_ok() or not self._wait_to_retry(attempt, give_up_at_ms):
                 return answer.map_error(_unavailable)
             attempt += 1
--- a/buckthornrock/platform/kv_http.py
+++ b/buckthornrock/platform/kv_http.py
@@ -29,11 +29,13 @@
 class CallFailed(NamedTuple):
     """A call without a usable answer.
 
-    ``was_sent`` is False only if the service provably received nothing.
+    ``was_sent`` is False only if the service provably received nothing,
+    ``is_held_back`` is True if the breaker or the budget forbade the call.
     """
 
     reason: str
     was_sent: bool
+    is_held_back: bool = False
 
     code = "kv-call-failed"
 
@@ -62,6 +64,11 @@
         )
         self._pool = urllib3.PoolManager(maxsize=N_POOLED_CONNECTIONS, retries=False)
 
+    def is_answering(self) -> bool:
+        """Return whether calls are made, not held back after failures."""
+        with self._lock:
+            return not self._breaker.is_open
+
     def call(
         self,
         kind: CallKind,
@@ -73,7 +80,7 @@
         """Make one call and return the decoded answer."""
         refusal = self._admit(kind, access, give_up_at_ms)
         if refusal:
-            return Error(CallFailed(refusal, was_sent=False))
+            return Error(CallFailed(refusal, was_sent=False, is_held_back=True))
         self._telemetry.metrics.incr(KV_CALLS, label=f"{kind.name}.{access}")
         answer = self._send(path, body, give_up_at_ms)
         if answer.is_error():
--- a/buckthornrock/platform/kv_port.py
+++ b/buckthornrock/platform/kv_port.py
@@ -137,6 +137,8 @@
         ``watch(prefix, start_revision) -> Iterator[WatchBatch]``; the first batch is
         empty and says that the watch is established (0: from now on). Ends when the
         service ends it, fails, or is silent for long.
+    is_answering : callable
+        ``is_answering() -> bool``; False while calls are held back after failures.
     """
 
     get: Callable[[str], Result[KvEntry | None, KvUnavailable]]
@@ -146,3 +148,4 @@
     keep_alive: Callable[[int], Result[int, KvUnavailable | LeaseGone]]
     revoke_lease: Callable[[int], Result[None, KvUnavailable]]
     watch: Callable[[str, int], Iterator[WatchBatch]] = _no_watch
+    is_answering: Callable[[], bool] = lambda: True
--- a/tests/dispatch/service_world.py
+++ b/tests/dispatch/service_world.py
@@ -85,6 +85,14 @@
                     break
                 time.sleep(0.02)
 
+    def wait_for_kv(self):
+        """Wait until no instance holds calls back after an earlier outage."""
+        give_up_at_s = time.monotonic() + 10
+        for index in range(len(self.instances)):
+            while self.operate(index, "GET", "/statusz").json()["kv"] != "answering":
+                assert time.monotonic() < give_up_at_s
+                time.sleep(0.02)
+
     def operate(self, index, method, path, body=None):
         port = self.instances[index].operator.port
         return self.http.request(
--- a/tests/dispatch/test_keyed_calls.py
+++ b/tests/dispatch/test_keyed_calls.py
@@ -56,6 +56,7 @@
 def pair(started):
     world, server = started
     world.kv.fault = ""
+    world.wait_for_kv()
     server.reset()
     yield world, server
     world.kv.fault = ""
