--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -10,7 +10,9 @@
 from ..platform import KvPort, LeaseHolder, open_kv
 from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
-from ..telemetry import Telemetry, open_log, open_metrics
+from ..telemetry import Telemetry
+from ..telemetry.burn import BurnAccounts
+from .telemetry import build_telemetry
 
 INCARNATION_BYTES = 8
 LEASE_STEP_PERIOD_MS = 500.0
@@ -40,6 +42,7 @@
 
     settings: Settings
     telemetry: Telemetry
+    burn: BurnAccounts
     clock: Clock
     timer: Timer
     kv: KvPort
@@ -53,27 +56,20 @@
 
 
 def build_core(settings: Settings, log_stream: IO[str] | None) -> Core:
-    """Wire telemetry, clock, timer and the key-value service."""
-    section = settings.telemetry
-    prefix = f"{section.statsd_prefix}.{settings.instance_id}"
-    metrics = open_metrics(section.statsd_host, section.statsd_port, prefix)
-    telemetry = Telemetry(open_log(log_stream), metrics)
+    """Wire telemetry, clock, timer, the key-value service and the lease."""
     clock = system_clock()
+    telemetry, burn = build_telemetry(settings, clock, log_stream)
     rng = random.Random(os.urandom(16))
     fleet_size = FleetSize()
     kv_settings = settings.platform.kv
     kv = open_kv(kv_settings, telemetry, clock, rng, lambda: fleet_size.n_instances())
     incarnation = os.urandom(INCARNATION_BYTES).hex()
-    lease = LeaseHolder(
-        kv,
-        kv_settings.lease_ttl_s,
-        clock.now_ms,
-        telemetry,
-        guard_key=f"instances/{settings.instance_id}/{incarnation}",
-    )
+    guard_key = f"instances/{settings.instance_id}/{incarnation}"
+    lease = LeaseHolder(kv, kv_settings.lease_ttl_s, clock.now_ms, telemetry, guard_key)
     core = Core(
         settings=settings,
         telemetry=telemetry,
+        burn=burn,
         clock=clock,
         timer=Timer(),
         kv=kv,
