Leave a mark where a claim was released

Cause: the key-value client sends a transaction again when its answer is lost, so a late copy of a claim could come back after the claim had been deleted, and then block the key until its retention ended. Change: a release writes a mark instead of deleting. The next claim replaces the mark by its revision, and a late copy fails its comparison. The search for claims whose write had no answer is gone. Messages of issued calls are registered with the wire codec, and outcomes of attempts count towards the health of a server.

--- a/buckthornrock/idempotency/claims.py
+++ b/buckthornrock/idempotency/claims.py
@@ -39,7 +39,6 @@
 from .retention import RetentionLease
 
 MAX_PENDING_OUTCOMES = 10_000
-N_SEARCHES = 16
 
 
 class Identity(NamedTuple):
@@ -124,7 +123,6 @@
 
     def record_outcomes(self) -> None:
         """Record what is due; called over and over by one thread."""
-        self._search_claims()
         while self._commit_outcomes():
             pass
         with self._lock:
@@ -243,18 +241,6 @@
                     self._forget_flight(settlement.claim_id)
         return True
 
-    def _search_claims(self) -> None:
-        with self._lock:
-            due = self._outcomes.due_searches(self._clock.now_ms(), N_SEARCHES)
-        for settlement in due:
-            entry = self._kv.get(settlement.storage_key)
-            now_ms = self._clock.now_ms()
-            with self._lock:
-                if entry.is_error():
-                    self._outcomes.on_search_failed(settlement, now_ms)
-                else:
-                    self._outcomes.on_search(settlement, entry.ok, now_ms)
-
     def _forget_flight(self, claim_id: str) -> None:
         key = self._flight_of_claim.pop(claim_id, None)
         if key is not None:
--- a/buckthornrock/idempotency/issued_calls.py
+++ b/buckthornrock/idempotency/issued_calls.py
@@ -95,7 +95,7 @@
         def handle(sender_id: str, message: IssuedCall) -> IssuedOutcome:
             return self._on_forwarded(message, run_forwarded)
 
-        self._membership.subscribe(IssuedCall, handle)
+        self._membership.subscribe(IssuedCall, handle, is_slow=True)
 
     def close(self) -> None:
         """Finish the forwarded calls that are running."""
--- a/buckthornrock/idempotency/keyed_call.py
+++ b/buckthornrock/idempotency/keyed_call.py
@@ -66,9 +66,9 @@
     kind : {"record", "release"}
         Whether the outcome is recorded or the claim is withdrawn.
     value : bytes
-        The record with its outcome.
+        The record with its outcome, or marked as released.
     mod_revision : int
-        Of the claim; 0 if it is unknown whether the claim was written.
+        Of the claim, or what it was to replace if it may not have been written.
     """
 
     storage_key: str
@@ -134,7 +134,7 @@
 
     def start(self, now_ms: float) -> Step:
         """Return the first step."""
-        return self._commit_claim(now_ms)
+        return self._commit_claim(now_ms, 0)
 
     def on_commit(self, outcome: CommitOutcome, now_ms: float) -> Step:
         """Take the outcome of the claim's commit."""
@@ -147,7 +147,7 @@
             return Finish(Error(failure))
         # The claim may have been written, or may still be: nothing was sent under
         # it, so it is withdrawn for the next request with this key.
-        return Finish(Error(failure), self._settle("release", self._claim))
+        return Finish(Error(failure), self._release())
 
     def on_read(self, entry: Result[KvEntry | None, Failure], now_ms: float) -> Step:
         """Take what a read of the key found."""
@@ -166,7 +166,7 @@
             answer = store_answer(result.ok, self._max_outcome_bytes)
             return Finish(result, self._settle("record", self._answered(answer)))
         if getattr(result.error, "not_run", "unknown") == "true":
-            return Finish(result, self._settle("release", self._claim))
+            return Finish(result, self._release())
         return Finish(result, self._settle("record", self._unknown()))
 
     def _on_claimed(self, mod_revision: int, now_ms: float) -> Step:
@@ -174,13 +174,15 @@
         use_until_ms = self._claim_asked_at_ms + CLAIM_USE_MS
         if now_ms >= min(self._deadline_at_ms, use_until_ms):
             failure = DeadlineExceeded(int(self._deadline_at_ms), "true")
-            return Finish(Error(failure), self._settle("release", self._claim))
+            return Finish(Error(failure), self._release())
         return MakeAttempt()
 
     def _on_entry(self, entry: KvEntry | None, now_ms: float) -> Step:
         if entry is None:
-            return self._claim_again(now_ms)
+            return self._claim_again(now_ms, 0)
         record = decode(entry.value)
+        if record.state == "released":
+            return self._claim_again(now_ms, entry.mod_revision)
         if record.fingerprint != self._claim.fingerprint:
             return Finish(Error(KeyReused()))
         if record.state == "answered":
@@ -189,10 +191,10 @@
             return Finish(Error(KeyedOutcomeUnknown("Recorded")))
         return self._on_foreign_claim(record, now_ms)
 
-    def _claim_again(self, now_ms: float) -> Step:
+    def _claim_again(self, now_ms: float, mod_revision: int) -> Step:
         if now_ms >= self._deadline_at_ms:
             return Finish(Error(CallInProgress(RETRY_AFTER_MS)))
-        return self._commit_claim(now_ms)
+        return self._commit_claim(now_ms, mod_revision)
 
     def _on_foreign_claim(self, record: ClaimRecord, now_ms: float) -> Step:
         if self._is_live(record.instance_id, record.incarnation):
@@ -213,10 +215,11 @@
         self._wait_ms = min(MAX_WAIT_MS, 2.0 * self._wait_ms)
         return Wait(min(duration_ms, remaining_ms))
 
-    def _commit_claim(self, now_ms: float) -> CommitClaim:
+    def _commit_claim(self, now_ms: float, mod_revision: int) -> CommitClaim:
         self._claim_asked_at_ms = now_ms
+        self._mod_revision = mod_revision
         put = Put(self._storage_key, encode(self._claim), self._lease_id)
-        compare = Compare(self._storage_key, 0)
+        compare = Compare(self._storage_key, mod_revision)
         return CommitClaim(Transaction((compare,), (put,)))
 
     def _answered(self, answer: StoredAnswer) -> ClaimRecord:
@@ -225,6 +228,9 @@
     def _unknown(self) -> ClaimRecord:
         return _settled(self._claim, "unknown", None)
 
+    def _release(self) -> Settlement:
+        return self._settle("release", _settled(self._claim, "released", None))
+
     def _settle(
         self, kind: Literal["record", "release"], record: ClaimRecord
     ) -> Settlement:
@@ -247,7 +253,9 @@
 
 
 def _settled(
-    claim: ClaimRecord, state: Literal["answered", "unknown"], answer: object
+    claim: ClaimRecord,
+    state: Literal["answered", "unknown", "released"],
+    answer: StoredAnswer | None,
 ) -> ClaimRecord:
     return ClaimRecord(
         fingerprint=claim.fingerprint,
--- a/buckthornrock/idempotency/outcome_queue.py
+++ b/buckthornrock/idempotency/outcome_queue.py
@@ -4,6 +4,7 @@
 key find it. Nothing is sent upstream because of anything in this module.
 """
 
+import itertools
 import random
 from collections.abc import Iterable
 
@@ -12,7 +13,6 @@
     CommitDone,
     CommitOutcome,
     Compare,
-    Delete,
     KvEntry,
     Put,
     Transaction,
@@ -22,8 +22,6 @@
 
 FIRST_RETRY_MS = 100.0
 MAX_RETRY_MS = 5_000.0
-#: How long a claim whose write had no answer is looked for.
-SEARCH_MS = 30_000.0
 
 
 class _Pending:
@@ -31,7 +29,6 @@
 
     def __init__(self, settlement: Settlement, now_ms: float) -> None:
         self.settlement = settlement
-        self.added_at_ms = now_ms
         self.due_at_ms = now_ms
         self.retry_ms = FIRST_RETRY_MS
 
@@ -58,13 +55,7 @@
 
     def due_commits(self, now_ms: float, limit: int) -> list[Settlement]:
         """Return up to ``limit`` settlements to commit now."""
-        due = (s for s in self._due(now_ms) if s.mod_revision)
-        return [s for s, _ in zip(due, range(limit), strict=False)]
-
-    def due_searches(self, now_ms: float, limit: int) -> list[Settlement]:
-        """Return up to ``limit`` settlements whose claim must be found first."""
-        due = (s for s in self._due(now_ms) if not s.mod_revision)
-        return [s for s, _ in zip(due, range(limit), strict=False)]
+        return list(itertools.islice(self._due(now_ms), limit))
 
     def on_commit(
         self, settlement: Settlement, outcome: CommitOutcome, now_ms: float
@@ -79,22 +70,6 @@
             return self._drop(settlement)
         return self._retry_at(settlement, entry.mod_revision, now_ms)
 
-    def on_search(
-        self, settlement: Settlement, entry: KvEntry | None, now_ms: float
-    ) -> bool:
-        """Take what a search found; return whether the settlement is done."""
-        if _is_open_claim(entry, settlement.claim_id):
-            return self._retry_at(settlement, entry.mod_revision, now_ms)
-        pending = self._pending[settlement.claim_id]
-        # The write may still be on its way until the search ends.
-        if entry is None and now_ms - pending.added_at_ms < SEARCH_MS:
-            return self._retry(settlement, now_ms)
-        return self._drop(settlement)
-
-    def on_search_failed(self, settlement: Settlement, now_ms: float) -> None:
-        """Search again later; an outage doesn't end a search."""
-        self._retry(settlement, now_ms)
-
     def _due(self, now_ms: float) -> Iterable[Settlement]:
         return (
             pending.settlement
@@ -124,8 +99,6 @@
 def transaction_of(settlement: Settlement) -> Transaction:
     """Return the transaction that settles a claim."""
     compare = Compare(settlement.storage_key, settlement.mod_revision)
-    if settlement.kind == "release":
-        return Transaction((compare,), (Delete(settlement.storage_key),))
     put = Put(settlement.storage_key, settlement.value, settlement.lease_id)
     return Transaction((compare,), (put,))
 
--- a/buckthornrock/idempotency/records.py
+++ b/buckthornrock/idempotency/records.py
@@ -11,7 +11,8 @@
 KEY_PREFIX = "idempotency/"
 DIGEST_BYTES = 16
 
-State = Literal["claimed", "answered", "unknown"]
+#: A released claim stays as a mark, so that a late copy of its write has no effect.
+State = Literal["claimed", "answered", "unknown", "released"]
 
 
 class StoredAnswer(msgspec.Struct, frozen=True):
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -12,7 +12,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from . import membership_messages, message, routing_messages, share_messages
+from . import (
+    idempotency_messages,
+    membership_messages,
+    message,
+    routing_messages,
+    share_messages,
+)
 from .errors import BadFrame
 from .message import Message
 
@@ -35,6 +41,8 @@
     membership_messages.News,
     share_messages.DemandReport,
     share_messages.ShareGrant,
+    idempotency_messages.IssuedCall,
+    idempotency_messages.IssuedOutcome,
     routing_messages.RoutingDigest,
     routing_messages.LevelReport,
     routing_messages.LevelAnswer,
--- a/buckthornrock/wire/idempotency_messages.py
+++ b/buckthornrock/wire/idempotency_messages.py
@@ -2,10 +2,10 @@
 
 from typing import Literal
 
-import msgspec
+from .message import Message
 
 
-class IssuedCall(msgspec.Struct, frozen=True, tag="idempotency.call"):
+class IssuedCall(Message, frozen=True, tag="idempotency.call"):
     """Asks the issuer of a key to run a call, or for its outcome.
 
     Asking again never runs the call again.
@@ -24,7 +24,7 @@
     remaining_ms: int
 
 
-class IssuedOutcome(msgspec.Struct, frozen=True, tag="idempotency.outcome"):
+class IssuedOutcome(Message, frozen=True, tag="idempotency.outcome"):
     """What the issuer knows of the call.
 
     ``code`` and ``reason`` describe a failure; the other fields an answer, whose
--- a/tests/idempotency/fakes.py
+++ b/tests/idempotency/fakes.py
@@ -22,7 +22,7 @@
 
     "" works, "down" does nothing and says so, "lost" applies a commit and loses the
     answer, "late" loses the answer and applies the commit when :meth:`deliver` is
-    called.
+    called, "copied" applies it at once and once more then.
     """
 
     def __init__(self):
@@ -59,6 +59,8 @@
         if self.fault == "late":
             self.late.append(transaction)
             return CommitUnknown("late")
+        if self.fault == "copied":
+            self.late.append(transaction)
         outcome = self._apply(transaction)
         return CommitUnknown("lost") if self.fault == "lost" else outcome
 
--- a/tests/idempotency/key_model.py
+++ b/tests/idempotency/key_model.py
@@ -34,7 +34,7 @@
 KEY = "idempotency/key"
 RETENTION_S = 86_400
 CALL_MS = 30_000.0
-COMMIT_FAULTS = ("", "down", "lost", "late")
+COMMIT_FAULTS = ("", "down", "lost", "late", "copied")
 #: "paused" answers a commit only after the retention is over.
 STEP_FAULTS = (*COMMIT_FAULTS, "paused")
 PAUSE_MS = 26 * 3_600_000.0
@@ -164,12 +164,6 @@
         """Let an instance record outcomes."""
         instance = self.instances[index % len(self.instances)]
         self.kv.fault = fault
-        for settlement in instance.queue.due_searches(self.now_ms, 8):
-            entry = self.kv.get(settlement.storage_key)
-            if entry.is_error():
-                instance.queue.on_search_failed(settlement, self.now_ms)
-            else:
-                instance.queue.on_search(settlement, entry.ok, self.now_ms)
         due = instance.queue.due_commits(self.now_ms, 8)[:1]
         outcomes = commit_together(self.kv.commit, [transaction_of(s) for s in due])
         for settlement, outcome in zip(due, outcomes, strict=True):
