Finish every request before an instance stops

Cause: stop closed the callers' port at once, which cut the requests in flight; cheroot's own stop shuts sockets down after a second. Change: an instance turns not ready, accepts for entry.drain_grace_ms while the balancer lags, closes its connections after each answer, then closes only the listening socket and waits for the last request or entry.drain_limit_ms. Parts register what they hand back: drainers run first, closers last. A second signal ends at once; the number of cut requests is logged, printed and decides the exit code.

--- a/buckthornrock/commands/demo_world.py
+++ b/buckthornrock/commands/demo_world.py
@@ -140,7 +140,7 @@
         "instance_id": "demo",
         "failure_domain": "fd-0",
         "isolation_secret": "demo-isolation-secret",
-        "entry": {"port": 0, "n_threads": 32},
+        "entry": {"port": 0, "n_threads": 32, "drain_grace_ms": 50},
         "operator": {"port": 0, "keys_sha256": [_digest(OPERATOR_KEY)]},
         "platform": {"kv": {"url": f"http://127.0.0.1:{kv_port}"}},
         "upstreams": {"servers": servers},
--- a/buckthornrock/commands/serve.py
+++ b/buckthornrock/commands/serve.py
@@ -1,8 +1,10 @@
 """``buckthornrock serve``: run one instance until it is told to stop."""
 
+import os
 import signal
 import sys
 import threading
+from types import FrameType
 
 import click
 
@@ -10,11 +12,18 @@
 from ..conf import load_settings
 from .check import print_problems
 
+EXIT_CLEAN = 0
+EXIT_CUT = 1
+
 
 @click.command()
 @click.argument("settings_path")
 def serve(settings_path: str) -> None:
-    """Run one instance with the settings file SETTINGS_PATH."""
+    """Run one instance with the settings file SETTINGS_PATH.
+
+    SIGTERM and SIGINT drain it: it turns not ready, finishes every request and ends
+    with 0. A second signal ends it at once. Exits with 1 if requests were cut.
+    """
     settings = load_settings(settings_path)
     if settings.is_error():
         print_problems(settings.error, as_json=False)
@@ -23,8 +32,20 @@
     log_stream = sys.stderr if log_path == "-" else open(log_path, "a")  # noqa: SIM115
     instance = start_instance(settings.ok, log_stream)
     stop_requested = threading.Event()
+
+    def on_signal(number: int, frame: FrameType | None) -> None:
+        if stop_requested.is_set():
+            _exit(instance.n_open())
+        stop_requested.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop_requested.set())
+        signal.signal(number, on_signal)
     stop_requested.wait()
-    n_cut = instance.stop()
-    sys.exit(1 if n_cut else 0)
+    _exit(instance.stop())
+
+
+def _exit(n_cut: int) -> None:
+    """End the process without waiting for threads that serve cut requests."""
+    click.echo(f"stopped, {n_cut} requests cut", err=True)
+    sys.stderr.flush()
+    os._exit(EXIT_CUT if n_cut else EXIT_CLEAN)
--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -16,9 +16,10 @@
 class Core(NamedTuple):
     """Parts that the others are built on.
 
-    ``loops`` collects every periodic actor, to be stopped at shutdown, and
-    ``closers`` the functions that close what the parts opened. ``list_listeners``
-    take in the platform's instance list whenever it was read.
+    ``loops`` collects every periodic actor, to be stopped at shutdown. ``drainers``
+    are called when a shutdown begins, so that the parts take on nothing more, and
+    ``closers`` after the last request, to close what the parts opened.
+    ``list_listeners`` take in the platform's instance list whenever it was read.
     """
 
     settings: Settings
@@ -28,6 +29,7 @@
     kv: KvPort
     rng: random.Random
     loops: list[PeriodicHandle]
+    drainers: list[Callable[[], None]]
     closers: list[Callable[[], None]]
     list_listeners: list[Callable[[InstanceList], None]]
 
@@ -46,6 +48,7 @@
         kv=open_kv(settings.platform.kv, telemetry),
         rng=random.Random(os.urandom(16)),
         loops=[],
+        drainers=[],
         closers=[],
         list_listeners=[],
     )
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -7,11 +7,12 @@
 from ..conf import Settings
 from ..entry import EntryParts, build_entry
 from ..entry.auth import CallerKeys
+from ..entry.draining import Draining, closing_connections
 from ..events import lifecycle as events
-from ..httpd import HttpServer, start_server
+from ..httpd import Handler, HttpServer, start_server
 from .admission import build_admission
 from .completions import build_completions
-from .core import Core, build_core
+from .core import build_core
 from .deferred import build_deferred
 from .fleet import build_fleet
 from .membership import build_membership
@@ -20,6 +21,7 @@
 from .routing import build_routing, start_exports, start_polling
 from .routing_peers import start_digests, start_level_reports
 from .services import build_services
+from .shutdown import Servers, stop_gracefully
 
 
 class Instance(NamedTuple):
@@ -29,12 +31,15 @@
     ----------
     entry, operator : HttpServer
         The two ports.
+    n_open : callable
+        Number of requests in flight at the callers' port.
     stop : callable
         Graceful shutdown; returns the number of requests that were cut.
     """
 
     entry: HttpServer
     operator: HttpServer
+    n_open: Callable[[], int]
     stop: Callable[[], int]
 
 
@@ -77,8 +82,9 @@
     )
     # Deferred jobs run through the other parts, so that port is filled in last.
     parts = parts._replace(deferred=build_deferred(core, parts, membership))
-    entry = _start_entry(settings, parts)
-    operator = start_operator(core, parts, membership)
+    draining = Draining()
+    entry = _start_entry(settings, closing_connections(build_entry(parts), draining))
+    operator = start_operator(core, parts, membership, draining.is_ready)
     core.telemetry.log(
         events.INSTANCE_STARTED,
         instance_id=settings.instance_id,
@@ -86,27 +92,22 @@
         port=entry.port,
         duration_ms=round((time.monotonic() - started_at_s) * 1000.0, 1),
     )
-    return Instance(entry, operator, lambda: _stop(core, entry, operator))
+    servers = Servers(entry, operator)
+    return Instance(
+        entry,
+        operator,
+        n_open=entry.n_busy,
+        stop=lambda: stop_gracefully(core, servers, draining),
+    )
 
 
-def _start_entry(settings: Settings, parts: EntryParts) -> HttpServer:
+def _start_entry(settings: Settings, handler: Handler) -> HttpServer:
     section = settings.entry
     return start_server(
         section.host,
         section.port,
-        build_entry(parts),
+        handler,
         section.n_threads,
         section.max_body_bytes,
         section.read_timeout_ms,
     )
-
-
-def _stop(core: Core, entry: HttpServer, operator: HttpServer) -> int:
-    for loop in core.loops:
-        loop.stop()
-    core.timer.stop()
-    entry.stop()
-    operator.stop()
-    for close in core.closers:
-        close()
-    return 0
--- a/buckthornrock/compose/operator.py
+++ b/buckthornrock/compose/operator.py
@@ -1,5 +1,7 @@
 """Wires the operators' port."""
 
+from collections.abc import Callable
+
 from ..entry import EntryParts
 from ..httpd import HttpServer, start_server
 from ..membership import MembershipPort
@@ -9,13 +11,16 @@
 
 
 def start_operator(
-    core: Core, parts: EntryParts, membership: MembershipPort
+    core: Core,
+    parts: EntryParts,
+    membership: MembershipPort,
+    is_ready: Callable[[], bool],
 ) -> HttpServer:
     """Start the operators' port."""
     section = core.settings.operator
     operator_parts = OperatorParts(
         keys_sha256=section.keys_sha256,
-        is_ready=lambda: True,
+        is_ready=is_ready,
         status=lambda: _status(core, parts, membership),
         routes=profile_routes(parts.profiles),
     )
--- a/buckthornrock/httpd/server.py
+++ b/buckthornrock/httpd/server.py
@@ -1,9 +1,10 @@
 """Starts and stops cheroot servers whose gateway calls a handler function."""
 
+import socket
 import threading
 from collections.abc import Callable
 
-from cheroot.server import Gateway, HTTPServer
+from cheroot.server import Gateway, HTTPConnection, HTTPServer
 
 from .exchange import Exchange
 
@@ -22,20 +23,55 @@
         The port it listens on, also when 0 was asked for.
     """
 
-    def __init__(self, server: HTTPServer) -> None:
+    def __init__(self, server: HTTPServer, n_threads: int) -> None:
         self._server = server
+        self._n_threads = n_threads
         self.port: int = server.bind_addr[1]
         self._thread = threading.Thread(
             target=server.serve, name=f"http-{self.port}", daemon=True
         )
         self._thread.start()
 
+    def n_busy(self) -> int:
+        """Return how many connections are being served or wait for a thread."""
+        pool = self._server.requests
+        return self._n_threads - pool.idle + pool.qsize
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and go on serving open connections.
+
+        Connections that the kernel has accepted already are served as well. cheroot
+        offers no public way to do this without stopping everything.
+        """
+        server = self._server
+        listener, server.socket = server.socket, None
+        if listener is None:
+            return
+        server._connections._selector.unregister(listener.fileno())
+        listener.setblocking(False)
+        while (connection := _accept(server, listener)) is not None:
+            server.process_conn(connection)
+        listener.close()
+
     def stop(self) -> None:
-        """Stop accepting and close idle connections."""
-        self._server.stop()
+        """Close everything; what is still being served is cut.
+
+        cheroot waits for its threads without a bound, so that is left to a thread
+        of its own.
+        """
+        stopping = threading.Thread(target=self._server.stop, daemon=True)
+        stopping.start()
+        stopping.join(2.0 * STOP_TIMEOUT_S)
         self._thread.join(STOP_TIMEOUT_S)
 
 
+def _accept(server: HTTPServer, listener: socket.socket) -> HTTPConnection | None:
+    try:
+        return server._connections._from_server_socket(listener)
+    except OSError:
+        return None
+
+
 def start_server(
     host: str,
     port: int,
@@ -81,4 +117,4 @@
     server.shutdown_timeout = STOP_TIMEOUT_S
     server.request_queue_size = 512
     server.prepare()
-    return HttpServer(server)
+    return HttpServer(server, n_threads)
--- a/tests/dispatch/service_world.py
+++ b/tests/dispatch/service_world.py
@@ -110,4 +110,7 @@
     def stop(self):
         for instance in self.instances:
             instance.stop()
+        self.stop_platform()
+
+    def stop_platform(self):
         self._kv_server.stop()
