--- a/buckthornrock/compose/shutdown.py
+++ b/buckthornrock/compose/shutdown.py
@@ -64,7 +64,7 @@
     for loop in core.loops:
         loop.stop()
     core.timer.stop()
-    _run_all(core, "close", core.closers)
+    _run_all(core, "close", core.closers[::-1])
     servers.entry.stop()
     servers.operator.stop()
 
--- a/tests/compose/test_shutdown.py
+++ b/tests/compose/test_shutdown.py
@@ -11,7 +11,8 @@
 from tests.upstreams.raw_server import RawServer, answer
 
 N_STREAMS = 100
-N_PARTS = 8
+COUNT_LOCK = threading.Lock()
+N_PARTS = 12
 
 
 def send_slowly(server, connection):
@@ -21,8 +22,10 @@
         body = name.ljust(10_000, b".") * N_PARTS
         connection.sendall(answer(body)[: -len(body)])
         for index in range(N_PARTS):
+            time.sleep(0.3)
             connection.sendall(body[index * 10_000 : (index + 1) * 10_000])
-            time.sleep(0.15)
+        with COUNT_LOCK:
+            server.n_answered += 1
 
 
 @pytest.fixture
@@ -52,7 +55,8 @@
 
 
 def test_stop_cuts_none_of_many_streams(start):
-    world, _ = start(send_slowly)
+    world, server = start(send_slowly)
+    server.n_answered = 0
     instance = world.instances[0]
     with ThreadPoolExecutor(N_STREAMS + 1) as pool:
         reads = [pool.submit(read_stream, world, n) for n in range(N_STREAMS)]
@@ -63,6 +67,8 @@
             time.sleep(0.01)
         late = read_stream(world, "late")
         assert stopping.result() == 0
+        # The last parts had been sent when the instance said that it had ended.
+        assert server.n_answered == N_STREAMS + 1
         for index, read in enumerate(reads):
             name = b"%d" % index
             assert read.result()[:2] == (200, name.ljust(10_000, b".") * N_PARTS)
