--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -35,9 +35,10 @@
     """Parts that the others are built on.
 
     ``lease`` is the one lease of this instance. ``loops`` collects every periodic
-    actor, to be stopped at shutdown, and ``closers`` the functions that close what
-    the parts opened; they are called last to first. ``list_listeners`` take
-    in the platform's instance list whenever it was read.
+    actor, to be stopped at shutdown. ``drainers`` are called when a shutdown begins,
+    so that the parts take on nothing more, and ``closers``, last to first, after the
+    last request, to close what the parts opened. ``list_listeners`` take in the
+    platform's instance list whenever it was read.
     """
 
     settings: Settings
@@ -51,6 +52,7 @@
     incarnation: str
     rng: random.Random
     loops: list[PeriodicHandle]
+    drainers: list[Callable[[], None]]
     closers: list[Callable[[], None]]
     list_listeners: list[Callable[[InstanceList], None]]
 
@@ -78,6 +80,7 @@
         incarnation=incarnation,
         rng=rng,
         loops=[],
+        drainers=[],
         closers=[lease.close],
         list_listeners=[],
     )
