--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each module is one command, ``python -m benchmarks.NAME``."""
+"""Experiments: router processes, stand-ins and load in processes of their own."""
--- a/benchmarks/relay_overhead.py
+++ b/benchmarks/relay_overhead.py
@@ -8,14 +8,13 @@
 import os
 import statistics
 import sys
-import tempfile
 import time
-from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
 
-from .processes import Usage, read_usage, start_module
+from .processes import Processes
+from .usage import Usage, read_usage
 
 KEY = "benchmark-caller-key"
 N_ENGINES = 2
@@ -24,6 +23,8 @@
 N_TOKENS = 110
 PACE_MS = 36
 SETTLE_S = 1.5
+ENTRY_PORT = 18_080
+OPERATOR_PORT = 18_081
 
 
 class Run(NamedTuple):
@@ -61,13 +62,19 @@
     }
 
 
-def _run_callers(addresses: list[str], n_streams: int) -> Run:
+def _run_callers(
+    processes: Processes, way: str, addresses: list[str], n_streams: int
+) -> Run:
     started_s = time.monotonic()
     share = str(n_streams // N_CALLER_PROCESSES)
     shape = (share, str(N_ROUNDS), str(N_TOKENS), str(PACE_MS))
     callers = [
-        start_module(
-            "benchmarks.paced_callers", addresses[i % len(addresses)], KEY, *shape
+        processes.start(
+            f"{way}-{i}",
+            "benchmarks.paced_callers",
+            addresses[i % len(addresses)],
+            KEY,
+            *shape,
         )
         for i in range(N_CALLER_PROCESSES)
     ]
@@ -109,23 +116,25 @@
 def main() -> None:
     """Measure the direct way and the way through one router."""
     n_streams = int(sys.argv[1]) if len(sys.argv) > 1 else 120
-    engines = [start_module("benchmarks.paced_engine") for _ in range(N_ENGINES)]
-    ports = [int(engine.stdout.readline()) for engine in engines]
-    entry_port, operator_port = 18_080, 18_081
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "settings.json"
-        document = _settings(ports, entry_port, operator_port)
-        path.write_bytes(msgspec.json.encode(document))
-        router = start_module("buckthornrock", "serve", str(path))
-        try:
-            time.sleep(SETTLE_S)
-            direct = _run_callers([f"127.0.0.1:{port}" for port in ports], n_streams)
-            before = read_usage(router.pid)
-            routed = _run_callers([f"127.0.0.1:{entry_port}"], n_streams)
-            after = read_usage(router.pid)
-        finally:
-            for process in (router, *engines):
-                process.kill()
+    processes = Processes()
+    try:
+        engines = [
+            processes.start(f"engine-{index}", "benchmarks.paced_engine")
+            for index in range(N_ENGINES)
+        ]
+        ports = [int(engine.stdout.readline()) for engine in engines]
+        document = _settings(ports, ENTRY_PORT, OPERATOR_PORT)
+        path = processes.write("settings.json", document)
+        router = processes.start("router", "buckthornrock", "serve", path)
+        time.sleep(SETTLE_S)
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        direct = _run_callers(processes, "direct", addresses, n_streams)
+        before = read_usage(router.pid)
+        address = f"127.0.0.1:{ENTRY_PORT}"
+        routed = _run_callers(processes, "routed", [address], n_streams)
+        after = read_usage(router.pid)
+    finally:
+        processes.stop()
     _report("direct", direct)
     _report("routed", routed)
     _report_router(before, after, routed)
--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -1,24 +1,13 @@
 """Wires completions: admission, routing and dispatch."""
 
-from ..admission import AdmissionPort, open_unlimited
+from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
-from ..membership import MembershipPort
+from ..dispatch.preparation import open_preparation
 from ..routing import RoutingPort
-from ..routing.least_loaded import open_least_loaded
 from .core import Core
 from .fleet import FleetParts
 
 
-def build_admission(core: Core, membership: MembershipPort) -> AdmissionPort:
-    """Wire limits and queues."""
-    return open_unlimited(core.clock.now_ms)
-
-
-def build_routing(core: Core, membership: MembershipPort) -> RoutingPort:
-    """Wire the choice of an engine."""
-    return open_least_loaded(core.settings.isolation_secret, core.rng)
-
-
 def build_completions(
     core: Core,
     fleet: FleetParts,
@@ -34,4 +23,10 @@
         fleet.relay,
         core.telemetry,
         core.clock.now_ms,
+        open_preparation(
+            routing,
+            fleet.control.import_cache,
+            core.settings.routing.cache_store,
+            core.clock,
+        ),
     )
--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -1,12 +1,14 @@
-"""Wires the upstreams: registry, clients and load polling."""
+"""Wires the upstreams: registry and clients."""
 
 from typing import NamedTuple
 
 from ..fleet import Fleet
+from ..platform.instance_list import InstanceList
 from ..upstreams.engine_client import EngineClient
+from ..upstreams.engine_control import EngineControl
 from ..upstreams.relay import Relay
 from ..upstreams.service_client import ServiceClient
-from .core import Core, run_periodically
+from .core import Core
 
 
 class FleetParts(NamedTuple):
@@ -15,16 +17,24 @@
     fleet: Fleet
     engines: EngineClient
     services: ServiceClient
+    control: EngineControl
     relay: Relay
 
 
 def build_fleet(core: Core) -> FleetParts:
-    """Wire the registry of upstreams and poll their load."""
+    """Wire the registry of upstreams and the clients."""
     section = core.settings.upstreams
-    fleet = Fleet(section.servers, core.clock.now_ms)
-    engines = EngineClient(section)
-    run_periodically(
-        core, "fleet.poll", lambda: fleet.poll(engines.load), section.poll_period_ms
+    fleet = Fleet(section.servers, core.clock.now_ms, core.telemetry.log, core.rng)
+    core.list_listeners.append(lambda body: _note_list(fleet, body))
+    return FleetParts(
+        fleet,
+        EngineClient(section),
+        ServiceClient(section, core.clock.now_ms),
+        EngineControl(),
+        Relay(core.clock.now_ms, section.read_timeout_ms),
     )
-    relay = Relay(core.clock.now_ms, section.read_timeout_ms)
-    return FleetParts(fleet, engines, ServiceClient(section), relay)
+
+
+def _note_list(fleet: Fleet, body: InstanceList) -> None:
+    for listed in body.upstreams:
+        fleet.set_leaving(listed.id, listed.state != "live", "list")
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -7,16 +7,21 @@
 from ..conf import Settings
 from ..entry import EntryParts, build_entry
 from ..entry.auth import CallerKeys
+from ..entry.draining import Draining, closing_connections
 from ..events import lifecycle as events
-from ..httpd import HttpServer, start_server
-from .completions import build_admission, build_completions, build_routing
-from .core import Core, build_core
+from ..httpd import Handler, HttpServer, start_server
+from .admission import build_admission
+from .completions import build_completions
+from .core import build_core
 from .deferred import build_deferred
 from .fleet import build_fleet
 from .membership import build_membership
 from .operator import start_operator
 from .profiles import build_profiles
+from .routing import build_routing, start_exports, start_polling
+from .routing_peers import start_digests, start_level_reports
 from .services import build_services
+from .shutdown import Servers, stop_gracefully
 
 
 class Instance(NamedTuple):
@@ -26,12 +31,15 @@
     ----------
     entry, operator : HttpServer
         The two ports.
+    n_open : callable
+        Number of requests in flight at the callers' port.
     stop : callable
         Graceful shutdown; returns the number of requests that were cut.
     """
 
     entry: HttpServer
     operator: HttpServer
+    n_open: Callable[[], int]
     stop: Callable[[], int]
 
 
@@ -52,11 +60,16 @@
     """
     started_at_s = time.monotonic()
     core = build_core(settings, log_stream)
+    # The fleet listens to the instance list, which membership starts to read.
+    fleet = build_fleet(core)
     membership = build_membership(core)
     profiles = build_profiles(core)
-    fleet = build_fleet(core)
-    admission = build_admission(core, membership)
+    admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
+    start_polling(core, fleet, routing, membership)
+    start_digests(core, fleet, routing, membership)
+    start_level_reports(core, routing, membership)
+    start_exports(core, fleet, routing)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
@@ -69,8 +82,9 @@
     )
     # Deferred jobs run through the other parts, so that port is filled in last.
     parts = parts._replace(deferred=build_deferred(core, parts, membership))
-    entry = _start_entry(settings, parts)
-    operator = start_operator(core, parts, membership)
+    draining = Draining()
+    entry = _start_entry(settings, closing_connections(build_entry(parts), draining))
+    operator = start_operator(core, parts, membership, draining.is_ready)
     core.telemetry.log(
         events.INSTANCE_STARTED,
         instance_id=settings.instance_id,
@@ -78,25 +92,22 @@
         port=entry.port,
         duration_ms=round((time.monotonic() - started_at_s) * 1000.0, 1),
     )
-    return Instance(entry, operator, lambda: _stop(core, entry, operator))
+    servers = Servers(entry, operator)
+    return Instance(
+        entry,
+        operator,
+        n_open=entry.n_busy,
+        stop=lambda: stop_gracefully(core, servers, draining),
+    )
 
 
-def _start_entry(settings: Settings, parts: EntryParts) -> HttpServer:
+def _start_entry(settings: Settings, handler: Handler) -> HttpServer:
     section = settings.entry
     return start_server(
         section.host,
         section.port,
-        build_entry(parts),
+        handler,
         section.n_threads,
         section.max_body_bytes,
         section.read_timeout_ms,
     )
-
-
-def _stop(core: Core, entry: HttpServer, operator: HttpServer) -> int:
-    for loop in core.loops:
-        loop.stop()
-    core.timer.stop()
-    entry.stop()
-    operator.stop()
-    return 0
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -6,6 +6,7 @@
 
 import re
 from collections.abc import Callable, Iterator
+from operator import attrgetter
 
 from .decoding import Problem
 from .settings import Settings
@@ -18,10 +19,25 @@
 WEAK_SECRET = "SET-E015"
 EMPTY_NAME = "SET-E016"
 BAD_UPSTREAM = "SET-E017"
+BAD_SHARE = "SET-E030"
 
 MIN_SECRET_BYTES = 16
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})")
+_SHARES = (
+    "admission.urgent_headroom",
+    "admission.caller_thread_share",
+    "admission.deferrable_thread_share",
+    "deferred.submitter_thread_share",
+    "deferred.kv_write_share",
+)
+_POSITIVES = (
+    "admission.window_tokens",
+    "admission.output_token_cost",
+    "deferred.n_workers",
+    "deferred.max_held_jobs",
+    "deferred.kv_write_share",
+)
 _POSITIVE_SUFFIXES = ("_ms", "_s", "_bytes", "_per_s", "n_threads", "n_contexts")
 
 
@@ -93,6 +109,29 @@
             yield Problem(BAD_UPSTREAM, f"{path}.service", "nothing", hint)
 
 
+def _check_shares(settings: Settings) -> Iterator[Problem]:
+    for path in _SHARES:
+        value = attrgetter(path)(settings)
+        if not 0.0 <= value <= 1.0:
+            yield Problem(BAD_SHARE, f"$.{path}", str(value), "write 0 to 1")
+    for path in _POSITIVES:
+        value = attrgetter(path)(settings)
+        if value <= 0:
+            hint = "write more than 0"
+            yield Problem(BAD_POSITIVE, f"$.{path}", str(value), hint)
+
+
+def _check_telemetry(settings: Settings) -> Iterator[Problem]:
+    section = settings.telemetry
+    if not 0.0 < section.objective < 1.0:
+        hint = "write a share between 0 and 1"
+        yield Problem(BAD_SHARE, "$.telemetry.objective", str(section.objective), hint)
+    if section.n_decisions <= 0:
+        found = str(section.n_decisions)
+        hint = "write more than 0"
+        yield Problem(BAD_POSITIVE, "$.telemetry.n_decisions", found, hint)
+
+
 #: All checks, in the order in which they are reported.
 CHECKS: tuple[Callable[[Settings], Iterator[Problem]], ...] = (
     _check_names,
@@ -100,4 +139,6 @@
     _check_secrets,
     _check_hashes,
     _check_upstreams,
+    _check_shares,
+    _check_telemetry,
 )
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -8,6 +8,9 @@
 ENTRY_READ_TIMEOUT_MS = 10_000
 #: Deadline of a request that states none.
 ENTRY_DEADLINE_MS = 60_000
+#: How long a stopping instance still accepts, while the balancer hears of it.
+ENTRY_DRAIN_GRACE_MS = 3_000
+#: Longest wait for requests in flight; those that are left are cut.
 ENTRY_DRAIN_LIMIT_MS = 120_000
 
 # Operator port
@@ -35,6 +38,25 @@
 UPSTREAM_READ_TIMEOUT_MS = 30_000
 UPSTREAM_POLL_PERIOD_MS = 250
 UPSTREAM_BLOCK_BYTES = 64
+#: Answers of plain services up to this size are read whole before they are passed on.
+UPSTREAM_ANSWER_BUFFER_BYTES = 262_144
+UPSTREAM_MAX_ANSWER_BYTES = 67_108_864
+
+# Idempotency keys
+IDEMPOTENCY_RETENTION_S = 86_400
+#: Larger answers are recorded as having run, without their body.
+IDEMPOTENCY_MAX_OUTCOME_BYTES = 65_536
+IDEMPOTENCY_ISSUED_KEY_TTL_MS = 600_000
+#: Issued keys in use whose outcome an instance keeps in memory.
+IDEMPOTENCY_N_ISSUED_KEYS = 10_000
+
+# Routing
+#: One way between two failure domains.
+ROUTING_CROSS_DOMAIN_MS = 1.0
+ROUTING_EVENT_PERIOD_MS = 100
+ROUTING_DIGEST_PERIOD_MS = 100
+#: Cached blocks that the index keeps for one engine.
+ROUTING_MAX_BLOCKS_PER_UPSTREAM = 65_536
 
 # Profiles
 PROFILE_NAME = "default"
@@ -43,3 +65,46 @@
 STATSD_HOST = ""
 STATSD_PORT = 8125
 STATSD_PREFIX = "buckthornrock"
+#: Share of requests that has to be on time.
+TELEMETRY_OBJECTIVE = 0.95
+#: The burn report counts in slots of this length, over 30 and over 360 of them.
+TELEMETRY_BURN_SLOT_MS = 10_000
+#: Decision records that an instance keeps.
+TELEMETRY_DECISIONS = 1_024
+
+# Admission: ranks, queues and limits
+#: "queues", or "unlimited" to let everything in, as a baseline of measurements.
+ADMISSION_POLICY = "queues"
+#: "aimd", "gradient" or "fixed".
+ADMISSION_CONTROLLER = "aimd"
+#: Delay of first tokens beyond their own prefill at which the window shrinks.
+ADMISSION_TARGET_DELAY_MS = 100
+#: Work at one engine before anything was measured, in tokens.
+ADMISSION_WINDOW_TOKENS = 8_192
+#: Work of one output token, in prompt tokens.
+ADMISSION_OUTPUT_TOKEN_COST = 3.0
+#: Share of the window that deferrable work leaves free.
+ADMISSION_URGENT_HEADROOM = 0.1
+ADMISSION_DEFERRABLE_WAIT_MS = 60_000
+#: Shares of the entry port's threads that may be held by all completions, and by
+#: deferrable ones; the rest answers refusals and reads.
+ADMISSION_CALLER_SHARE = 0.9
+ADMISSION_DEFERRABLE_SHARE = 0.5
+#: Time between two reports of demand; a share is good for a few periods.
+ADMISSION_SHARE_PERIOD_MS = 1_000
+
+# Deferred work
+#: Runs at once; each waits for admission in a thread of its own.
+DEFERRED_N_WORKERS = 32
+DEFERRED_SCAN_PERIOD_MS = 3_000
+#: Jobs that one instance holds; it accepts more, but leaves them to others.
+DEFERRED_MAX_HELD_JOBS = 2_000
+#: Answers that may wait in memory for the key-value service.
+DEFERRED_MAX_UNSAVED_BYTES = 16_000_000
+#: Share of the entry port's threads that may wait for a job's acceptance.
+DEFERRED_SUBMITTER_SHARE = 0.25
+DEFERRED_SUBMIT_TIMEOUT_MS = 3_000
+#: Results are kept this long beyond the deadline.
+DEFERRED_RETENTION_MS = 86_400_000
+#: Share of the key-value service's writes that deferred work may use.
+DEFERRED_KV_WRITE_SHARE = 0.5
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -18,6 +18,7 @@
     max_body_bytes: int = defaults.ENTRY_MAX_BODY_BYTES
     read_timeout_ms: int = defaults.ENTRY_READ_TIMEOUT_MS
     deadline_ms: int = defaults.ENTRY_DEADLINE_MS
+    drain_grace_ms: int = defaults.ENTRY_DRAIN_GRACE_MS
     drain_limit_ms: int = defaults.ENTRY_DRAIN_LIMIT_MS
 
 
@@ -101,6 +102,67 @@
     read_timeout_ms: int = defaults.UPSTREAM_READ_TIMEOUT_MS
     poll_period_ms: int = defaults.UPSTREAM_POLL_PERIOD_MS
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
+    answer_buffer_bytes: int = defaults.UPSTREAM_ANSWER_BUFFER_BYTES
+    max_answer_bytes: int = defaults.UPSTREAM_MAX_ANSWER_BYTES
+
+
+class IdempotencySettings(NamedTuple):
+    """How long and how much is remembered of calls with an idempotency key."""
+
+    retention_s: int = defaults.IDEMPOTENCY_RETENTION_S
+    max_outcome_bytes: int = defaults.IDEMPOTENCY_MAX_OUTCOME_BYTES
+    issued_key_ttl_ms: int = defaults.IDEMPOTENCY_ISSUED_KEY_TTL_MS
+    n_issued_keys: int = defaults.IDEMPOTENCY_N_ISSUED_KEYS
+
+
+class RoutingTermSettings(NamedTuple):
+    """Terms of the cost estimate; each can be switched off to measure its worth.
+
+    Parameters
+    ----------
+    queue : bool
+        Prompt tokens that wait at the engine, from its load report.
+    own_sends, peers : bool
+        Corrections of the report by sends that it does not show yet.
+    hits : bool
+        Cached prefixes from cache events.
+    expected : bool
+        Prefixes that an engine is computing for this instance.
+    transit : bool
+        Time between failure domains.
+    homes, widening : bool
+        Rendezvous homes, and more of them for hot prefixes.
+    imports : bool
+        Prefixes from the kept-cache store.
+    random_ties : bool
+        Near-equal engines at random.
+    """
+
+    queue: bool = True
+    own_sends: bool = True
+    peers: bool = True
+    hits: bool = True
+    expected: bool = True
+    transit: bool = True
+    homes: bool = True
+    widening: bool = True
+    imports: bool = True
+    random_ties: bool = True
+
+
+class RoutingSettings(NamedTuple):
+    """How an engine is chosen.
+
+    ``cache_store`` is the kept-cache store's ``IP:PORT``; "" uses none.
+    """
+
+    policy: Literal["cost", "round_robin", "least_loaded", "prefix_home"] = "cost"
+    terms: RoutingTermSettings = RoutingTermSettings()
+    cache_store: str = ""
+    cross_domain_ms: float = defaults.ROUTING_CROSS_DOMAIN_MS
+    event_period_ms: int = defaults.ROUTING_EVENT_PERIOD_MS
+    digest_period_ms: int = defaults.ROUTING_DIGEST_PERIOD_MS
+    max_blocks_per_upstream: int = defaults.ROUTING_MAX_BLOCKS_PER_UPSTREAM
 
 
 class CallerKeySettings(NamedTuple):
@@ -112,12 +174,47 @@
 
 
 class TelemetrySettings(NamedTuple):
-    """Where metrics and logs go; an empty ``statsd_host`` sends no metrics."""
+    """Where metrics and logs go, and what the instance keeps for reports.
+
+    An empty ``statsd_host`` sends no metrics. ``objective`` is the share of requests
+    that has to be on time.
+    """
 
     statsd_host: str = defaults.STATSD_HOST
     statsd_port: int = defaults.STATSD_PORT
     statsd_prefix: str = defaults.STATSD_PREFIX
     log_path: str = "-"
+    objective: float = defaults.TELEMETRY_OBJECTIVE
+    burn_slot_ms: int = defaults.TELEMETRY_BURN_SLOT_MS
+    n_decisions: int = defaults.TELEMETRY_DECISIONS
+
+
+class AdmissionSettings(NamedTuple):
+    """Ranks, queues and limits of completions."""
+
+    policy: Literal["queues", "unlimited"] = defaults.ADMISSION_POLICY
+    controller: Literal["aimd", "gradient", "fixed"] = defaults.ADMISSION_CONTROLLER
+    target_delay_ms: int = defaults.ADMISSION_TARGET_DELAY_MS
+    window_tokens: int = defaults.ADMISSION_WINDOW_TOKENS
+    output_token_cost: float = defaults.ADMISSION_OUTPUT_TOKEN_COST
+    urgent_headroom: float = defaults.ADMISSION_URGENT_HEADROOM
+    deferrable_wait_ms: int = defaults.ADMISSION_DEFERRABLE_WAIT_MS
+    caller_thread_share: float = defaults.ADMISSION_CALLER_SHARE
+    deferrable_thread_share: float = defaults.ADMISSION_DEFERRABLE_SHARE
+    share_period_ms: int = defaults.ADMISSION_SHARE_PERIOD_MS
+
+
+class DeferredSettings(NamedTuple):
+    """Deferred work."""
+
+    n_workers: int = defaults.DEFERRED_N_WORKERS
+    scan_period_ms: int = defaults.DEFERRED_SCAN_PERIOD_MS
+    max_held_jobs: int = defaults.DEFERRED_MAX_HELD_JOBS
+    max_unsaved_bytes: int = defaults.DEFERRED_MAX_UNSAVED_BYTES
+    submitter_thread_share: float = defaults.DEFERRED_SUBMITTER_SHARE
+    submit_timeout_ms: int = defaults.DEFERRED_SUBMIT_TIMEOUT_MS
+    retention_ms: int = defaults.DEFERRED_RETENTION_MS
+    kv_write_share: float = defaults.DEFERRED_KV_WRITE_SHARE
 
 
 class Settings(NamedTuple):
@@ -134,4 +231,8 @@
     region: str = ""
     default_profile: str = defaults.PROFILE_NAME
     wire: WireSettings = WireSettings()
+    routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    idempotency: IdempotencySettings = IdempotencySettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    deferred: DeferredSettings = DeferredSettings()
--- a/buckthornrock/routing/port.py
+++ b/buckthornrock/routing/port.py
@@ -1,11 +1,14 @@
 """The port through which dispatch chooses an engine."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from expression import Result
 
+from .directory import LevelSend, LevelView
 from .errors import NoEngine
+from .index import CacheEventLike
+from .kept import Export
 
 
 class Candidate(Protocol):
@@ -20,6 +23,7 @@
     n_waiting_tokens: int
     n_own_requests: int
     prefill_tokens_per_s: float
+    inter_token_ms: float
     report_age_ms: float
     health: float
 
@@ -35,6 +39,8 @@
         Byte offsets at which shared levels end (contract, lot, question).
     excluded : frozenset of str
         Upstreams that already failed this request.
+    weights_version : str
+        The only version that may answer; "" allows any.
     """
 
     request_id: str
@@ -47,12 +53,16 @@
     n_output_tokens: int
     rank: int
     excluded: frozenset[str]
+    weights_version: str = ""
 
 
 class RouteChoice(NamedTuple):
     """Where the request goes, and why.
 
     ``terms`` names each term of the estimate with its milliseconds.
+    ``import_hashes`` are the blocks to be fetched from the kept-cache store first.
+    ``prefill_token_ms`` and ``decode_token_ms`` are the engine's time that one token
+    takes.
     """
 
     upstream_id: str
@@ -64,6 +74,24 @@
     n_hit_tokens: int
     estimated_ttft_ms: float
     terms: tuple[tuple[str, float], ...]
+    import_hashes: tuple[str, ...] = ()
+    prefill_token_ms: float = 0.0
+    decode_token_ms: float = 0.0
+
+
+class PeerDigest(NamedTuple):
+    """What one instance tells its peers about its routing.
+
+    Parameters
+    ----------
+    n_tokens : mapping of str to int
+        Own prompt tokens that wait, by upstream.
+    kept : sequence of int
+        Last block hashes of the prefix levels that it had copied to the store.
+    """
+
+    n_tokens: Mapping[str, int]
+    kept: Sequence[int]
 
 
 class RoutingPort(NamedTuple):
@@ -79,8 +107,33 @@
         ``on_first_token(query, choice, ttft_ms, now_ms)``: it is present there.
     on_failed : callable
         ``on_failed(query, choice, now_ms)``.
+    on_ended : callable
+        ``on_ended(query, choice, now_ms)``: the attempt is over, however it ended.
     on_events : callable
-        ``on_events(upstream_id, cache_events, now_ms)``.
+        ``on_events(upstream_id, incarnation, cache_events, now_ms)``.
+    events_since : callable
+        ``events_since(upstream_id) -> int``: the last event number that is known.
+    must_wait : callable
+        ``must_wait(query, choice, now_ms) -> bool``: another request of this
+        instance computes a prefix of this one there, so sending it now would
+        compute that prefix twice.
+    next_export : callable
+        ``next_export(now_ms) -> Export | None``: blocks to copy to the kept-cache
+        store.
+    on_exported : callable
+        ``on_exported(export, n_blocks, duration_ms, now_ms)``.
+    on_imported : callable
+        ``on_imported(query, choice, n_blocks, duration_ms, now_ms)``.
+    digest : callable
+        ``digest(now_ms) -> PeerDigest``: what peers can't know, since the last one.
+    on_peer : callable
+        ``on_peer(instance_id, digest, now_ms)``: a peer's :attr:`digest`.
+    take_level_sends : callable
+        ``take_level_sends() -> list of LevelSend``, for the levels' owners.
+    on_level_sends : callable
+        ``on_level_sends(sends, now_ms) -> list of LevelView``, at the owner.
+    on_level_views : callable
+        ``on_level_views(views, now_ms)``: the owner's answer.
     """
 
     choose: Callable[
@@ -89,4 +142,15 @@
     on_sent: Callable[[RouteQuery, RouteChoice, float], None]
     on_first_token: Callable[[RouteQuery, RouteChoice, float, float], None]
     on_failed: Callable[[RouteQuery, RouteChoice, float], None]
-    on_events: Callable[[str, object, float], None]
+    on_ended: Callable[[RouteQuery, RouteChoice, float], None]
+    on_events: Callable[[str, str, Sequence[CacheEventLike], float], None]
+    events_since: Callable[[str], int]
+    must_wait: Callable[[RouteQuery, RouteChoice, float], bool]
+    next_export: Callable[[float], Export | None]
+    on_exported: Callable[[Export, int, float, float], None]
+    on_imported: Callable[[RouteQuery, RouteChoice, int, float, float], None]
+    digest: Callable[[float], PeerDigest]
+    on_peer: Callable[[str, PeerDigest, float], None]
+    take_level_sends: Callable[[], list[LevelSend]]
+    on_level_sends: Callable[[Sequence[LevelSend], float], list[LevelView]]
+    on_level_views: Callable[[Sequence[LevelView], float], None]
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -11,8 +11,20 @@
 INTER_TOKEN_MS = "inter_token_ms"
 TOKENS = "tokens"
 ATTEMPTS_FAILED = "attempts_failed"
+CROSSED_ANSWERS = "crossed_answers"
+SERVICE_RETRIES = "service_retries"
+KEYED_CALLS = "keyed_calls"
+OUTCOMES_PENDING = "outcomes_pending"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
+KV_WAITS_MS = "kv_waits_ms"
+WAITING_TOKENS = "waiting_tokens"
+WINDOW_TOKENS = "window_tokens"
+DEFERRED_WAITING = "deferred_waiting"
+DEFERRED_FINISHED = "deferred_finished"
+WIRE_BYTES = "wire_bytes"
+WIRE_FRAMES_DROPPED = "wire_frames_dropped"
+MEMBERS_LIVE = "members_live"
 
 #: Metric name -> (kind, meaning).
 CATALOGUE: dict[str, tuple[str, str]] = {
@@ -22,8 +34,20 @@
     INTER_TOKEN_MS: ("timing", "time between tokens, by work class"),
     TOKENS: ("counter", "tokens delivered, by work class"),
     ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
+    CROSSED_ANSWERS: ("counter", "answers that named another request, by upstream"),
+    SERVICE_RETRIES: ("counter", "repeated attempts of calls to plain services"),
+    KEYED_CALLS: ("counter", "calls with an idempotency key, by how they ended"),
+    OUTCOMES_PENDING: ("gauge", "outcomes that are not yet recorded"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
+    KV_WAITS_MS: ("timing", "waits for the key-value service's budget, by kind"),
+    WAITING_TOKENS: ("gauge", "work that waits for admission, by model"),
+    WINDOW_TOKENS: ("gauge", "work that may be at one engine, by model"),
+    DEFERRED_WAITING: ("gauge", "deferred jobs held here that wait"),
+    DEFERRED_FINISHED: ("counter", "deferred jobs that ended, by state"),
+    WIRE_BYTES: ("counter", "bytes of frames between instances, by direction"),
+    WIRE_FRAMES_DROPPED: ("counter", "frames that were dropped, by reason"),
+    MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
 }
 
 
--- /dev/null
+++ b/buckthornrock/upstreams/engine_control.py
@@ -0,0 +1,89 @@
+"""Calls to model engines beside the completions.
+
+Load reports, cache events, cancels and transfers of cached blocks have short
+timeouts and connections of their own, so that a stalled engine holds up neither
+streams nor the calls to other engines.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+import urllib3
+from expression import Error, Ok, Result
+
+from .engine_messages import (
+    CacheEvents,
+    CacheTransfer,
+    CacheTransferred,
+    LoadReport,
+)
+from .errors import AttemptFailed
+
+N_POOLED_CONNECTIONS = 4
+CONNECT_TIMEOUT_S = 0.25
+READ_TIMEOUT_S = 0.5
+
+T = TypeVar("T")
+
+
+class EngineControl:
+    """Connections for short calls to engines."""
+
+    def __init__(self) -> None:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        self._pool = urllib3.PoolManager(
+            maxsize=N_POOLED_CONNECTIONS, retries=False, timeout=timeout
+        )
+
+    def load(self, address: str) -> Result[LoadReport, AttemptFailed]:
+        """Return the engine's load report."""
+        return self._call("GET", address, "/load", LoadReport)
+
+    def events(self, address: str, since: int) -> Result[CacheEvents, AttemptFailed]:
+        """Return the engine's cache events after number ``since``."""
+        return self._call("GET", address, f"/kv_events?since={since}", CacheEvents)
+
+    def cancel(self, address: str, stream_id: str) -> Result[Any, AttemptFailed]:
+        """Free the engine from a stream that nobody reads."""
+        return self._call("POST", address, f"/v1/streams/{stream_id}/cancel", Any)
+
+    def export_cache(
+        self, address: str, cache_salt: str, hashes: tuple[str, ...], store: str
+    ) -> Result[CacheTransferred, AttemptFailed]:
+        """Have the engine copy blocks to the kept-cache store."""
+        body = CacheTransfer(cache_salt, hashes, store)
+        return self._call("POST", address, "/kv_cache/export", CacheTransferred, body)
+
+    def import_cache(
+        self, address: str, cache_salt: str, hashes: tuple[str, ...], store: str
+    ) -> Result[CacheTransferred, AttemptFailed]:
+        """Have the engine copy blocks from the kept-cache store."""
+        body = CacheTransfer(cache_salt, hashes, store)
+        return self._call("POST", address, "/kv_cache/import", CacheTransferred, body)
+
+    def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        answer: type[T],
+        body: CacheTransfer | None = None,
+    ) -> Result[T, AttemptFailed]:
+        url = f"http://{address}{path}"
+        raw = msgspec.json.encode(body) if body is not None else None
+        try:
+            response = self._pool.request(method, url, body=raw)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return Error(AttemptFailed(address, type(error).__name__, "true"))
+        except urllib3.exceptions.HTTPError as error:
+            return Error(AttemptFailed(address, type(error).__name__, "unknown"))
+        if response.status != 200:
+            reason = f"status {response.status}"
+            return Error(AttemptFailed(address, reason, "unknown"))
+        try:
+            return Ok(msgspec.json.decode(response.data, type=answer))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Error(AttemptFailed(address, type(error).__name__, "unknown"))
