Spread emulated engines over processes and replay their traces in the oracle

Change: engines and the kept-cache store write notes; the bench joins the notes of three processes and replays them in order of time.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -6,6 +6,8 @@
 
 N_INSTANCES = 7
 N_DOMAINS = 3
+#: Processes that the emulated engines are spread over.
+N_ENGINE_GROUPS = 3
 OPERATOR_KEY = "bench-operator-key"
 #: An engine of the real fleet prefills this many tokens a second; the emulated ones
 #: are slower by the scale, so that one machine carries the requests.
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -11,14 +11,12 @@
     rows = list(result.standins["engines"].values())
     n_prompt = max(1, sum(row["n_prompt_tokens"] for row in rows))
 
-    def share(name: str) -> float:
-        return sum(row[name] for row in rows) / n_prompt
-
+    oracle = result.standins["oracle"]
     return {
-        "hit_rate": share("n_hit_tokens"),
-        "wasted": share("n_wasted_tokens"),
-        "duplicated": share("n_duplicated_tokens"),
-        "pooled_hit_rate": share("n_pooled_hit_tokens"),
+        "hit_rate": sum(row["n_hit_tokens"] for row in rows) / n_prompt,
+        "wasted": oracle["n_wasted_tokens"] / n_prompt,
+        "duplicated": oracle["n_duplicated_tokens"] / n_prompt,
+        "pooled_hit_rate": oracle["n_pooled_hit_tokens"] / n_prompt,
     }
 
 
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -167,23 +167,22 @@
 
 
 def _shares(results: list[TrialResult]) -> str:
-    instances = [
-        share
-        for r in results
-        for name, share in r.shares.items()
-        if name.startswith("instance")
-    ]
     parts = {
-        "stand-ins": max(r.shares["standins"] for r in results),
+        "stand-ins": _highest(results, "standins"),
         "platform": max(r.shares["platform"] for r in results),
         "load": max(r.load.processor_share for r in results),
-        "instance": max(instances),
+        "instance": _highest(results, "instance"),
     }
     machine = max(r.shares["machine"] for r in results)
     shown = ", ".join(f"{name} {share:.2f}" for name, share in parts.items())
     return f"{shown}; whole machine {machine:.0%}."
 
 
+def _highest(results: list[TrialResult], prefix: str) -> float:
+    shares = [s for r in results for n, s in r.shares.items() if n.startswith(prefix)]
+    return max(shares)
+
+
 def _write_page(text: str, seeds: str) -> None:
     scales = ", ".join(
         f"{d.name} {d.n_engines} engines at {d.scale:.2f} of the real prefill rate, "
--- a/benchmarks/settings_files.py
+++ b/benchmarks/settings_files.py
@@ -6,7 +6,13 @@
 from buckthornrock.conf import Settings
 from buckthornrock.load.mixes import ACCOUNT_SHARES, MIXES
 
-from .deployments import N_DOMAINS, OPERATOR_KEY, Deployment, caller_key
+from .deployments import (
+    N_DOMAINS,
+    N_ENGINE_GROUPS,
+    OPERATOR_KEY,
+    Deployment,
+    caller_key,
+)
 
 SECRET = "bench-secret-of-enough-bytes"
 
@@ -22,8 +28,11 @@
     return ports
 
 
-def standins_document(deployment: Deployment, seed: int) -> dict:
-    """Return the parameters of the engines and the kept-cache store."""
+def standins_document(deployment: Deployment, seed: int, group: int) -> dict:
+    """Return the parameters of one group of engines.
+
+    The first group's process runs the kept-cache store as well.
+    """
     parameters = {
         "prefill_tokens_per_s": deployment.prefill_tokens_per_s,
         "inter_token_ms": deployment.inter_token_ms,
@@ -39,10 +48,11 @@
     }
     engines = [
         {"id": f"engine-{i}", "parameters": parameters | {"seed": seed * 100 + i}}
-        for i in range(deployment.n_engines)
+        for i in range(group, deployment.n_engines, N_ENGINE_GROUPS)
     ]
     store = {"n_blocks": 20_000, "blocks_per_s": 8_000.0}
-    return {"engines": engines, "cache_store_port": 0, "cache_store": store}
+    port = 0 if group == 0 else -1
+    return {"engines": engines, "cache_store_port": port, "cache_store": store}
 
 
 def platform_document() -> dict:
--- a/benchmarks/trial.py
+++ b/benchmarks/trial.py
@@ -11,9 +11,11 @@
 
 from buckthornrock.load.mixes import ACCOUNT_SHARES, MIXES
 from buckthornrock.load.results import LoadResult, merge
+from buckthornrock.standins.cache_oracle import CacheNote, replay
 
 from .deployments import (
     DEPLOYMENTS,
+    N_ENGINE_GROUPS,
     N_INSTANCES,
     OPERATOR_KEY,
     Deployment,
@@ -35,6 +37,15 @@
 MAX_MACHINE_SHARE = 0.8
 
 
+HARNESS_PREFIXES = ("standins", "platform")
+
+
+class _Summary(msgspec.Struct):
+    engines: dict[str, dict[str, int]]
+    cache_store: dict[str, int]
+    trace: list[CacheNote]
+
+
 class Trial(NamedTuple):
     """What one trial does.
 
@@ -55,6 +66,7 @@
     floods: tuple[dict, ...] = ()
     deferred_share: float = 0.0
     floor: float = 0.1
+    n_instances: int = N_INSTANCES
 
 
 class TrialResult(msgspec.Struct):
@@ -76,7 +88,8 @@
 
     processes: Processes
     instance_ports: list[dict[str, int]]
-    standin_control_port: int
+    standin_control_ports: list[int]
+    platform_control_port: int
     http: urllib3.PoolManager
 
 
@@ -95,7 +108,7 @@
         results = _await_load(processes, loads, trial)
         shares = processes.end_watch()
         standins = _summary(world)
-        names = [f"instance-{i}" for i in range(N_INSTANCES)]
+        names = [f"instance-{i}" for i in range(trial.n_instances)]
         memory_mb = {name: round(processes.memory_mb(name), 1) for name in names}
     finally:
         processes.stop()
@@ -115,19 +128,22 @@
 
 def start_world(processes: Processes, trial: Trial, deployment: Deployment) -> World:
     """Start stand-ins and instances, and apply the profile everywhere."""
-    standin_ports = _start_standins(
-        processes, "standins", standins_document(deployment, trial.seed)
-    )
+    standin_ports, control_ports = {}, []
+    for group in range(N_ENGINE_GROUPS):
+        document = standins_document(deployment, trial.seed, group)
+        ports = _start_standins(processes, f"standins-{group}", document)
+        control_ports.append(ports.pop("control"))
+        standin_ports |= ports
     platform_ports = _start_standins(processes, "platform", platform_document())
-    numbers = free_ports(3 * N_INSTANCES)
+    numbers = free_ports(3 * trial.n_instances)
     instance_ports = [
         dict(
             zip(("entry", "operator", "wire"), numbers[3 * i : 3 * i + 3], strict=True)
         )
-        for i in range(N_INSTANCES)
+        for i in range(trial.n_instances)
     ]
     store = f"127.0.0.1:{standin_ports['cache_store']}"
-    for index in range(N_INSTANCES):
+    for index in range(trial.n_instances):
         document = instance_document(
             index,
             deployment,
@@ -139,7 +155,9 @@
         path = processes.write(f"instance-{index}.json", document)
         processes.start(f"instance-{index}", "buckthornrock", "serve", path)
     http = urllib3.PoolManager(retries=False, timeout=5.0)
-    world = World(processes, instance_ports, standin_ports["control"], http)
+    world = World(
+        processes, instance_ports, control_ports, platform_ports["control"], http
+    )
     _apply_profile(world, profile(trial.deployment, trial.floor))
     return world
 
@@ -180,7 +198,7 @@
         world,
         "the profile was not accepted",
     )
-    for index in range(N_INSTANCES):
+    for index in range(len(world.instance_ports)):
         _wait(
             lambda i=index: _has_profile(world, i),
             give_up_at_s,
@@ -254,12 +272,25 @@
 
 
 def _summary(world: World) -> dict:
-    url = f"http://127.0.0.1:{world.standin_control_port}/summary"
-    return world.http.request("GET", url).json()
+    engines, traces, store = {}, [], {}
+    for port in world.standin_control_ports:
+        url = f"http://127.0.0.1:{port}/summary"
+        raw = world.http.request("GET", url, timeout=20.0).data
+        part = msgspec.json.decode(raw, type=_Summary)
+        engines |= part.engines
+        traces.append(part.trace)
+        store = store or part.cache_store
+    oracle = replay(traces)
+    return {
+        "engines": engines,
+        "cache_store": store,
+        "oracle": oracle.total._asdict(),
+        "ideal_ttfts_ms": sorted(oracle.ideal_ttfts_ms),
+    }
 
 
 def _objections(shares: dict[str, float], load: LoadResult) -> list[str]:
-    harness = {"standins": shares["standins"], "platform": shares["platform"]}
+    harness = {n: s for n, s in shares.items() if n.startswith(HARNESS_PREFIXES)}
     harness["load"] = load.processor_share
     objections = [
         f"{name} used {share:.2f} of a core"
--- a/buckthornrock/standins/cache_store.py
+++ b/buckthornrock/standins/cache_store.py
@@ -2,10 +2,12 @@
 
 import threading
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..httpd import Exchange, HttpServer, start_server
 from ..runtime import system_clock
+from .cache_oracle import CacheNote, CacheObserver
 
 
 class CacheStoreParameters(NamedTuple):
@@ -22,8 +24,13 @@
 class CacheStore:
     """Blocks in order of last use, and the time at which the rate is free again."""
 
-    def __init__(self, parameters: CacheStoreParameters) -> None:
+    def __init__(
+        self,
+        parameters: CacheStoreParameters,
+        on_change: Callable[[str, list[str]], None] = lambda kind, hashes: None,
+    ) -> None:
         self._parameters = parameters
+        self._on_change = on_change
         self._blocks: OrderedDict[str, None] = OrderedDict()
         self._free_at_ms = 0.0
 
@@ -47,8 +54,10 @@
         for block_hash in reversed(hashes):
             self._blocks[block_hash] = None
             self._blocks.move_to_end(block_hash)
-        while len(self._blocks) > self._parameters.n_blocks:
-            self._blocks.popitem(last=False)
+        n_over = max(0, len(self._blocks) - self._parameters.n_blocks)
+        removed = [self._blocks.popitem(last=False)[0] for _ in range(n_over)]
+        self._on_change("stored", hashes)
+        self._on_change("removed", removed)
         return hashes
 
     def get(self, hashes: list[str]) -> list[str]:
@@ -69,8 +78,13 @@
     leading blocks are present.
     """
 
-    def __init__(self, parameters: CacheStoreParameters | None = None) -> None:
-        self.store = CacheStore(parameters or CacheStoreParameters())
+    def __init__(
+        self,
+        parameters: CacheStoreParameters | None = None,
+        observer: CacheObserver | None = None,
+    ) -> None:
+        self.store = CacheStore(parameters or CacheStoreParameters(), self._note)
+        self._observer = observer
         self.n_put_blocks = 0
         self.n_got_blocks = 0
         self.n_refused = 0
@@ -103,6 +117,12 @@
             moved = self._move(exchange.method, hashes)
         exchange.respond_json(200, {"hashes": moved})
 
+    def _note(self, kind: str, hashes: list[str]) -> None:
+        if self._observer is not None and hashes:
+            now_ms = self._clock.now_ms()
+            note = CacheNote(now_ms, "cache_store", kind, tuple(hashes))
+            self._observer.note(note)
+
     def _move(self, method: str, hashes: list[str]) -> list[str]:
         if method == "PUT":
             self.n_put_blocks += len(hashes)
--- a/buckthornrock/standins/engine.py
+++ b/buckthornrock/standins/engine.py
@@ -14,7 +14,7 @@
 
 from ..httpd import Exchange, HttpServer, start_server
 from ..runtime import system_clock
-from .cache_oracle import CacheOracle
+from .cache_oracle import CacheObserver
 from .engine_core import Counters, EngineCore, Sequence
 from .engine_faults import FaultSchedule, Script
 from .engine_parameters import (
@@ -84,9 +84,9 @@
     parameters : EngineParameters
         Capabilities.
     name : str
-        Name towards the oracle.
-    oracle : CacheOracle, optional
-        Shared by the engines of one process.
+        Name towards the observer.
+    observer : CacheObserver, optional
+        Takes notes of the cache and of prefills.
     orders : OrdersPort, optional
         Without it the engine always serves what its parameters say.
 
@@ -100,14 +100,14 @@
         self,
         parameters: EngineParameters,
         name: str = "engine",
-        oracle: CacheOracle | None = None,
+        observer: CacheObserver | None = None,
         orders: OrdersPort | None = None,
     ) -> None:
         self.parameters = parameters
         self.incarnation = os.urandom(8).hex()
         self.orders = orders
         self._clock = system_clock()
-        self._core = EngineCore(parameters, name, oracle)
+        self._core = EngineCore(parameters, name, observer)
         self._faults = FaultSchedule()
         self._streams: dict[str, Stream] = {}
         self._n_streams = 0
--- a/buckthornrock/standins/engine_cache.py
+++ b/buckthornrock/standins/engine_cache.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections import Counter, OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 
@@ -69,14 +69,19 @@
         Size.
     retention_ms : float
         Blocks unused for this long are evicted; 0 keeps them.
-    feed : EventFeed
-        Receives what is stored and removed.
+    on_change : callable
+        ``on_change(now_ms, kind, hashes)`` is told what is stored and removed.
     """
 
-    def __init__(self, n_blocks: int, retention_ms: float, feed: EventFeed) -> None:
+    def __init__(
+        self,
+        n_blocks: int,
+        retention_ms: float,
+        on_change: Callable[[float, str, Iterable[str]], None],
+    ) -> None:
         self._n_blocks = n_blocks
         self._retention_ms = retention_ms
-        self._feed = feed
+        self._on_change = on_change
         self._used_at_ms: OrderedDict[str, float] = OrderedDict()
         self._pins: Counter[str] = Counter()
 
@@ -106,7 +111,7 @@
             self._used_at_ms[block_hash] = now_ms
             self._used_at_ms.move_to_end(block_hash)
         if added:
-            self._feed.append(now_ms, "stored", added)
+            self._on_change(now_ms, "stored", added)
         self.evict(now_ms)
 
     def pin(self, hashes: list[str]) -> None:
@@ -134,10 +139,10 @@
         for block_hash in removed:
             del self._used_at_ms[block_hash]
         if removed:
-            self._feed.append(now_ms, "removed", removed)
+            self._on_change(now_ms, "removed", removed)
 
     def clear(self, now_ms: float) -> None:
         """Drop every block."""
         self._used_at_ms.clear()
         self._pins.clear()
-        self._feed.append(now_ms, "cleared", ())
+        self._on_change(now_ms, "cleared", ())
--- a/buckthornrock/standins/engine_core.py
+++ b/buckthornrock/standins/engine_core.py
@@ -8,9 +8,10 @@
 import heapq
 import itertools
 import random
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from .cache_oracle import CacheOracle, PrefillAccount
+from .cache_oracle import CacheNote, CacheObserver
 from .engine_cache import BlockCache, EventFeed
 from .engine_parameters import BLOCK_TOKENS, EngineParameters
 
@@ -54,9 +55,6 @@
 
     n_prompt_tokens: int = 0
     n_hit_tokens: int = 0
-    n_wasted_tokens: int = 0
-    n_duplicated_tokens: int = 0
-    n_pooled_hit_tokens: int = 0
     n_generated_tokens: int = 0
 
 
@@ -74,16 +72,16 @@
     parameters : EngineParameters
         Rates and sizes.
     name : str
-        Name towards the oracle.
-    oracle : CacheOracle, optional
-        Accounts for recomputed tokens.
+        Name towards the observer.
+    observer : CacheObserver, optional
+        Takes notes of the cache and of prefills.
     """
 
     def __init__(
         self,
         parameters: EngineParameters,
         name: str = "engine",
-        oracle: CacheOracle | None = None,
+        observer: CacheObserver | None = None,
     ) -> None:
         self.counters = Counters()
         self.slowness = 1.0
@@ -93,15 +91,13 @@
         self.cache: BlockCache
         self._parameters = parameters
         self._name = name
-        self._oracle = oracle
+        self._observer = observer
         self._rng = random.Random(parameters.seed)
         self._waiting: list[tuple[int, int, Sequence]] = []
         self._order = itertools.count()
         self._step: _Step | None = None
         self._open_cache()
-        if oracle is not None:
-            n_blocks = parameters.n_cache_blocks
-            oracle.add_cache(name, lambda h: h in self.cache, n_blocks)
+        self._note(0.0, "added", size=parameters.n_cache_blocks)
 
     def submit(self, sequence: Sequence, now_ms: float) -> None:
         """Queue a sequence; idle engines begin a step with it."""
@@ -136,8 +132,8 @@
     def crash(self, now_ms: float) -> None:
         """Lose every sequence and block, as a cold start does."""
         for sequence in (*self.running, *(entry[2] for entry in self._waiting)):
-            self._end_prefill(sequence)
             sequence.state = "cancelled"
+        self._note(now_ms, "cleared")
         self.running.clear()
         self._waiting.clear()
         self._step = None
@@ -176,9 +172,24 @@
             self._rng,
         )
         self.cache = BlockCache(
-            parameters.n_cache_blocks, parameters.cache_retention_ms, self.feed
+            parameters.n_cache_blocks,
+            parameters.cache_retention_ms,
+            self._on_cache_change,
         )
 
+    def _on_cache_change(self, now_ms: float, kind: str, hashes: Iterable[str]) -> None:
+        self.feed.append(now_ms, kind, hashes)
+        self._note(now_ms, kind, hashes)
+
+    def _note(
+        self, now_ms: float, kind: str, hashes: Iterable[str] = (), size: int = 0
+    ) -> None:
+        if self._observer is None:
+            return
+        rate = self._parameters.prefill_tokens_per_s
+        note = CacheNote(now_ms, self._name, kind, tuple(hashes), size, rate)
+        self._observer.note(note)
+
     def _begin_step(self, now_ms: float) -> None:
         self._step = None
         self.cache.evict(now_ms)
@@ -216,22 +227,8 @@
         self.cache.store(sequence.hashes[:n_hit_blocks], now_ms)
         self.cache.pin(sequence.hashes)
         self.running.append(sequence)
-        self._count_prefill(sequence, n_hit_blocks, n_hit_tokens)
-
-    def _count_prefill(
-        self, sequence: Sequence, n_hit_blocks: int, n_hit_tokens: int
-    ) -> None:
-        account = PrefillAccount(0, 0, 0)
-        if self._oracle is not None:
-            rate = self._parameters.prefill_tokens_per_s
-            account = self._oracle.on_prefill(
-                self._name, sequence.hashes, n_hit_blocks, rate
-            )
-        self._add(
-            n_prompt_tokens=sequence.n_prompt_tokens,
-            n_hit_tokens=n_hit_tokens,
-            **account._asdict(),
-        )
+        self._note(now_ms, "prefill", sequence.hashes, n_hit_blocks)
+        self._add(n_prompt_tokens=sequence.n_prompt_tokens, n_hit_tokens=n_hit_tokens)
 
     def _add(self, **amounts: int) -> None:
         counters = self.counters
@@ -256,7 +253,7 @@
         progressed += [s for s in step.decoding if self._decode(s)]
         for sequence in [s for s in self.running if s.state in ("done", "cancelled")]:
             self.running.remove(sequence)
-            self._end_prefill(sequence)
+            self._end_prefill(sequence, now_ms)
             self.cache.unpin(sequence.hashes)
         return progressed
 
@@ -270,15 +267,13 @@
         self.cache.store(missed if is_done else missed[:n_blocks], now_ms)
         if not is_done:
             return False
-        self._end_prefill(sequence)
+        self._end_prefill(sequence, now_ms)
         sequence.state = "decode"
         return self._decode(sequence)
 
-    def _end_prefill(self, sequence: Sequence) -> None:
-        if sequence.state == "waiting" or not sequence.missed_hashes:
-            return
-        if self._oracle is not None:
-            self._oracle.on_prefilled(self._name, sequence.missed_hashes)
+    def _end_prefill(self, sequence: Sequence, now_ms: float) -> None:
+        if sequence.missed_hashes:
+            self._note(now_ms, "prefilled", sequence.missed_hashes)
         sequence.missed_hashes = []
 
     def _decode(self, sequence: Sequence) -> bool:
--- a/buckthornrock/standins/running.py
+++ b/buckthornrock/standins/running.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..httpd import Exchange, HttpServer, start_server
-from .cache_oracle import CacheOracle
+from .cache_oracle import CacheTrace
 from .cache_store import CacheStoreStandin, start_cache_store
 from .engine import EngineStandin, start_engine
 from .instance_list import InstanceListStandin, start_instance_list
@@ -36,28 +36,28 @@
 
     The control port answers ``GET /summary`` with what was counted.
     """
-    oracle = CacheOracle()
+    trace = CacheTrace()
+    kv = KvStandin()
     servers: dict[str, HttpServer] = {}
     engines: dict[str, EngineStandin] = {}
     for row in parameters.engines:
-        engines[row.id] = EngineStandin(row.parameters, row.id, oracle)
+        engines[row.id] = EngineStandin(row.parameters, row.id, trace)
         servers[row.id] = start_engine(engines[row.id], row.port)
     for row in parameters.services:
         servers[row.id] = start_service(ServiceStandin(row.service), row.port)
     if parameters.kv_port >= 0:
-        servers["kv"] = start_kv(KvStandin(), parameters.kv_port)
+        servers["kv"] = start_kv(kv, parameters.kv_port)
     if parameters.instance_list_port >= 0:
         standin = InstanceListStandin()
         servers["instance_list"] = start_instance_list(
             standin, parameters.instance_list_port
         )
-    store = CacheStoreStandin(parameters.cache_store)
+    store = CacheStoreStandin(parameters.cache_store, trace)
     if parameters.cache_store_port >= 0:
         servers["cache_store"] = start_cache_store(store, parameters.cache_store_port)
-        oracle.add_cache("cache_store", lambda h: h in store.store)
 
     def summary() -> dict:
-        return _summary(engines, store, oracle)
+        return _summary(engines, store, trace) | {"n_kv_calls": kv.n_calls}
 
     def handle(exchange: Exchange) -> None:
         exchange.respond_json(200, summary())
@@ -74,7 +74,7 @@
 
 
 def _summary(
-    engines: dict[str, EngineStandin], store: CacheStoreStandin, oracle: CacheOracle
+    engines: dict[str, EngineStandin], store: CacheStoreStandin, trace: CacheTrace
 ) -> dict:
     rows = {name: engine.counters()._asdict() for name, engine in engines.items()}
     return {
@@ -85,5 +85,6 @@
             "n_got_blocks": store.n_got_blocks,
             "n_refused": store.n_refused,
         },
-        "ideal_ttfts_ms": sorted(oracle.ideal_ttfts_ms),
+        "trace": list(trace.notes),
+        "n_dropped_notes": trace.n_dropped,
     }
--- a/tests/standins/test_engine_core.py
+++ b/tests/standins/test_engine_core.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from buckthornrock.standins.cache_oracle import CacheOracle
+from buckthornrock.standins.cache_oracle import CacheTrace, replay
 from buckthornrock.standins.engine_core import EngineCore, Sequence
 from buckthornrock.standins.engine_parameters import EngineParameters, block_hashes
 
@@ -131,14 +131,13 @@
     ("delay_ms", "n_wasted", "n_duplicated"), [(0.0, 0, 160), (500.0, 160, 0)]
 )
 def test_oracle_sees_what_was_computed_in_vain(delay_ms, n_wasted, n_duplicated):
-    oracle = CacheOracle()
+    traces = CacheTrace(), CacheTrace()
     parameters = EngineParameters(prefill_tokens_per_s=1_000.0)
-    cores = [EngineCore(parameters, name, oracle) for name in ("a", "b")]
+    cores = [EngineCore(parameters, *pair) for pair in zip("ab", traces, strict=True)]
     hashes = block_hashes(b"x" * 640, "aa")
     cores[0].submit(_sequence("1", 160, hashes), 0.0)
     cores[0].advance(delay_ms)
     cores[1].submit(_sequence("2", 160, hashes), delay_ms)
-    counters = cores[1].counters
-    assert counters.n_wasted_tokens == n_wasted
-    assert counters.n_duplicated_tokens == n_duplicated
-    assert counters.n_pooled_hit_tokens == 160
+    oracle = replay(trace.notes for trace in traces)
+    assert oracle.total == (n_wasted, n_duplicated, 160)
+    assert oracle.ideal_ttfts_ms == [160.0, 0.0]
