Keep an accepted profile in force everywhere

Cause: every instance polled the key-value service once a second, took an older value for absent, knew no peers and checked nothing before acceptance. Change: profiles are checked whole (PRO-E ids, every problem at once) and accepted by compare-and-swap with history; a conflict names the winner and what differs; an unknown commit is settled by the history entry of its version. An accepted record is pushed to four peers, who push it on once; anti-entropy compares digests with one peer a second; three instances by rendezvous watch, the others read rarely. A table never goes to a lower version, and an older or absent value in the service is replaced by the accepted one. Records travel as the JSON that was accepted, so that mixed versions agree. Conclusion: tests fail when lower versions are taken, when nothing is written back, when an unknown commit is taken for accepted and when anti-entropy is off (each was planted once).

--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -58,7 +58,7 @@
     # The fleet listens to the instance list, which membership starts to read.
     fleet = build_fleet(core)
     membership = build_membership(core)
-    profiles = build_profiles(core)
+    profiles = build_profiles(core, membership)
     admission = build_admission(core, membership, profiles, fleet.fleet)
     routing = build_routing(core, membership)
     start_polling(core, fleet, routing, membership)
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -39,6 +39,8 @@
     profiles.InvalidProfile: ProblemRule(422, "Invalid profile", "true"),
     profiles.ProfileConflict: ProblemRule(409, "Another change came first", "true"),
     profiles.ProfileUndecided: ProblemRule(503, "Change not confirmed", None),
+    profiles.UnknownVersion: ProblemRule(422, "Unknown profile version", "true"),
+    profiles.HistoryUnreadable: ProblemRule(503, "History not readable", "true"),
     NoEngine: ProblemRule(503, "No engine serves the model now", "true"),
     admission.LimitReached: ProblemRule(429, "Limit reached", "true"),
     admission.QueueFull: ProblemRule(503, "Too much work waits", "true"),
--- a/buckthornrock/operator/profiles.py
+++ b/buckthornrock/operator/profiles.py
@@ -1,51 +1,122 @@
 """Operators' requests for profiles."""
 
+import hashlib
 from typing import Any
 
 import msgspec
+from expression import Error, Ok, Result
 
+from ..entry.auth import BEARER
 from ..entry.completions import new_request_id
 from ..entry.errors import BadRequest
 from ..entry.problems import respond_problem
+from ..errors import Failure
 from ..httpd import Exchange
-from ..profiles import Profile, ProfilePort
+from ..profiles import ProfilePort, ProfileRecord
 from .app import OperatorRoute
 
-PATH_PREFIX = "/v1/profiles/"
+LIST_PATH = "/v1/profiles"
+PROFILE_PREFIX = "/v1/profiles/"
+HISTORY_PREFIX = "/v1/profile-history/"
+ROLLBACK_PREFIX = "/v1/profile-rollback/"
+STATUS_PREFIX = "/v1/profile-status/"
+KEY_ID_DIGITS = 8
 
 
 class _ApplyBody(msgspec.Struct):
     expected_version: int
     profile: dict[str, Any]
+    author: str = ""
+
+
+class _RollbackBody(msgspec.Struct):
+    expected_version: int
+    version: int
+    author: str = ""
 
 
 def profile_routes(profiles: ProfilePort) -> tuple[OperatorRoute, ...]:
     """Return the routes that read and change profiles."""
 
     def apply(exchange: Exchange) -> None:
-        name = exchange.path.removeprefix(PATH_PREFIX)
-        try:
-            raw = exchange.read_body().default_value(b"")
-            body = msgspec.json.decode(raw, type=_ApplyBody)
-            profile = msgspec.convert(body.profile, Profile)
-        except msgspec.MsgspecError as error:
-            failure = BadRequest("$", str(error))
-            respond_problem(exchange, failure, new_request_id())
-            return
-        record = profiles.apply(name, profile, body.expected_version)
-        if record.is_error():
-            respond_problem(exchange, record.error, new_request_id())
-            return
-        exchange.respond_json(200, {"name": name, "version": record.ok.version})
+        name = exchange.path.removeprefix(PROFILE_PREFIX)
+        body = _read_body(exchange, _ApplyBody)
+        record = body.bind(
+            lambda b: profiles.apply(
+                name, b.profile, b.expected_version, _author(exchange, b.author)
+            )
+        )
+        _respond(exchange, record.map(_summary))
+
+    def rollback(exchange: Exchange) -> None:
+        name = exchange.path.removeprefix(ROLLBACK_PREFIX)
+        body = _read_body(exchange, _RollbackBody)
+        record = body.bind(
+            lambda b: profiles.rollback(
+                name, b.version, b.expected_version, _author(exchange, b.author)
+            )
+        )
+        _respond(exchange, record.map(_summary))
 
     def show(exchange: Exchange) -> None:
-        record = profiles.current(exchange.path.removeprefix(PATH_PREFIX))
-        if record.is_error():
-            respond_problem(exchange, record.error, new_request_id())
-            return
-        exchange.respond_json(200, record.ok._asdict())
+        record = profiles.current(exchange.path.removeprefix(PROFILE_PREFIX))
+        _respond(exchange, record.map(lambda r: {**_summary(r), "profile": r.profile}))
+
+    def list_all(exchange: Exchange) -> None:
+        records = [profiles.current(name) for name in profiles.names()]
+        rows = [_summary(record.ok) for record in records if record.is_ok()]
+        _respond(exchange, Ok({"profiles": rows}))
+
+    def history(exchange: Exchange) -> None:
+        records = profiles.history(exchange.path.removeprefix(HISTORY_PREFIX))
+        _respond(
+            exchange, records.map(lambda rs: {"versions": list(map(_summary, rs))})
+        )
+
+    def status(exchange: Exchange) -> None:
+        name = exchange.path.removeprefix(STATUS_PREFIX)
+        rows = [row._asdict() for row in profiles.status(name)]
+        _respond(exchange, Ok({"name": name, "instances": rows}))
 
     return (
-        OperatorRoute("PUT", PATH_PREFIX, apply),
-        OperatorRoute("GET", PATH_PREFIX, show),
+        OperatorRoute("PUT", PROFILE_PREFIX, apply),
+        OperatorRoute("GET", PROFILE_PREFIX, show),
+        OperatorRoute("GET", LIST_PATH, list_all),
+        OperatorRoute("GET", HISTORY_PREFIX, history),
+        OperatorRoute("POST", ROLLBACK_PREFIX, rollback),
+        OperatorRoute("GET", STATUS_PREFIX, status),
     )
+
+
+def _read_body(exchange: Exchange, target: type) -> Result[Any, Failure]:
+    raw = exchange.read_body()
+    if raw.is_error():
+        return raw
+    try:
+        return Ok(msgspec.json.decode(raw.ok, type=target))
+    except msgspec.MsgspecError as error:
+        return Error(BadRequest("$", str(error)))
+
+
+def _respond(exchange: Exchange, answer: Result[Any, Failure]) -> None:
+    if answer.is_error():
+        respond_problem(exchange, answer.error, new_request_id())
+        return
+    exchange.respond_json(200, answer.ok)
+
+
+def _author(exchange: Exchange, name: str) -> str:
+    """Return who made a change: the name given and the key that was used."""
+    key = exchange.headers.get("authorization", "").removeprefix(BEARER).strip()
+    key_id = hashlib.sha256(key.encode()).hexdigest()[:KEY_ID_DIGITS]
+    return f"{name} (key {key_id})" if name else f"key {key_id}"
+
+
+def _summary(record: ProfileRecord) -> dict:
+    return {
+        "name": record.name,
+        "version": record.version,
+        "trust": record.trust,
+        "author": record.author,
+        "accepted_wall_ms": record.accepted_wall_ms,
+    }
--- a/buckthornrock/platform/__init__.py
+++ b/buckthornrock/platform/__init__.py
@@ -13,6 +13,7 @@
     KvPort,
     Put,
     Transaction,
+    WatchBatch,
 )
 from .lease import LeaseHolder
 
@@ -29,5 +30,6 @@
     "LeaseHolder",
     "Put",
     "Transaction",
+    "WatchBatch",
     "open_kv",
 ]
--- a/buckthornrock/platform/kv_codec.py
+++ b/buckthornrock/platform/kv_codec.py
@@ -51,7 +51,11 @@
     def encode_watch(self, prefix: str, start_revision: int) -> dict:
         """Return the body of a watch request."""
         start, end = self.raw_range(prefix)
-        request = {"key": _b64(start), "range_end": _b64(end)}
+        request = {
+            "key": _b64(start),
+            "range_end": _b64(end),
+            "progress_notify": True,
+        }
         if start_revision:
             request["start_revision"] = str(start_revision)
         return {"create_request": request}
--- a/buckthornrock/platform/kv_port.py
+++ b/buckthornrock/platform/kv_port.py
@@ -135,7 +135,8 @@
         ``revoke_lease(lease_id) -> Result[None, KvUnavailable]``.
     watch : callable
         ``watch(prefix, start_revision) -> Iterator[WatchBatch]``; the first batch is
-        empty and says that the watch is established (0: from now on). Ends when the
+        empty and says that the watch is established (revision 0: from now on), later
+        empty ones that it still is. Ends when the
         service ends it, fails, or is silent for long.
     is_answering : callable
         ``is_answering() -> bool``; False while calls are held back after failures.
--- a/buckthornrock/profiles/__init__.py
+++ b/buckthornrock/profiles/__init__.py
@@ -1,15 +1,14 @@
 """Profile documents: their shape, checks, version order and propagation."""
 
 from .document import AccountLimits, Profile, Route, WorkClass
-from .port import ProfilePort, ProfileRecord
-from .store import open_profiles
+from .port import InstanceStatus, ProfilePort, ProfileRecord
 
 __all__ = [
     "AccountLimits",
+    "InstanceStatus",
     "Profile",
     "ProfilePort",
     "ProfileRecord",
     "Route",
     "WorkClass",
-    "open_profiles",
 ]
--- /dev/null
+++ b/buckthornrock/profiles/acceptance.py
@@ -0,0 +1,242 @@
+"""Accepts changes of profiles by compare-and-swap in the key-value service."""
+
+from collections.abc import Callable
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..events import profiles as events
+from ..platform import (
+    CommitConflict,
+    CommitDone,
+    CommitNotDone,
+    CommitUnknown,
+    Compare,
+    Delete,
+    KvEntry,
+    KvPort,
+    Put,
+    Transaction,
+)
+from ..telemetry import Telemetry
+from .checks import check_profile
+from .diff import differing_paths
+from .document import Profile
+from .errors import (
+    ApplyFailure,
+    HistoryUnreadable,
+    InvalidProfile,
+    ProfileConflict,
+    ProfileUndecided,
+    RollbackFailure,
+    UnknownVersion,
+)
+from .port import ProfileRecord
+from .stored import (
+    HISTORY_PREFIX,
+    N_KEPT_VERSIONS,
+    decode_entry,
+    encode_record,
+    history_key_of,
+    key_of,
+)
+from .table import ProfileTable, order_of
+
+#: ``learn(name)`` asks a few peers, so that a service that forgot a version is noticed.
+Learn = Callable[[str], None]
+
+
+class Acceptance:
+    """Writes profiles; ``publish`` tells the other instances what was accepted."""
+
+    def __init__(
+        self,
+        kv: KvPort,
+        table: ProfileTable,
+        wall_ms: Callable[[], int],
+        learn: Learn,
+        publish: Callable[[ProfileRecord], None],
+        telemetry: Telemetry,
+    ) -> None:
+        self._kv = kv
+        self._table = table
+        self._wall_ms = wall_ms
+        self._learn = learn
+        self._publish = publish
+        self._telemetry = telemetry
+
+    def apply(
+        self, name: str, profile: Profile, expected_version: int, author: str = ""
+    ) -> Result[ProfileRecord, ApplyFailure]:
+        """Accept ``profile`` as the version after ``expected_version``."""
+        problems = check_profile(name, profile)
+        if problems:
+            return Error(InvalidProfile(tuple(problems)))
+        self._learn(name)
+        entry = self._read_restored(name)
+        if entry.is_error():
+            return entry
+        record = self._record_of(name, profile, expected_version + 1, author)
+        if entry.ok is None:
+            if expected_version:
+                return Error(ProfileConflict(name, expected_version, 0))
+            return self._commit(record, 0)
+        found = decode_entry(entry.ok, name)
+        if found.version != expected_version:
+            return self._refuse(record, found)
+        return self._commit(record, entry.ok.mod_revision)
+
+    def rollback(
+        self, name: str, version: int, expected_version: int, author: str
+    ) -> Result[ProfileRecord, RollbackFailure]:
+        """Accept the content of an old version as a new version."""
+        entry = self._kv.get(history_key_of(name, version))
+        if entry.is_error():
+            return Error(HistoryUnreadable(name, entry.error.reason))
+        if entry.ok is None:
+            return Error(UnknownVersion(name, version))
+        old = decode_entry(entry.ok, name)
+        return self.apply(name, old.profile, expected_version, author)
+
+    def history(self, name: str) -> Result[list[ProfileRecord], HistoryUnreadable]:
+        """Return the kept versions, newest first."""
+        entries = self._kv.get_prefix(f"{HISTORY_PREFIX}{name}/")
+        if entries.is_error():
+            return Error(HistoryUnreadable(name, entries.error.reason))
+        return Ok([decode_entry(entry, name) for entry in reversed(entries.ok)])
+
+    def reconcile(self, name: str, entry: KvEntry | None) -> bool:
+        """Take in what the service holds, or give back what it has forgotten.
+
+        Returns
+        -------
+        bool
+            Whether an accepted record was written over an older or absent value.
+        """
+        stored = decode_entry(entry, name) if entry else None
+        if stored:
+            self._offer(stored)
+        known = self._table.get(name)
+        if known is None or known.trust == "start":
+            return False
+        if stored is not None and order_of(stored) >= order_of(known):
+            return False
+        revision = entry.mod_revision if entry else 0
+        outcome = self._kv.commit(_transaction(known, revision))
+        is_restored = isinstance(outcome, CommitDone)
+        self._telemetry.log(
+            events.KV_OLDER,
+            name=name,
+            version=known.version,
+            kv_version=stored.version if stored else 0,
+            is_restored=is_restored,
+        )
+        return is_restored
+
+    def _record_of(
+        self, name: str, profile: Profile, version: int, author: str
+    ) -> ProfileRecord:
+        raw = msgspec.json.encode(profile, order="deterministic")
+        return ProfileRecord(
+            name=name,
+            version=version,
+            profile=msgspec.json.decode(raw, type=Profile),
+            trust="kv",
+            author=author,
+            accepted_wall_ms=self._wall_ms(),
+            raw=raw,
+        )
+
+    def _read_restored(self, name: str) -> Result[KvEntry | None, ProfileUndecided]:
+        """Read the entry; a service that forgot a version gets it back first."""
+        entry = self._kv.get(key_of(name))
+        if entry.is_ok() and self.reconcile(name, entry.ok):
+            entry = self._kv.get(key_of(name))
+        return entry.map_error(lambda e: ProfileUndecided(name, e.reason, "true"))
+
+    def _commit(
+        self, record: ProfileRecord, revision: int
+    ) -> Result[ProfileRecord, ApplyFailure]:
+        outcome = self._kv.commit(_transaction(record, revision))
+        match outcome:
+            case CommitDone():
+                return self._accept(record)
+            case CommitNotDone(reason):
+                return Error(ProfileUndecided(record.name, reason, "true"))
+            case CommitConflict(entries):
+                return self._lose(record, entries)
+        return self._settle(record, outcome)
+
+    def _accept(self, record: ProfileRecord) -> Result[ProfileRecord, ApplyFailure]:
+        self._offer(record)
+        self._telemetry.log(
+            events.ACCEPTED,
+            name=record.name,
+            version=record.version,
+            author=record.author,
+        )
+        return Ok(record)
+
+    def _offer(self, record: ProfileRecord) -> None:
+        if self._table.offer(record):
+            self._publish(record)
+
+    def _lose(
+        self, record: ProfileRecord, entries: tuple[KvEntry, ...]
+    ) -> Result[ProfileRecord, ApplyFailure]:
+        if not entries:
+            return Error(ProfileConflict(record.name, record.version - 1, 0))
+        winner = decode_entry(entries[0], record.name)
+        self._offer(winner)
+        return self._refuse(record, winner)
+
+    def _settle(
+        self, record: ProfileRecord, outcome: CommitUnknown
+    ) -> Result[ProfileRecord, ApplyFailure]:
+        """Find out what became of a commit without a definite answer.
+
+        Every acceptance raises the version by one, so the record that now has this
+        version tells: it is this one, or this one never took effect.
+        """
+        key = history_key_of(record.name, record.version)
+        entry = self._kv.get(key)
+        if entry.is_error() or entry.ok is None:
+            return Error(ProfileUndecided(record.name, outcome.reason, "unknown"))
+        if entry.ok.write_id == outcome.write_id:
+            return self._accept(record)
+        return self._lose(record, (entry.ok,))
+
+    def _refuse(
+        self, record: ProfileRecord, found: ProfileRecord
+    ) -> Result[ProfileRecord, ApplyFailure]:
+        is_same = (found.version, found.author, found.profile) == (
+            record.version,
+            record.author,
+            record.profile,
+        )
+        if is_same:
+            # The same change was sent again after an unknown outcome.
+            return Ok(found)
+        return Error(
+            ProfileConflict(
+                record.name,
+                record.version - 1,
+                found.version,
+                found.author,
+                found.accepted_wall_ms,
+                differing_paths(record.profile, found.profile),
+            )
+        )
+
+
+def _transaction(record: ProfileRecord, revision: int) -> Transaction:
+    key = key_of(record.name)
+    value = encode_record(record)
+    writes: list[Put | Delete] = [
+        Put(key, value),
+        Put(history_key_of(record.name, record.version), value),
+    ]
+    if record.version > N_KEPT_VERSIONS:
+        oldest = record.version - N_KEPT_VERSIONS
+        writes.append(Delete(history_key_of(record.name, oldest)))
+    return Transaction((Compare(key, revision),), tuple(writes))
--- /dev/null
+++ b/buckthornrock/profiles/stored.py
@@ -0,0 +1,57 @@
+"""How profiles lie in the key-value service."""
+
+import msgspec
+
+from ..platform import KvEntry
+from .document import Profile
+from .port import ProfileRecord
+
+KEY_PREFIX = "profiles/"
+HISTORY_PREFIX = "profile-history/"
+#: Versions whose history entries are kept.
+N_KEPT_VERSIONS = 100
+
+
+class StoredProfile(msgspec.Struct):
+    """One version; fields that are added later need defaults."""
+
+    version: int
+    profile: msgspec.Raw
+    author: str = ""
+    accepted_wall_ms: int = 0
+
+
+def key_of(name: str) -> str:
+    """Return the key of the version in force."""
+    return KEY_PREFIX + name
+
+
+def history_key_of(name: str, version: int) -> str:
+    """Return the key of one version's history entry."""
+    return f"{HISTORY_PREFIX}{name}/{version:08d}"
+
+
+def encode_record(record: ProfileRecord) -> bytes:
+    """Return the value of a record."""
+    return msgspec.json.encode(
+        StoredProfile(
+            record.version,
+            msgspec.Raw(record.raw),
+            record.author,
+            record.accepted_wall_ms,
+        )
+    )
+
+
+def decode_entry(entry: KvEntry, name: str) -> ProfileRecord:
+    """Return the record of an entry."""
+    stored = msgspec.json.decode(entry.value, type=StoredProfile)
+    return ProfileRecord(
+        name=name,
+        version=stored.version,
+        profile=msgspec.json.decode(stored.profile, type=Profile),
+        trust="kv",
+        author=stored.author,
+        accepted_wall_ms=stored.accepted_wall_ms,
+        raw=bytes(stored.profile),
+    )
--- a/buckthornrock/standins/kv_watches.py
+++ b/buckthornrock/standins/kv_watches.py
@@ -10,7 +10,7 @@
 from ..httpd import Exchange
 from .kv_faults import CallCounts
 
-KEEPALIVE_S = 5.0
+PROGRESS_PERIOD_S = 1.0
 
 
 class Change(NamedTuple):
@@ -67,21 +67,21 @@
         try:
             exchange.start_stream(200, {"Content-Type": "application/json"})
             self._send(exchange, {"created": True}, revision)
-            while (change := self._next(watch, exchange)) is not None:
-                self._send(exchange, {"events": [change.event]}, change.revision)
+            while (change := self._next(watch)) is not None:
+                events = {"events": [change.event]} if change.event else {}
+                self._send(exchange, events, change.revision)
         except OSError:
             pass
         finally:
             exchange.abort()
             self._close(watch)
 
-    def _next(self, watch: _Watch, exchange: Exchange) -> Change | None:
-        while True:
-            try:
-                return watch.changes.get(timeout=KEEPALIVE_S)
-            except queue.Empty:
-                # A blank line shows whether the caller is still there.
-                exchange.send_part(b"\n")
+    def _next(self, watch: _Watch) -> Change | None:
+        """Return the next change, or one without an event as a sign of progress."""
+        try:
+            return watch.changes.get(timeout=PROGRESS_PERIOD_S)
+        except queue.Empty:
+            return Change(b"", 0, {})
 
     def _open(self, watch: _Watch, start_revision: int) -> None:
         with self._lock:
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -12,7 +12,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from . import membership_messages, message, routing_messages, share_messages
+from . import (
+    membership_messages,
+    message,
+    profile_messages,
+    routing_messages,
+    share_messages,
+)
 from .errors import BadFrame
 from .message import Message
 
@@ -33,6 +39,12 @@
     membership_messages.Probe,
     membership_messages.ProbeReply,
     membership_messages.News,
+    profile_messages.ProfilePush,
+    profile_messages.ProfileSummary,
+    profile_messages.ProfileOrders,
+    profile_messages.ProfileFetch,
+    profile_messages.ProfileStatusQuery,
+    profile_messages.ProfileStatusReply,
     share_messages.DemandReport,
     share_messages.ShareGrant,
     routing_messages.RoutingDigest,
