--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -7,6 +7,7 @@
 from .demo import demo
 from .explain import explain
 from .load import load
+from .profile import profile
 from .report import report
 from .serve import serve
 
@@ -22,4 +23,5 @@
 main.add_command(demo)
 main.add_command(load)
 main.add_command(report)
+main.add_command(profile)
 main.add_command(explain)
