--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -68,6 +68,8 @@
     dispatch.BadEventId: ProblemRule(403, "Not an event id of this caller", "true"),
     dispatch.EventIdMismatch: ProblemRule(409, "Another request body", "true"),
     deferred.NotAccepted: ProblemRule(503, "The job was not accepted", None),
+    deferred.KeyReused: ProblemRule(422, "The key names another job", "true"),
+    deferred.NoTrustedProfile: ProblemRule(503, "No accepted profile yet", "true"),
     deferred.UnknownJob: ProblemRule(404, "No such job", "true"),
     entry.UnknownRequest: ProblemRule(404, "No record of the request", "true"),
     deferred.JobUnreadable: ProblemRule(503, "The job can't be read now", "true"),
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok, Result
 
 from . import (
+    idempotency_messages,
     membership_messages,
     message,
     profile_messages,
@@ -47,6 +48,8 @@
     profile_messages.ProfileStatusReply,
     share_messages.DemandReport,
     share_messages.ShareGrant,
+    idempotency_messages.IssuedCall,
+    idempotency_messages.IssuedOutcome,
     routing_messages.RoutingDigest,
     routing_messages.LevelReport,
     routing_messages.LevelAnswer,
