--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -8,6 +8,7 @@
 from .explain import explain
 from .load import load
 from .profile import profile
+from .reference import reference
 from .report import report
 from .serve import serve
 
@@ -23,5 +24,6 @@
 main.add_command(demo)
 main.add_command(load)
 main.add_command(report)
+main.add_command(reference)
 main.add_command(profile)
 main.add_command(explain)
