--- a/benchmarks/relay_overhead.py
+++ b/benchmarks/relay_overhead.py
@@ -36,7 +36,8 @@
     duration_s: float
 
 
-def _settings(ports: list[int], entry_port: int, operator_port: int) -> dict:
+def router_settings(ports: list[int], entry_port: int, operator_port: int) -> dict:
+    """Return the settings of one router without key-value service or peers."""
     digest = hashlib.sha256(KEY.encode()).hexdigest()
     return {
         "instance_id": "bench",
@@ -123,7 +124,7 @@
             for index in range(N_ENGINES)
         ]
         ports = [int(engine.stdout.readline()) for engine in engines]
-        document = _settings(ports, ENTRY_PORT, OPERATOR_PORT)
+        document = router_settings(ports, ENTRY_PORT, OPERATOR_PORT)
         path = processes.write("settings.json", document)
         router = processes.start("router", "buckthornrock", "serve", path)
         time.sleep(SETTLE_S)
--- /dev/null
+++ b/tests/path/test_cold_start.py
@@ -0,0 +1,71 @@
+"""An instance that has nothing - no key-value service, no peers - serves urgent work."""
+
+import hashlib
+import time
+
+import msgspec
+import pytest
+import urllib3
+
+from buckthornrock.compose import start_instance
+from buckthornrock.conf import parse_settings
+from buckthornrock.standins.engine import (
+    EngineParameters,
+    EngineStandin,
+    output_token,
+    start_engine,
+)
+
+KEY = "caller"
+WAIT_S = 10.0
+
+
+@pytest.fixture(scope="module")
+def entry_url():
+    engine = start_engine(EngineStandin(EngineParameters()))
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    server = {"id": "e", "kind": "engine", "failure_domain": "fd", "models": ["small"]}
+    document = {
+        "instance_id": "alone",
+        "failure_domain": "fd",
+        "isolation_secret": "sixteen-bytes-or-more",
+        "entry": {"port": 0, "n_threads": 8, "drain_grace_ms": 50},
+        "operator": {"port": 0, "keys_sha256": [digest]},
+        "platform": {"kv": {"url": "http://127.0.0.1:9"}},
+        "upstreams": {"servers": [server | {"address": f"127.0.0.1:{engine.port}"}]},
+        "caller_keys": [{"sha256": digest, "client_account": "a"}],
+    }
+    instance = start_instance(parse_settings(msgspec.json.encode(document)).ok)
+    yield f"http://127.0.0.1:{instance.entry.port}"
+    instance.stop()
+    engine.stop()
+
+
+def post(entry_url, path, **headers):
+    body = {"model": "small", "prompt": "cold", "max_tokens": 3}
+    head = {"Authorization": f"Bearer {KEY}", **headers}
+    http = urllib3.PoolManager(retries=False)
+    raw = msgspec.json.encode(body)
+    return http.request("POST", entry_url + path, body=raw, headers=head)
+
+
+def test_urgent_work_is_served(entry_url):
+    give_up_at_s = time.monotonic() + WAIT_S
+    answer = post(entry_url, "/v1/completions")
+    while answer.status != 200 and time.monotonic() < give_up_at_s:
+        answer = post(entry_url, "/v1/completions")
+    text = "".join(output_token("w1", "cold", index) for index in range(3))
+    assert answer.json()["choices"][0]["text"] == text
+
+
+REFUSED = [
+    ("/v1/completions", {"Prefer": "respond-async"}),
+    ("/services/orders/kilo", {}),
+]
+
+
+@pytest.mark.parametrize(("path", "headers"), REFUSED)
+def test_deferred_and_unrepeatable_work_is_refused(entry_url, path, headers):
+    answer = post(entry_url, path, **headers)
+    assert answer.status >= 400
+    assert answer.json()["not_run"] is True
