Let stewards keep engines as a placement document wants them

Cause: engines got no orders, so one that came back empty stayed so, and weights could not be rolled out. Change: each engine has one steward, by rendezvous and a key under the instance's lease whose revision is the fencing number. Stewards compare the placement document with what the engine says and take the next step; loads take one of the fleet's slots, weights roll one failure domain at a time and leave a stated share serving. For engines that ignore fencing, time does what the check would do.

--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -7,8 +7,10 @@
 from .demo import demo
 from .explain import explain
 from .load import load
+from .order import order
 from .report import report
 from .serve import serve
+from .upstreams import upstreams
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -23,3 +25,5 @@
 main.add_command(load)
 main.add_command(report)
 main.add_command(explain)
+main.add_command(order)
+main.add_command(upstreams)
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -17,6 +17,7 @@
 from .fleet import build_fleet
 from .membership import build_membership
 from .operator import start_operator
+from .orders import build_orders
 from .profiles import build_profiles
 from .routing import build_routing, start_exports, start_polling
 from .routing_peers import start_digests, start_level_reports
@@ -82,9 +83,10 @@
     )
     # Deferred jobs run through the other parts, so that port is filled in last.
     parts = parts._replace(deferred=build_deferred(core, parts, membership))
+    orders = build_orders(core, fleet, membership)
     draining = Draining()
     entry = _start_entry(settings, closing_connections(build_entry(parts), draining))
-    operator = start_operator(core, parts, membership, draining.is_ready)
+    operator = start_operator(core, parts, membership, draining.is_ready, orders.routes)
     core.telemetry.log(
         events.INSTANCE_STARTED,
         instance_id=settings.instance_id,
--- a/buckthornrock/compose/operator.py
+++ b/buckthornrock/compose/operator.py
@@ -17,6 +17,7 @@
     parts: EntryParts,
     membership: MembershipPort,
     is_ready: Callable[[], bool],
+    more_routes: tuple[OperatorRoute, ...],
 ) -> HttpServer:
     """Start the operators' port."""
     section = core.settings.operator
@@ -24,7 +25,11 @@
         keys_sha256=section.keys_sha256,
         is_ready=is_ready,
         status=lambda: _status(core, parts, membership),
-        routes=(*profile_routes(parts.profiles), *_report_routes(core)),
+        routes=(
+            *profile_routes(parts.profiles),
+            *_report_routes(core),
+            *more_routes,
+        ),
     )
     handler = build_operator(operator_parts)
     return start_server(section.host, section.port, handler, section.n_threads)
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -19,11 +19,20 @@
 EMPTY_NAME = "SET-E016"
 BAD_UPSTREAM = "SET-E017"
 BAD_SHARE = "SET-E030"
+SHORT_LEASE = "SET-E040"
 
 MIN_SECRET_BYTES = 16
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})")
-_POSITIVE_SUFFIXES = ("_ms", "_s", "_bytes", "_per_s", "n_threads", "n_contexts")
+_POSITIVE_SUFFIXES = (
+    "_ms",
+    "_s",
+    "_bytes",
+    "_per_s",
+    "n_threads",
+    "n_contexts",
+    "n_load_slots",
+)
 
 
 def check_settings(settings: Settings) -> list[Problem]:
@@ -119,6 +128,16 @@
         yield Problem(BAD_POSITIVE, "$.telemetry.n_decisions", found, hint)
 
 
+def _check_orders(settings: Settings) -> Iterator[Problem]:
+    orders = settings.orders
+    margin_ms = orders.order_timeout_ms + orders.load_time_ms
+    # A lease is renewed before half of it has passed, so half is always left.
+    if margin_ms > 500 * settings.platform.kv.lease_ttl_s:
+        found = f"{margin_ms} ms for an order and its load"
+        hint = "write at most half of platform.kv.lease_ttl_s"
+        yield Problem(SHORT_LEASE, "$.orders.load_time_ms", found, hint)
+
+
 #: All checks, in the order in which they are reported.
 CHECKS: tuple[Callable[[Settings], Iterator[Problem]], ...] = (
     _check_names,
@@ -126,6 +145,7 @@
     _check_secrets,
     _check_hashes,
     _check_upstreams,
+    _check_orders,
     _check_shares,
     _check_telemetry,
 )
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -42,6 +42,15 @@
 UPSTREAM_ANSWER_BUFFER_BYTES = 262_144
 UPSTREAM_MAX_ANSWER_BYTES = 67_108_864
 
+# Orders to engines
+#: Engines of the fleet that may load weights at once.
+ORDERS_N_LOAD_SLOTS = 2
+ORDERS_TIMEOUT_MS = 1_000
+#: Longest time that an engine takes to load weights while the slots are kept.
+ORDERS_LOAD_TIME_MS = 4_000
+ORDERS_STEP_PERIOD_MS = 500
+ORDERS_REFRESH_PERIOD_MS = 3_000
+
 # Idempotency keys
 IDEMPOTENCY_RETENTION_S = 86_400
 #: Larger answers are recorded as having run, without their body.
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -106,6 +106,16 @@
     max_answer_bytes: int = defaults.UPSTREAM_MAX_ANSWER_BYTES
 
 
+class OrdersSettings(NamedTuple):
+    """Orders to engines; ``n_load_slots`` is the same on all instances."""
+
+    n_load_slots: int = defaults.ORDERS_N_LOAD_SLOTS
+    order_timeout_ms: int = defaults.ORDERS_TIMEOUT_MS
+    load_time_ms: int = defaults.ORDERS_LOAD_TIME_MS
+    step_period_ms: int = defaults.ORDERS_STEP_PERIOD_MS
+    refresh_period_ms: int = defaults.ORDERS_REFRESH_PERIOD_MS
+
+
 class IdempotencySettings(NamedTuple):
     """How long and how much is remembered of calls with an idempotency key."""
 
@@ -220,4 +230,5 @@
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     idempotency: IdempotencySettings = IdempotencySettings()
+    orders: OrdersSettings = OrdersSettings()
     admission: AdmissionSettings = AdmissionSettings()
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -6,6 +6,7 @@
 from ..deferred import errors as deferred
 from ..dispatch import errors as dispatch
 from ..errors import CallerGone, DeadlineExceeded, Failure, NotRun, Unavailable
+from ..fleet.placement_store import PlacementConflict, PlacementUndecided
 from ..httpd import BodyProblem, Exchange
 from ..idempotency import errors as idempotency
 from ..profiles import errors as profiles
@@ -49,6 +50,8 @@
     dispatch.AnswerIncomplete: ProblemRule(502, "The answer broke off", "false"),
     dispatch.CallOutcomeUnknown: ProblemRule(504, "The outcome is unknown", None),
     dispatch.NoServer: ProblemRule(503, "No server is available", None),
+    PlacementConflict: ProblemRule(409, "Another change came first", "true"),
+    PlacementUndecided: ProblemRule(503, "Change not confirmed", None),
     dispatch.ProfileNotInForce: ProblemRule(503, "No profile is in force", None),
     idempotency.KeyReused: ProblemRule(422, "The key names another call", "true"),
     idempotency.CallInProgress: ProblemRule(409, "The call is running", "unknown"),
--- a/buckthornrock/events/fleet.py
+++ b/buckthornrock/events/fleet.py
@@ -30,3 +30,32 @@
     ("upstream_id", "source"),
     "An upstream is leaving, by the named source; it gets no new work.",
 )
+STEWARD_GAINED = Event(
+    2050,
+    "fleet.steward_gained",
+    "info",
+    ("upstream_id", "fencing"),
+    "This instance became the steward of an engine.",
+)
+STEWARD_LOST = Event(
+    2051,
+    "fleet.steward_lost",
+    "info",
+    ("upstream_id", "reason"),
+    "This instance is no longer the steward of an engine.",
+)
+ORDER_SENT = Event(
+    2052,
+    "fleet.order_sent",
+    "info",
+    (
+        "upstream_id",
+        "order_id",
+        "kind",
+        "model",
+        "weights_version",
+        "reason",
+        "outcome",
+    ),
+    "An engine was ordered towards what the placement wants.",
+)
--- /dev/null
+++ b/buckthornrock/fleet/placement_store.py
@@ -0,0 +1,111 @@
+"""The placement document in the key-value service, changed like a profile."""
+
+import threading
+from typing import NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..errors import NotRun
+from ..platform import (
+    CommitConflict,
+    CommitDone,
+    CommitNotDone,
+    Compare,
+    KvEntry,
+    KvPort,
+    Put,
+    Transaction,
+)
+from .placement_document import Placement, empty_placement
+
+KEY = "placement"
+
+
+class PlacementRecord(msgspec.Struct, frozen=True):
+    """One accepted version; version 0 is the empty document before any."""
+
+    version: int
+    placement: Placement
+
+
+class PlacementConflict(NamedTuple):
+    """Another operator's change came first; nothing was accepted."""
+
+    expected_version: int
+    found_version: int
+
+    code = "placement-conflict"
+
+
+class PlacementUndecided(NamedTuple):
+    """The key-value service gave no answer; the change may have been accepted."""
+
+    reason: str
+    not_run: NotRun
+
+    code = "placement-undecided"
+
+
+ApplyFailure = PlacementConflict | PlacementUndecided
+_decoder = msgspec.json.Decoder(PlacementRecord)
+
+
+class PlacementStore:
+    """The newest known version; it never falls.
+
+    Parameters
+    ----------
+    kv : KvPort
+        Holds the document.
+    """
+
+    def __init__(self, kv: KvPort) -> None:
+        self._kv = kv
+        self._lock = threading.Lock()
+        self._record = PlacementRecord(0, empty_placement())
+
+    def current(self) -> PlacementRecord:
+        """Return the newest known version."""
+        with self._lock:
+            return self._record
+
+    def refresh(self) -> None:
+        """Read the document."""
+        entry = self._kv.get(KEY)
+        if entry.is_ok() and entry.ok is not None:
+            self._offer(_decoder.decode(entry.ok.value))
+
+    def apply(
+        self, placement: Placement, expected_version: int
+    ) -> Result[PlacementRecord, ApplyFailure]:
+        """Accept ``placement`` as the version after ``expected_version``."""
+        entry = self._kv.get(KEY)
+        if entry.is_error():
+            return Error(PlacementUndecided(entry.error.reason, "true"))
+        found_version = _version_of(entry.ok)
+        if found_version != expected_version:
+            return Error(PlacementConflict(expected_version, found_version))
+        record = PlacementRecord(expected_version + 1, placement)
+        revision = entry.ok.mod_revision if entry.ok else 0
+        put = Put(KEY, msgspec.json.encode(record))
+        outcome = self._kv.commit(Transaction((Compare(KEY, revision),), (put,)))
+        match outcome:
+            case CommitDone():
+                self._offer(record)
+                return Ok(record)
+            case CommitConflict(entries):
+                found_version = _version_of(next(iter(entries), None))
+                return Error(PlacementConflict(expected_version, found_version))
+            case CommitNotDone(reason):
+                return Error(PlacementUndecided(reason, "true"))
+        return Error(PlacementUndecided(outcome.reason, "unknown"))
+
+    def _offer(self, record: PlacementRecord) -> None:
+        with self._lock:
+            if record.version > self._record.version:
+                self._record = record
+
+
+def _version_of(entry: KvEntry | None) -> int:
+    return _decoder.decode(entry.value).version if entry is not None else 0
--- /dev/null
+++ b/buckthornrock/fleet/reconciler.py
@@ -0,0 +1,144 @@
+"""Compares what an engine has with what is wanted, and says what to order next.
+
+An order states the desired end. It may therefore be repeated, and a late copy of it
+does no harm as long as the same end is still wanted.
+"""
+
+import math
+from collections.abc import Sequence
+from typing import Literal, NamedTuple
+
+from ..upstreams.order_messages import EngineOrderState
+from .placement_document import WantedEngine
+
+OrderKind = Literal["load", "adapter", "role"]
+
+
+class WantedOrder(NamedTuple):
+    """The next order of one engine; ``reason`` tells operators why."""
+
+    kind: OrderKind
+    model: str
+    weights_version: str
+    adapter: str
+    role: str
+    reason: str
+
+
+class Nothing(NamedTuple):
+    """Nothing is to be ordered now; ``reason`` tells operators why."""
+
+    reason: str
+
+
+class EngineSummary(NamedTuple):
+    """What is known of one engine of the fleet from its load report.
+
+    Parameters
+    ----------
+    wanted : WantedEngine or None
+        What the placement wants of it.
+    is_serving : bool
+        Whether it is live and has the wanted model.
+    weights_version : str
+        What it serves, "" if unknown.
+    """
+
+    upstream_id: str
+    failure_domain: str
+    wanted: WantedEngine | None
+    is_serving: bool
+    weights_version: str
+
+
+class LoadInProgress(NamedTuple):
+    """A held load slot; ``is_roll`` if the engine served before."""
+
+    upstream_id: str
+    failure_domain: str
+    is_roll: bool
+
+
+def next_order(
+    wanted: WantedEngine | None, state: EngineOrderState
+) -> WantedOrder | Nothing:
+    """Return the next step towards what is wanted; weights go before adapters."""
+    if wanted is None:
+        return Nothing("nothing is wanted of it")
+    if state.loading:
+        return Nothing("it is loading")
+    if not has_weights(wanted, state):
+        reason = "cold" if not state.models else "other weights"
+        return _order("load", wanted, reason=reason)
+    missing = sorted(set(wanted["adapters"]) - set(state.adapters))
+    if missing:
+        return _order("adapter", wanted, adapter=missing[0], reason="adapter missing")
+    if wanted["role"] and wanted["role"] != state.role:
+        return _order("role", wanted, reason="other role")
+    return Nothing("as wanted")
+
+
+def has_weights(wanted: WantedEngine, state: EngineOrderState) -> bool:
+    """Tell whether the engine has the wanted model and version."""
+    is_version = state.weights_version == wanted["weights_version"]
+    return wanted["model"] in state.models and is_version
+
+
+def may_load(
+    upstream_id: str,
+    state: EngineOrderState,
+    engines: Sequence[EngineSummary],
+    in_progress: Sequence[LoadInProgress],
+    min_serving_share: float,
+) -> Nothing | None:
+    """Return why the engine must wait to load, or None if it may.
+
+    A cold engine takes no capacity away, so it waits for a slot only. An engine that
+    serves is taken out only when the others of its model carry the load, no other
+    failure domain is rolling, and the domains before its own are done.
+    """
+    if not state.models:
+        return None
+    own = next(e for e in engines if e.upstream_id == upstream_id)
+    rolling = {load.failure_domain for load in in_progress if load.is_roll}
+    if rolling - {own.failure_domain}:
+        return Nothing("another failure domain is rolling")
+    if _earlier_domain_open(own, engines):
+        return Nothing("an earlier failure domain is not done")
+    peers = [e for e in engines if _same_model(e, own)]
+    loading = {load.upstream_id for load in in_progress}
+    n_left = sum(
+        e.is_serving and e.upstream_id not in loading | {upstream_id} for e in peers
+    )
+    if n_left < math.ceil(min_serving_share * len(peers)):
+        return Nothing("too few others serve the model")
+    return None
+
+
+def _earlier_domain_open(own: EngineSummary, engines: Sequence[EngineSummary]) -> bool:
+    return any(
+        e.failure_domain < own.failure_domain
+        and _same_model(e, own)
+        and e.is_serving
+        and e.weights_version != e.wanted["weights_version"]
+        for e in engines
+    )
+
+
+def _same_model(engine: EngineSummary, own: EngineSummary) -> bool:
+    if engine.wanted is None or own.wanted is None:
+        return False
+    return engine.wanted["model"] == own.wanted["model"]
+
+
+def _order(
+    kind: OrderKind, wanted: WantedEngine, reason: str, adapter: str = ""
+) -> WantedOrder:
+    return WantedOrder(
+        kind,
+        wanted["model"],
+        wanted["weights_version"],
+        adapter,
+        wanted["role"],
+        reason,
+    )
--- a/buckthornrock/fleet/registry.py
+++ b/buckthornrock/fleet/registry.py
@@ -11,7 +11,7 @@
 from ..upstreams.errors import AttemptFailed
 from .health import HealthTracker
 from .leaving import LeavingTracker, Source
-from .views import EngineView, ServiceView
+from .views import EngineView, ServiceView, UpstreamStatus
 
 
 class _Record:
@@ -61,6 +61,12 @@
         settings = (record.settings for record in self._records.values())
         return tuple(sorted(s for s in settings if s.kind == "engine"))
 
+    def statuses(self) -> tuple[UpstreamStatus, ...]:
+        """Return every upstream, also those that may get no work."""
+        now_ms = self._now_ms()
+        with self._lock:
+            return tuple(self._status(r, now_ms) for r in self._records.values())
+
     def engines(self, model: str) -> tuple[EngineView, ...]:
         """Return the engines that serve ``model`` and may get new work."""
         now_ms = self._now_ms()
@@ -164,6 +170,20 @@
             return False
         return not self._leaving.is_leaving(record.settings.id, self._now_ms())
 
+    def _status(self, record: _Record, now_ms: float) -> UpstreamStatus:
+        settings = record.settings
+        return UpstreamStatus(
+            upstream_id=settings.id,
+            kind=settings.kind,
+            failure_domain=settings.failure_domain,
+            address=settings.address,
+            report=record.report,
+            report_age_ms=now_ms - record.report_at_ms,
+            n_own_requests=record.n_own_requests,
+            health=self._health[settings.kind].health(settings.id, now_ms),
+            is_leaving=self._leaving.is_leaving(settings.id, now_ms),
+        )
+
     def _engine_view(self, record: _Record, now_ms: float) -> EngineView:
         report = record.report
         return EngineView(
--- /dev/null
+++ b/buckthornrock/fleet/stewards.py
@@ -0,0 +1,407 @@
+"""Keeps the engines of this instance's stewardships as the placement wants them.
+
+Each step looks at every engine that this instance is, or should be, steward of. All
+that may be slow or fail is passed in; what is decided is decided by
+:mod:`.stewardship`, :mod:`.reconciler` and :mod:`.load_slots`.
+"""
+
+import random
+import threading
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from ..conf.settings import UpstreamSettings
+from ..events import fleet as events
+from ..platform import (
+    CommitConflict,
+    CommitDone,
+    Compare,
+    Delete,
+    KvPort,
+    Put,
+    Transaction,
+)
+from ..telemetry import Telemetry
+from ..telemetry.metrics import ORDERS
+from ..upstreams.order_client import OrderClient, OrderOutdated
+from ..upstreams.order_messages import EngineOrder, EngineOrderState
+from . import load_slots
+from .placement_document import wanted_of
+from .placement_store import PlacementStore
+from .reconciler import (
+    EngineSummary,
+    LoadInProgress,
+    Nothing,
+    WantedOrder,
+    may_load,
+    next_order,
+)
+from .stewardship import (
+    StewardRules,
+    Stewardship,
+    is_first_choice,
+    is_to_hand_over,
+    margin_ms,
+    may_order_from_ms,
+    steward_key,
+    with_choice,
+)
+
+#: Waits between looks for a free slot, so that waiting stewards don't ask together.
+MIN_SLOT_WAIT_MS = 200.0
+MAX_SLOT_WAIT_MS = 1_000.0
+CLOSE_STEP_MS = 200.0
+
+
+class LeasePort(NamedTuple):
+    """The lease of this instance.
+
+    Parameters
+    ----------
+    lease_id : callable
+        ``lease_id() -> int``, 0 if none is held.
+    epoch : callable
+        ``epoch() -> int``; rises with every grant.
+    holds : callable
+        ``holds(now_ms, margin_ms) -> bool``.
+    """
+
+    lease_id: Callable[[], int]
+    epoch: Callable[[], int]
+    holds: Callable[[float, float], bool]
+
+
+class StewardParts(NamedTuple):
+    """What stewards work with.
+
+    Parameters
+    ----------
+    live_ids : callable
+        ``live_ids() -> tuple[str, ...]`` of instances.
+    summaries : callable
+        ``summaries(placement) -> list[EngineSummary]`` from load reports.
+    """
+
+    instance_id: str
+    kv: KvPort
+    lease: LeasePort
+    client: OrderClient
+    placements: PlacementStore
+    live_ids: Callable[[], tuple[str, ...]]
+    summaries: Callable[[object], Sequence[EngineSummary]]
+    telemetry: Telemetry
+    now_ms: Callable[[], float]
+    sleep_ms: Callable[[float], None]
+    rng: random.Random
+
+
+class StewardView(NamedTuple):
+    """What a steward last saw and decided of an engine."""
+
+    upstream_id: str
+    fencing: int
+    last_order: str
+    reason: str
+
+
+class _Slot(NamedTuple):
+    """A held load slot."""
+
+    key: str
+    mod_revision: int
+    epoch: int
+    taken_at_ms: float
+    is_roll: bool
+
+
+class _Engine:
+    """Mutable state of one engine's stewardship."""
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self.settings = settings
+        self.stewardship: Stewardship | None = None
+        self.slot: _Slot | None = None
+        self.slot_look_at_ms = 0.0
+        self.n_orders = 0
+        self.last_order = ""
+        self.reason = ""
+
+
+class Stewards:
+    """The stewardships of this instance.
+
+    Parameters
+    ----------
+    engines : tuple of UpstreamSettings
+        All engines of the fleet.
+    rules : StewardRules
+        Times that keep stewards apart.
+    n_slots : int
+        Engines of the fleet that may load at once.
+    """
+
+    def __init__(
+        self,
+        engines: Sequence[UpstreamSettings],
+        rules: StewardRules,
+        n_slots: int,
+        parts: StewardParts,
+    ) -> None:
+        self._engines = [_Engine(settings) for settings in engines]
+        self._rules = rules
+        self._n_slots = n_slots
+        self._parts = parts
+        self._step_lock = threading.Lock()
+        self._is_draining = False
+
+    def step(self) -> None:
+        """Look at every engine once."""
+        with self._step_lock:
+            live_ids = self._parts.live_ids()
+            for engine in self._engines:
+                self._step_engine(engine, live_ids)
+
+    def drain(self) -> None:
+        """Take no further stewardship and start no further load."""
+        self._is_draining = True
+
+    def close(self) -> None:
+        """Finish the loads under way, then hand back every stewardship."""
+        self.drain()
+        give_up_at_ms = self._parts.now_ms() + self._rules.load_time_ms
+        while self._has_slot() and self._parts.now_ms() < give_up_at_ms:
+            self.step()
+            self._parts.sleep_ms(CLOSE_STEP_MS)
+        with self._step_lock:
+            for engine in self._engines:
+                if engine.stewardship is not None:
+                    self._hand_back(engine)
+
+    def _has_slot(self) -> bool:
+        return any(engine.slot is not None for engine in self._engines)
+
+    def views(self) -> list[StewardView]:
+        """Return what is known of the engines of this instance's stewardships."""
+        held = [(e, e.stewardship) for e in self._engines]
+        return [
+            StewardView(e.settings.id, stewardship.fencing, e.last_order, e.reason)
+            for e, stewardship in held
+            if stewardship is not None
+        ]
+
+    def _step_engine(self, engine: _Engine, live_ids: tuple[str, ...]) -> None:
+        parts = self._parts
+        upstream_id = engine.settings.id
+        is_first = is_first_choice(upstream_id, parts.instance_id, live_ids)
+        self._drop_lapsed(engine)
+        if engine.stewardship is None:
+            if is_first and not self._is_draining:
+                self._acquire(engine)
+            return
+        now_ms = parts.now_ms()
+        engine.stewardship = with_choice(engine.stewardship, is_first, now_ms)
+        if engine.slot is None and is_to_hand_over(engine.stewardship, now_ms):
+            self._hand_back(engine)
+            return
+        engine.reason = self._reconcile(engine)
+
+    def _drop_lapsed(self, engine: _Engine) -> None:
+        lease = self._parts.lease
+        is_held = lease.holds(self._parts.now_ms(), 0.0)
+        held = engine.stewardship
+        if held is not None and (not is_held or held.epoch != lease.epoch()):
+            engine.stewardship = None
+            self._log_lost(engine, "lease lost")
+        slot = engine.slot
+        if slot is not None and (not is_held or slot.epoch != lease.epoch()):
+            engine.slot = None
+
+    def _acquire(self, engine: _Engine) -> None:
+        parts = self._parts
+        # The epoch is read before the lease id, so that a lease granted in between
+        # makes the stewardship look lost, never held too long.
+        epoch, lease_id = parts.lease.epoch(), parts.lease.lease_id()
+        if not lease_id or not parts.lease.holds(parts.now_ms(), 0.0):
+            return
+        key = steward_key(engine.settings.id)
+        put = Put(key, parts.instance_id.encode(), lease_id)
+        outcome = parts.kv.commit(Transaction((Compare(key, 0),), (put,)))
+        fencing = 0
+        if isinstance(outcome, CommitDone):
+            fencing = outcome.revision
+        if isinstance(outcome, CommitConflict):
+            # The answer to an earlier write of ours may have been lost.
+            own = [e for e in outcome.entries if e.lease_id == lease_id]
+            fencing = own[0].mod_revision if own else 0
+        if not fencing:
+            return
+        engine.stewardship = Stewardship(
+            engine.settings.id, fencing, epoch, parts.now_ms()
+        )
+        parts.telemetry.log(
+            events.STEWARD_GAINED, upstream_id=engine.settings.id, fencing=fencing
+        )
+
+    def _hand_back(self, engine: _Engine) -> None:
+        held = engine.stewardship
+        key = steward_key(engine.settings.id)
+        compare = Compare(key, held.fencing)
+        self._parts.kv.commit(Transaction((compare,), (Delete(key),)))
+        engine.stewardship = None
+        self._log_lost(engine, "handed back")
+
+    def _reconcile(self, engine: _Engine) -> str:
+        """Take one step towards what is wanted; return the reason for it."""
+        settings = engine.settings
+        record = self._parts.placements.current()
+        wanted = wanted_of(record.placement, settings.id, settings.failure_domain)
+        if wanted is None and engine.slot is None:
+            return "nothing is wanted of it"
+        state = self._parts.client.read(settings.id, settings.address)
+        if state.is_error():
+            self._free_dead_slot(engine)
+            return f"not reachable: {state.error.reason}"
+        step = next_order(wanted, state.ok)
+        is_load = isinstance(step, WantedOrder) and step.kind == "load"
+        if not state.ok.loading and not is_load:
+            self._release_slot(engine)
+        if isinstance(step, Nothing):
+            return step.reason
+        waiting = self._wait_for(engine, step, state.ok)
+        if waiting is not None:
+            return waiting.reason
+        return self._send(engine, step)
+
+    def _wait_for(
+        self, engine: _Engine, order: WantedOrder, state: EngineOrderState
+    ) -> Nothing | None:
+        """Return why the order must wait; take a slot if it needs one."""
+        checks_fencing = engine.settings.checks_fencing
+        from_ms = may_order_from_ms(engine.stewardship, checks_fencing, self._rules)
+        if self._parts.now_ms() < from_ms:
+            return Nothing("waiting until the steward before can't order any more")
+        if order.kind != "load":
+            return None
+        if engine.slot is not None and _is_slot_for(engine.slot, state):
+            return None
+        self._release_slot(engine)
+        if self._is_draining:
+            return Nothing("this instance stops")
+        return self._take_slot(engine, state)
+
+    def _take_slot(self, engine: _Engine, state: EngineOrderState) -> Nothing | None:
+        parts = self._parts
+        now_ms = parts.now_ms()
+        if now_ms < engine.slot_look_at_ms:
+            return Nothing("waiting for a load slot")
+        wait_ms = parts.rng.uniform(MIN_SLOT_WAIT_MS, MAX_SLOT_WAIT_MS)
+        engine.slot_look_at_ms = now_ms + wait_ms
+        entries = parts.kv.get_prefix(load_slots.KEY_PREFIX)
+        if entries.is_error():
+            return Nothing("load slots can't be read")
+        waiting = self._may_load(
+            engine, state, load_slots.loads_in_progress(entries.ok)
+        )
+        if waiting is not None:
+            return waiting
+        epoch, lease_id = parts.lease.epoch(), parts.lease.lease_id()
+        record = load_slots.SlotRecord(
+            parts.instance_id,
+            engine.settings.id,
+            engine.settings.failure_domain,
+            bool(state.models),
+        )
+        transaction = load_slots.taking(record, entries.ok, self._n_slots, lease_id)
+        if transaction is None or not lease_id:
+            return Nothing("waiting for a load slot")
+        outcome = parts.kv.commit(transaction)
+        if not isinstance(outcome, CommitDone):
+            return Nothing("waiting for a load slot")
+        key = transaction.writes[0].key
+        engine.slot = _Slot(
+            key, outcome.revision, epoch, parts.now_ms(), record.is_roll
+        )
+        return None
+
+    def _may_load(
+        self,
+        engine: _Engine,
+        state: EngineOrderState,
+        in_progress: list[LoadInProgress],
+    ) -> Nothing | None:
+        placement = self._parts.placements.current().placement
+        return may_load(
+            engine.settings.id,
+            state,
+            self._parts.summaries(placement),
+            in_progress,
+            placement["min_serving_share"],
+        )
+
+    def _free_dead_slot(self, engine: _Engine) -> None:
+        # An engine that died while loading must not keep the others waiting.
+        slot = engine.slot
+        if slot is None:
+            return
+        if self._parts.now_ms() - slot.taken_at_ms > self._rules.load_time_ms:
+            self._release_slot(engine)
+
+    def _release_slot(self, engine: _Engine) -> None:
+        slot = engine.slot
+        if slot is None:
+            return
+        compare = Compare(slot.key, slot.mod_revision)
+        outcome = self._parts.kv.commit(Transaction((compare,), (Delete(slot.key),)))
+        if isinstance(outcome, CommitDone | CommitConflict):
+            engine.slot = None
+
+    def _send(self, engine: _Engine, step: WantedOrder) -> str:
+        parts = self._parts
+        held = engine.stewardship
+        engine.n_orders += 1
+        order_id = f"{parts.instance_id}.{held.fencing}.{engine.n_orders}"
+        order = _order(order_id, step, held.fencing)
+        # The last look before the act: a pause until here may have used up the lease.
+        needed_ms = margin_ms(self._rules, step.kind == "load")
+        if not parts.lease.holds(parts.now_ms(), needed_ms):
+            return "the lease is about to lapse"
+        settings = engine.settings
+        sent = parts.client.send(settings.id, settings.address, order)
+        engine.last_order = f"{step.kind} {order_id}"
+        parts.telemetry.metrics.incr(ORDERS, label=step.kind)
+        parts.telemetry.log(
+            events.ORDER_SENT,
+            upstream_id=settings.id,
+            order_id=order_id,
+            kind=step.kind,
+            model=step.model,
+            weights_version=step.weights_version,
+            reason=step.reason,
+            outcome="taken" if sent.is_ok() else sent.error.code,
+        )
+        if sent.is_error() and isinstance(sent.error, OrderOutdated):
+            engine.stewardship = None
+            self._log_lost(engine, "the engine knows a later steward")
+        return step.reason
+
+    def _log_lost(self, engine: _Engine, reason: str) -> None:
+        self._parts.telemetry.log(
+            events.STEWARD_LOST, upstream_id=engine.settings.id, reason=reason
+        )
+
+
+def _is_slot_for(slot: _Slot, state: EngineOrderState) -> bool:
+    # A slot that was taken for a cold engine gives no leave to take a serving one out.
+    return slot.is_roll or not state.models
+
+
+def _order(order_id: str, step: WantedOrder, fencing: int) -> EngineOrder:
+    return EngineOrder(
+        order_id=order_id,
+        kind=step.kind,
+        model=step.model,
+        weights_version=step.weights_version,
+        adapter=step.adapter,
+        role=step.role,
+        fencing=fencing,
+    )
--- a/buckthornrock/fleet/views.py
+++ b/buckthornrock/fleet/views.py
@@ -1,6 +1,8 @@
 """What the program knows of an upstream, as immutable values."""
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
+
+from ..upstreams.engine_messages import LoadReport
 
 
 class EngineView(NamedTuple):
@@ -46,3 +48,20 @@
     failure_domain: str
     n_own_requests: int
     health: float
+
+
+class UpstreamStatus(NamedTuple):
+    """One upstream as operators and stewards see it, also if it gets no work.
+
+    ``report`` is None if there was no load report yet.
+    """
+
+    upstream_id: str
+    kind: Literal["engine", "service"]
+    failure_domain: str
+    address: str
+    report: LoadReport | None
+    report_age_ms: float
+    n_own_requests: int
+    health: float
+    is_leaving: bool
--- /dev/null
+++ b/buckthornrock/operator/orders.py
@@ -0,0 +1,166 @@
+"""Operators' requests about upstreams, orders and the placement document."""
+
+from collections.abc import Callable
+from typing import Any, Literal, NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..conf.decoding import Problem
+from ..entry.completions import new_request_id
+from ..entry.errors import BadRequest
+from ..entry.problems import respond_problem
+from ..errors import Failure
+from ..fleet.placement_document import (
+    Placement,
+    WantedEngine,
+    check_placement,
+    wanted_of,
+)
+from ..fleet.placement_store import PlacementConflict, PlacementRecord, PlacementStore
+from ..httpd import Exchange
+from .app import OperatorRoute
+
+#: Times that an order is put into the placement anew when another change came first.
+N_TRIES = 4
+
+
+class EngineName(NamedTuple):
+    """An engine that may be ordered."""
+
+    upstream_id: str
+    failure_domain: str
+
+
+class OrderRoutes(NamedTuple):
+    """What the routes work with.
+
+    Parameters
+    ----------
+    engines : tuple of EngineName
+        All engines of the fleet.
+    upstreams : callable
+        ``upstreams(upstream_id) -> list[dict]``; "" asks for all.
+    """
+
+    placements: PlacementStore
+    engines: tuple[EngineName, ...]
+    upstreams: Callable[[str], list[dict]]
+
+
+class _ApplyBody(msgspec.Struct):
+    expected_version: int
+    placement: Placement
+
+
+class _OrderBody(msgspec.Struct):
+    """An operator's order; fields that its kind doesn't use stay empty."""
+
+    kind: Literal["load", "adapter", "role"]
+    upstream_id: str
+    model: str = ""
+    weights_version: str = ""
+    adapter: str = ""
+    role: str = ""
+
+
+def order_routes(parts: OrderRoutes) -> tuple[OperatorRoute, ...]:
+    """Return the routes of orders and placement."""
+
+    def show_placement(exchange: Exchange) -> None:
+        parts.placements.refresh()
+        exchange.respond_json(200, parts.placements.current())
+
+    def apply_placement(exchange: Exchange) -> None:
+        body = _decode(exchange, _ApplyBody)
+        if body.is_error():
+            respond_problem(exchange, body.error, new_request_id())
+            return
+        _respond(exchange, _apply(parts, body.ok.placement, body.ok.expected_version))
+
+    def order(exchange: Exchange) -> None:
+        body = _decode(exchange, _OrderBody)
+        if body.is_error():
+            respond_problem(exchange, body.error, new_request_id())
+            return
+        _respond(exchange, _order(parts, body.ok))
+
+    def upstreams(exchange: Exchange) -> None:
+        upstream_id = exchange.path.removeprefix("/v1/upstreams").strip("/")
+        exchange.respond_json(200, {"upstreams": parts.upstreams(upstream_id)})
+
+    return (
+        OperatorRoute("GET", "/v1/placement", show_placement),
+        OperatorRoute("PUT", "/v1/placement", apply_placement),
+        OperatorRoute("POST", "/v1/orders", order),
+        OperatorRoute("GET", "/v1/upstreams", upstreams),
+        OperatorRoute("GET", "/v1/upstreams/", upstreams),
+    )
+
+
+def _apply(
+    parts: OrderRoutes, placement: Placement, expected_version: int
+) -> Result[PlacementRecord, Failure]:
+    engine_ids = frozenset(engine.upstream_id for engine in parts.engines)
+    problems: list[Problem] = list(check_placement(placement, engine_ids))
+    if problems:
+        first = problems[0]
+        reason = f"{first.id}: found {first.found}; {first.hint}"
+        return Error(BadRequest(first.path, reason))
+    return parts.placements.apply(placement, expected_version)
+
+
+def _order(parts: OrderRoutes, order: _OrderBody) -> Result[PlacementRecord, Failure]:
+    engine = next(
+        (e for e in parts.engines if e.upstream_id == order.upstream_id), None
+    )
+    if engine is None:
+        return Error(BadRequest("$.upstream_id", "name an engine of the fleet"))
+    for _ in range(N_TRIES):
+        parts.placements.refresh()
+        record = parts.placements.current()
+        found = wanted_of(record.placement, *engine)
+        wanted = _with_order(found, order)
+        if wanted.is_error():
+            return wanted
+        upstreams = {**record.placement["upstreams"], order.upstream_id: wanted.ok}
+        placement: Placement = {**record.placement, "upstreams": upstreams}
+        applied = _apply(parts, placement, record.version)
+        if applied.is_ok() or not isinstance(applied.error, PlacementConflict):
+            return applied
+    return applied
+
+
+def _with_order(
+    found: WantedEngine | None, order: _OrderBody
+) -> Result[WantedEngine, BadRequest]:
+    if order.kind == "load":
+        base = found or {"adapters": [], "role": ""}
+        model = {"model": order.model, "weights_version": order.weights_version}
+        return _checked({**base, **model})
+    if found is None:
+        reason = "nothing is wanted of this engine yet: order its load first"
+        return Error(BadRequest("$.upstream_id", reason))
+    if order.kind == "adapter":
+        adapters = sorted({*found["adapters"], order.adapter} - {""})
+        return _checked({**found, "adapters": adapters})
+    return _checked({**found, "role": order.role})
+
+
+def _checked(wanted: dict[str, Any]) -> Result[WantedEngine, BadRequest]:
+    return Ok(msgspec.convert(wanted, WantedEngine))
+
+
+def _decode(exchange: Exchange, target: type) -> Result[Any, BadRequest]:
+    raw = exchange.read_body().default_value(b"")
+    try:
+        return Ok(msgspec.json.decode(raw, type=target))
+    except msgspec.MsgspecError as error:
+        return Error(BadRequest("$", str(error)))
+
+
+def _respond(exchange: Exchange, result: Result[PlacementRecord, Failure]) -> None:
+    if result.is_error():
+        respond_problem(exchange, result.error, new_request_id())
+        return
+    exchange.respond_json(200, {"version": result.ok.version})
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -15,6 +15,7 @@
 SERVICE_RETRIES = "service_retries"
 KEYED_CALLS = "keyed_calls"
 OUTCOMES_PENDING = "outcomes_pending"
+ORDERS = "orders"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
 KV_WAITS_MS = "kv_waits_ms"
@@ -35,6 +36,7 @@
     CROSSED_ANSWERS: ("counter", "answers that named another request, by upstream"),
     SERVICE_RETRIES: ("counter", "repeated attempts of calls to plain services"),
     KEYED_CALLS: ("counter", "calls with an idempotency key, by how they ended"),
+    ORDERS: ("counter", "orders sent to engines, by kind"),
     OUTCOMES_PENDING: ("gauge", "outcomes that are not yet recorded"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
--- /dev/null
+++ b/buckthornrock/upstreams/order_client.py
@@ -0,0 +1,86 @@
+"""Sends orders to engines and reads back what they have."""
+
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+from expression import Error, Ok, Result
+
+from .errors import AttemptFailed
+from .order_messages import EngineOrder, EngineOrderState, OrderRefusal
+
+N_POOLED_CONNECTIONS = 2
+CONNECT_SHARE = 0.5
+
+
+class OrderOutdated(NamedTuple):
+    """The engine has seen a higher fencing number, so another steward is in charge."""
+
+    upstream_id: str
+    highest_fencing: int
+
+    code = "order-outdated"
+
+
+OrderFailure = AttemptFailed | OrderOutdated
+
+
+class OrderClient:
+    """Connections for orders, apart from those that serve callers.
+
+    Parameters
+    ----------
+    timeout_ms : int
+        Longest time for one call.
+    """
+
+    def __init__(self, timeout_ms: int) -> None:
+        timeout_s = timeout_ms / 1000.0
+        self._pool = urllib3.PoolManager(
+            maxsize=N_POOLED_CONNECTIONS,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_SHARE * timeout_s, total=timeout_s),
+        )
+
+    def read(
+        self, upstream_id: str, address: str
+    ) -> Result[EngineOrderState, AttemptFailed]:
+        """Return what the engine has."""
+        response = self._call(upstream_id, "GET", address, None)
+        return response.bind(lambda r: _decoded(upstream_id, r.data, EngineOrderState))
+
+    def send(
+        self, upstream_id: str, address: str, order: EngineOrder
+    ) -> Result[None, OrderFailure]:
+        """Send an order; an answer in time means that the engine took it."""
+        response = self._call(upstream_id, "POST", address, order)
+        if response.is_error():
+            return response
+        if response.ok.status == 409:
+            refusal = _decoded(upstream_id, response.ok.data, OrderRefusal)
+            return refusal.bind(
+                lambda r: Error(OrderOutdated(upstream_id, r.highest_fencing))
+            )
+        if response.ok.status != 200:
+            reason = f"status {response.ok.status}"
+            return Error(AttemptFailed(upstream_id, reason, "unknown"))
+        return Ok(None)
+
+    def _call(
+        self, upstream_id: str, method: str, address: str, order: EngineOrder | None
+    ) -> Result[urllib3.BaseHTTPResponse, AttemptFailed]:
+        body = None if order is None else msgspec.json.encode(order)
+        try:
+            return Ok(self._pool.request(method, f"http://{address}/orders", body=body))
+        except urllib3.exceptions.HTTPError as error:
+            reason = type(error).__name__
+            return Error(AttemptFailed(upstream_id, reason, "unknown"))
+
+
+def _decoded(
+    upstream_id: str, raw: bytes, target: type
+) -> Result[object, AttemptFailed]:
+    try:
+        return Ok(msgspec.json.decode(raw, type=target))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(AttemptFailed(upstream_id, type(error).__name__, "unknown"))
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -29,6 +29,10 @@
             ("SET-E011", "$.admission.window_tokens"),
         },
     ),
+    (
+        {"orders": {"load_time_ms": 60_000}},
+        {("SET-E040", "$.orders.load_time_ms")},
+    ),
     ({"isolation_secret": "short"}, {("SET-E015", "$.isolation_secret")}),
     (
         {"upstreams": {"servers": [ENGINE, ENGINE]}},
