--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -8,6 +8,7 @@
 from .explain import explain
 from .load import load
 from .order import order
+from .profile import profile
 from .report import report
 from .serve import serve
 from .upstreams import upstreams
@@ -24,6 +25,7 @@
 main.add_command(demo)
 main.add_command(load)
 main.add_command(report)
+main.add_command(profile)
 main.add_command(explain)
 main.add_command(order)
 main.add_command(upstreams)
