Record outcomes and finish forwarded calls before an instance ends

Cause: at the end of an instance, outcomes that were not recorded yet were lost, and calls that it ran for other instances were not waited for. A claim could hold up others for as long as the key-value client settles a lost answer (4 s). Change: closers flush the outcomes and finish forwarded calls; claims are limited to 1.5 s. The test of open streams is gated instead of timed: under load 100 streams did not open within their 1.2 s, and the test waited for ever.

--- a/buckthornrock/compose/services.py
+++ b/buckthornrock/compose/services.py
@@ -29,6 +29,7 @@
         core.rng,
     )
     issued.serve(dispatcher.run_forwarded)
+    core.closers.append(issued.close)
     return dispatcher
 
 
@@ -56,4 +57,5 @@
         core, "idempotency.record", claimed.record_outcomes, RECORD_PERIOD_MS
     )
     claimed.wake_with(recorder.run_now)
+    core.closers.append(claimed.flush)
     return claimed
--- a/buckthornrock/idempotency/claims.py
+++ b/buckthornrock/idempotency/claims.py
@@ -39,6 +39,11 @@
 from .retention import RetentionLease
 
 MAX_PENDING_OUTCOMES = 10_000
+#: How long a claim may take; longer than a lost answer takes to be settled.
+CLAIM_LIMIT_MS = 1_500.0
+#: How long a stopping instance tries to record what is left.
+FLUSH_LIMIT_MS = 2_000.0
+FLUSH_STEP_MS = 50.0
 
 
 class Identity(NamedTuple):
@@ -92,7 +97,9 @@
         self._clock = clock
         self._rng = rng
         self._retention = RetentionLease(kv.grant_lease, settings.retention_s)
-        self._committer = GroupCommitter(kv.commit)
+        self._committer = GroupCommitter(
+            lambda transaction: kv.commit(transaction, limit_ms=CLAIM_LIMIT_MS)
+        )
         self._lock = threading.Lock()
         self._flights: dict[str, _Flight] = {}
         self._outcomes = OutcomeQueue(rng)
@@ -129,6 +136,14 @@
             n_pending = len(self._outcomes)
         self._telemetry.metrics.gauge(OUTCOMES_PENDING, n_pending)
 
+    def flush(self) -> None:
+        """Record what is left before the instance ends."""
+        give_up_at_ms = self._clock.now_ms() + FLUSH_LIMIT_MS
+        while self.n_pending() and self._clock.now_ms() < give_up_at_ms:
+            self.record_outcomes()
+            if self.n_pending():
+                self._clock.sleep_ms(FLUSH_STEP_MS)
+
     def n_pending(self) -> int:
         """Return how many outcomes are not recorded yet."""
         with self._lock:
--- a/buckthornrock/idempotency/issued_calls.py
+++ b/buckthornrock/idempotency/issued_calls.py
@@ -1,5 +1,6 @@
 """Runs calls with issued keys: here if this run issued the key, else at its issuer."""
 
+import math
 import os
 import threading
 from collections.abc import Callable
@@ -35,6 +36,8 @@
 FIRST_POLL_MS = 10.0
 MAX_POLL_MS = 250.0
 ASK_TIMEOUT_MS = 1_000.0
+#: Longer than the wait between two questions for an outcome.
+LINGER_MS = 2.0 * MAX_POLL_MS
 RETRY_AFTER_MS = 1_000
 
 RunForwarded = Callable[[KeyedRequest], Result[ServiceAnswer, Failure]]
@@ -65,6 +68,7 @@
         self._table = IssuedTable(settings.issued_key_ttl_ms, settings.n_issued_keys)
         self._changed = threading.Condition()
         self._pool = ThreadPoolExecutor(N_FORWARDED_THREADS, "issued-calls")
+        self._forwarded_at_ms = -math.inf
 
     def issue(self, client_account: str, member: str) -> IssuedKey:
         """Return a new key; nothing is remembered until it is used."""
@@ -98,8 +102,10 @@
         self._membership.subscribe(IssuedCall, handle, is_slow=True)
 
     def close(self) -> None:
-        """Finish the forwarded calls that are running."""
+        """Finish the forwarded calls, and stay while their outcomes are fetched."""
         self._pool.shutdown(wait=True)
+        fetched_at_ms = self._forwarded_at_ms + LINGER_MS
+        self._clock.sleep_ms(max(0.0, fetched_at_ms - self._clock.now_ms()))
 
     def _is_own(self, claims: IssuedKeyClaims) -> bool:
         view = self._membership.self_view()
@@ -206,6 +212,7 @@
     ) -> None:
         def attempt() -> Result[ServiceAnswer, Failure]:
             result = run_forwarded(request)
+            self._forwarded_at_ms = self._clock.now_ms()
             if result.is_ok() and result.ok.rest is not None:
                 # Nobody here reads the rest; only the fact that it ran is kept.
                 result.ok.rest.close()
--- a/tests/compose/test_shutdown.py
+++ b/tests/compose/test_shutdown.py
@@ -1,6 +1,7 @@
 """A graceful stop cuts nothing; the limit and a second signal cut what they must."""
 
 import http.client
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -11,30 +12,39 @@
 from tests.upstreams.raw_server import RawServer, answer
 
 N_STREAMS = 100
+WAIT_S = 30.0
 COUNT_LOCK = threading.Lock()
 N_PARTS = 8
 
 
 def send_slowly(server, connection):
-    """Send a large answer in parts, so that it is streamed while the stop begins."""
+    """Send a large answer in parts, most of them only after the stop has begun."""
     while head := server.read_request(connection):
         name = head.split(b" ")[1].strip(b"/")
         body = name.ljust(10_000, b".") * N_PARTS
-        connection.sendall(answer(body)[: -len(body)])
-        for index in range(N_PARTS):
-            time.sleep(0.15)
+        connection.sendall(answer(body)[: 10_000 - len(body)])
+        server.go.wait(WAIT_S)
+        for index in range(1, N_PARTS):
+            time.sleep(0.1)
             connection.sendall(body[index * 10_000 : (index + 1) * 10_000])
         with COUNT_LOCK:
             server.n_answered += 1
 
 
+def wait_for(condition):
+    give_up_at_s = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < give_up_at_s
+        time.sleep(0.01)
+
+
 @pytest.fixture
 def start():
     started = []
 
     def start(script, **entry):
         server = RawServer(script)
-        settings = {"n_threads": 110, "drain_grace_ms": 200, **entry}
+        settings = {"n_threads": 110, "drain_grace_ms": 300, **entry}
         world = ServiceWorld(
             [server.address],
             entry=settings,
@@ -55,17 +65,19 @@
 
 
 def test_stop_cuts_none_of_many_streams(start):
-    world, server = start(send_slowly)
+    world, server = start(send_slowly, drain_grace_ms=3_000)
     server.n_answered = 0
+    server.go = threading.Event()
     instance = world.instances[0]
-    with ThreadPoolExecutor(N_STREAMS + 1) as pool:
+    with ThreadPoolExecutor(N_STREAMS + 2) as pool:
         reads = [pool.submit(read_stream, world, n) for n in range(N_STREAMS)]
-        while instance.n_open() < N_STREAMS:
-            time.sleep(0.01)
+        wait_for(lambda: instance.n_open() >= N_STREAMS)
         stopping = pool.submit(instance.stop)
-        while world.operate(0, "GET", "/readyz").status != 503:
-            time.sleep(0.01)
-        late = read_stream(world, "late")
+        wait_for(lambda: world.operate(0, "GET", "/readyz").status == 503)
+        late_read = pool.submit(read_stream, world, "late")
+        wait_for(lambda: instance.n_open() > N_STREAMS)
+        server.go.set()
+        late = late_read.result()
         assert stopping.result() == 0
         # The last parts had been sent when the instance said that it had ended.
         assert server.n_answered == N_STREAMS + 1
@@ -77,7 +89,7 @@
 
 
 def test_requests_on_open_connections_are_served_until_the_end(start):
-    world, _ = start(lambda server, connection: hold(server, connection, 0.6))
+    world, _ = start(lambda server, connection: hold(server, connection, 2.0))
     instance = world.instances[0]
     connection = http.client.HTTPConnection(
         "127.0.0.1", instance.entry.port, timeout=10
@@ -87,10 +99,9 @@
     assert connection.getresponse().read() == b"held"
     with ThreadPoolExecutor(2) as pool:
         busy = pool.submit(read_stream, world, "busy")
-        while not instance.n_open():
-            time.sleep(0.01)
+        wait_for(instance.n_open)
         stopping = pool.submit(instance.stop)
-        time.sleep(0.35)  # the instance accepts no more connections by now
+        wait_for(lambda: not accepts(instance.entry.port))
         connection.request("GET", "/services/orders/2", headers=headers)
         response = connection.getresponse()
         assert (response.read(), response.headers["Connection"]) == (b"held", "close")
@@ -98,9 +109,18 @@
         assert stopping.result() == 0
 
 
+def accepts(port):
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=1):
+            return True
+    except OSError:
+        return False
+
+
 def hold(server, connection, duration_s):
-    while server.read_request(connection):
-        time.sleep(duration_s)
+    while head := server.read_request(connection):
+        if b" /1 " not in head:
+            time.sleep(duration_s)
         connection.sendall(answer(b"held"))
 
 
@@ -115,8 +135,7 @@
     instance = world.instances[0]
     with ThreadPoolExecutor(1) as pool:
         read = pool.submit(read_stream, world, "stuck")
-        while not instance.n_open():
-            time.sleep(0.01)
+        wait_for(instance.n_open)
         assert instance.stop() == 1
         release.set()
         read.result()
