--- a/buckthornrock/commands/demo_steps.py
+++ b/buckthornrock/commands/demo_steps.py
@@ -66,6 +66,19 @@
     return report_lines(merge_documents([document], ()))
 
 
+def check_booking(world: World) -> str:
+    """Send a booking twice with one key; it runs once and is answered twice."""
+    answers = [
+        world.post("/services/orders/bookings", {"depot": 3}, Idempotency_Key="demo-1")
+        for _ in range(2)
+    ]
+    if [answer.status for answer in answers] != [200, 200]:
+        return f"statuses {[answer.status for answer in answers]}"
+    if answers[0].data != answers[1].data:
+        return "the second answer differs from the first"
+    return _difference(answers[1].json()["n_runs"], 1)
+
+
 def _expected(prompt: str, n_tokens: int) -> str:
     return "".join(output_token("w1", prompt, index) for index in range(n_tokens))
 
@@ -95,4 +108,5 @@
     ("an accepted profile change is in force", check_profile),
     ("deferred notes are read back", check_deferred),
     ("a plain-service call gets its own answer", check_service),
+    ("a booking sent twice with one key runs once", check_booking),
 )
