Keep entries through gaps, doubted by how much was lost

Cause: a gap voided every entry after 5 s, although one lost event names few blocks; at 1 % lost events most of the index was lost most of the time. Change: doubt grows with the lost events' expected blocks over all entries; a first token confirms its prompt's blocks. Conclusion: doubt is a probability now.

--- a/buckthornrock/routing/cost.py
+++ b/buckthornrock/routing/cost.py
@@ -16,7 +16,7 @@
 from .eligibility import eligible
 from .errors import NoEngine
 from .estimate import Estimate, Prompt, Unseen, estimate, near_best
-from .index import NO_MATCH, CacheEventLike, CacheIndex, Match
+from .index import NO_MATCH, SILENT_DOUBT, CacheEventLike, CacheIndex, Match
 from .inflight import InFlight, Sent
 from .kept import Export, KeptPrefixes
 from .levels import Level, homes, n_shared_blocks, prefix_levels
@@ -187,7 +187,7 @@
                 break
             view = self._views.view(level.block_hash, now_ms)
             if view is not None and upstream_id in view.holders:
-                return Match(level.n_blocks, level.n_blocks)
+                return Match(level.n_blocks, SILENT_DOUBT * level.n_blocks)
         return match
 
     def _pick(self, estimates: Sequence[Estimate]) -> Estimate:
@@ -235,6 +235,14 @@
         if index is not None and index.incarnation == choice.incarnation:
             index.expect(chain, now_ms)
 
+    def _confirm(self, choice: RouteChoice, chain: array, now_ms: float) -> None:
+        index = self.index.get(choice.upstream_id)
+        if index is None or index.incarnation != choice.incarnation:
+            return
+        if index.weights_version == choice.weights_version:
+            index.expect(chain, now_ms)
+            index.confirm(chain)
+
     def _note_demand(
         self,
         query: RouteQuery,
@@ -256,7 +264,7 @@
         """Stop counting the send: its prefill is done and its prefix present."""
         self.on_ended(query, choice, now_ms)
         chain, levels = self._shared(query, choice)
-        self._expect(choice, chain, now_ms)
+        self._confirm(choice, chain, now_ms)
         if self._terms.imports:
             self._want_export(choice, chain, levels, now_ms)
 
--- a/buckthornrock/routing/estimate.py
+++ b/buckthornrock/routing/estimate.py
@@ -9,8 +9,6 @@
 from .levels import Level
 from .port import Candidate
 
-#: Share of its prefill time that a doubtful block is expected to save.
-DOUBTFUL_SHARE = 0.5
 #: Prefill time of a shared prefix, as a share, that a copy outside of its homes costs
 #: later requests, which look for it at the homes.
 STRAY_COPY_SHARE = 0.5
@@ -89,7 +87,7 @@
             prompt, match, import_ms, block_tokens * token_ms
         )
     n_missed = _n_missed_tokens(prompt, match.n_blocks + n_import_blocks, block_tokens)
-    doubt_ms = match.n_doubtful_blocks * block_tokens * token_ms * (1 - DOUBTFUL_SHARE)
+    doubt_ms = match.n_gone_blocks * block_tokens * token_ms
     terms = [
         ("queue", _n_queued_tokens(candidate, unseen, switches) * token_ms),
         ("prefill", n_missed * token_ms + doubt_ms),
--- a/buckthornrock/routing/index.py
+++ b/buckthornrock/routing/index.py
@@ -11,16 +11,23 @@
 from typing import NamedTuple, Protocol
 
 from .blocks import hashes_from_hex
-from .sequencing import EventSequencer
+from .sequencing import EventSequencer, Gap
 
 GAP_WAIT_MS = 300.0
-#: Engines evict within seconds, so older doubtful entries are worth nothing.
-DOUBTFUL_TTL_MS = 5_000.0
+#: Doubtful entries that nothing confirmed for this long are dropped.
+DOUBTFUL_TTL_MS = 30_000.0
+#: Probability that an entry is gone from which on all doubtful ones are dropped.
+MAX_DOUBT = 0.8
+#: Weight of the newest event in the mean number of blocks an event names.
+NEWEST_EVENT_WEIGHT = 0.05
 #: An own send counts this long; by then the engine's events should tell.
 EXPECTED_TTL_MS = 2_000.0
 MAX_EXPECTED_BLOCKS = 16_384
-#: Without an answer to event polls for this long, every entry is doubtful.
+#: Without an answer to event polls for this long, every entry is doubtful, and void
+#: after some more; engines evict within seconds.
 SILENT_AFTER_MS = 2_000.0
+VOID_AFTER_MS = 5_000.0
+SILENT_DOUBT = 0.5
 
 
 class CacheEventLike(Protocol):
@@ -38,15 +45,15 @@
     ----------
     n_blocks : int
         Blocks of the prefix, doubtful ones included.
-    n_doubtful_blocks : int
-        Blocks among them that may be gone.
+    n_gone_blocks : float
+        How many of them are expected to be gone.
     """
 
     n_blocks: int
-    n_doubtful_blocks: int
+    n_gone_blocks: float
 
 
-NO_MATCH = Match(0, 0)
+NO_MATCH = Match(0, 0.0)
 
 
 class EngineIndex:
@@ -69,6 +76,8 @@
         self._present: set[int] = set()
         self._doubtful: set[int] = set()
         self._doubtful_until_ms = 0.0
+        self._doubt = 0.0
+        self._event_n_blocks = 1.0
         self._expected: dict[int, float] = {}
 
     @property
@@ -83,18 +92,20 @@
         """
         self._heard_at_ms = now_ms
         for event in self.sequencer.take(events, now_ms):
-            if event is None:
-                self._note_gap(now_ms)
+            if isinstance(event, Gap):
+                self._note_gap(event.n_lost, now_ms)
                 continue
             self._apply_one(event)
         if self._doubtful and now_ms >= self._doubtful_until_ms:
-            self._doubtful = set()
+            self._drop_doubtful()
 
     def _apply_one(self, event: CacheEventLike) -> None:
         if event.kind == "cleared":
             self.clear()
             return
         hashes = hashes_from_hex(event.hashes)
+        newer = len(hashes) - self._event_n_blocks
+        self._event_n_blocks += NEWEST_EVENT_WEIGHT * newer
         if event.kind == "removed":
             self._present.difference_update(hashes)
             self._doubtful.difference_update(hashes)
@@ -106,18 +117,27 @@
         if self._doubtful:
             self._doubtful.difference_update(hashes)
 
-    def _note_gap(self, now_ms: float) -> None:
+    def _note_gap(self, n_lost: int, now_ms: float) -> None:
+        """Doubt all entries: each may be among those that a lost event removed."""
         self.n_gaps += 1
-        # One generation of doubt is kept; an older one is dropped with this.
-        self._doubtful = self._present
+        n_gone = n_lost * self._event_n_blocks
+        gone_share = min(1.0, n_gone / max(1, self.n_blocks))
+        self._doubt = 1.0 - (1.0 - self._doubt) * (1.0 - gone_share)
+        self._doubtful |= self._present
         self._present = set()
         self._doubtful_until_ms = now_ms + DOUBTFUL_TTL_MS
+        if self._doubt > MAX_DOUBT:
+            self._drop_doubtful()
+
+    def _drop_doubtful(self) -> None:
+        self._doubtful = set()
+        self._doubt = 0.0
 
     def clear(self) -> None:
         """Forget every entry; the sequence of events goes on."""
         self._present = set()
-        self._doubtful = set()
         self._expected = {}
+        self._drop_doubtful()
 
     def expect(self, chain: array, now_ms: float) -> None:
         """Note that the engine computes ``chain`` for this instance."""
@@ -130,6 +150,17 @@
     def _expire(self, now_ms: float) -> None:
         self._expected = {h: at for h, at in self._expected.items() if at > now_ms}
 
+    def confirm(self, chain: array) -> None:
+        """Note that the engine has just used all of ``chain``.
+
+        Its removal, if any, is told by an event that has not come yet.
+        """
+        if len(self._present) + len(chain) > self._max_blocks:
+            self.n_dropped += len(chain)
+            return
+        self._present.update(chain)
+        self._doubtful.difference_update(chain)
+
     def unexpect(self, chain: array) -> None:
         """Take back :meth:`expect`: the engine failed the request."""
         for block_hash in chain:
@@ -149,11 +180,12 @@
 
     def match(self, chain: array, now_ms: float, uses_expected: bool = True) -> Match:
         """Return the longest known prefix of ``chain``."""
-        if now_ms - self._heard_at_ms > DOUBTFUL_TTL_MS:
+        if now_ms - self._heard_at_ms > VOID_AFTER_MS:
             # Also frees what another instance keeps by now.
-            self._present, self._doubtful = set(), set()
+            self._present = set()
+            self._drop_doubtful()
         n_blocks = sum(1 for _ in takewhile(self._present.__contains__, chain))
-        n_doubtful = n_blocks if self.is_silent(now_ms) else 0
+        n_gone = SILENT_DOUBT * n_blocks if self.is_silent(now_ms) else 0.0
         doubtful = self._doubtful if now_ms < self._doubtful_until_ms else ()
         expected = self._expected if uses_expected else {}
         for block_hash in chain[n_blocks:]:
@@ -161,9 +193,9 @@
             if not is_known and expected.get(block_hash, 0.0) <= now_ms:
                 if block_hash not in doubtful:
                     break
-                n_doubtful += 1
+                n_gone += self._doubt
             n_blocks += 1
-        return Match(n_blocks, n_doubtful)
+        return Match(n_blocks, n_gone)
 
 
 class CacheIndex:
--- a/buckthornrock/routing/sequencing.py
+++ b/buckthornrock/routing/sequencing.py
@@ -1,7 +1,7 @@
 """Puts one engine's cache events back into order and finds the lost ones."""
 
 from collections.abc import Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 #: Events that may wait for an earlier one; beyond that the earlier one is lost.
 MAX_HELD_EVENTS = 1_024
@@ -13,6 +13,12 @@
     seq: int
 
 
+class Gap(NamedTuple):
+    """Stands for events that never came."""
+
+    n_lost: int
+
+
 class EventSequencer:
     """Orders the events of one engine incarnation by sequence number.
 
@@ -30,8 +36,8 @@
 
     def take(
         self, events: Iterable[SequencedEvent], now_ms: float
-    ) -> list[SequencedEvent | None]:
-        """Return the events that are due in order; None stands for lost events."""
+    ) -> list[SequencedEvent | Gap]:
+        """Return the events that are due, in order, with the gaps between them."""
         for event in events:
             if self.next_seq is None or event.seq >= self.next_seq:
                 self._held[event.seq] = event
@@ -46,13 +52,15 @@
         if due or not self._gap_since_ms:
             self._gap_since_ms = now_ms
         if self._is_lost(now_ms):
-            self.next_seq = min(self._held)
+            first_held = min(self._held)
+            due.append(Gap(first_held - self.next_seq))
+            self.next_seq = first_held
             self._gap_since_ms = 0.0
-            due += [None, *self._due()]
+            due += self._due()
         return due
 
-    def _due(self) -> list[SequencedEvent | None]:
-        due: list[SequencedEvent | None] = []
+    def _due(self) -> list[SequencedEvent | Gap]:
+        due: list[SequencedEvent | Gap] = []
         while self.next_seq in self._held:
             due.append(self._held.pop(self.next_seq))
             self.next_seq += 1
--- a/tests/routing/test_index_machine.py
+++ b/tests/routing/test_index_machine.py
@@ -63,6 +63,13 @@
         self.stored.difference_update(chain)
         self.emit("removed", hex_from_hashes(chain))
 
+    @rule(owner=st.sampled_from(OWNERS), prompt=st.sampled_from(PROMPTS))
+    def first_token(self, owner, prompt):
+        """This instance sees an answer before the engine's events tell of it."""
+        self.store(owner, prompt)
+        engine = self.index.observe("e", self.incarnation, self.weights)
+        engine.confirm(chain_of(owner, self.weights, prompt))
+
     def emit(self, kind, hashes):
         event = CacheEvent(len(self.log) + 1, kind, hashes)
         self.log.append(event)
