Charge a choice for the work that later requests wait for

Change: prefill work counts 6 times more for the requests that wait behind it, and a stray copy counts twice its shared prefill. Near ties are taken over the time to first token alone.

--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -130,6 +130,8 @@
         Prefixes that an engine is computing for this instance.
     transit : bool
         Time between failure domains.
+    later_work : bool
+        Delay of later requests by the work that this one brings.
     homes, widening : bool
         Rendezvous homes, and more of them for hot prefixes.
     imports : bool
@@ -144,6 +146,7 @@
     hits: bool = True
     expected: bool = True
     transit: bool = True
+    later_work: bool = True
     homes: bool = True
     widening: bool = True
     imports: bool = True
--- a/buckthornrock/routing/estimate.py
+++ b/buckthornrock/routing/estimate.py
@@ -9,9 +9,12 @@
 from .levels import Level
 from .port import Candidate
 
-#: Prefill time of a shared prefix, as a share, that a copy outside of its homes costs
-#: later requests, which look for it at the homes.
-STRAY_COPY_SHARE = 0.5
+#: Prefill time of a shared prefix that a copy outside of its homes costs later
+#: requests, which look for it at the homes, and whose blocks it evicts.
+STRAY_COPY_WEIGHT = 2.0
+#: Requests, on average, that wait longer for each millisecond of prefill time that
+#: this request takes.
+LATER_WORK_WEIGHT = 6.0
 
 
 class Prompt(NamedTuple):
@@ -96,10 +99,13 @@
     if n_import_blocks:
         terms.append(("import", import_ms(n_import_blocks)))
     ttft_ms = sum(duration_ms for _, duration_ms in terms)
+    if switches.later_work:
+        later_ms = LATER_WORK_WEIGHT * (n_missed * token_ms + doubt_ms)
+        terms.append(("later_work", later_ms))
     if switches.homes and candidate.upstream_id not in prompt.homes:
         n_known_blocks = match.n_blocks + n_import_blocks
         n_stray_blocks = max(0, prompt.n_shared_blocks - n_known_blocks)
-        stray_ms = n_stray_blocks * block_tokens * token_ms * STRAY_COPY_SHARE
+        stray_ms = n_stray_blocks * block_tokens * token_ms * STRAY_COPY_WEIGHT
         terms.append(("stray_copy", stray_ms))
     total_ms = sum(duration_ms for _, duration_ms in terms)
     return Estimate(
@@ -138,7 +144,10 @@
 def near_best(
     estimates: Sequence[Estimate], margin_ms: float, margin_share: float
 ) -> list[Estimate]:
-    """Return the estimates that are about as good as the best."""
-    best_ms = min(e.total_ms for e in estimates)
-    limit_ms = best_ms + max(margin_ms, best_ms * margin_share)
+    """Return the estimates that are about as good as the best.
+
+    ``margin_share`` is a share of the best one's time to first token.
+    """
+    best = min(estimates, key=lambda e: e.total_ms)
+    limit_ms = best.total_ms + max(margin_ms, best.ttft_ms * margin_share)
     return [e for e in estimates if e.total_ms <= limit_ms]
