Continue streams that lose their engine, here or at another instance

Cause: a stream whose engine died started again from an offset without its text, a caller whose router died could not go on, hang-ups left engines working, and a broken stream ended without a typed error. Change: an attempt first resumes a cut stream at its own engine, then goes on elsewhere from prompt plus text at the same weights; a caller that reconnects with Last-Event-ID gets the rest, recomputed and checked against its checksum where the engine no longer holds it; cancel on hang-up; stall and first-token time-outs; error events; retries within the budget; an answer that closes its connection is read.

--- a/buckthornrock/commands/demo_steps.py
+++ b/buckthornrock/commands/demo_steps.py
@@ -22,7 +22,7 @@
     events = response.data.decode().strip().split("\n\n")
     if events[-1] != "data: [DONE]":
         return f"the stream ended with {events[-1]!r}"
-    chunks = [msgspec.json.decode(e.removeprefix("data: ")) for e in events[:-1]]
+    chunks = [msgspec.json.decode(e.partition("data: ")[2]) for e in events[:-1]]
     text = "".join(chunk["choices"][0]["text"] for chunk in chunks)
     return _difference(text, _expected(prompt, 12))
 
--- a/buckthornrock/compose/completions.py
+++ b/buckthornrock/compose/completions.py
@@ -2,6 +2,8 @@
 
 from ..admission import AdmissionPort
 from ..dispatch import CompletionDispatcher
+from ..dispatch.attempts import AttemptParts
+from ..dispatch.continuation import EventIds
 from ..dispatch.preparation import open_preparation
 from ..routing import RoutingPort
 from .core import Core
@@ -13,19 +15,24 @@
     fleet: FleetParts,
     admission: AdmissionPort,
     routing: RoutingPort,
+    event_ids: EventIds,
 ) -> CompletionDispatcher:
     """Wire the dispatcher of completions."""
-    return CompletionDispatcher(
-        admission,
+    preparation = open_preparation(
         routing,
-        fleet.fleet,
-        fleet.engines,
-        core.telemetry,
-        core.clock.now_ms,
-        open_preparation(
-            routing,
-            fleet.control.import_cache,
-            core.settings.routing.cache_store,
-            core.clock,
-        ),
+        fleet.control.import_cache,
+        core.settings.routing.cache_store,
+        core.clock,
     )
+    parts = AttemptParts(
+        routing=routing,
+        fleet=fleet.fleet,
+        engines=fleet.engines,
+        control=fleet.control,
+        relay=fleet.relay,
+        preparation=preparation,
+        event_ids=event_ids,
+        telemetry=core.telemetry,
+        now_ms=core.clock.now_ms,
+    )
+    return CompletionDispatcher(admission, parts, core.clock.sleep_ms, core.rng)
--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -6,6 +6,7 @@
 from ..platform.instance_list import InstanceList
 from ..upstreams.engine_client import EngineClient
 from ..upstreams.engine_control import EngineControl
+from ..upstreams.relay import Relay
 from ..upstreams.service_client import ServiceClient
 from .core import Core
 
@@ -17,6 +18,7 @@
     engines: EngineClient
     services: ServiceClient
     control: EngineControl
+    relay: Relay
 
 
 def build_fleet(core: Core) -> FleetParts:
@@ -29,6 +31,7 @@
         EngineClient(section),
         ServiceClient(section, core.clock.now_ms),
         EngineControl(),
+        Relay(core.clock.now_ms, section.stall_timeout_ms),
     )
 
 
--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -5,6 +5,7 @@
 from typing import IO, NamedTuple
 
 from ..conf import Settings
+from ..dispatch.continuation import EventIds
 from ..entry import EntryParts, build_entry
 from ..entry.auth import CallerKeys
 from ..events import lifecycle as events
@@ -65,15 +66,17 @@
     start_digests(core, fleet, routing, membership)
     start_level_reports(core, routing, membership)
     start_exports(core, fleet, routing)
+    event_ids = EventIds(settings.isolation_secret)
     parts = EntryParts(
         keys=CallerKeys(settings.caller_keys),
         profiles=profiles,
-        completions=build_completions(core, fleet, admission, routing),
+        completions=build_completions(core, fleet, admission, routing, event_ids),
         services=build_services(core, fleet, profiles, membership),
         deferred=None,
         telemetry=core.telemetry,
         clock=core.clock,
         default_profile=settings.default_profile,
+        event_ids=event_ids,
     )
     # Deferred jobs run through the other parts, so that port is filled in last.
     parts = parts._replace(deferred=build_deferred(core, parts, membership))
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -36,6 +36,10 @@
 # Upstreams
 UPSTREAM_CONNECT_TIMEOUT_MS = 500
 UPSTREAM_READ_TIMEOUT_MS = 30_000
+#: An engine that gives no first token for so long is given up for this request.
+UPSTREAM_FIRST_TOKEN_TIMEOUT_MS = 15_000
+#: A stream on which nothing moves for so long is continued elsewhere.
+UPSTREAM_STALL_TIMEOUT_MS = 3_000
 UPSTREAM_POLL_PERIOD_MS = 250
 UPSTREAM_BLOCK_BYTES = 64
 #: Answers of plain services up to this size are read whole before they are passed on.
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -100,6 +100,8 @@
     servers: tuple[UpstreamSettings, ...]
     connect_timeout_ms: int = defaults.UPSTREAM_CONNECT_TIMEOUT_MS
     read_timeout_ms: int = defaults.UPSTREAM_READ_TIMEOUT_MS
+    first_token_timeout_ms: int = defaults.UPSTREAM_FIRST_TOKEN_TIMEOUT_MS
+    stall_timeout_ms: int = defaults.UPSTREAM_STALL_TIMEOUT_MS
     poll_period_ms: int = defaults.UPSTREAM_POLL_PERIOD_MS
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
     answer_buffer_bytes: int = defaults.UPSTREAM_ANSWER_BUFFER_BYTES
--- a/buckthornrock/dispatch/__init__.py
+++ b/buckthornrock/dispatch/__init__.py
@@ -1,8 +1,8 @@
 """Carries a request through admission, routing and attempts to its answer."""
 
+from .caller import Caller
 from .completions import CompletionDispatcher
 from .requests import (
-    Caller,
     CompletionDone,
     CompletionRequest,
     CompletionSink,
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -1,55 +1,25 @@
 """Runs completions: admission, choice of an engine, attempts, continuation."""
 
+import random
 from collections.abc import Callable
-from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
 from ..admission import AdmissionPort, AdmissionQuery, Ticket
 from ..errors import CallerGone, DeadlineExceeded, Failure
 from ..events import dispatch as events
-from ..fleet import Fleet
-from ..routing import RouteChoice, RouteQuery, RoutingPort
-from ..routing.errors import NoEngine
-from ..telemetry import Telemetry
+from ..routing import RouteQuery
 from ..telemetry.metrics import ATTEMPTS_FAILED
-from ..upstreams.engine_client import EngineCall, EngineClient
-from ..upstreams.errors import StreamFailure
+from ..upstreams.errors import AttemptFailed, StreamBroken, UpstreamRefused
+from .attempts import AttemptParts, Plan, run_attempt
 from .errors import AnswerIncomplete
-from .preparation import Preparation
+from .progress import Progress
 from .recording import ending_of, facts_of
-from .requests import (
-    CompletionChunk,
-    CompletionDone,
-    CompletionRequest,
-    CompletionSink,
-)
+from .requests import CompletionDone, CompletionRequest, CompletionSink
+from .retry import RetryBudget, backoff_ms
 
 TOKEN_BYTES = 4
-MAX_ATTEMPTS = 4
-
-
-class _Progress:
-    """What one completion has got so far."""
-
-    def __init__(self, started_at_ms: float) -> None:
-        self.started_at_ms = started_at_ms
-        self.n_tokens = 0
-        self.n_prompt_tokens = 0
-        self.ttft_ms: float | None = None
-        self.excluded: set[str] = set()
-
-
-class _Parts(NamedTuple):
-    """What the dispatcher works with."""
-
-    admission: AdmissionPort
-    routing: RoutingPort
-    fleet: Fleet
-    engines: EngineClient
-    telemetry: Telemetry
-    now_ms: Callable[[], float]
-    preparation: Preparation
+MAX_FAILURES = 6
 
 
 class CompletionDispatcher:
@@ -58,16 +28,15 @@
     def __init__(
         self,
         admission: AdmissionPort,
-        routing: RoutingPort,
-        fleet: Fleet,
-        engines: EngineClient,
-        telemetry: Telemetry,
-        now_ms: Callable[[], float],
-        preparation: Preparation,
+        parts: AttemptParts,
+        sleep_ms: Callable[[float], None],
+        rng: random.Random,
     ) -> None:
-        self._parts = _Parts(
-            admission, routing, fleet, engines, telemetry, now_ms, preparation
-        )
+        self._admission = admission
+        self._parts = parts
+        self._sleep_ms = sleep_ms
+        self._rng = rng
+        self._budget = RetryBudget()
 
     def run(
         self, request: CompletionRequest, sink: CompletionSink
@@ -88,122 +57,134 @@
         self, request: CompletionRequest, sink: CompletionSink
     ) -> Result[CompletionDone, Failure]:
         parts = self._parts
-        query = _admission_query(request)
-        ticket = parts.admission.admit(query, sink.is_gone)
+        ticket = self._admission.admit(_admission_query(request), sink.is_gone)
         if ticket.is_error():
             return ticket
-        progress = _Progress(parts.now_ms())
+        progress = Progress(request.request_id, parts.now_ms(), request.resume)
         parts.telemetry.decisions.on_admitted(request.request_id, parts.now_ms())
+        self._budget.note_request()
         try:
             return self._attempt_until_done(request, sink, progress)
         finally:
             self._release(ticket.ok, progress)
 
-    def _release(self, ticket: Ticket, progress: _Progress) -> None:
-        self._parts.admission.release(
-            ticket, progress.n_prompt_tokens, progress.n_tokens, progress.ttft_ms
+    def _release(self, ticket: Ticket, progress: Progress) -> None:
+        self._admission.release(
+            ticket,
+            progress.n_prompt_tokens,
+            progress.delivered.n_tokens,
+            progress.ttft_ms,
         )
 
     def _attempt_until_done(
-        self, request: CompletionRequest, sink: CompletionSink, progress: _Progress
+        self, request: CompletionRequest, sink: CompletionSink, progress: Progress
     ) -> Result[CompletionDone, Failure]:
-        failure: Failure | None = None
-        for _ in range(MAX_ATTEMPTS):
+        while True:
             if self._parts.now_ms() > request.deadline_at_ms:
                 return Error(_past_deadline(request, progress))
-            query = _route_query(request, progress)
-            candidates = self._parts.fleet.engines(request.model)
-            choice = self._parts.routing.choose(query, candidates, self._parts.now_ms())
-            if choice.is_error():
-                return Error(_no_more_engines(choice.error, failure, progress))
-            progress.n_prompt_tokens = choice.ok.n_prompt_tokens
-            self._parts.telemetry.decisions.on_choice(
-                request.request_id, choice.ok, len(candidates), self._parts.now_ms()
-            )
-            result = self._attempt(request, query, choice.ok, sink, progress)
-            if result.is_ok() or isinstance(result.error, CallerGone):
-                return result
-            failure = result.error
-            self._note_failure(request, query, choice.ok, failure, progress)
-        return Error(_no_more_engines(NoEngine(request.model), failure, progress))
+            plan = self._plan(request, progress)
+            if plan.is_ok():
+                result = run_attempt(self._parts, request, plan.ok, sink, progress)
+                if result.is_ok():
+                    self._parts.fleet.note_outcome(plan.ok.choice.upstream_id, True)
+                    return Ok(_done(progress))
+                if isinstance(result.error, CallerGone):
+                    return result
+                self._note_failure(request, plan.ok, result.error, progress)
+            elif not progress.excluded:
+                return Error(_final(plan.error, progress))
+            else:
+                # Each engine has failed once; one of them may be back by now.
+                progress.excluded.clear()
+                progress.n_failures += 1
+            if not self._may_go_on(request, progress):
+                return Error(_final(progress.last_failure, progress))
+
+    def _plan(
+        self, request: CompletionRequest, progress: Progress
+    ) -> Result[Plan, Failure]:
+        """Choose the engine of the next attempt."""
+        parts = self._parts
+        query = _route_query(request, progress)
+        candidates = parts.fleet.engines(request.model)
+        resumed = progress.stream
+        if resumed is not None:
+            # One try; a stream that its engine does not hold is continued elsewhere.
+            progress.stream = None
+            own = [c for c in candidates if c.upstream_id == resumed.upstream_id]
+            choice = parts.routing.choose(query, own, parts.now_ms())
+            if choice.is_ok():
+                return Ok(Plan(query, choice.ok, resumed))
+        choice = parts.routing.choose(query, candidates, parts.now_ms())
+        if choice.is_error():
+            return choice
+        progress.n_prompt_tokens = choice.ok.n_prompt_tokens
+        parts.telemetry.decisions.on_choice(
+            request.request_id, choice.ok, len(candidates), parts.now_ms()
+        )
+        return Ok(Plan(query, choice.ok, None))
+
+    def _may_go_on(self, request: CompletionRequest, progress: Progress) -> bool:
+        """Tell whether there is another attempt, after a wait where one is due."""
+        if progress.n_failures >= MAX_FAILURES:
+            return False
+        if progress.stream is not None:
+            return True
+        now_ms = self._parts.now_ms()
+        # Tokens that are out are lost without a continuation, so the budget, which
+        # guards against load, does not apply to it.
+        if not progress.is_begun and not self._budget.try_take(now_ms):
+            return False
+        remaining_ms = request.deadline_at_ms - now_ms
+        self._sleep_ms(backoff_ms(progress.n_failures, remaining_ms, self._rng))
+        return True
 
     def _note_failure(
         self,
         request: CompletionRequest,
-        query: RouteQuery,
-        choice: RouteChoice,
+        plan: Plan,
         failure: Failure,
-        progress: _Progress,
+        progress: Progress,
     ) -> None:
         parts = self._parts
-        progress.excluded.add(choice.upstream_id)
+        upstream_id = plan.choice.upstream_id
+        progress.may_have_run |= getattr(failure, "not_run", "unknown") != "true"
+        if plan.resumed is not None and progress.stream is None:
+            # The engine no longer holds the stream; that is no failure of its.
+            return
+        progress.n_failures += 1
+        progress.last_failure = failure
+        if not _is_cut(failure):
+            progress.stream = None
+            progress.excluded.add(upstream_id)
+        if not _is_refusal(failure):
+            parts.fleet.note_outcome(upstream_id, False)
         parts.telemetry.decisions.on_failed(request.request_id, failure.code)
-        parts.fleet.note_outcome(choice.upstream_id, is_ok=False)
-        parts.routing.on_failed(query, choice, parts.now_ms())
+        parts.routing.on_failed(plan.query, plan.choice, parts.now_ms())
         parts.telemetry.metrics.incr(ATTEMPTS_FAILED)
         parts.telemetry.log(
             events.ATTEMPT_FAILED,
             request_id=request.request_id,
-            upstream_id=choice.upstream_id,
+            upstream_id=upstream_id,
             failure=failure.code,
-            n_tokens_sent=progress.n_tokens,
+            n_tokens_sent=progress.delivered.n_tokens,
         )
 
-    def _attempt(
-        self,
-        request: CompletionRequest,
-        query: RouteQuery,
-        choice: RouteChoice,
-        sink: CompletionSink,
-        progress: _Progress,
-    ) -> Result[CompletionDone, CallerGone | StreamFailure]:
-        parts = self._parts
-        parts.preparation.hold(query, choice, sink.is_gone)
-        parts.fleet.begin(choice.upstream_id)
-        parts.routing.on_sent(query, choice, parts.now_ms())
-        try:
-            parts.preparation.fetch(query, choice)
-            call = _engine_call(request, choice, progress)
-            chunks = parts.engines.open_stream(call)
-            if chunks.is_error():
-                return chunks
-            return self._relay(query, choice, chunks.ok, sink, progress)
-        finally:
-            parts.fleet.end(choice.upstream_id)
-            parts.routing.on_ended(query, choice, parts.now_ms())
 
-    def _relay(
-        self,
-        query: RouteQuery,
-        choice: RouteChoice,
-        chunks: object,
-        sink: CompletionSink,
-        progress: _Progress,
-    ) -> Result[CompletionDone, CallerGone | StreamFailure]:
-        for chunk in chunks:
-            if chunk.is_error():
-                return chunk
-            if progress.ttft_ms is None:
-                self._note_first_token(query, choice, progress)
-            try:
-                sink.write(_completion_chunk(chunk.ok))
-            except OSError:
-                chunks.close()
-                return Error(CallerGone(progress.n_tokens))
-            progress.n_tokens += chunk.ok.n_tokens
-        return Ok(
-            CompletionDone(
-                progress.n_tokens, progress.n_prompt_tokens, progress.ttft_ms or 0.0
-            )
-        )
+def _is_cut(failure: Failure) -> bool:
+    """Tell whether the engine may still hold the stream."""
+    return isinstance(failure, StreamBroken) and failure.is_cut
 
-    def _note_first_token(
-        self, query: RouteQuery, choice: RouteChoice, progress: _Progress
-    ) -> None:
-        now_ms = self._parts.now_ms()
-        progress.ttft_ms = now_ms - progress.started_at_ms
-        self._parts.telemetry.decisions.on_first_token(query.request_id, now_ms)
-        self._parts.routing.on_first_token(query, choice, progress.ttft_ms, now_ms)
+
+def _is_refusal(failure: Failure) -> bool:
+    """Tell whether the request, and not the engine, may be at fault."""
+    return isinstance(failure, UpstreamRefused) and failure.status < 500
+
+
+def _done(progress: Progress) -> CompletionDone:
+    return CompletionDone(
+        progress.delivered.n_tokens, progress.n_prompt_tokens, progress.ttft_ms or 0.0
+    )
 
 
 def _admission_query(request: CompletionRequest) -> AdmissionQuery:
@@ -224,7 +205,7 @@
     )
 
 
-def _route_query(request: CompletionRequest, progress: _Progress) -> RouteQuery:
+def _route_query(request: CompletionRequest, progress: Progress) -> RouteQuery:
     return RouteQuery(
         request_id=request.request_id,
         client_account=request.caller.client_account,
@@ -236,39 +217,22 @@
         n_output_tokens=request.max_tokens,
         rank=request.work_class["rank"],
         excluded=frozenset(progress.excluded),
+        weights_version=progress.weights_version,
     )
 
 
-def _engine_call(
-    request: CompletionRequest, choice: RouteChoice, progress: _Progress
-) -> EngineCall:
-    return EngineCall(
-        upstream_id=choice.upstream_id,
-        address=choice.address,
-        request_id=request.request_id,
-        body=request.body,
-        cache_salt=choice.cache_salt,
-        weights_version=choice.weights_version,
-        priority=request.work_class["rank"],
-        output_offset=progress.n_tokens,
-    )
-
-
-def _completion_chunk(chunk: object) -> CompletionChunk:
-    choice = chunk.choices[0]
-    return CompletionChunk(
-        chunk.stream, chunk.offset, chunk.n_tokens, choice.text, choice.finish_reason
-    )
-
-
-def _past_deadline(request: CompletionRequest, progress: _Progress) -> DeadlineExceeded:
-    not_run = "unknown" if progress.excluded else "true"
+def _past_deadline(request: CompletionRequest, progress: Progress) -> Failure:
+    if progress.is_begun:
+        return AnswerIncomplete(progress.delivered.n_tokens, "deadline-exceeded")
+    not_run = "unknown" if progress.may_have_run else "true"
     return DeadlineExceeded(request.work_class["deadline_ms"], not_run)
 
 
-def _no_more_engines(
-    refusal: NoEngine, failure: Failure | None, progress: _Progress
-) -> Failure:
-    if progress.n_tokens:
-        return AnswerIncomplete(progress.n_tokens, failure.code)
-    return failure or refusal
+def _final(failure: Failure, progress: Progress) -> Failure:
+    """Return what the caller is told, no surer than all attempts together are."""
+    if progress.is_begun:
+        return AnswerIncomplete(progress.delivered.n_tokens, failure.code)
+    failure = progress.last_failure or failure
+    if progress.may_have_run and isinstance(failure, AttemptFailed):
+        return failure._replace(not_run="unknown")
+    return failure
--- a/buckthornrock/dispatch/continuation.py
+++ b/buckthornrock/dispatch/continuation.py
@@ -18,13 +18,14 @@
 from cryptography.hazmat.primitives.ciphers.aead import AESGCM
 from expression import Error, Ok, Result
 
+from .caller import Caller
 from .errors import BadEventId
-from .requests import Caller
 
 NONCE_BYTES = 12
 MAC_BYTES = 12
-TEXT_DIGEST_BYTES = 8
 MAX_EVENT_ID_CHARS = 2_048
+#: Modulus of the checksum of the text, a prime.
+CHECKSUM_PRIME = 2**61 - 1
 
 
 class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
@@ -40,12 +41,19 @@
 class Delivered(NamedTuple):
     """How much of an answer a caller has.
 
-    ``text_digest`` covers the ``n_chars`` characters of the first ``n_tokens`` tokens.
+    ``checksum`` covers the ``n_bytes`` of UTF-8 of the first ``n_tokens`` tokens. It
+    can be extended without the text before it.
     """
 
-    n_tokens: int
-    n_chars: int
-    text_digest: bytes
+    n_tokens: int = 0
+    n_bytes: int = 0
+    checksum: int = 0
+
+    def extended(self, raw: bytes, n_tokens: int) -> "Delivered":
+        """Return it with one more piece of the answer."""
+        shift = pow(256, len(raw), CHECKSUM_PRIME)
+        checksum = (self.checksum * shift + int.from_bytes(raw, "big")) % CHECKSUM_PRIME
+        return Delivered(self.n_tokens + n_tokens, self.n_bytes + len(raw), checksum)
 
 
 class ResumePoint(NamedTuple):
@@ -55,31 +63,6 @@
     delivered: Delivered
 
 
-class DeliveredText:
-    """The text that a caller has so far, and its running digest."""
-
-    def __init__(self) -> None:
-        self._hash = hashlib.blake2b(digest_size=TEXT_DIGEST_BYTES)
-        self._parts: list[str] = []
-        self._n_tokens = 0
-        self._n_chars = 0
-
-    def add(self, text: str, n_tokens: int) -> None:
-        """Append a piece of the answer."""
-        self._hash.update(text.encode())
-        self._parts.append(text)
-        self._n_tokens += n_tokens
-        self._n_chars += len(text)
-
-    def text(self) -> str:
-        """Return all of it."""
-        return "".join(self._parts)
-
-    def delivered(self) -> Delivered:
-        """Return its length and digest."""
-        return Delivered(self._n_tokens, self._n_chars, self._hash.digest())
-
-
 def body_digest(body: dict) -> bytes:
     """Return a digest that two equal request bodies share."""
     raw = msgspec.json.encode(body, order="deterministic")
@@ -103,11 +86,11 @@
         prefix = base64.urlsafe_b64encode(sealed).rstrip(b"=")
 
         def event_id(delivered: Delivered) -> bytes:
-            unsigned = b"%b.%d.%d.%b" % (
+            unsigned = b"%b.%d.%d.%d" % (
                 prefix,
                 delivered.n_tokens,
-                delivered.n_chars,
-                delivered.text_digest.hex().encode(),
+                delivered.n_bytes,
+                delivered.checksum,
             )
             return unsigned + b"." + self._mac(unsigned).encode()
 
@@ -120,12 +103,11 @@
         unsigned, _, mac = event_id.rpartition(".")
         if not hmac.compare_digest(mac, self._mac(unsigned.encode())):
             return Error(BadEventId())
-        prefix, n_tokens, n_chars, digest = unsigned.split(".")
+        prefix, *numbers = unsigned.split(".")
         origin = self._open_origin(caller, prefix)
         if origin is None:
             return Error(BadEventId())
-        delivered = Delivered(int(n_tokens), int(n_chars), bytes.fromhex(digest))
-        return Ok(ResumePoint(origin, delivered))
+        return Ok(ResumePoint(origin, Delivered(*map(int, numbers))))
 
     def _open_origin(self, caller: Caller, prefix: str) -> StreamOrigin | None:
         try:
--- a/buckthornrock/dispatch/requests.py
+++ b/buckthornrock/dispatch/requests.py
@@ -1,16 +1,13 @@
 """Requests as the dispatchers take them."""
 
+import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
 from ..profiles import WorkClass
-
-
-class Caller(NamedTuple):
-    """Who asks: a client account, and the member of it where there are several."""
-
-    client_account: str
-    member: str
+from ..upstreams.engine_messages import EngineChunk
+from .caller import Caller
+from .continuation import ResumePoint
 
 
 class CompletionRequest(NamedTuple):
@@ -24,6 +21,8 @@
         The rendered prompt, for hashing and estimates.
     deadline_at_ms : float
         Monotonic.
+    resume : ResumePoint or None
+        What an earlier connection has delivered.
     """
 
     request_id: str
@@ -40,16 +39,7 @@
     max_tokens: int
     deadline_at_ms: float
     is_deferred: bool
-
-
-class CompletionChunk(NamedTuple):
-    """A piece of the answer with the index of its first token."""
-
-    stream_id: str
-    offset: int
-    n_tokens: int
-    text: str
-    finish_reason: str | None
+    resume: ResumePoint | None = None
 
 
 class CompletionDone(NamedTuple):
@@ -65,13 +55,17 @@
 
     Parameters
     ----------
-    write : callable
-        ``write(chunk)``; raises ``OSError`` if the caller is gone.
+    encode : callable
+        ``encode(chunks, event_ids) -> bytes``, what to send to the caller for the
+        chunks of one read; must not block. The ids are empty without a socket.
+    socket : socket.socket or None
+        The caller's connection; None if the answer is kept in memory.
     is_gone : callable
         ``is_gone() -> bool``; cheap, may be polled.
     """
 
-    write: Callable[[CompletionChunk], None]
+    encode: Callable[[list[EngineChunk], list[bytes]], bytes]
+    socket: socket.socket | None
     is_gone: Callable[[], bool]
 
 
--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -1,21 +1,23 @@
 """Serves completions: at once as a stream or whole, or deferred."""
 
 import os
-import select
 
-import msgspec
 from expression import Error, Ok, Result
 
 from ..dispatch import Caller, CompletionRequest, CompletionSink
-from ..dispatch.requests import CompletionChunk
-from ..errors import Failure
+from ..dispatch.continuation import body_digest
+from ..dispatch.errors import EventIdMismatch
+from ..errors import CallerGone, Failure
 from ..events import entry as events
 from ..httpd import Exchange
 from ..profiles import AccountLimits, Profile
 from ..telemetry.metrics import REQUESTS, TOKENS, TTFT_MS
+from ..upstreams.engine_messages import EngineChunk
+from ..upstreams.relay import is_gone
 from .context import EntryParts, refuse
 from .deferred import submit_deferred
-from .errors import UnknownWorkClass
+from .errors import BadRequest, UnknownWorkClass
+from .event_stream import DONE_EVENT, error_event, stream_encoder
 from .parsing import (
     CompletionFields,
     parse_completion,
@@ -23,6 +25,7 @@
     parse_object,
     render_prompt,
 )
+from .problems import problem_document
 
 EVENT_STREAM = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
 
@@ -66,7 +69,30 @@
     request = build_request(
         parts, caller, request_id, body.ok, fields.ok, exchange.headers
     )
-    return request.map(lambda r: (r, fields.ok))
+    if request.is_error():
+        return request
+    resumed = _resumed(parts, exchange, request.ok, fields.ok)
+    return resumed.map(lambda r: (r, fields.ok))
+
+
+def _resumed(
+    parts: EntryParts,
+    exchange: Exchange,
+    request: CompletionRequest,
+    fields: CompletionFields,
+) -> Result[CompletionRequest, Failure]:
+    """Return the request with what ``Last-Event-ID`` says the caller has."""
+    event_id = exchange.headers.get("last-event-id", "")
+    if not event_id:
+        return Ok(request)
+    if not fields.stream:
+        return Error(BadRequest("Last-Event-ID", "only streams are continued"))
+    point = parts.event_ids.open(request.caller, event_id)
+    if point.is_error():
+        return point
+    if point.ok.origin.body_digest != body_digest(request.body):
+        return Error(EventIdMismatch())
+    return Ok(request._replace(resume=point.ok))
 
 
 def build_request(
@@ -119,31 +145,38 @@
 def _serve_stream(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
-    completion_id = _completion_id(request.request_id, is_chat)
+    encode_events = stream_encoder(
+        _completion_id(request.request_id, is_chat), request.model, is_chat
+    )
 
-    def write(chunk: CompletionChunk) -> None:
-        if not exchange.is_started:
-            head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
-            exchange.start_stream(200, head)
-        event = _stream_event(completion_id, request.model, chunk, is_chat)
-        exchange.send_part(b"data: " + msgspec.json.encode(event) + b"\n\n")
+    def encode(chunks: list[EngineChunk], event_ids: list[bytes]) -> bytes:
+        events = encode_events(chunks, event_ids)
+        if exchange.is_started:
+            return exchange.framed(events)
+        # The head waits for the first token, so that a failure before it can still
+        # be answered with a problem document.
+        head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
+        return exchange.stream_head(200, head) + exchange.framed(events)
 
-    sink = CompletionSink(write, lambda: _is_gone(exchange))
+    sink = CompletionSink(encode, exchange.socket, lambda: is_gone(exchange.socket))
     result = parts.completions.run(request, sink)
     if result.is_ok():
         _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
-        exchange.send_part(b"data: [DONE]\n\n")
+        exchange.send_part(DONE_EVENT)
         return
     if not exchange.is_started:
         refuse(parts, exchange, result.error, request.request_id, request.caller)
         return
+    if not isinstance(result.error, CallerGone):
+        document = problem_document(result.error, request.request_id)
+        exchange.send_part(error_event(document))
     exchange.abort()
 
 
 def _serve_whole(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
-    answer = collect_answer(parts, request, is_chat, lambda: _is_gone(exchange))
+    answer = collect_answer(parts, request, is_chat, lambda: is_gone(exchange.socket))
     if answer.is_error():
         refuse(parts, exchange, answer.error, request.request_id, request.caller)
         return
@@ -158,11 +191,13 @@
     texts: list[str] = []
     finish_reasons: list[str | None] = [None]
 
-    def write(chunk: CompletionChunk) -> None:
-        texts.append(chunk.text)
-        finish_reasons.append(chunk.finish_reason)
+    def keep(chunks: list[EngineChunk], event_ids: list[bytes]) -> bytes:
+        for chunk in chunks:
+            texts.append(chunk.choices[0].text)
+            finish_reasons.append(chunk.choices[0].finish_reason)
+        return b""
 
-    result = parts.completions.run(request, CompletionSink(write, is_gone))
+    result = parts.completions.run(request, CompletionSink(keep, None, is_gone))
     if result.is_error():
         return result
     _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
@@ -185,28 +220,10 @@
     )
 
 
-def _stream_event(
-    completion_id: str, model: str, chunk: CompletionChunk, is_chat: bool
-) -> dict:
-    content = {"delta": {"content": chunk.text}} if is_chat else {"text": chunk.text}
-    return {
-        "id": completion_id,
-        "object": "chat.completion.chunk" if is_chat else "text_completion",
-        "model": model,
-        "choices": [{"index": 0, **content, "finish_reason": chunk.finish_reason}],
-    }
-
-
 def _completion_id(request_id: str, is_chat: bool) -> str:
     return ("chatcmpl-" if is_chat else "cmpl-") + request_id
 
 
-def _is_gone(exchange: Exchange) -> bool:
-    poll = select.poll()
-    poll.register(exchange.socket, select.POLLRDHUP | select.POLLHUP)
-    return bool(poll.poll(0))
-
-
 def _note_served(
     parts: EntryParts, request: CompletionRequest, n_tokens: int, ttft_ms: float
 ) -> None:
--- a/buckthornrock/entry/context.py
+++ b/buckthornrock/entry/context.py
@@ -4,6 +4,7 @@
 
 from ..deferred import DeferredPort
 from ..dispatch import Caller, CompletionDispatcher, ServiceDispatcher
+from ..dispatch.continuation import EventIds
 from ..errors import Failure
 from ..events import entry as events
 from ..httpd import Exchange
@@ -26,6 +27,7 @@
     telemetry: Telemetry
     clock: Clock
     default_profile: str
+    event_ids: EventIds
 
 
 def refuse(
--- a/buckthornrock/httpd/exchange.py
+++ b/buckthornrock/httpd/exchange.py
@@ -1,5 +1,6 @@
 """One request and its response."""
 
+import io
 import socket
 from typing import NamedTuple
 
@@ -105,6 +106,28 @@
         self._send_head()
         self._request.conn.wfile.flush()
 
+    def stream_head(self, status: int, headers: dict[str, str]) -> bytes:
+        """Return the head of a streamed response instead of sending it.
+
+        The caller of this method sends it, and then the parts that :meth:`framed`
+        returns; for a sender that must not block.
+        """
+        connection = self._request.conn
+        writer = connection.wfile
+        connection.wfile = io.BytesIO()
+        try:
+            self._set_head(status, headers)
+            self._send_head()
+            return connection.wfile.getvalue()
+        finally:
+            connection.wfile = writer
+
+    def framed(self, part: bytes) -> bytes:
+        """Return a part of a streamed body with its framing."""
+        if self._request.chunked_write:
+            return b"%x\r\n%b\r\n" % (len(part), part)
+        return part
+
     def send_part(self, part: bytes) -> None:
         """Send a part of a streamed body straight to the socket.
 
@@ -113,9 +136,7 @@
         OSError
             If the caller is gone.
         """
-        if self._request.chunked_write:
-            part = b"%x\r\n%b\r\n" % (len(part), part)
-        self.socket.sendall(part)
+        self.socket.sendall(self.framed(part))
 
     def abort(self) -> None:
         """Close the connection without the end mark, so that a cut shows."""
--- a/buckthornrock/upstreams/errors.py
+++ b/buckthornrock/upstreams/errors.py
@@ -19,10 +19,14 @@
 
 
 class StreamBroken(NamedTuple):
-    """A stream ended early or broke its offset or identity checks."""
+    """A stream ended early or broke its offset or identity checks.
+
+    ``is_cut`` means that only the connection ended: the engine may hold the stream.
+    """
 
     upstream_id: str
     reason: str
+    is_cut: bool = False
 
     code = "stream-broken"
 
--- /dev/null
+++ b/buckthornrock/upstreams/relay.py
@@ -0,0 +1,234 @@
+"""Moves every stream of the instance from its engine to its caller, in one thread.
+
+A thread a stream costs a wake-up and a cold cache a chunk; one thread that waits on
+all sockets does not. The thread never blocks on one socket: what a slow caller does
+not take is buffered up to a limit, and then its engine is not read any further.
+"""
+
+import select
+import socket
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from ..errors import CallerGone
+from .engine_messages import EngineChunk
+from .engine_stream import BrokenStreamError, EngineStream
+from .errors import StreamBroken
+
+#: Bytes that wait for a slow caller before its engine is left unread.
+MAX_BUFFERED_BYTES = 262_144
+CHECK_PERIOD_MS = 250.0
+STOP_TIMEOUT_S = 1.0
+
+
+class RelaySink(NamedTuple):
+    """Where a stream goes.
+
+    Parameters
+    ----------
+    encode : callable
+        ``encode(chunks) -> bytes``, what to send to the caller for them.
+    socket : socket.socket or None
+        The caller's connection; None if the answer is kept in memory.
+    """
+
+    encode: Callable[[list[EngineChunk]], bytes]
+    socket: socket.socket | None
+
+
+RelayFailure = StreamBroken | CallerGone
+
+
+def is_gone(caller: socket.socket) -> bool:
+    """Tell whether the caller has closed its connection or its sending half."""
+    poll = select.poll()
+    poll.register(caller, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+class _Flow:
+    """One stream on its way."""
+
+    def __init__(self, stream: EngineStream, sink: RelaySink, now_ms: float) -> None:
+        self.stream = stream
+        self.sink = sink
+        self.pending = b""
+        self.is_reading = True
+        self.moved_at_ms = now_ms
+        self.ended = threading.Lock()
+        self.ended.acquire()
+        self.result: Result[None, RelayFailure] | None = None
+
+
+class Relay:
+    """The relaying thread.
+
+    Parameters
+    ----------
+    now_ms : callable
+        Monotonic clock.
+    stall_timeout_ms : float
+        A stream on which nothing moves for longer is broken off.
+    """
+
+    def __init__(self, now_ms: Callable[[], float], stall_timeout_ms: float) -> None:
+        self._now_ms = now_ms
+        self._stall_timeout_ms = stall_timeout_ms
+        self._epoll = select.epoll()
+        self._flows: dict[int, _Flow] = {}
+        self._checked_at_ms = now_ms()
+        self._is_stopped = False
+        self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
+        self._thread.start()
+
+    def run(self, stream: EngineStream, sink: RelaySink) -> Result[None, RelayFailure]:
+        """Move ``stream`` to ``sink``; block until it is whole or has failed.
+
+        The stream is left to the caller of this method to be finished.
+        """
+        flow = _Flow(stream, sink, self._now_ms())
+        caller = sink.socket
+        timeout_s = caller.gettimeout() if caller else None
+        if caller:
+            caller.setblocking(False)
+        # The engine's descriptor comes last: the caller's may end the flow alone,
+        # but nothing may move before both are known.
+        self._add(flow)
+        flow.ended.acquire()
+        if caller:
+            caller.settimeout(timeout_s)
+        return _flushed(flow)
+
+    def stop(self) -> None:
+        """End the thread; streams in progress are not served any further."""
+        self._is_stopped = True
+        self._thread.join(STOP_TIMEOUT_S)
+        for flow in set(self._flows.values()):
+            upstream_id = flow.stream.call.upstream_id
+            self._end(flow, Error(StreamBroken(upstream_id, "stopped")))
+
+    def _add(self, flow: _Flow) -> None:
+        caller = flow.sink.socket
+        if caller:
+            self._flows[caller.fileno()] = flow
+        self._flows[flow.stream.fileno()] = flow
+        if caller:
+            self._epoll.register(caller.fileno(), select.EPOLLRDHUP)
+        # EPOLLOUT makes the thread look once, for body bytes that came with the head.
+        self._epoll.register(flow.stream.fileno(), select.EPOLLIN | select.EPOLLOUT)
+
+    def _run(self) -> None:
+        while not self._is_stopped:
+            for descriptor, events in self._epoll.poll(CHECK_PERIOD_MS / 1000.0):
+                flow = self._flows.get(descriptor)
+                if flow is not None:
+                    self._step(flow, descriptor, events)
+            if self._now_ms() - self._checked_at_ms > CHECK_PERIOD_MS:
+                self._end_stalled()
+
+    def _step(self, flow: _Flow, descriptor: int, events: int) -> None:
+        try:
+            if descriptor == flow.stream.fileno():
+                self._read(flow, events)
+            elif events & ~select.EPOLLOUT:
+                self._end_if_gone(flow)
+            else:
+                self._send(flow, b"")
+        except BrokenStreamError as error:
+            upstream_id = flow.stream.call.upstream_id
+            failure = StreamBroken(upstream_id, error.reason, error.is_cut)
+            self._end(flow, Error(failure))
+        except OSError:
+            self._end(flow, Error(CallerGone(flow.stream.next_offset)))
+        except Exception as error:  # noqa: BLE001 - one flow must not end the others
+            upstream_id = flow.stream.call.upstream_id
+            self._end(flow, Error(StreamBroken(upstream_id, type(error).__name__)))
+
+    def _end_if_gone(self, flow: _Flow) -> None:
+        # The event may be left over from an earlier connection with the same
+        # descriptor, so the socket itself is asked again.
+        if is_gone(flow.sink.socket):
+            self._end(flow, Error(CallerGone(flow.stream.next_offset)))
+
+    def _read(self, flow: _Flow, events: int) -> None:
+        if events & select.EPOLLOUT:
+            self._epoll.modify(flow.stream.fileno(), select.EPOLLIN)
+        chunks = flow.stream.read()
+        flow.moved_at_ms = self._now_ms()
+        if chunks:
+            self._send(flow, flow.sink.encode(chunks))
+        elif flow.stream.is_whole:
+            self._send(flow, b"")
+
+    def _send(self, flow: _Flow, part: bytes) -> None:
+        caller = flow.sink.socket
+        if caller is None:
+            self._end_if_whole(flow)
+            return
+        had_pending = bool(flow.pending)
+        out = flow.pending + part if had_pending else part
+        if out:
+            try:
+                n_sent = caller.send(out)
+                flow.moved_at_ms = self._now_ms()
+            except BlockingIOError:
+                n_sent = 0
+            flow.pending = out[n_sent:]
+        if had_pending or flow.pending:
+            self._adjust(flow, caller)
+        if not flow.pending:
+            self._end_if_whole(flow)
+
+    def _adjust(self, flow: _Flow, caller: socket.socket) -> None:
+        wanted = select.EPOLLRDHUP
+        if flow.pending:
+            wanted |= select.EPOLLOUT
+        self._epoll.modify(caller.fileno(), wanted)
+        is_reading = len(flow.pending) < MAX_BUFFERED_BYTES
+        if is_reading != flow.is_reading:
+            flow.is_reading = is_reading
+            engine_events = select.EPOLLIN if is_reading else 0
+            self._epoll.modify(flow.stream.fileno(), engine_events)
+
+    def _end_if_whole(self, flow: _Flow) -> None:
+        if flow.stream.is_whole:
+            self._end(flow, Ok(None))
+
+    def _end(self, flow: _Flow, result: Result[None, RelayFailure]) -> None:
+        sockets = (flow.stream, flow.sink.socket)
+        for descriptor in (s.fileno() for s in sockets if s is not None):
+            self._flows.pop(descriptor, None)
+            try:
+                self._epoll.unregister(descriptor)
+            except OSError:
+                # The descriptor was closed, which unregisters it as well.
+                continue
+        flow.result = result
+        flow.ended.release()
+
+    def _end_stalled(self) -> None:
+        self._checked_at_ms = self._now_ms()
+        oldest_ms = self._checked_at_ms - self._stall_timeout_ms
+        stalled = {f for f in list(self._flows.values()) if f.moved_at_ms < oldest_ms}
+        for flow in stalled:
+            upstream_id = flow.stream.call.upstream_id
+            if flow.pending:
+                self._end(flow, Error(CallerGone(flow.stream.next_offset)))
+            else:
+                self._end(flow, Error(StreamBroken(upstream_id, "stalled")))
+
+
+def _flushed(flow: _Flow) -> Result[None, RelayFailure]:
+    """Send what a broken stream left behind, so that another can go on after it."""
+    result = flow.result
+    is_broken = result.is_error() and isinstance(result.error, StreamBroken)
+    if not is_broken or not flow.pending:
+        return result
+    try:
+        flow.sink.socket.sendall(flow.pending)
+    except OSError:
+        return Error(CallerGone(flow.stream.next_offset))
+    return result
--- a/tests/dispatch/test_continuation.py
+++ b/tests/dispatch/test_continuation.py
@@ -6,7 +6,7 @@
 
 from buckthornrock.dispatch import Caller
 from buckthornrock.dispatch.continuation import (
-    DeliveredText,
+    Delivered,
     EventIds,
     StreamOrigin,
     body_digest,
@@ -18,16 +18,16 @@
 
 
 def event_id(caller=CALLER, n_pieces=3):
-    text = DeliveredText()
+    delivered = Delivered()
     for _ in range(n_pieces):
-        text.add("żółw ", 2)
-    return EventIds(SECRET).seal(caller, ORIGIN)(text.delivered()).decode()
+        delivered = delivered.extended("żółw ".encode(), 2)
+    return EventIds(SECRET).seal(caller, ORIGIN)(delivered).decode()
 
 
 def test_any_instance_opens_what_another_sealed():
     point = EventIds(SECRET).open(CALLER, event_id()).ok
     assert point.origin == ORIGIN
-    assert (point.delivered.n_tokens, point.delivered.n_chars) == (6, 15)
+    assert (point.delivered.n_tokens, point.delivered.n_bytes) == (6, 24)
 
 
 OTHERS = [Caller("agency", "south"), Caller("shop", "north"), Caller("agencynorth", "")]
