--- a/buckthornrock/compose/membership.py
+++ b/buckthornrock/compose/membership.py
@@ -1,6 +1,5 @@
 """Wires membership and the inner protocol."""
 
-import os
 from collections.abc import Callable
 
 from expression import Result
@@ -19,19 +18,17 @@
 from ..wire import Identity, PeerAddress, Transport, open_transport
 from .core import Core, run_periodically
 
-INCARNATION_BYTES = 8
-
 
 def build_membership(core: Core) -> MembershipPort:
     """Wire the view of the live instances."""
     settings = core.settings
-    incarnation = os.urandom(INCARNATION_BYTES).hex()
     if settings.wire.port == 0:
         _poll_list(core, lambda read_list: read_list())
-        return alone(_view(core, "", incarnation))
-    identity = Identity(settings.instance_id, incarnation)
+        return alone(_view(core, ""))
+    identity = Identity(settings.instance_id, core.incarnation)
     transport = open_transport(identity, settings.wire, core.telemetry)
     service = _build_service(core, transport)
+    core.fleet_size.n_instances = service.n_known
     run_periodically(core, "membership.probe", service.probe, PROBE_PERIOD_MS)
     run_periodically(core, "membership.news", service.spread_news, NEWS_PERIOD_MS)
     _poll_list(core, service.read_list)
@@ -43,7 +40,7 @@
 def _build_service(core: Core, transport: Transport) -> MembershipService:
     section = core.settings.wire
     return MembershipService(
-        view=_view(core, transport.address, transport.identity.incarnation),
+        view=_view(core, transport.address),
         transport=transport,
         seeds=[PeerAddress(peer.id, peer.address) for peer in section.peers],
         probe_timeout_ms=section.timeout_ms,
@@ -72,12 +69,12 @@
     )
 
 
-def _view(core: Core, address: str, incarnation: str) -> InstanceView:
+def _view(core: Core, address: str) -> InstanceView:
     settings = core.settings
     return InstanceView(
         instance_id=settings.instance_id,
         address=address,
         failure_domain=settings.failure_domain,
         region=settings.region,
-        incarnation=incarnation,
+        incarnation=core.incarnation,
     )
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -17,6 +17,7 @@
 OUTCOMES_PENDING = "outcomes_pending"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
+KV_WAITS_MS = "kv_waits_ms"
 WAITING_TOKENS = "waiting_tokens"
 WINDOW_TOKENS = "window_tokens"
 WIRE_BYTES = "wire_bytes"
@@ -37,6 +38,7 @@
     OUTCOMES_PENDING: ("gauge", "outcomes that are not yet recorded"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
+    KV_WAITS_MS: ("timing", "waits for the key-value service's budget, by kind"),
     WAITING_TOKENS: ("gauge", "work that waits for admission, by model"),
     WINDOW_TOKENS: ("gauge", "work that may be at one engine, by model"),
     WIRE_BYTES: ("counter", "bytes of frames between instances, by direction"),
