--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -31,7 +31,11 @@
         EngineClient(section),
         ServiceClient(section, core.clock.now_ms),
         EngineControl(),
-        Relay(core.clock.now_ms, section.stall_timeout_ms),
+        Relay(
+            core.clock.now_ms,
+            section.stall_timeout_ms,
+            core.settings.entry.read_timeout_ms,
+        ),
     )
 
 
--- a/buckthornrock/upstreams/engine_client.py
+++ b/buckthornrock/upstreams/engine_client.py
@@ -20,7 +20,22 @@
 
     def __init__(self, settings: UpstreamsSettings) -> None:
         self._settings = settings
-        self._pool = urllib3.PoolManager(maxsize=N_POOLED_CONNECTIONS, retries=False)
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        # A pool an engine: urllib3's pool manager parses and merges a URL for each
+        # request, which costs as much as sending it.
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = urllib3.HTTPConnectionPool(
+                host.strip("[]"),
+                int(port),
+                maxsize=N_POOLED_CONNECTIONS,
+                retries=False,
+            )
+            pool = self._pools.setdefault(address, pool)
+        return pool
 
     def open_stream(self, call: EngineCall) -> Result[EngineStream, StreamFailure]:
         """Send the completion and return its stream once the head has come."""
@@ -32,12 +47,15 @@
         if call.resume_stream:
             body["resume_stream"] = call.resume_stream
         try:
-            response = self._pool.request(
+            response = self._pool(call.address).urlopen(
                 "POST",
-                f"http://{call.address}/v1/completions",
+                "/v1/completions",
                 body=msgspec.json.encode(body),
                 headers={"X-Request-Id": call.request_id},
                 preload_content=False,
+                retries=False,
+                redirect=False,
+                assert_same_host=False,
                 timeout=self._timeout(call),
             )
         except (
--- a/buckthornrock/upstreams/relay.py
+++ b/buckthornrock/upstreams/relay.py
@@ -71,12 +71,20 @@
     now_ms : callable
         Monotonic clock.
     stall_timeout_ms : float
-        A stream on which nothing moves for longer is broken off.
+        A stream whose engine sends nothing for longer is broken off.
+    caller_timeout_ms : float
+        The same for a caller that takes nothing.
     """
 
-    def __init__(self, now_ms: Callable[[], float], stall_timeout_ms: float) -> None:
+    def __init__(
+        self,
+        now_ms: Callable[[], float],
+        stall_timeout_ms: float,
+        caller_timeout_ms: float,
+    ) -> None:
         self._now_ms = now_ms
         self._stall_timeout_ms = stall_timeout_ms
+        self._caller_timeout_ms = caller_timeout_ms
         self._epoll = select.epoll()
         self._flows: dict[int, _Flow] = {}
         self._checked_at_ms = now_ms()
@@ -211,14 +219,16 @@
 
     def _end_stalled(self) -> None:
         self._checked_at_ms = self._now_ms()
-        oldest_ms = self._checked_at_ms - self._stall_timeout_ms
-        stalled = {f for f in list(self._flows.values()) if f.moved_at_ms < oldest_ms}
-        for flow in stalled:
+        for flow in set(self._flows.values()):
+            is_slow = bool(flow.pending)
+            timeout_ms = self._caller_timeout_ms if is_slow else self._stall_timeout_ms
+            if self._checked_at_ms - flow.moved_at_ms < timeout_ms:
+                continue
             upstream_id = flow.stream.call.upstream_id
-            if flow.pending:
-                self._end(flow, Error(CallerGone(flow.stream.next_offset)))
-            else:
-                self._end(flow, Error(StreamBroken(upstream_id, "stalled")))
+            gone = CallerGone(flow.stream.next_offset)
+            self._end(
+                flow, Error(gone if is_slow else StreamBroken(upstream_id, "stalled"))
+            )
 
 
 def _flushed(flow: _Flow) -> Result[None, RelayFailure]:
