--- a/buckthornrock/compose/deferred.py
+++ b/buckthornrock/compose/deferred.py
@@ -11,12 +11,13 @@
 from ..deferred.ids import open_job_ids
 from ..deferred.service import DeferredParts, DeferredRules, JobControl, RunJob
 from ..dispatch import Caller, CompletionRequest, CompletionSink
-from ..dispatch.requests import CompletionChunk, CompletionDone
+from ..dispatch.requests import CompletionDone
 from ..entry import EntryParts
 from ..entry.completions import build_request, collect_answer
 from ..entry.parsing import parse_completion
 from ..errors import Failure
 from ..membership import MembershipPort
+from ..upstreams.engine_messages import EngineChunk
 from .core import Core, run_periodically
 
 #: How often a step looks whether it has something to do.
@@ -147,14 +148,16 @@
     ) -> Result[CompletionDone, Failure]:
         has_begun = False
 
-        def write(chunk: CompletionChunk) -> None:
+        def encode(chunks: list[EngineChunk], event_ids: list[bytes]) -> bytes:
             nonlocal has_begun
             has_begun = True
-            sink.write(chunk)
+            return sink.encode(chunks, event_ids)
 
         def is_gone() -> bool:
             return sink.is_gone() or (not has_begun and control.should_yield())
 
-        return parts.completions.run(request, CompletionSink(write, is_gone))
+        return parts.completions.run(
+            request, CompletionSink(encode, sink.socket, is_gone)
+        )
 
     return run
