--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -10,6 +10,7 @@
 from ..events import dispatch as events
 from ..routing import RouteQuery
 from ..telemetry.metrics import ATTEMPTS_FAILED
+from ..upstreams.engine_stream import OTHER_WEIGHTS
 from ..upstreams.errors import AttemptFailed, StreamBroken, UpstreamRefused
 from .attempts import AttemptParts, Plan, run_attempt
 from .errors import AnswerIncomplete
@@ -160,7 +161,7 @@
         if not _is_cut(failure):
             progress.stream = None
             progress.excluded.add(upstream_id)
-        if not _is_refusal(failure):
+        if _is_engine_fault(failure):
             parts.fleet.note_outcome(upstream_id, False)
         parts.telemetry.decisions.on_failed(request.request_id, failure.code)
         parts.routing.on_failed(plan.query, plan.choice, parts.now_ms())
@@ -179,9 +180,15 @@
     return isinstance(failure, StreamBroken) and failure.is_cut
 
 
-def _is_refusal(failure: Failure) -> bool:
-    """Tell whether the request, and not the engine, may be at fault."""
-    return isinstance(failure, UpstreamRefused) and failure.status < 500
+def _is_engine_fault(failure: Failure) -> bool:
+    """Tell whether the failure counts against the engine's health.
+
+    A refused request may itself be wrong, and an engine that has just loaded other
+    weights than its last report says is sound.
+    """
+    if isinstance(failure, UpstreamRefused):
+        return failure.status >= 500
+    return not (isinstance(failure, StreamBroken) and failure.reason == OTHER_WEIGHTS)
 
 
 def _done(progress: Progress) -> CompletionDone:
--- a/buckthornrock/upstreams/engine_stream.py
+++ b/buckthornrock/upstreams/engine_stream.py
@@ -15,6 +15,7 @@
 EVENT_END = b"\n\n"
 DATA = b"data: "
 DONE = b"[DONE]"
+OTHER_WEIGHTS = "answer of other weights"
 
 _decode_chunk = msgspec.json.Decoder(EngineChunk).decode
 
@@ -187,7 +188,7 @@
         if chunk.cache_salt != call.cache_salt:
             raise BrokenStreamError("answer for another cache salt")
         if chunk.weights != call.weights_version:
-            raise BrokenStreamError("answer of other weights")
+            raise BrokenStreamError(OTHER_WEIGHTS)
         self.next_offset += chunk.n_tokens
         self._is_finished = chunk.choices[0].finish_reason is not None
 
