Count expected hits; let peers' digests lapse sooner

Cause: a peer's last digest counted 1.5 s although an idle peer sends none, and operators had no figure of what routing expects. Change: digests count 0.4 s; counters prompt_tokens and expected_hit_tokens.

--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -9,7 +9,11 @@
 from ..errors import CallerGone, DeadlineExceeded, Failure
 from ..events import dispatch as events
 from ..routing import RouteQuery
-from ..telemetry.metrics import ATTEMPTS_FAILED
+from ..telemetry.metrics import (
+    ATTEMPTS_FAILED,
+    EXPECTED_HIT_TOKENS,
+    PROMPT_TOKENS,
+)
 from ..upstreams.engine_stream import OTHER_WEIGHTS
 from ..upstreams.errors import AttemptFailed, StreamBroken, UpstreamRefused
 from .attempts import AttemptParts, Plan, run_attempt
@@ -123,6 +127,9 @@
         if choice.is_error():
             return choice
         progress.n_prompt_tokens = choice.ok.n_prompt_tokens
+        metrics = parts.telemetry.metrics
+        metrics.incr(PROMPT_TOKENS, choice.ok.n_prompt_tokens)
+        metrics.incr(EXPECTED_HIT_TOKENS, choice.ok.n_hit_tokens)
         parts.telemetry.decisions.on_choice(
             request.request_id, choice.ok, len(candidates), parts.now_ms()
         )
--- a/buckthornrock/routing/demand.py
+++ b/buckthornrock/routing/demand.py
@@ -1,5 +1,6 @@
 """Demand for prompt prefixes: how much work per second each prefix level brings."""
 
+import math
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -40,7 +41,7 @@
         if demand is None:
             return 0.0
         # A steady rate r keeps the decaying sum at r * half-life / ln 2.
-        return _decayed(demand, now_ms) * 0.693 / HALF_LIFE_MS
+        return _decayed(demand, now_ms) * math.log(2.0) / HALF_LIFE_MS
 
     def n_homes(self, level_hash: int, n_engines: float) -> int:
         """Return how many homes a level has that takes ``n_engines`` engines' time."""
--- a/buckthornrock/routing/inflight.py
+++ b/buckthornrock/routing/inflight.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-#: A peer's digest counts this long after it came.
-PEER_TTL_MS = 1_500.0
+#: A peer's digest counts this long after it came; a busy peer sends another before.
+PEER_TTL_MS = 400.0
 #: Own sends without a first token are forgotten after this long.
 SENT_TTL_MS = 60_000.0
 
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -11,6 +11,8 @@
 INTER_TOKEN_MS = "inter_token_ms"
 TOKENS = "tokens"
 ATTEMPTS_FAILED = "attempts_failed"
+PROMPT_TOKENS = "prompt_tokens"
+EXPECTED_HIT_TOKENS = "expected_hit_tokens"
 CROSSED_ANSWERS = "crossed_answers"
 SERVICE_RETRIES = "service_retries"
 KEYED_CALLS = "keyed_calls"
@@ -33,6 +35,8 @@
     TTFT_MS: ("timing", "time to first token, by work class"),
     INTER_TOKEN_MS: ("timing", "time between tokens, by work class"),
     TOKENS: ("counter", "tokens delivered, by work class"),
+    PROMPT_TOKENS: ("counter", "prompt tokens sent to engines"),
+    EXPECTED_HIT_TOKENS: ("counter", "prompt tokens expected in engines' caches"),
     ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
     CROSSED_ANSWERS: ("counter", "answers that named another request, by upstream"),
     SERVICE_RETRIES: ("counter", "repeated attempts of calls to plain services"),
