--- a/benchmarks/relay_processes.py
+++ b/benchmarks/usage.py
@@ -1,8 +1,6 @@
-"""Starts the processes of a benchmark and reads what they use."""
+"""Reads what a process has used."""
 
 import os
-import subprocess
-import sys
 from pathlib import Path
 from typing import NamedTuple
 
@@ -18,12 +16,6 @@
     n_threads: int
 
 
-def start_module(module: str, *arguments: str) -> subprocess.Popen:
-    """Start ``python -m module`` with a pipe on its standard output."""
-    command = [sys.executable, "-m", module, *arguments]
-    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
-
-
 def read_usage(pid: int) -> Usage:
     """Return the processor time, memory and threads of a process."""
     stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
