--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -100,6 +100,8 @@
     servers: tuple[UpstreamSettings, ...]
     connect_timeout_ms: int = defaults.UPSTREAM_CONNECT_TIMEOUT_MS
     read_timeout_ms: int = defaults.UPSTREAM_READ_TIMEOUT_MS
+    first_token_timeout_ms: int = defaults.UPSTREAM_FIRST_TOKEN_TIMEOUT_MS
+    stall_timeout_ms: int = defaults.UPSTREAM_STALL_TIMEOUT_MS
     poll_period_ms: int = defaults.UPSTREAM_POLL_PERIOD_MS
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
     answer_buffer_bytes: int = defaults.UPSTREAM_ANSWER_BUFFER_BYTES
@@ -140,6 +142,8 @@
         Prefixes that an engine is computing for this instance.
     transit : bool
         Time between failure domains.
+    later_work : bool
+        Delay of later requests by the work that this one brings.
     homes, widening : bool
         Rendezvous homes, and more of them for hot prefixes.
     imports : bool
@@ -154,6 +158,7 @@
     hits: bool = True
     expected: bool = True
     transit: bool = True
+    later_work: bool = True
     homes: bool = True
     widening: bool = True
     imports: bool = True
--- a/buckthornrock/upstreams/engine_stream.py
+++ b/buckthornrock/upstreams/engine_stream.py
@@ -15,6 +15,7 @@
 EVENT_END = b"\n\n"
 DATA = b"data: "
 DONE = b"[DONE]"
+OTHER_WEIGHTS = "answer of other weights"
 
 _decode_chunk = msgspec.json.Decoder(EngineChunk).decode
 
@@ -23,6 +24,17 @@
     """A completion as it is sent to one engine.
 
     ``body`` is the caller's JSON object; the other fields go before it.
+
+    Parameters
+    ----------
+    output_offset : int
+        Index of the first token that is wanted.
+    generated : str
+        The text of the tokens before it, if another engine produced them.
+    resume_stream : str
+        The engine's own stream that is to go on; "" starts one.
+    timeout_ms : float
+        Longest wait for the first token.
     """
 
     upstream_id: str
@@ -33,6 +45,9 @@
     weights_version: str
     priority: int
     output_offset: int
+    generated: str = ""
+    resume_stream: str = ""
+    timeout_ms: float = 30_000.0
 
 
 class BrokenStreamError(Exception):
@@ -42,11 +57,14 @@
     ----------
     reason : str
         What was wrong.
+    is_cut : bool
+        Whether only the connection ended, so that the engine may hold the stream.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, is_cut: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.is_cut = is_cut
 
 
 class EngineStream:
@@ -72,8 +90,9 @@
         self.stream_id = ""
         self.next_offset = call.output_offset
         self.is_whole = False
+        self._is_finished = False
         self._response = response
-        self._socket: socket.socket = response.connection.sock
+        self._socket = _socket_of(response)
         self._timeout_s = self._socket.gettimeout()
         self._socket.setblocking(False)
         self._body = ChunkedBody() if _is_chunked(response) else None
@@ -98,7 +117,9 @@
             return self._chunks(events)
         except BlockingIOError:
             return []
-        except (OSError, FramingError, msgspec.DecodeError) as error:
+        except OSError as error:
+            raise BrokenStreamError(type(error).__name__, is_cut=True) from error
+        except (FramingError, msgspec.DecodeError, UnicodeDecodeError) as error:
             raise BrokenStreamError(type(error).__name__) from error
 
     def finish(self) -> None:
@@ -127,13 +148,13 @@
         raw = self._unread or self._socket.recv(READ_BYTES)
         self._unread = b""
         if not raw:
-            raise BrokenStreamError("ended without its end mark")
+            raise BrokenStreamError("ended without its end mark", is_cut=True)
         part = self._body.feed(raw) if self._body else raw
         *events, self._pending = (self._pending + part).split(EVENT_END)
         if len(self._pending) > MAX_EVENT_BYTES:
             raise BrokenStreamError("an event is too long")
         if not events and self._body and self._body.is_ended:
-            raise BrokenStreamError("ended without its end mark")
+            raise BrokenStreamError("ended without its end mark", is_cut=True)
         return events
 
     def _chunks(self, events: list[bytes]) -> list[EngineChunk]:
@@ -141,13 +162,19 @@
         for event in events:
             data = event.removeprefix(DATA)
             if data == DONE:
-                self.is_whole = True
+                self._end()
                 return chunks
             chunk = _decode_chunk(data)
             self._check(chunk)
             chunks.append(chunk)
         return chunks
 
+    def _end(self) -> None:
+        """Take the end mark, which is believed only behind a finish reason."""
+        if not self._is_finished:
+            raise BrokenStreamError("end mark before the last token")
+        self.is_whole = True
+
     def _check(self, chunk: EngineChunk) -> None:
         call = self.call
         if not self.stream_id:
@@ -161,9 +188,28 @@
         if chunk.cache_salt != call.cache_salt:
             raise BrokenStreamError("answer for another cache salt")
         if chunk.weights != call.weights_version:
-            raise BrokenStreamError("answer of other weights")
+            raise BrokenStreamError(OTHER_WEIGHTS)
         self.next_offset += chunk.n_tokens
+        self._is_finished = chunk.choices[0].finish_reason is not None
 
 
 def _is_chunked(response: urllib3.HTTPResponse) -> bool:
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+
+
+def _socket_of(response: urllib3.HTTPResponse) -> socket.socket:
+    """Return the socket of the body.
+
+    Raises
+    ------
+    BrokenStreamError
+        If the answer has ended with its head.
+    """
+    connection = response.connection
+    if connection is not None and connection.sock is not None:
+        return connection.sock
+    # An answer that closes its connection owns the socket alone.
+    reader = response._original_response.fp
+    if reader is None:
+        raise BrokenStreamError("the answer has no body", is_cut=True)
+    return reader.raw._sock
