--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -16,6 +16,8 @@
     "reference",
     "profile",
     "explain",
+    "order",
+    "upstreams",
 )
 
 
--- a/buckthornrock/compose/deferred.py
+++ b/buckthornrock/compose/deferred.py
@@ -148,10 +148,10 @@
     ) -> Result[CompletionDone, Failure]:
         has_begun = False
 
-        def encode(chunks: list[EngineChunk]) -> bytes:
+        def encode(chunks: list[EngineChunk], event_ids: list[bytes]) -> bytes:
             nonlocal has_begun
             has_begun = True
-            return sink.encode(chunks)
+            return sink.encode(chunks, event_ids)
 
         def is_gone() -> bool:
             return sink.is_gone() or (not has_begun and control.should_yield())
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -36,12 +36,25 @@
 # Upstreams
 UPSTREAM_CONNECT_TIMEOUT_MS = 500
 UPSTREAM_READ_TIMEOUT_MS = 30_000
+#: An engine that gives no first token for so long is given up for this request.
+UPSTREAM_FIRST_TOKEN_TIMEOUT_MS = 15_000
+#: A stream on which nothing moves for so long is continued elsewhere.
+UPSTREAM_STALL_TIMEOUT_MS = 3_000
 UPSTREAM_POLL_PERIOD_MS = 250
 UPSTREAM_BLOCK_BYTES = 64
 #: Answers of plain services up to this size are read whole before they are passed on.
 UPSTREAM_ANSWER_BUFFER_BYTES = 262_144
 UPSTREAM_MAX_ANSWER_BYTES = 67_108_864
 
+# Orders to engines
+#: Engines of the fleet that may load weights at once.
+ORDERS_N_LOAD_SLOTS = 2
+ORDERS_TIMEOUT_MS = 1_000
+#: Longest time that an engine takes to load weights while the slots are kept.
+ORDERS_LOAD_TIME_MS = 4_000
+ORDERS_STEP_PERIOD_MS = 500
+ORDERS_REFRESH_PERIOD_MS = 3_000
+
 # Idempotency keys
 IDEMPOTENCY_RETENTION_S = 86_400
 #: Larger answers are recorded as having run, without their body.
--- a/buckthornrock/dispatch/requests.py
+++ b/buckthornrock/dispatch/requests.py
@@ -6,13 +6,8 @@
 
 from ..profiles import WorkClass
 from ..upstreams.engine_messages import EngineChunk
-
-
-class Caller(NamedTuple):
-    """Who asks: a client account, and the member of it where there are several."""
-
-    client_account: str
-    member: str
+from .caller import Caller
+from .continuation import ResumePoint
 
 
 class CompletionRequest(NamedTuple):
@@ -26,6 +21,8 @@
         The rendered prompt, for hashing and estimates.
     deadline_at_ms : float
         Monotonic.
+    resume : ResumePoint or None
+        What an earlier connection has delivered.
     """
 
     request_id: str
@@ -42,6 +39,7 @@
     max_tokens: int
     deadline_at_ms: float
     is_deferred: bool
+    resume: ResumePoint | None = None
 
 
 class CompletionDone(NamedTuple):
@@ -58,15 +56,15 @@
     Parameters
     ----------
     encode : callable
-        ``encode(chunks) -> bytes``, what to send to the caller for the chunks of
-        one read; must not block.
+        ``encode(chunks, event_ids) -> bytes``, what to send to the caller for the
+        chunks of one read; must not block. The ids are empty without a socket.
     socket : socket.socket or None
         The caller's connection; None if the answer is kept in memory.
     is_gone : callable
         ``is_gone() -> bool``; cheap, may be polled.
     """
 
-    encode: Callable[[list[EngineChunk]], bytes]
+    encode: Callable[[list[EngineChunk], list[bytes]], bytes]
     socket: socket.socket | None
     is_gone: Callable[[], bool]
 
--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -5,7 +5,9 @@
 from expression import Error, Ok, Result
 
 from ..dispatch import Caller, CompletionRequest, CompletionSink
-from ..errors import Failure
+from ..dispatch.continuation import body_digest
+from ..dispatch.errors import EventIdMismatch
+from ..errors import CallerGone, Failure
 from ..events import entry as events
 from ..httpd import Exchange
 from ..profiles import AccountLimits, Profile
@@ -14,8 +16,8 @@
 from ..upstreams.relay import is_gone
 from .context import EntryParts, refuse
 from .deferred import submit_deferred
-from .errors import UnknownWorkClass
-from .event_stream import DONE_EVENT, stream_encoder
+from .errors import BadRequest, UnknownWorkClass
+from .event_stream import DONE_EVENT, error_event, stream_encoder
 from .parsing import (
     CompletionFields,
     parse_completion,
@@ -23,6 +25,7 @@
     parse_object,
     render_prompt,
 )
+from .problems import problem_document
 
 EVENT_STREAM = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
 
@@ -66,7 +69,30 @@
     request = build_request(
         parts, caller, request_id, body.ok, fields.ok, exchange.headers
     )
-    return request.map(lambda r: (r, fields.ok))
+    if request.is_error():
+        return request
+    resumed = _resumed(parts, exchange, request.ok, fields.ok)
+    return resumed.map(lambda r: (r, fields.ok))
+
+
+def _resumed(
+    parts: EntryParts,
+    exchange: Exchange,
+    request: CompletionRequest,
+    fields: CompletionFields,
+) -> Result[CompletionRequest, Failure]:
+    """Return the request with what ``Last-Event-ID`` says the caller has."""
+    event_id = exchange.headers.get("last-event-id", "")
+    if not event_id:
+        return Ok(request)
+    if not fields.stream:
+        return Error(BadRequest("Last-Event-ID", "only streams are continued"))
+    point = parts.event_ids.open(request.caller, event_id)
+    if point.is_error():
+        return point
+    if point.ok.origin.body_digest != body_digest(request.body):
+        return Error(EventIdMismatch())
+    return Ok(request._replace(resume=point.ok))
 
 
 def build_request(
@@ -123,23 +149,30 @@
         _completion_id(request.request_id, is_chat), request.model, is_chat
     )
 
-    def encode(chunks: list[EngineChunk]) -> bytes:
+    head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
+
+    def encode(chunks: list[EngineChunk], event_ids: list[bytes]) -> bytes:
+        events = encode_events(chunks, event_ids)
         if exchange.is_started:
-            return exchange.framed(encode_events(chunks))
+            return exchange.framed(events)
         # The head waits for the first token, so that a failure before it can still
         # be answered with a problem document.
-        head = {**EVENT_STREAM, "X-Request-Id": request.request_id}
-        return exchange.stream_head(200, head) + exchange.framed(encode_events(chunks))
+        return exchange.stream_head(200, head) + exchange.framed(events)
 
     sink = CompletionSink(encode, exchange.socket, lambda: is_gone(exchange.socket))
     result = parts.completions.run(request, sink)
     if result.is_ok():
         _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
+        if not exchange.is_started:
+            exchange.start_stream(200, head)
         exchange.send_part(DONE_EVENT)
         return
     if not exchange.is_started:
         refuse(parts, exchange, result.error, request.request_id, request.caller)
         return
+    if not isinstance(result.error, CallerGone):
+        document = problem_document(result.error, request.request_id)
+        exchange.send_part(error_event(document))
     exchange.abort()
 
 
@@ -161,7 +194,7 @@
     texts: list[str] = []
     finish_reasons: list[str | None] = [None]
 
-    def keep(chunks: list[EngineChunk]) -> bytes:
+    def keep(chunks: list[EngineChunk], event_ids: list[bytes]) -> bytes:
         for chunk in chunks:
             texts.append(chunk.choices[0].text)
             finish_reasons.append(chunk.choices[0].finish_reason)
--- a/buckthornrock/upstreams/engine_client.py
+++ b/buckthornrock/upstreams/engine_client.py
@@ -1,4 +1,4 @@
-"""Calls to model engines: streamed completions and load reports.
+"""Calls to model engines: streamed completions.
 
 Heads, pooling and framing are urllib3's. A stream's body is read part by part as it
 comes and handed on without the decoding layers that streamed JSON does not need.
@@ -9,9 +9,8 @@
 from expression import Error, Ok, Result
 
 from ..conf.settings import UpstreamsSettings
-from .engine_messages import LoadReport
-from .engine_stream import EngineCall, EngineStream
-from .errors import AttemptFailed, StreamFailure, UpstreamRefused
+from .engine_stream import BrokenStreamError, EngineCall, EngineStream
+from .errors import AttemptFailed, StreamBroken, StreamFailure, UpstreamRefused
 
 N_POOLED_CONNECTIONS = 64
 
@@ -26,20 +25,9 @@
     """Connection pools to engines."""
 
     def __init__(self, settings: UpstreamsSettings) -> None:
-        self._timeout = urllib3.Timeout(
-            connect=settings.connect_timeout_ms / 1000.0,
-            read=settings.read_timeout_ms / 1000.0,
-        )
+        self._settings = settings
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
 
-    def load(self, address: str) -> Result[LoadReport, AttemptFailed]:
-        """Return the engine's load report."""
-        try:
-            response = self._pool(address).request("GET", "/load")
-            return Ok(msgspec.json.decode(response.data, type=LoadReport))
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
-            return Error(AttemptFailed(address, type(error).__name__, "true"))
-
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
         # A pool an engine: urllib3's pool manager parses and merges a URL for each
         # request, which costs as much as sending it.
@@ -50,7 +38,6 @@
                 host.strip("[]"),
                 int(port),
                 maxsize=N_POOLED_CONNECTIONS,
-                timeout=self._timeout,
                 retries=False,
             )
             pool = self._pools.setdefault(address, pool)
@@ -61,16 +48,21 @@
         body = {k: v for k, v in call.body.items() if k not in ROUTER_FIELDS}
         body |= {"stream": True, "cache_salt": call.cache_salt}
         body |= {"priority": call.priority, "output_offset": call.output_offset}
+        if call.generated:
+            body["generated"] = call.generated
+        if call.resume_stream:
+            body["resume_stream"] = call.resume_stream
         try:
             response = self._pool(call.address).urlopen(
                 "POST",
                 "/v1/completions",
                 body=msgspec.json.encode(body),
                 headers={"X-Request-Id": call.request_id},
+                preload_content=False,
                 retries=False,
                 redirect=False,
                 assert_same_host=False,
-                preload_content=False,
+                timeout=self._timeout(call),
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -84,4 +76,15 @@
         if response.status != 200:
             response.drain_conn()
             return Error(UpstreamRefused(call.upstream_id, response.status))
-        return Ok(EngineStream(response, call))
+        try:
+            return Ok(EngineStream(response, call))
+        except BrokenStreamError as error:
+            response.close()
+            failure = StreamBroken(call.upstream_id, error.reason, error.is_cut)
+            return Error(failure)
+
+    def _timeout(self, call: EngineCall) -> urllib3.Timeout:
+        read_ms = min(call.timeout_ms, self._settings.first_token_timeout_ms)
+        return urllib3.Timeout(
+            connect=self._settings.connect_timeout_ms / 1000.0, read=read_ms / 1000.0
+        )
--- a/buckthornrock/upstreams/relay.py
+++ b/buckthornrock/upstreams/relay.py
@@ -71,12 +71,20 @@
     now_ms : callable
         Monotonic clock.
     stall_timeout_ms : float
-        A stream on which nothing moves for longer is broken off.
+        A stream whose engine sends nothing for longer is broken off.
+    caller_timeout_ms : float
+        The same for a caller that takes nothing.
     """
 
-    def __init__(self, now_ms: Callable[[], float], stall_timeout_ms: float) -> None:
+    def __init__(
+        self,
+        now_ms: Callable[[], float],
+        stall_timeout_ms: float,
+        caller_timeout_ms: float,
+    ) -> None:
         self._now_ms = now_ms
         self._stall_timeout_ms = stall_timeout_ms
+        self._caller_timeout_ms = caller_timeout_ms
         self._epoll = select.epoll()
         self._flows: dict[int, _Flow] = {}
         self._checked_at_ms = now_ms()
@@ -85,7 +93,10 @@
         self._thread.start()
 
     def run(self, stream: EngineStream, sink: RelaySink) -> Result[None, RelayFailure]:
-        """Move ``stream`` to ``sink``; block until it is whole or has failed."""
+        """Move ``stream`` to ``sink``; block until it is whole or has failed.
+
+        The stream is left to the caller of this method to be finished.
+        """
         flow = _Flow(stream, sink, self._now_ms())
         caller = sink.socket
         timeout_s = caller.gettimeout() if caller else None
@@ -95,10 +106,9 @@
         # but nothing may move before both are known.
         self._add(flow)
         flow.ended.acquire()
-        stream.finish()
         if caller:
             caller.settimeout(timeout_s)
-        return flow.result
+        return _flushed(flow)
 
     def stop(self) -> None:
         """End the thread; streams in progress are not served any further."""
@@ -137,7 +147,8 @@
                 self._send(flow, b"")
         except BrokenStreamError as error:
             upstream_id = flow.stream.call.upstream_id
-            self._end(flow, Error(StreamBroken(upstream_id, error.reason)))
+            failure = StreamBroken(upstream_id, error.reason, error.is_cut)
+            self._end(flow, Error(failure))
         except OSError:
             self._end(flow, Error(CallerGone(flow.stream.next_offset)))
         except Exception as error:  # noqa: BLE001 - one flow must not end the others
@@ -208,11 +219,26 @@
 
     def _end_stalled(self) -> None:
         self._checked_at_ms = self._now_ms()
-        oldest_ms = self._checked_at_ms - self._stall_timeout_ms
-        stalled = {f for f in list(self._flows.values()) if f.moved_at_ms < oldest_ms}
-        for flow in stalled:
+        for flow in set(self._flows.values()):
+            is_slow = bool(flow.pending)
+            timeout_ms = self._caller_timeout_ms if is_slow else self._stall_timeout_ms
+            if self._checked_at_ms - flow.moved_at_ms < timeout_ms:
+                continue
             upstream_id = flow.stream.call.upstream_id
-            if flow.pending:
-                self._end(flow, Error(CallerGone(flow.stream.next_offset)))
-            else:
-                self._end(flow, Error(StreamBroken(upstream_id, "stalled")))
+            gone = CallerGone(flow.stream.next_offset)
+            self._end(
+                flow, Error(gone if is_slow else StreamBroken(upstream_id, "stalled"))
+            )
+
+
+def _flushed(flow: _Flow) -> Result[None, RelayFailure]:
+    """Send what a broken stream left behind, so that another can go on after it."""
+    result = flow.result
+    is_broken = result.is_error() and isinstance(result.error, StreamBroken)
+    if not is_broken or not flow.pending:
+        return result
+    try:
+        flow.sink.socket.sendall(flow.pending)
+    except OSError:
+        return Error(CallerGone(flow.stream.next_offset))
+    return result
--- a/tests/upstreams/test_relay.py
+++ b/tests/upstreams/test_relay.py
@@ -25,12 +25,22 @@
     return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
 
 
+def last(offset, text=None):
+    text = f"t{offset} " if text is None else text
+    choices = [{"index": 0, "text": text, "finish_reason": "length"}]
+    return event(offset, choices=choices)
+
+
 DONE = b"data: [DONE]\n\n"
 
 
 @pytest.fixture
 def relay():
-    relay = Relay(lambda: time.monotonic() * 1000.0, stall_timeout_ms=500.0)
+    relay = Relay(
+        lambda: time.monotonic() * 1000.0,
+        stall_timeout_ms=500.0,
+        caller_timeout_ms=5_000.0,
+    )
     yield relay
     relay.stop()
 
@@ -80,9 +90,9 @@
 
 
 CASES = [
-    ("whole", [event(0), event(1), DONE], 2, ""),
-    ("joined", [event(0) + event(1) + DONE], 2, ""),
-    ("cut event", [event(0)[:20], event(0)[20:], DONE], 1, ""),
+    ("whole", [event(0), last(1), DONE], 2, ""),
+    ("joined", [event(0) + last(1) + DONE], 2, ""),
+    ("cut event", [last(0)[:20], last(0)[20:], DONE], 1, ""),
     ("gap", [event(0), event(2), DONE], 1, "gap or repeat in the offsets"),
     ("repeat", [event(0), event(0), DONE], 1, "gap or repeat in the offsets"),
     ("crossed", [event(0), event(1, id="x"), DONE], 1, "answer to another request"),
@@ -90,6 +100,7 @@
     ("other salt", [event(0, cache_salt="bb")], 0, "answer for another cache salt"),
     ("other weights", [event(0, weights="v")], 0, "answer of other weights"),
     ("not JSON", [event(0), b"data: {\n\n"], 1, "DecodeError"),
+    ("early end", [event(0), DONE], 1, "end mark before the last token"),
     ("truncated", [event(0)], 1, "ended without its end mark"),
     ("stalled", [event(0), lambda: time.sleep(1.5)], 1, "stalled"),
 ]
@@ -108,7 +119,8 @@
     if reason:
         # Tokens that came in one read with the bad one may be left out.
         assert texts == expected[: len(texts)]
-        assert result.error == StreamBroken("e", reason)
+        is_cut = reason == "ended without its end mark"
+        assert result.error == StreamBroken("e", reason, is_cut)
         return
     assert texts == expected
     assert result.is_ok()
@@ -130,7 +142,8 @@
     text = "x" * 1000
     choices = [{"index": 0, "text": text}]
     n_tokens = 2000
-    served.extend([event(i, choices=choices) for i in range(n_tokens)] + [DONE])
+    served.extend([event(i, choices=choices) for i in range(n_tokens - 1)])
+    served.extend([last(n_tokens - 1, text), DONE])
     near, far = socket.socketpair()
     near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     received = bytearray()
@@ -155,7 +168,7 @@
 
 def test_failing_encoder_ends_only_its_own_flow(relay, engine):
     served, address = engine
-    served.extend([event(0), DONE])
+    served.extend([last(0), DONE])
 
     def fail(chunks):
         raise ZeroDivisionError
