End the paced engine's answers with a finish reason

Cause: an answer without one is not whole, so every benchmark stream was cut. Change: the last chunk states it. Conclusion: the benchmark's engine keeps to the published protocol.

--- a/benchmarks/paced_engine.py
+++ b/benchmarks/paced_engine.py
@@ -37,6 +37,8 @@
         due_s += pace_s
         time.sleep(max(0.0, due_s - time.monotonic()))
         chunk["offset"] = offset
+        is_last = offset + 1 == body["max_tokens"]
+        chunk["choices"][0]["finish_reason"] = "length" if is_last else None
         chunk["choices"][0]["text"] = str(time.monotonic_ns())
         exchange.send_part(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
     exchange.send_part(b"data: [DONE]\n\n")
