Test that both sides of a split go on and find each other again

Cause: only single failures were tested. Change: a socket test cuts five instances in two and joins them again; budgets are cut by all known instances meanwhile.

--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -7,7 +7,7 @@
 import pytest
 
 from buckthornrock.conf.settings import WireSettings
-from buckthornrock.membership import InstanceView
+from buckthornrock.membership import InstanceView, detector
 from buckthornrock.membership.service import MembershipService, open_membership
 from buckthornrock.runtime import system_clock
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
@@ -134,3 +134,34 @@
 def test_message_of_a_newer_version_is_answered_as_unsupported(fleet):
     one, *_ = fleet
     assert one.port.ask("i1", FromTheFuture(), 300).error.code == "peer-unsupported"
+
+
+def cut_off(monkeypatch, nodes, groups):
+    """Let no node of one group dial a node of the other."""
+    group_of = {
+        node.transport.address: number
+        for number, group in enumerate(groups)
+        for node in group
+    }
+    for node in nodes:
+        dialer = node.transport._dialer
+        own = group_of[node.transport.address]
+
+        def open_context(address, timeout_ms, own=own, dial=dialer.open_context):
+            if group_of.get(address, own) != own:
+                raise pynng.Timeout("cut off", 0)
+            return dial(address, timeout_ms)
+
+        monkeypatch.setattr(dialer, "open_context", open_context)
+
+
+def test_both_sides_of_a_split_go_on_and_find_each_other_again(fleet, monkeypatch):
+    monkeypatch.setattr(detector, "DEAD_PROBE_PERIOD_MS", 200.0)
+    sides = (fleet[:2], fleet[2:])
+    with monkeypatch.context() as split:
+        cut_off(split, fleet, sides)
+        step_until(
+            fleet, lambda: all(n.live() == ids(side) for side in sides for n in side)
+        )
+        assert [node.service.n_known() for node in fleet] == [len(fleet)] * len(fleet)
+    step_until(fleet, lambda: all(node.live() == ids(fleet) for node in fleet))
