Tick less often while nothing changes

Cause: twenty periodic ticks a second cost more than the heartbeats. Change: news wakes its own sender, peers are asked for profiles often only until one is known, heartbeats go out once a second; an instance that stops says so to its peers.

--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -15,7 +15,7 @@
 from .telemetry import build_telemetry
 
 INCARNATION_BYTES = 8
-LEASE_STEP_PERIOD_MS = 500.0
+LEASE_STEP_PERIOD_MS = 1_000.0
 
 
 class FleetSize:
--- a/buckthornrock/compose/membership.py
+++ b/buckthornrock/compose/membership.py
@@ -7,7 +7,8 @@
 from ..membership import InstanceView, MembershipPort
 from ..membership.port import alone
 from ..membership.service import (
-    NEWS_PERIOD_MS,
+    IDLE_NEWS_PERIOD_MS,
+    NEWS_DELAY_MS,
     PROBE_PERIOD_MS,
     MembershipService,
     ReadList,
@@ -30,13 +31,23 @@
     service = _build_service(core, transport)
     core.fleet_size.n_instances = service.n_known
     run_periodically(core, "membership.probe", service.probe, PROBE_PERIOD_MS)
-    run_periodically(core, "membership.news", service.spread_news, NEWS_PERIOD_MS)
+    _spread_news(core, service)
     _poll_list(core, service.read_list)
     core.closers.append(service.close)
     core.closers.append(transport.close)
+    # Closers run last to first: the others hear of the departure before the end.
+    core.closers.append(service.leave)
     return open_membership(service)
 
 
+def _spread_news(core: Core, service: MembershipService) -> None:
+    """Spread news a little after the first of it, so that it is sent together."""
+    handle = run_periodically(
+        core, "membership.news", service.spread_news, IDLE_NEWS_PERIOD_MS
+    )
+    service.on_first_news = lambda: core.timer.call_later(NEWS_DELAY_MS, handle.run_now)
+
+
 def _build_service(core: Core, transport: Transport) -> MembershipService:
     section = core.settings.wire
     return MembershipService(
--- a/buckthornrock/compose/profiles.py
+++ b/buckthornrock/compose/profiles.py
@@ -6,13 +6,16 @@
 from ..profiles import ProfilePort, ProfileRecord
 from ..profiles.acceptance import Acceptance
 from ..profiles.errors import UnknownProfile
-from ..profiles.gossip import START_SYNC_PERIOD_MS, ProfileGossip
+from ..profiles.gossip import SYNC_PERIOD_MS, ProfileGossip
 from ..profiles.start import start_profile
 from ..profiles.table import ProfileTable
 from ..profiles.watching import ProfileWatch
 from .core import Core, run_periodically
 
-WATCH_STEP_PERIOD_MS = 200.0
+WATCH_STEP_PERIOD_MS = 500.0
+#: First period of asking peers after a start; it grows until it is the usual one.
+START_SYNC_PERIOD_MS = 100.0
+START_SYNC_GROWTH = 1.1
 
 
 def build_profiles(core: Core, membership: MembershipPort) -> ProfilePort:
@@ -39,17 +42,26 @@
         core.fleet_size.n_instances,
     )
     run_periodically(core, "profiles.watch", watch.step, WATCH_STEP_PERIOD_MS)
-    run_periodically(
-        core,
-        "profiles.sync",
-        lambda: gossip.synchronise(core.clock.now_ms()),
-        START_SYNC_PERIOD_MS,
-    )
+    _synchronise(core, gossip)
     core.closers.append(gossip.close)
     core.closers.append(watch.close)
     return _open_port(table, acceptance, gossip)
 
 
+def _synchronise(core: Core, gossip: ProfileGossip) -> None:
+    """Compare with a peer every period, and more often until a profile is known."""
+    handle = run_periodically(core, "profiles.sync", gossip.synchronise, SYNC_PERIOD_MS)
+
+    def hasten(delay_ms: float) -> None:
+        if gossip.is_informed() or delay_ms >= SYNC_PERIOD_MS:
+            return
+        handle.run_now()
+        longer_ms = delay_ms * START_SYNC_GROWTH
+        core.timer.call_later(delay_ms, lambda: hasten(longer_ms))
+
+    hasten(START_SYNC_PERIOD_MS)
+
+
 def _open_port(
     table: ProfileTable, acceptance: Acceptance, gossip: ProfileGossip
 ) -> ProfilePort:
--- a/buckthornrock/membership/service.py
+++ b/buckthornrock/membership/service.py
@@ -26,8 +26,11 @@
 from .detector import Detector, ProbeTarget
 from .port import InstanceView, MembershipPort
 
-PROBE_PERIOD_MS = 700.0
-NEWS_PERIOD_MS = 200.0
+PROBE_PERIOD_MS = 1_000.0
+#: How long news is collected before it is sent.
+NEWS_DELAY_MS = 200.0
+#: Sends what a lost wake-up left behind.
+IDLE_NEWS_PERIOD_MS = 5_000.0
 #: Instances that news is sent to; each sends it on the first time it hears it.
 N_NEWS_TARGETS = 3
 #: Records in one message of news; anti-entropy carries what does not fit.
@@ -43,7 +46,13 @@
 
 
 class MembershipService:
-    """The detector with its lock, and the threads' work on it."""
+    """The detector with its lock, and the threads' work on it.
+
+    Attributes
+    ----------
+    on_first_news : callable
+        Called when there is news again; has :meth:`spread_news` called a little later.
+    """
 
     def __init__(
         self,
@@ -68,6 +77,7 @@
         self._views: tuple[InstanceView, ...] = (view,)
         self._n_known = self._detector.n_known()
         self._news: list[MemberRecord] = []
+        self.on_first_news: Callable[[], None] = lambda: None
         self._list_read_at_ms = -RARE_LIST_PERIOD_MS
         self._pool = ThreadPoolExecutor(N_PROBE_THREADS, "probe")
         transport.subscribe(Probe, self._on_probe)
@@ -220,7 +230,11 @@
         with self._lock:
             self._views = tuple(map(_view_of, self._detector.live()))
             self._n_known = self._detector.n_known()
+            had_news = bool(self._news)
             self._news += fresh if to_spread is None else to_spread
+            is_first = bool(self._news) and not had_news
+        if is_first:
+            self.on_first_news()
         for record in fresh:
             self._log(record)
             if record.state in ("dead", "left"):
--- a/buckthornrock/profiles/gossip.py
+++ b/buckthornrock/profiles/gossip.py
@@ -31,8 +31,6 @@
 N_STATUS_THREADS = 16
 ASK_TIMEOUT_MS = 500.0
 SYNC_PERIOD_MS = 1_000.0
-#: Period until the first accepted record was heard of.
-START_SYNC_PERIOD_MS = 150.0
 #: Peers that are asked before a change is accepted.
 N_LEARN_TARGETS = 4
 
@@ -51,7 +49,6 @@
         self._membership = membership
         self._telemetry = telemetry
         self._rng = rng
-        self._next_sync_at_ms = 0.0
         self._pool = ThreadPoolExecutor(N_PUSH_THREADS, "profile-push")
         membership.subscribe(ProfilePush, self._on_push)
         membership.subscribe(ProfileSummary, self._on_summary)
@@ -73,13 +70,12 @@
         for lane in range(min(N_PUSH_TARGETS, len(peers))):
             self._submit(self._push_lane, message, peers[lane::N_PUSH_TARGETS])
 
-    def synchronise(self, now_ms: float) -> None:
-        """Compare with one random peer and exchange what differs, if it is time."""
-        is_known = bool(self._table.orders())
-        if is_known and now_ms < self._next_sync_at_ms:
-            return
-        jitter = 0.8 + 0.4 * self._rng.random()
-        self._next_sync_at_ms = now_ms + SYNC_PERIOD_MS * jitter
+    def is_informed(self) -> bool:
+        """Return whether any accepted record is known."""
+        return bool(self._table.orders())
+
+    def synchronise(self) -> None:
+        """Compare with one random peer and exchange what differs."""
         for peer in self._sample(1):
             self._synchronise_with(peer)
 
