--- a/benchmarks/state_control.py
+++ b/benchmarks/state_control.py
@@ -19,6 +19,7 @@
 N_FAULT_ROUNDS = 5
 FAULT_LIMIT_S = 20.0
 FLEET_SIZE = 340
+HERD_LATENCY_MS = 200.0
 
 #: Goals, from the issue and the letter.
 GOALS = {
@@ -158,6 +159,35 @@
     return Times(from_process, 0), Times(from_wiring, 0)
 
 
+class Herd(NamedTuple):
+    """What happened when every instance restarted at once and the KV was slow."""
+
+    joined_s: float
+    in_force_s: float
+    peak_reads_per_s: int
+    peak_writes_per_s: int
+
+
+def measure_herd(fleet: StateFleet) -> Herd:
+    """Restart every instance at once while every KV call takes 200 ms."""
+    version = max(report["version"] for report in fleet.reports())
+    fleet.kv.set_faults(fleet.kv.faults._replace(latency_ms=HERD_LATENCY_MS))
+    fleet.kv.counts.peak_per_s.clear()
+    for node in fleet.nodes:
+        node.kill()
+    started_at_s = time.time()
+    for node in fleet.nodes:
+        node.start()
+    fleet.wait_in_force(version, FAULT_LIMIT_S)
+    in_force_s = time.time() - started_at_s
+    fleet.wait_joined()
+    joined_s = time.time() - started_at_s
+    fleet.kv.fault = ""
+    peaks = fleet.kv.counts.peak_per_s
+    n_writes = peaks["write"] + peaks["lease"]
+    return Herd(joined_s, in_force_s, peaks["read"], n_writes)
+
+
 def count_reverts(fleet: StateFleet) -> int:
     """Return how often a version fell within one run of an instance."""
     n_reverts = 0
@@ -212,6 +242,9 @@
                 _print_times("restart, KV down: from process start", from_process)
                 _print_times("restart, KV down: from imports done", from_wiring)
             click.echo(f"\nreverts: {count_reverts(fleet)}")
+            if faults:
+                herd = measure_herd(fleet)
+                click.echo(f"herd restart, slow KV: {herd._asdict()}")
         finally:
             fleet.stop()
     _print_costs(costs)
