Leave versions that can't be read alone

Cause: a profile written by a newer program would have raised in every read and so kept all other profiles from being read; and a watch that was refused counted as an answer. Change: an unreadable version is logged (1304), not put in force and not overwritten, and a change on top of it is refused; a watch with another status than 200 is a failure. Conclusion: a test writes such a version.

--- a/benchmarks/state_node.py
+++ b/benchmarks/state_node.py
@@ -21,6 +21,7 @@
 
 
 def main() -> None:
+    """Run one instance's state parts until the standard input ends."""
     settings_path, log_path = sys.argv[1:]
     counts: Counter[str] = Counter()
     log = open(log_path, "a", buffering=1)  # noqa: SIM115 - open until the end
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -39,6 +39,7 @@
     profiles.InvalidProfile: ProblemRule(422, "Invalid profile", "true"),
     profiles.ProfileConflict: ProblemRule(409, "Another change came first", "true"),
     profiles.ProfileUndecided: ProblemRule(503, "Change not confirmed", None),
+    profiles.UnreadableProfile: ProblemRule(503, "Unreadable profile", "true"),
     profiles.UnknownVersion: ProblemRule(422, "Unknown profile version", "true"),
     profiles.HistoryUnreadable: ProblemRule(503, "History not readable", "true"),
     NoEngine: ProblemRule(503, "No engine serves the model now", "true"),
--- a/buckthornrock/events/profiles.py
+++ b/buckthornrock/events/profiles.py
@@ -31,3 +31,11 @@
     ("reason",),
     "The watch on profiles ended; it is opened again after a full read.",
 )
+UNREADABLE = Event(
+    1304,
+    "profiles.unreadable",
+    "error",
+    ("name", "reason"),
+    "A version can't be read, perhaps because a newer program wrote it; the instance "
+    "stays at its version and overwrites nothing.",
+)
--- a/buckthornrock/platform/kv_http.py
+++ b/buckthornrock/platform/kv_http.py
@@ -108,6 +108,11 @@
         except urllib3.exceptions.HTTPError as error:
             self._report(Error(CallFailed(type(error).__name__, was_sent=True)))
             return
+        if response.status != 200:
+            response.close()
+            reason = f"status {response.status}"
+            self._report(Error(CallFailed(reason, was_sent=True)))
+            return
         self._report(Ok({}))
         try:
             yield from _read_lines(response)
--- a/buckthornrock/profiles/acceptance.py
+++ b/buckthornrock/profiles/acceptance.py
@@ -82,8 +82,10 @@
                 return Error(ProfileConflict(name, expected_version, 0))
             return self._commit(record, 0)
         found = decode_entry(entry.ok, name)
-        if found.version != expected_version:
-            return self._refuse(record, found)
+        if found.is_error():
+            return found
+        if found.ok.version != expected_version:
+            return self._refuse(record, found.ok)
         return self._commit(record, entry.ok.mod_revision)
 
     def rollback(
@@ -96,14 +98,17 @@
         if entry.ok is None:
             return Error(UnknownVersion(name, version))
         old = decode_entry(entry.ok, name)
-        return self.apply(name, old.profile, expected_version, author)
+        return old.bind(
+            lambda record: self.apply(name, record.profile, expected_version, author)
+        )
 
     def history(self, name: str) -> Result[list[ProfileRecord], HistoryUnreadable]:
         """Return the kept versions, newest first."""
         entries = self._kv.get_prefix(f"{HISTORY_PREFIX}{name}/")
         if entries.is_error():
             return Error(HistoryUnreadable(name, entries.error.reason))
-        return Ok([decode_entry(entry, name) for entry in reversed(entries.ok)])
+        records = [decode_entry(entry, name) for entry in reversed(entries.ok)]
+        return Ok([record.ok for record in records if record.is_ok()])
 
     def reconcile(self, name: str, entry: KvEntry | None) -> bool:
         """Take in what the service holds, or give back what it has forgotten.
@@ -113,7 +118,12 @@
         bool
             Whether an accepted record was written over an older or absent value.
         """
-        stored = decode_entry(entry, name) if entry else None
+        read = decode_entry(entry, name) if entry else Ok(None)
+        if read.is_error():
+            reason = read.error.reason
+            self._telemetry.log(events.UNREADABLE, name=name, reason=reason)
+            return False
+        stored = read.ok
         if stored:
             self._offer(stored)
         known = self._table.get(name)
@@ -187,8 +197,10 @@
         if not entries:
             return Error(ProfileConflict(record.name, record.version - 1, 0))
         winner = decode_entry(entries[0], record.name)
-        self._offer(winner)
-        return self._refuse(record, winner)
+        if winner.is_error():
+            return winner
+        self._offer(winner.ok)
+        return self._refuse(record, winner.ok)
 
     def _settle(
         self, record: ProfileRecord, outcome: CommitUnknown
--- a/buckthornrock/profiles/encoding.py
+++ b/buckthornrock/profiles/encoding.py
@@ -3,9 +3,11 @@
 import zlib
 
 import msgspec
+from expression import Error, Ok, Result
 
 from ..wire.profile_messages import ProfileOrders, WireOrder, WireProfile
 from .document import Profile
+from .errors import UnreadableProfile
 from .port import ProfileRecord
 from .table import VersionOrder
 
@@ -24,23 +26,23 @@
     )
 
 
-def from_wire(message: WireProfile) -> ProfileRecord:
-    """Return the record of a message.
-
-    Raises
-    ------
-    zlib.error, msgspec.MsgspecError
-        If the body is damaged or too large.
-    """
-    body = zlib.decompressobj().decompress(message.body, MAX_BODY_BYTES)
-    return ProfileRecord(
-        name=message.name,
-        version=message.version,
-        profile=msgspec.json.decode(body, type=Profile),
-        trust="peer",
-        author=message.author,
-        accepted_wall_ms=message.accepted_wall_ms,
-        raw=body,
+def from_wire(message: WireProfile) -> Result[ProfileRecord, UnreadableProfile]:
+    """Return the record of a message."""
+    try:
+        body = zlib.decompressobj().decompress(message.body, MAX_BODY_BYTES)
+        profile = msgspec.json.decode(body, type=Profile)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        return Error(UnreadableProfile(message.name, str(error)))
+    return Ok(
+        ProfileRecord(
+            name=message.name,
+            version=message.version,
+            profile=profile,
+            trust="peer",
+            author=message.author,
+            accepted_wall_ms=message.accepted_wall_ms,
+            raw=body,
+        )
     )
 
 
--- a/buckthornrock/profiles/errors.py
+++ b/buckthornrock/profiles/errors.py
@@ -48,6 +48,18 @@
     code = "profile-undecided"
 
 
+class UnreadableProfile(NamedTuple):
+    """A stored or received version can't be read, perhaps because it is newer.
+
+    It is neither put in force here nor overwritten.
+    """
+
+    name: str
+    reason: str
+
+    code = "profile-unreadable"
+
+
 class UnknownVersion(NamedTuple):
     """The history of the profile does not hold this version."""
 
@@ -66,5 +78,5 @@
     code = "profile-history-unreadable"
 
 
-ApplyFailure = InvalidProfile | ProfileConflict | ProfileUndecided
+ApplyFailure = InvalidProfile | ProfileConflict | ProfileUndecided | UnreadableProfile
 RollbackFailure = ApplyFailure | UnknownVersion | HistoryUnreadable
--- a/buckthornrock/profiles/gossip.py
+++ b/buckthornrock/profiles/gossip.py
@@ -151,8 +151,11 @@
     def _take(self, push: ProfilePush) -> None:
         for message in push.records:
             record = from_wire(message)
-            if self._table.offer(record):
-                self.publish(record)
+            if record.is_error():
+                name, reason = record.error
+                self._telemetry.log(events.UNREADABLE, name=name, reason=reason)
+            elif self._table.offer(record.ok):
+                self.publish(record.ok)
 
     def _on_push(self, sender_id: str, push: ProfilePush) -> None:
         self._take(push)
--- a/buckthornrock/profiles/stored.py
+++ b/buckthornrock/profiles/stored.py
@@ -1,9 +1,11 @@
 """How profiles lie in the key-value service."""
 
 import msgspec
+from expression import Error, Ok, Result
 
 from ..platform import KvEntry
 from .document import Profile
+from .errors import UnreadableProfile
 from .port import ProfileRecord
 
 KEY_PREFIX = "profiles/"
@@ -43,15 +45,21 @@
     )
 
 
-def decode_entry(entry: KvEntry, name: str) -> ProfileRecord:
+def decode_entry(entry: KvEntry, name: str) -> Result[ProfileRecord, UnreadableProfile]:
     """Return the record of an entry."""
-    stored = msgspec.json.decode(entry.value, type=StoredProfile)
-    return ProfileRecord(
-        name=name,
-        version=stored.version,
-        profile=msgspec.json.decode(stored.profile, type=Profile),
-        trust="kv",
-        author=stored.author,
-        accepted_wall_ms=stored.accepted_wall_ms,
-        raw=bytes(stored.profile),
+    try:
+        stored = msgspec.json.decode(entry.value, type=StoredProfile)
+        profile = msgspec.json.decode(stored.profile, type=Profile)
+    except msgspec.MsgspecError as error:
+        return Error(UnreadableProfile(name, str(error)))
+    return Ok(
+        ProfileRecord(
+            name=name,
+            version=stored.version,
+            profile=profile,
+            trust="kv",
+            author=stored.author,
+            accepted_wall_ms=stored.accepted_wall_ms,
+            raw=bytes(stored.profile),
+        )
     )
--- a/tests/profiles/test_versions.py
+++ b/tests/profiles/test_versions.py
@@ -2,10 +2,12 @@
 
 import random
 
+import msgspec
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from buckthornrock.platform import Compare, Put, Transaction
 from buckthornrock.platform.kv_client import KvClient
 from buckthornrock.platform.kv_codec import KvCodec
 from buckthornrock.platform.kv_port import KvPort
@@ -61,7 +63,7 @@
 
     def accepted(self):
         record = self.table.get(NAME)
-        return [] if record.trust == "start" else [from_wire(to_wire(record))]
+        return [] if record.trust == "start" else [from_wire(to_wire(record)).ok]
 
     def order(self):
         return order_of(self.table.get(NAME))
@@ -122,7 +124,7 @@
     @rule(source=instances, sink=instances)
     def push(self, source, sink):
         for record in self.fleet[source].pending:
-            self.fleet[sink].table.offer(from_wire(to_wire(record)))
+            self.fleet[sink].table.offer(from_wire(to_wire(record)).ok)
 
     @rule(index=instances)
     def lose_pushes(self, index):
@@ -209,3 +211,20 @@
 def test_unknown_commit_that_was_overwritten_since_was_accepted():
     result = pair_after(lambda overtake: [("lost_then_overtaken", overtake)])
     assert (result.ok.version, result.ok.author) == (2, "one")
+
+
+def test_version_of_a_newer_program_is_neither_taken_nor_overwritten():
+    time, standin, fleet = FakeTime(), KvStandin(), []
+    fleet.append(Instance(time, standin, lambda: fleet))
+    (one,) = fleet
+    one.acceptance.apply(NAME, profile(0.1), 0, "first")
+    newer = {"version": 2, "profile": {"work_classes": "of another shape"}}
+    entry = one.kv.get(key_of(NAME)).ok
+    put = Put(key_of(NAME), msgspec.json.encode(newer))
+    one.kv.commit(Transaction((Compare(put.key, entry.mod_revision),), (put,)))
+    entry = one.kv.get(key_of(NAME)).ok
+    assert not one.acceptance.reconcile(NAME, entry)
+    refused = one.acceptance.apply(NAME, profile(0.2), 1, "one")
+    assert refused.error.code == "profile-unreadable"
+    assert one.table.get(NAME).version == 1
+    assert one.kv.get(key_of(NAME)).ok == entry
