Spread the first calls of a herd by what membership has learned

Cause: the spread was worked out from the few seeds in the settings, before the instance list had been read. Change: one start gate, used by the lease and the first read, grows while it waits.

--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -10,12 +10,13 @@
 from ..platform import KvPort, LeaseHolder, open_kv
 from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
+from ..runtime.spreading import open_start_gate
 from ..telemetry import Telemetry
 from ..telemetry.burn import BurnAccounts
 from .telemetry import build_telemetry
 
 INCARNATION_BYTES = 8
-LEASE_STEP_PERIOD_MS = 1_000.0
+LEASE_STEP_PERIOD_MS = 500.0
 
 
 class FleetSize:
@@ -84,10 +85,23 @@
         closers=[lease.close],
         list_listeners=[],
     )
-    run_periodically(core, "platform.lease", lease.step, LEASE_STEP_PERIOD_MS)
+    _hold_lease(core)
     return core
 
 
+def _hold_lease(core: Core) -> None:
+    """Take the lease when it is this instance's turn, and renew it."""
+    may_start = open_start_gate(
+        core.clock.now_ms, core.rng, lambda: core.fleet_size.n_instances()
+    )
+
+    def step() -> None:
+        if may_start():
+            core.lease.step()
+
+    run_periodically(core, "platform.lease", step, LEASE_STEP_PERIOD_MS)
+
+
 def run_periodically(
     core: Core, name: str, step: Callable[[], None], period_ms: float
 ) -> PeriodicHandle:
--- a/buckthornrock/profiles/watching.py
+++ b/buckthornrock/profiles/watching.py
@@ -8,6 +8,7 @@
 from ..membership import MembershipPort
 from ..platform import KvPort, WatchBatch
 from ..runtime.rendezvous import rank
+from ..runtime.spreading import open_start_gate
 from ..telemetry import Telemetry
 from .acceptance import Acceptance
 from .stored import KEY_PREFIX
@@ -22,9 +23,6 @@
 WATCH_GAP_MS = 200.0
 #: Period of full reads by instances that do not watch.
 RARE_READ_PERIOD_MS = 30_000.0
-#: Spread of the first read over a restarting fleet, an instance of it.
-START_SPREAD_MS = 5.0
-MAX_START_SPREAD_MS = 2_000.0
 
 
 class ProfileWatch:
@@ -67,14 +65,14 @@
         self._membership = membership
         self._now_ms = now_ms
         self._telemetry = telemetry
-        spread_ms = min(MAX_START_SPREAD_MS, n_instances() * START_SPREAD_MS)
-        self._next_read_at_ms = now_ms() + rng.random() * spread_ms
+        self._may_start = open_start_gate(now_ms, rng, n_instances)
+        self._next_read_at_ms = 0.0
         self._rng = rng
         self._closed = threading.Event()
 
     def step(self) -> None:
         """Read or watch, if it is time to; blocks as long as the watch lasts."""
-        if self._now_ms() < self._next_read_at_ms:
+        if self._now_ms() < self._next_read_at_ms or not self._may_start():
             return
         revision = self.read_all()
         if revision is None:
