Bound the slow messages that wait

Cause: a flood of slow messages queued without bound and each held an open context. Change: 64 places; beyond them a message is answered as overloaded, provably unhandled. A handler that nothing used is gone. Conclusion: a socket test floods an instance: what is not refused is handled once.

--- a/buckthornrock/profiles/gossip.py
+++ b/buckthornrock/profiles/gossip.py
@@ -52,7 +52,6 @@
         self._pool = ThreadPoolExecutor(N_PUSH_THREADS, "profile-push")
         membership.subscribe(ProfilePush, self._on_push)
         membership.subscribe(ProfileSummary, self._on_summary)
-        membership.subscribe(ProfileOrders, self._on_orders)
         membership.subscribe(ProfileFetch, self._on_fetch)
         membership.subscribe(ProfileStatusQuery, self._on_status_query)
 
@@ -167,10 +166,6 @@
             return None
         return orders_to_wire(self._table.orders())
 
-    def _on_orders(self, sender_id: str, orders: ProfileOrders) -> ProfilePush:
-        newer = self._table.newer_than(orders_from_wire(orders))
-        return ProfilePush(tuple(map(to_wire, newer)))
-
     def _on_fetch(self, sender_id: str, fetch: ProfileFetch) -> ProfilePush:
         records = [self._table.get(name) for name in fetch.names]
         accepted = [r for r in records if r is not None and r.trust != "start"]
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -36,6 +36,7 @@
     message.Misaddressed,
     message.Unsupported,
     message.HandlerFailed,
+    message.Overloaded,
     membership_messages.MemberRecord,
     membership_messages.Probe,
     membership_messages.ProbeReply,
--- a/buckthornrock/wire/message.py
+++ b/buckthornrock/wire/message.py
@@ -28,3 +28,7 @@
 
 class HandlerFailed(Message, tag="wire.handler_failed"):
     """The handler raised; the message may have been handled in part."""
+
+
+class Overloaded(Message, tag="wire.overloaded"):
+    """Too many slow messages wait here, so this one was not handled."""
--- a/buckthornrock/wire/transport.py
+++ b/buckthornrock/wire/transport.py
@@ -26,12 +26,21 @@
     PeerUnreachable,
     PeerUnsupported,
 )
-from .message import Ack, HandlerFailed, Message, Misaddressed, Unsupported
+from .message import (
+    Ack,
+    HandlerFailed,
+    Message,
+    Misaddressed,
+    Overloaded,
+    Unsupported,
+)
 from .replay import ReplayFilter
 
 N_TELL_THREADS = 2
 N_QUEUED_TELLS = 1_024
 N_SLOW_THREADS = 16
+#: Slow messages that are handled or wait; more are refused, unhandled.
+N_SLOW_MESSAGES = 64
 CLOSE_TIMEOUT_S = 1.0
 #: Room for a frame just over the limit, so that it is counted before it is dropped.
 OVERSIZE_MARGIN = 2
@@ -80,6 +89,7 @@
         self._subscriptions: dict[type[Message], _Subscription] = {}
         self._tells: queue.Queue = queue.Queue(N_QUEUED_TELLS)
         self._slow = ThreadPoolExecutor(N_SLOW_THREADS, "wire-slow")
+        self._slow_places = threading.BoundedSemaphore(N_SLOW_MESSAGES)
         self._threads: list[threading.Thread] = []
         hard_limit = settings.max_frame_bytes * OVERSIZE_MARGIN
         self._dialer = Dialer(hard_limit)
@@ -215,7 +225,7 @@
                 return Error(PeerUnsupported(peer.instance_id))
             case HandlerFailed():
                 return Error(PeerFailed(peer.instance_id))
-            case Misaddressed():
+            case Misaddressed() | Overloaded():
                 return Error(PeerNotReached(peer.instance_id))
         return Ok(body)
 
@@ -235,11 +245,14 @@
                 continue
             body = self._read_body(envelope)
             subscription = self._subscriptions.get(type(body))
-            if subscription and subscription.is_slow:
-                self._slow.submit(self._reply_and_close, context, envelope, body)
+            if not subscription or not subscription.is_slow:
+                self._reply(context, envelope, body)
+            elif self._slow_places.acquire(blocking=False):
+                self._slow.submit(self._reply_slowly, context, envelope, body)
                 context = self._socket.new_context()
-                continue
-            self._reply(context, envelope, body)
+            else:
+                self._count_dropped("slow_full")
+                self._reply(context, envelope, Overloaded())
 
     def _accept(self, raw: bytes) -> Envelope | None:
         opened = self._codec.open("request", raw)
@@ -266,14 +279,17 @@
             return Unsupported()
         return body.ok
 
-    def _reply_and_close(
+    def _reply_slowly(
         self, context: pynng.Context, envelope: Envelope, body: Message
     ) -> None:
-        self._reply(context, envelope, body)
-        close_context(context)
+        try:
+            self._reply(context, envelope, body)
+        finally:
+            self._slow_places.release()
+            close_context(context)
 
     def _reply(self, context: pynng.Context, envelope: Envelope, body: Message) -> None:
-        is_answer = isinstance(body, Misaddressed | Unsupported)
+        is_answer = isinstance(body, Misaddressed | Unsupported | Overloaded)
         answer = body if is_answer else self._answer(envelope.sender, body)
         frame = self._codec.seal(
             "reply",
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pynng
 import pytest
@@ -14,6 +15,7 @@
 from buckthornrock.wire import Identity, PeerAddress, open_transport
 from buckthornrock.wire.membership_messages import News, Probe
 from buckthornrock.wire.message import Ack, Message
+from buckthornrock.wire.transport import N_SLOW_MESSAGES
 
 SECRET = "a-shared-secret-of-the-fleet"
 SETTINGS = WireSettings(shared_secret=SECRET, timeout_ms=300, max_frame_bytes=65_536)
@@ -108,6 +110,27 @@
     assert reply.is_ok()
 
 
+def test_too_many_slow_messages_are_refused_unhandled(fleet):
+    one, other, *_ = fleet
+    handled = []
+
+    def handle(sender, news):
+        handled.append(sender)
+        time.sleep(0.3)
+
+    other.port.subscribe(News, handle, is_slow=True)
+    with ThreadPoolExecutor(N_SLOW_MESSAGES + 8) as pool:
+        asks = [
+            pool.submit(one.port.ask, "i1", News(()), 5_000)
+            for _ in range(N_SLOW_MESSAGES + 8)
+        ]
+        replies = [ask.result() for ask in asks]
+    refused = [reply for reply in replies if reply.is_error()]
+    assert {reply.error.code for reply in refused} <= {"peer-not-reached"}
+    assert len(handled) == len(replies) - len(refused)
+    assert refused
+
+
 def test_replayed_and_forged_frames_are_dropped(fleet):
     one, other, *_ = fleet
     n_handled = []
