--- a/tests/dispatch/service_world.py
+++ b/tests/dispatch/service_world.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 
+from benchmarks.settings_files import free_ports
 from buckthornrock.commands.demo_world import demo_profile
 from buckthornrock.compose import start_instance
 from buckthornrock.conf import parse_settings
@@ -23,12 +24,13 @@
 class ServiceWorld:
     """Starts what a test asks for and stops it all."""
 
-    def __init__(self, addresses, n_instances=1, peers=False, **sections):
+    def __init__(self, addresses, n_instances=1, is_wired=False, **sections):
         self.kv = KvStandin()
         self._kv_server = start_kv(self.kv)
         self.http = urllib3.PoolManager(retries=False, maxsize=64)
         self.addresses = addresses
         self.sections = sections
+        self._wire_ports = free_ports(n_instances) if is_wired else []
         self.instances = [self.start(index) for index in range(n_instances)]
 
     def start(self, index, **changes):
@@ -66,10 +68,23 @@
                 for key, (account, member) in CALLERS.items()
             ],
         }
+        if self._wire_ports:
+            document["wire"] = self._wire_section(index)
         for name, section in {**self.sections, **changes}.items():
             document[name] = {**document.get(name, {}), **section}
         return start_instance(parse_settings(msgspec.json.encode(document)).ok)
 
+    def _wire_section(self, index):
+        return {
+            "port": self._wire_ports[index],
+            "shared_secret": SECRET,
+            "peers": [
+                {"id": f"i{n}", "address": f"127.0.0.1:{port}"}
+                for n, port in enumerate(self._wire_ports)
+                if n != index
+            ],
+        }
+
     def apply_profile(self, version=0, **changes):
         profile = {**demo_profile(), **changes}
         body = {"expected_version": version, "profile": profile}
