--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -2,18 +2,20 @@
 
 import random
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pynng
 import pytest
 
 from buckthornrock.conf.settings import WireSettings
-from buckthornrock.membership import InstanceView
+from buckthornrock.membership import InstanceView, detector
 from buckthornrock.membership.service import MembershipService, open_membership
 from buckthornrock.runtime import system_clock
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 from buckthornrock.wire import Identity, PeerAddress, open_transport
 from buckthornrock.wire.membership_messages import News, Probe
 from buckthornrock.wire.message import Ack, Message
+from buckthornrock.wire.transport import N_SLOW_MESSAGES
 
 SECRET = "a-shared-secret-of-the-fleet"
 SETTINGS = WireSettings(shared_secret=SECRET, timeout_ms=300, max_frame_bytes=65_536)
@@ -108,6 +110,27 @@
     assert reply.is_ok()
 
 
+def test_too_many_slow_messages_are_refused_unhandled(fleet):
+    one, other, *_ = fleet
+    handled = []
+
+    def handle(sender, news):
+        handled.append(sender)
+        time.sleep(0.3)
+
+    other.port.subscribe(News, handle, is_slow=True)
+    with ThreadPoolExecutor(N_SLOW_MESSAGES + 8) as pool:
+        asks = [
+            pool.submit(one.port.ask, "i1", News(()), 5_000)
+            for _ in range(N_SLOW_MESSAGES + 8)
+        ]
+        replies = [ask.result() for ask in asks]
+    refused = [reply for reply in replies if reply.is_error()]
+    assert {reply.error.code for reply in refused} <= {"peer-not-reached"}
+    assert len(handled) == len(replies) - len(refused)
+    assert refused
+
+
 def test_replayed_and_forged_frames_are_dropped(fleet):
     one, other, *_ = fleet
     n_handled = []
@@ -134,3 +157,34 @@
 def test_message_of_a_newer_version_is_answered_as_unsupported(fleet):
     one, *_ = fleet
     assert one.port.ask("i1", FromTheFuture(), 300).error.code == "peer-unsupported"
+
+
+def cut_off(monkeypatch, nodes, groups):
+    """Let no node of one group dial a node of the other."""
+    group_of = {
+        node.transport.address: number
+        for number, group in enumerate(groups)
+        for node in group
+    }
+    for node in nodes:
+        dialer = node.transport._dialer
+        own = group_of[node.transport.address]
+
+        def open_context(address, timeout_ms, own=own, dial=dialer.open_context):
+            if group_of.get(address, own) != own:
+                raise pynng.Timeout("cut off", 0)
+            return dial(address, timeout_ms)
+
+        monkeypatch.setattr(dialer, "open_context", open_context)
+
+
+def test_both_sides_of_a_split_go_on_and_find_each_other_again(fleet, monkeypatch):
+    monkeypatch.setattr(detector, "DEAD_PROBE_PERIOD_MS", 200.0)
+    sides = (fleet[:2], fleet[2:])
+    with monkeypatch.context() as split:
+        cut_off(split, fleet, sides)
+        step_until(
+            fleet, lambda: all(n.live() == ids(side) for side in sides for n in side)
+        )
+        assert [node.service.n_known() for node in fleet] == [len(fleet)] * len(fleet)
+    step_until(fleet, lambda: all(node.live() == ids(fleet) for node in fleet))
