Let urgent work pass deferrable work at the engines; mend the window

Cause: real processes and a simulation showed that a deferrable flood hurt urgent work more with queues than without: the window shrank several times for one cause, deferrable work at the engines held up urgent work, and a due floor without a place stood before it. Change: urgent work is bounded by its own work at the engines; samples of older windows are left out and the shrink is in proportion; three requests an engine stay allowed; first tokens of urgent work are learned apart; the cost takes the computed tokens (dispatch passes them on, three lines); the wait of an account without waiting work counts none of its own.

--- a/buckthornrock/admission/fair_queue.py
+++ b/buckthornrock/admission/fair_queue.py
@@ -59,12 +59,21 @@
         share.n_waiting_tokens -= cost_tokens
 
     def tokens_ahead(self, share: _Share | None, weight: float, own: float) -> float:
-        """Return the work that is served before ``own`` tokens of ``share`` are."""
-        others = (other for other in self.backlogged() if other is not share)
+        """Return the work served before ``own`` tokens of ``share`` are.
+
+        Others are served up to the virtual time at which these end.
+        """
+        lead = max(0.0, share.start - self.virtual_tokens) if share else 0.0
+        lead += own / weight
         return own + sum(
-            min(other.n_waiting_tokens, own * other.weight / weight) for other in others
+            min(other.n_waiting_tokens, other.weight * self._served(other, lead))
+            for other in self.backlogged()
+            if other is not share
         )
 
+    def _served(self, share: _Share, lead: float) -> float:
+        return max(0.0, lead - max(0.0, share.start - self.virtual_tokens))
+
 
 class _Account(_Share):
     """The members of one client account."""
@@ -132,12 +141,17 @@
         member.start += extra_tokens / member.weight
 
     def tokens_ahead(self, entry: Entry) -> float:
-        """Return the work served before and with ``entry``, were it added now."""
+        """Return the work served before ``entry`` starts, were it added now.
+
+        Behind waiting work of its own account, the request is counted as served only
+        with its own work: by then others will have had turns that can't be seen yet.
+        """
         account = self._accounts.shares.get(_account_of(entry))
-        own = entry.cost_tokens
+        own = 0.0
         if account is not None:
             member = account.members.shares.get(entry.query.member)
-            own += member.n_waiting_tokens if member else 0.0
+            own = member.n_waiting_tokens if member else 0.0
+            own += entry.cost_tokens if account.n_waiting else 0.0
             weight = entry.policy.member_weight
             own = account.members.tokens_ahead(member, weight, own)
         return self._accounts.tokens_ahead(account, entry.query.weight, own)
--- a/buckthornrock/admission/front.py
+++ b/buckthornrock/admission/front.py
@@ -11,7 +11,7 @@
 from .entry import Entry
 from .errors import AdmissionFailure, LimitReached, QueueFull
 from .gate import Gate, GateRules
-from .policy import CapacityLookup, PolicyLookup
+from .policy import CapacityLookup, ModelCapacity, PolicyLookup
 from .port import AdmissionPort, AdmissionQuery, Ticket
 from .window import CONTROLLERS, Window
 
@@ -98,8 +98,7 @@
             if not capacity.n_engines:
                 # Nothing to wait for: dispatch tells the caller so at once.
                 return Ok(Ticket(query, now_ms, 0.0))
-            gate = self._gate(query.model)
-            gate.set_capacity(capacity)
+            gate = self._gate(query.model, capacity)
             failure = gate.offer(entry, now_ms)
             if failure is not None:
                 self._limits.correct(entry, -cost_tokens)
@@ -124,8 +123,7 @@
                 return
             entry = held[1]
             now_ms = self._now_ms()
-            gate = self._gate(model)
-            gate.set_capacity(capacity)
+            gate = self._gate(model, capacity)
             gate.release(entry, n_computed_tokens, n_output_tokens, ttft_ms, now_ms)
             done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
             self._limits.correct(entry, done_tokens - entry.cost_tokens)
@@ -222,16 +220,16 @@
         if entry.policy.is_deferrable:
             self._n_deferrable_callers += n
 
-    def _gate(self, model: str) -> Gate:
+    def _gate(self, model: str, capacity: ModelCapacity) -> Gate:
         gate = self._gates.get(model)
         if gate is None:
             controller = CONTROLLERS[self._rules.controller]
-            window = Window(
-                controller(self._rules.target_delay_ms),
-                self._rules.initial_window_tokens,
-            )
+            # The window that the settings state is that of the whole fleet.
+            n_tokens = self._rules.initial_window_tokens / capacity.n_instances
+            window = Window(controller(self._rules.target_delay_ms), n_tokens)
             gate = Gate(self._rules.gate, self._cost, window)
             self._gates[model] = gate
+        gate.set_capacity(capacity)
         return gate
 
     def _wake(self, admitted: list[Entry]) -> None:
--- a/buckthornrock/admission/gate.py
+++ b/buckthornrock/admission/gate.py
@@ -16,6 +16,13 @@
 MIN_RETRY_MS = 100
 #: The floor's credit is kept within this many tokens of work on either side.
 MAX_FLOOR_CREDIT_TOKENS = 100_000.0
+#: Part of the target that the estimate of wait and first token may use; the rest is
+#: for its error.
+TARGET_PART = 0.75
+#: Weight of the newest request in the mean cost.
+COST_LEARNING_RATE = 0.05
+#: Weight of the newest first token in the mean of urgent ones.
+TTFT_LEARNING_RATE = 0.1
 
 
 class GateRules(NamedTuple):
@@ -28,10 +35,13 @@
         request finds a place without waiting for one.
     max_deferrable_wait_ms : float
         Longest estimated wait of a deferrable request whose caller waits.
+    min_requests_per_engine : float
+        Requests that may be at an engine, from all instances, whatever the delay.
     """
 
     urgent_headroom: float
     max_deferrable_wait_ms: float
+    min_requests_per_engine: float
 
 
 class Gate:
@@ -53,7 +63,10 @@
         self._capacity = ModelCapacity(0, 0.0)
         self._floor = 0.0
         self._floor_credit_tokens = 0.0
+        self._mean_cost_tokens = 0.0
+        self._urgent_ttft_ms = 0.0
         self.in_flight_tokens = 0.0
+        self._in_flight_deferrable_tokens = 0.0
 
     @property
     def n_waiting_tokens(self) -> float:
@@ -96,7 +109,8 @@
             self._queue_of(entry).pop()
             entry.state = "admitted"
             entry.admitted_at_ms = now_ms
-            self.in_flight_tokens += entry.cost_tokens
+            self._learn_mean_cost(entry.cost_tokens)
+            self._count_in_flight(entry, entry.cost_tokens)
             admitted.append(entry)
         self._note_state(0.0, now_ms)
         return admitted
@@ -124,12 +138,14 @@
         now_ms: float,
     ) -> None:
         """Free the place of an admitted request and correct its charge."""
-        self.in_flight_tokens = max(0.0, self.in_flight_tokens - entry.cost_tokens)
+        self._count_in_flight(entry, -entry.cost_tokens)
         done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
         if ttft_ms is not None:
             self._cost.learn(entry.query, n_computed_tokens, n_output_tokens)
             own_ms = self._own_prefill_ms(n_computed_tokens)
-            self.window.note_first_token(ttft_ms, own_ms, now_ms)
+            self.window.note_first_token(ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
+            if not entry.policy.is_deferrable:
+                self._learn_urgent_ttft(ttft_ms)
         extra_tokens = done_tokens - entry.cost_tokens
         self._queue_of(entry).correct(entry, extra_tokens)
         if entry.policy.is_deferrable:
@@ -140,7 +156,7 @@
         """Return how long ``entry`` would wait, were it queued now."""
         rate = self._drain_tokens_per_s()
         urgent_ahead = self._more_urgent_tokens(entry)
-        own_ahead = self._queue_of(entry).tokens_ahead(entry) - entry.cost_tokens
+        own_ahead = self._queue_of(entry).tokens_ahead(entry)
         floor = self._floor if _total(self._deferrable) else 0.0
         if not entry.policy.is_deferrable:
             usable = rate * max(0.01, 1.0 - floor)
@@ -155,7 +171,7 @@
             return None
         wait_ms = self.estimated_wait_ms(entry)
         remaining_ms = entry.query.deadline_at_ms - now_ms
-        spare_ms = remaining_ms - self.window.mean_ttft_ms
+        spare_ms = remaining_ms - self._urgent_ttft_ms
         if wait_ms > spare_ms:
             return TooLate(int(wait_ms), self._retry_after_ms(wait_ms - spare_ms))
         longest_ms = self._longest_wait_ms(entry)
@@ -168,7 +184,8 @@
         """Return the bound on the queue, as the time that its work takes."""
         if entry.policy.is_deferrable:
             return self._rules.max_deferrable_wait_ms
-        return max(0.0, entry.policy.ttft_target_ms - self.window.mean_ttft_ms)
+        target_ms = TARGET_PART * entry.policy.ttft_target_ms
+        return max(0.0, target_ms - self._urgent_ttft_ms)
 
     def _drain_tokens_per_s(self) -> float:
         return self._drain.tokens_per_s(self._capacity.prefill_tokens_per_s)
@@ -180,15 +197,47 @@
         return self._next() is None and self._has_place(entry)
 
     def _has_place(self, entry: Entry) -> bool:
+        """Return whether ``entry`` may go to an engine now.
+
+        Engines serve by priority, so deferrable work that is already there hardly
+        delays urgent work and takes none of its places. Deferrable work uses what
+        urgent work leaves, or, where its floor is due, places of its own.
+        """
         if self.in_flight_tokens <= 0.0 or not self._capacity.n_engines:
             return True
         limit = self._limit_tokens()
-        if entry.policy.is_deferrable and not self._is_floor_due(entry):
-            limit *= 1.0 - self._rules.urgent_headroom
+        if not entry.policy.is_deferrable:
+            deferrable_tokens = self._in_flight_deferrable_tokens
+            return _fits(self.in_flight_tokens - deferrable_tokens, entry, limit)
+        if self._is_floor_due(entry):
+            return True
+        limit *= 1.0 - self._rules.urgent_headroom
         return self.in_flight_tokens + entry.cost_tokens <= limit
 
+    def _count_in_flight(self, entry: Entry, n_tokens: float) -> None:
+        self.in_flight_tokens = max(0.0, self.in_flight_tokens + n_tokens)
+        if entry.policy.is_deferrable:
+            tokens = self._in_flight_deferrable_tokens + n_tokens
+            self._in_flight_deferrable_tokens = max(0.0, tokens)
+
+    def _learn_urgent_ttft(self, ttft_ms: float) -> None:
+        weight = TTFT_LEARNING_RATE if self._urgent_ttft_ms else 1.0
+        self._urgent_ttft_ms += weight * (ttft_ms - self._urgent_ttft_ms)
+
+    def _learn_mean_cost(self, cost_tokens: float) -> None:
+        weight = COST_LEARNING_RATE if self._mean_cost_tokens else 1.0
+        self._mean_cost_tokens += weight * (cost_tokens - self._mean_cost_tokens)
+
     def _limit_tokens(self) -> float:
-        return self.window.tokens_per_engine * self._capacity.n_engines
+        """Return the window of this instance over all engines.
+
+        However late first tokens are, it holds a few requests an engine over the
+        whole fleet: fewer would only idle the engines.
+        """
+        capacity = self._capacity
+        n_requests = self._rules.min_requests_per_engine / capacity.n_instances
+        least = n_requests * self._mean_cost_tokens
+        return capacity.n_engines * max(self.window.tokens_per_engine, least)
 
     def _next(self) -> Entry | None:
         urgent = _first(self._urgent)
@@ -198,8 +247,14 @@
         return deferrable if self._is_floor_due(deferrable) else urgent
 
     def _is_floor_due(self, entry: Entry) -> bool:
-        has_urgent = any(queue.n_waiting for queue in self._urgent.values())
-        return has_urgent and self._floor_credit_tokens >= entry.cost_tokens
+        if _first(self._urgent) is None:
+            return False
+        if self._floor_credit_tokens < entry.cost_tokens:
+            return False
+        # Where deferrable work holds its part of the places already, it waits for
+        # these, and urgent work is not held up behind it.
+        part = self._floor / max(0.01, 1.0 - self._floor) * self._limit_tokens()
+        return self._in_flight_deferrable_tokens < part
 
     def _account_floor(self, entry: Entry) -> None:
         """Credit deferrable work with its floor of all that is admitted.
@@ -241,6 +296,10 @@
             self.window.note_use((self.in_flight_tokens + waiting) / limit)
 
 
+def _fits(n_tokens: float, entry: Entry, limit: float) -> bool:
+    return n_tokens <= 0.0 or n_tokens + entry.cost_tokens <= limit
+
+
 def _first(queues: dict[int, FairQueue]) -> Entry | None:
     ranks = [rank for rank, queue in queues.items() if queue.n_waiting]
     return queues[min(ranks)].first() if ranks else None
--- a/buckthornrock/admission/policy.py
+++ b/buckthornrock/admission/policy.py
@@ -34,11 +34,13 @@
 class ModelCapacity(NamedTuple):
     """What the engines of one model are able to do together.
 
-    ``prefill_tokens_per_s`` is the sum over the engines.
+    ``prefill_tokens_per_s`` is the sum over the engines, ``n_instances`` how many
+    instances use them.
     """
 
     n_engines: int
     prefill_tokens_per_s: float
+    n_instances: int = 1
 
 
 PolicyLookup = Callable[[AdmissionQuery], WorkPolicy]
--- a/buckthornrock/admission/window.py
+++ b/buckthornrock/admission/window.py
@@ -18,7 +18,8 @@
 #: Share of the window that must have been used for it to grow.
 GROWTH_USE = 0.8
 AIMD_DECREASE = 0.85
-AIMD_INCREASE_TOKENS = 256.0
+AIMD_MIN = 0.4
+AIMD_INCREASE_TOKENS = 64.0
 SLOW_START_GROWTH = 1.5
 GRADIENT_MIN = 0.7
 GRADIENT_GROWTH = 0.05
@@ -52,7 +53,10 @@
         nonlocal has_shrunk
         if sample.delay_ms > _longest_ms(sample, target_delay_ms):
             has_shrunk = True
-            return window_tokens * AIMD_DECREASE
+            # In proportion, since first tokens that are late by seconds also report
+            # late: there is no time for many small steps.
+            ratio = _longest_ms(sample, target_delay_ms) / sample.delay_ms
+            return window_tokens * max(AIMD_MIN, min(AIMD_DECREASE, ratio))
         if sample.use < GROWTH_USE:
             return window_tokens
         if not has_shrunk:
@@ -102,14 +106,11 @@
     tokens_per_engine : float
         The window divided by the number of engines, so that it follows at once
         when an engine comes or goes.
-    mean_ttft_ms : float
-        Smoothed time to first token.
     """
 
     def __init__(self, controller: Controller, initial_tokens: float) -> None:
         self._controller = controller
         self.tokens_per_engine = initial_tokens
-        self.mean_ttft_ms = 0.0
         self._base_ms = math.inf
         self._delays_ms: list[float] = []
         self._use = 0.0
@@ -119,11 +120,15 @@
         """Note which share of the window is taken."""
         self._use = max(self._use, use)
 
-    def note_first_token(self, ttft_ms: float, own_ms: float, now_ms: float) -> None:
+    def note_first_token(
+        self, ttft_ms: float, own_ms: float, admitted_at_ms: float, now_ms: float
+    ) -> None:
         """Take in one first token; ``own_ms`` is its own expected prefill."""
         delay_ms = max(0.0, ttft_ms - own_ms)
-        weight = 0.1 if self.mean_ttft_ms else 1.0
-        self.mean_ttft_ms += weight * (ttft_ms - self.mean_ttft_ms)
+        if admitted_at_ms < self._stepped_at_ms:
+            # It shows the queue of a window that was changed since; acting on it
+            # would shrink the window several times for one cause.
+            return
         self._delays_ms.append(delay_ms)
         is_due = now_ms - self._stepped_at_ms >= STEP_PERIOD_MS
         if is_due and len(self._delays_ms) >= MIN_SAMPLES:
--- a/buckthornrock/compose/admission.py
+++ b/buckthornrock/compose/admission.py
@@ -29,7 +29,7 @@
     admission = Admission(
         admission_rules(core.settings),
         lambda query: work_policy(profiles, query),
-        capacity_lookup(fleet),
+        capacity_lookup(fleet, membership),
         open_limits(limiter),
         core.clock.now_ms,
     )
@@ -56,7 +56,11 @@
     section = settings.admission
     n_threads = settings.entry.n_threads
     return AdmissionRules(
-        gate=GateRules(section.urgent_headroom, section.deferrable_wait_ms),
+        gate=GateRules(
+            section.urgent_headroom,
+            section.deferrable_wait_ms,
+            section.min_requests_per_engine,
+        ),
         controller=section.controller,
         target_delay_ms=section.target_delay_ms,
         initial_window_tokens=section.window_tokens,
@@ -66,13 +70,15 @@
     )
 
 
-def capacity_lookup(fleet: Fleet) -> Callable[[str], ModelCapacity]:
+def capacity_lookup(
+    fleet: Fleet, membership: MembershipPort
+) -> Callable[[str], ModelCapacity]:
     """Return a function that sums up the engines of a model."""
 
     def capacity_of(model: str) -> ModelCapacity:
         engines = fleet.engines(model)
         rate = sum(engine.prefill_tokens_per_s for engine in engines)
-        return ModelCapacity(len(engines), rate)
+        return ModelCapacity(len(engines), rate, max(1, len(membership.live())))
 
     return capacity_of
 
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -78,9 +78,11 @@
 #: "aimd", "gradient" or "fixed".
 ADMISSION_CONTROLLER = "aimd"
 #: Delay of first tokens beyond their own prefill at which the window shrinks.
-ADMISSION_TARGET_DELAY_MS = 100
-#: Work at one engine before anything was measured, in tokens.
-ADMISSION_WINDOW_TOKENS = 8_192
+ADMISSION_TARGET_DELAY_MS = 250
+#: Work at one engine, of all instances, before anything was measured, in tokens.
+ADMISSION_WINDOW_TOKENS = 16_384
+#: Requests that may be at an engine, from all instances, however late they are.
+ADMISSION_MIN_REQUESTS_PER_ENGINE = 3.0
 #: Work of one output token, in prompt tokens.
 ADMISSION_OUTPUT_TOKEN_COST = 3.0
 #: Share of the window that deferrable work leaves free.
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -196,6 +196,7 @@
     controller: Literal["aimd", "gradient", "fixed"] = defaults.ADMISSION_CONTROLLER
     target_delay_ms: int = defaults.ADMISSION_TARGET_DELAY_MS
     window_tokens: int = defaults.ADMISSION_WINDOW_TOKENS
+    min_requests_per_engine: float = defaults.ADMISSION_MIN_REQUESTS_PER_ENGINE
     output_token_cost: float = defaults.ADMISSION_OUTPUT_TOKEN_COST
     urgent_headroom: float = defaults.ADMISSION_URGENT_HEADROOM
     deferrable_wait_ms: int = defaults.ADMISSION_DEFERRABLE_WAIT_MS
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -36,6 +36,7 @@
         self.started_at_ms = started_at_ms
         self.n_tokens = 0
         self.n_prompt_tokens = 0
+        self.n_computed_tokens = 0
         self.ttft_ms: float | None = None
         self.excluded: set[str] = set()
 
@@ -101,7 +102,7 @@
 
     def _release(self, ticket: Ticket, progress: _Progress) -> None:
         self._parts.admission.release(
-            ticket, progress.n_prompt_tokens, progress.n_tokens, progress.ttft_ms
+            ticket, progress.n_computed_tokens, progress.n_tokens, progress.ttft_ms
         )
 
     def _attempt_until_done(
@@ -117,6 +118,8 @@
             if choice.is_error():
                 return Error(_no_more_engines(choice.error, failure, progress))
             progress.n_prompt_tokens = choice.ok.n_prompt_tokens
+            n_hit_tokens = choice.ok.n_hit_tokens
+            progress.n_computed_tokens = choice.ok.n_prompt_tokens - n_hit_tokens
             self._parts.telemetry.decisions.on_choice(
                 request.request_id, choice.ok, len(candidates), self._parts.now_ms()
             )
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -82,6 +82,21 @@
     assert [e.query.rank for e in gate.dispatch(0.0)] == [0]
 
 
+def test_full_window_of_deferrable_work_does_not_hold_up_urgent_work():
+    gate = make_gate(window_tokens=1_000.0)
+    fill(gate, 30, deferrable(0.1), rank=2)
+    assert len(gate.dispatch(0.0)) == 10
+    fill(gate, 20, make_policy(ttft_target_ms=HOUR_MS))
+    assert [e.query.rank for e in gate.dispatch(0.0)] == [0] * 10
+    assert not gate.dispatch(0.0)
+
+
+def test_late_first_tokens_leave_a_few_requests_an_engine():
+    gate = make_gate(window_tokens=1.0, n_least=3.0)
+    fill(gate, 20, make_policy(ttft_target_ms=HOUR_MS))
+    assert len(gate.dispatch(0.0)) == 3
+
+
 def test_request_larger_than_window_still_runs():
     gate = make_gate(window_tokens=100.0)
     gate.offer(make_entry(5_000.0), 0.0)
