Give deferrable work a window of its own

Change: a second window bounds deferrable work; urgent first tokens move both, deferrable ones only the second.

--- a/benchmarks/admission_simulation.py
+++ b/benchmarks/admission_simulation.py
@@ -134,15 +134,15 @@
     def _make_gate(self) -> Gate:
         cost = CostModel(SETTINGS.output_token_cost)
         controller = CONTROLLERS[self._variant.controller or "fixed"]
-        window = Window(
-            controller(SETTINGS.target_delay_ms), SETTINGS.window_tokens / N_INSTANCES
-        )
+        n_tokens = SETTINGS.window_tokens / N_INSTANCES
+        target_ms = SETTINGS.target_delay_ms
+        windows = [Window(controller(target_ms), n_tokens) for _ in range(2)]
         rules = GateRules(
             self._variant.headroom,
             SETTINGS.deferrable_wait_ms,
             SETTINGS.min_requests_per_engine,
         )
-        gate = Gate(rules, cost, window)
+        gate = Gate(rules, cost, *windows)
         deployment = self._deployment
         rate = deployment.n_engines * deployment.prefill_tokens_per_s
         gate.set_capacity(ModelCapacity(deployment.n_engines, rate, N_INSTANCES))
--- a/buckthornrock/admission/fair_queue.py
+++ b/buckthornrock/admission/fair_queue.py
@@ -141,17 +141,12 @@
         member.start += extra_tokens / member.weight
 
     def tokens_ahead(self, entry: Entry) -> float:
-        """Return the work served before ``entry`` starts, were it added now.
-
-        Behind waiting work of its own account, the request is counted as served only
-        with its own work: by then others will have had turns that can't be seen yet.
-        """
+        """Return the work served before and with ``entry``, were it added now."""
         account = self._accounts.shares.get(_account_of(entry))
-        own = 0.0
+        own = entry.cost_tokens
         if account is not None:
             member = account.members.shares.get(entry.query.member)
-            own = member.n_waiting_tokens if member else 0.0
-            own += entry.cost_tokens if account.n_waiting else 0.0
+            own += member.n_waiting_tokens if member else 0.0
             weight = entry.policy.member_weight
             own = account.members.tokens_ahead(member, weight, own)
         return self._accounts.tokens_ahead(account, entry.query.weight, own)
--- a/buckthornrock/admission/front.py
+++ b/buckthornrock/admission/front.py
@@ -226,8 +226,11 @@
             controller = CONTROLLERS[self._rules.controller]
             # The window that the settings state is that of the whole fleet.
             n_tokens = self._rules.initial_window_tokens / capacity.n_instances
-            window = Window(controller(self._rules.target_delay_ms), n_tokens)
-            gate = Gate(self._rules.gate, self._cost, window)
+            target_ms = self._rules.target_delay_ms
+            urgent, deferrable = (
+                Window(controller(target_ms), n_tokens) for _ in range(2)
+            )
+            gate = Gate(self._rules.gate, self._cost, urgent, deferrable)
             self._gates[model] = gate
         gate.set_capacity(capacity)
         return gate
--- a/buckthornrock/admission/gate.py
+++ b/buckthornrock/admission/gate.py
@@ -53,10 +53,16 @@
         Estimated work of the admitted requests.
     """
 
-    def __init__(self, rules: GateRules, cost: CostModel, window: Window) -> None:
+    def __init__(
+        self, rules: GateRules, cost: CostModel, window: Window, deferrable: Window
+    ) -> None:
         self._rules = rules
         self._cost = cost
         self.window = window
+        # Engines serve by priority, so late first tokens of deferrable work say
+        # nothing of the places that urgent work finds; those of urgent work bound
+        # deferrable work too.
+        self.deferrable_window = deferrable
         self._urgent: dict[int, FairQueue] = {}
         self._deferrable: dict[int, FairQueue] = {}
         self._drain = DrainRate()
@@ -143,8 +149,10 @@
         if ttft_ms is not None:
             self._cost.learn(entry.query, n_computed_tokens, n_output_tokens)
             own_ms = self._own_prefill_ms(n_computed_tokens)
-            self.window.note_first_token(ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
+            sample = (ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
+            self.deferrable_window.note_first_token(*sample)
             if not entry.policy.is_deferrable:
+                self.window.note_first_token(*sample)
                 self._learn_urgent_ttft(ttft_ms)
         extra_tokens = done_tokens - entry.cost_tokens
         self._queue_of(entry).correct(entry, extra_tokens)
@@ -156,7 +164,7 @@
         """Return how long ``entry`` would wait, were it queued now."""
         rate = self._drain_tokens_per_s()
         urgent_ahead = self._more_urgent_tokens(entry)
-        own_ahead = self._queue_of(entry).tokens_ahead(entry)
+        own_ahead = self._queue_of(entry).tokens_ahead(entry) - entry.cost_tokens
         floor = self._floor if _total(self._deferrable) else 0.0
         if not entry.policy.is_deferrable:
             usable = rate * max(0.01, 1.0 - floor)
@@ -205,7 +213,7 @@
         """
         if self.in_flight_tokens <= 0.0 or not self._capacity.n_engines:
             return True
-        limit = self._limit_tokens()
+        limit = self._limit_tokens(self._window_of(entry))
         if not entry.policy.is_deferrable:
             deferrable_tokens = self._in_flight_deferrable_tokens
             return _fits(self.in_flight_tokens - deferrable_tokens, entry, limit)
@@ -228,7 +236,11 @@
         weight = COST_LEARNING_RATE if self._mean_cost_tokens else 1.0
         self._mean_cost_tokens += weight * (cost_tokens - self._mean_cost_tokens)
 
-    def _limit_tokens(self) -> float:
+    def _window_of(self, entry: Entry) -> Window:
+        is_deferrable = entry.policy.is_deferrable
+        return self.deferrable_window if is_deferrable else self.window
+
+    def _limit_tokens(self, window: Window) -> float:
         """Return the window of this instance over all engines.
 
         However late first tokens are, it holds a few requests an engine over the
@@ -237,7 +249,7 @@
         capacity = self._capacity
         n_requests = self._rules.min_requests_per_engine / capacity.n_instances
         least = n_requests * self._mean_cost_tokens
-        return capacity.n_engines * max(self.window.tokens_per_engine, least)
+        return capacity.n_engines * max(window.tokens_per_engine, least)
 
     def _next(self) -> Entry | None:
         urgent = _first(self._urgent)
@@ -253,7 +265,8 @@
             return False
         # Where deferrable work holds its part of the places already, it waits for
         # these, and urgent work is not held up behind it.
-        part = self._floor / max(0.01, 1.0 - self._floor) * self._limit_tokens()
+        limit = self._limit_tokens(self.window)
+        part = self._floor / max(0.01, 1.0 - self._floor) * limit
         return self._in_flight_deferrable_tokens < part
 
     def _account_floor(self, entry: Entry) -> None:
@@ -290,10 +303,15 @@
 
     def _note_state(self, done_tokens: float, now_ms: float) -> None:
         self._drain.observe(self._next() is not None, done_tokens, now_ms)
-        limit = self._limit_tokens()
+        urgent = self.in_flight_tokens - self._in_flight_deferrable_tokens
+        self._note_use(self.window, urgent + _total(self._urgent))
+        waiting = _total(self._deferrable)
+        self._note_use(self.deferrable_window, self.in_flight_tokens + waiting)
+
+    def _note_use(self, window: Window, n_tokens: float) -> None:
+        limit = self._limit_tokens(window)
         if limit > 0.0:
-            waiting = self.n_waiting_tokens
-            self.window.note_use((self.in_flight_tokens + waiting) / limit)
+            window.note_use(n_tokens / limit)
 
 
 def _fits(n_tokens: float, entry: Entry, limit: float) -> bool:
