--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -100,12 +100,24 @@
     servers: tuple[UpstreamSettings, ...]
     connect_timeout_ms: int = defaults.UPSTREAM_CONNECT_TIMEOUT_MS
     read_timeout_ms: int = defaults.UPSTREAM_READ_TIMEOUT_MS
+    first_token_timeout_ms: int = defaults.UPSTREAM_FIRST_TOKEN_TIMEOUT_MS
+    stall_timeout_ms: int = defaults.UPSTREAM_STALL_TIMEOUT_MS
     poll_period_ms: int = defaults.UPSTREAM_POLL_PERIOD_MS
     block_bytes: int = defaults.UPSTREAM_BLOCK_BYTES
     answer_buffer_bytes: int = defaults.UPSTREAM_ANSWER_BUFFER_BYTES
     max_answer_bytes: int = defaults.UPSTREAM_MAX_ANSWER_BYTES
 
 
+class OrdersSettings(NamedTuple):
+    """Orders to engines; ``n_load_slots`` is the same on all instances."""
+
+    n_load_slots: int = defaults.ORDERS_N_LOAD_SLOTS
+    order_timeout_ms: int = defaults.ORDERS_TIMEOUT_MS
+    load_time_ms: int = defaults.ORDERS_LOAD_TIME_MS
+    step_period_ms: int = defaults.ORDERS_STEP_PERIOD_MS
+    refresh_period_ms: int = defaults.ORDERS_REFRESH_PERIOD_MS
+
+
 class IdempotencySettings(NamedTuple):
     """How long and how much is remembered of calls with an idempotency key."""
 
@@ -130,6 +142,8 @@
         Prefixes that an engine is computing for this instance.
     transit : bool
         Time between failure domains.
+    later_work : bool
+        Delay of later requests by the work that this one brings.
     homes, widening : bool
         Rendezvous homes, and more of them for hot prefixes.
     imports : bool
@@ -144,6 +158,7 @@
     hits: bool = True
     expected: bool = True
     transit: bool = True
+    later_work: bool = True
     homes: bool = True
     widening: bool = True
     imports: bool = True
@@ -235,5 +250,6 @@
     routing: RoutingSettings = RoutingSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     idempotency: IdempotencySettings = IdempotencySettings()
+    orders: OrdersSettings = OrdersSettings()
     admission: AdmissionSettings = AdmissionSettings()
     deferred: DeferredSettings = DeferredSettings()
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -11,10 +11,13 @@
 INTER_TOKEN_MS = "inter_token_ms"
 TOKENS = "tokens"
 ATTEMPTS_FAILED = "attempts_failed"
+PROMPT_TOKENS = "prompt_tokens"
+EXPECTED_HIT_TOKENS = "expected_hit_tokens"
 CROSSED_ANSWERS = "crossed_answers"
 SERVICE_RETRIES = "service_retries"
 KEYED_CALLS = "keyed_calls"
 OUTCOMES_PENDING = "outcomes_pending"
+ORDERS = "orders"
 KV_CALLS = "kv_calls"
 KV_FAILURES = "kv_failures"
 KV_WAITS_MS = "kv_waits_ms"
@@ -33,10 +36,13 @@
     TTFT_MS: ("timing", "time to first token, by work class"),
     INTER_TOKEN_MS: ("timing", "time between tokens, by work class"),
     TOKENS: ("counter", "tokens delivered, by work class"),
+    PROMPT_TOKENS: ("counter", "prompt tokens sent to engines"),
+    EXPECTED_HIT_TOKENS: ("counter", "prompt tokens expected in engines' caches"),
     ATTEMPTS_FAILED: ("counter", "attempts that failed at an upstream"),
     CROSSED_ANSWERS: ("counter", "answers that named another request, by upstream"),
     SERVICE_RETRIES: ("counter", "repeated attempts of calls to plain services"),
     KEYED_CALLS: ("counter", "calls with an idempotency key, by how they ended"),
+    ORDERS: ("counter", "orders sent to engines, by kind"),
     OUTCOMES_PENDING: ("gauge", "outcomes that are not yet recorded"),
     KV_CALLS: ("counter", "calls to the key-value service, by kind"),
     KV_FAILURES: ("counter", "failed calls to the key-value service, by kind"),
