Let admission follow first tokens as they come, and trust no rate of nothing

Cause: the window took a first token in when its answer ended, so with answers of 4 s it stood still for 4 s; the drain rate fell to 1 token a second while the first answers still ran, and urgent requests were refused with an estimated wait of 10,070 s although the engines idled. Ruled out: client-account limits (no limit-reached among the refusals). Change: the dispatcher reports first tokens as they come; a rate is measured only once something has ended, and averaged over at least two holds of a place.

--- a/benchmarks/admission_simulation.py
+++ b/benchmarks/admission_simulation.py
@@ -218,6 +218,14 @@
         if request.ttft_ms is None:
             request.ttft_ms = now_ms - request.arrival.at_ms
             request.engine_ttft_ms = now_ms - request.sent_at_ms
+            if request.gate is not None:
+                request.gate.note_first_token(
+                    request.entry,
+                    request.sequence.n_missed_tokens,
+                    request.engine_ttft_ms,
+                    now_ms,
+                )
+                self._dispatch(request.gate, now_ms)
         sequence = request.sequence
         if sequence.state != "done":
             return
@@ -229,7 +237,7 @@
             request.entry,
             sequence.n_missed_tokens,
             sequence.n_generated,
-            request.engine_ttft_ms,
+            True,
             now_ms,
         )
         self._dispatch(request.gate, now_ms)
--- a/buckthornrock/admission/front.py
+++ b/buckthornrock/admission/front.py
@@ -107,12 +107,28 @@
             self._wake(gate.dispatch(now_ms))
         return self._wait(gate, entry, is_abandoned)
 
+    def note_first_token(
+        self, ticket: Ticket, n_computed_tokens: int, ttft_ms: float
+    ) -> None:
+        """Let the window follow the first token, and admit those who now find a place.
+
+        Called by the thread that relays streams, so it must not wait for long.
+        """
+        with self._lock:
+            held = self._admitted.get(id(ticket))
+            gate = self._gates.get(ticket.query.model)
+            if held is None or gate is None:
+                return
+            now_ms = self._now_ms()
+            gate.note_first_token(held[1], n_computed_tokens, ttft_ms, now_ms)
+            self._wake(gate.dispatch(now_ms))
+
     def release(
         self,
         ticket: Ticket,
         n_computed_tokens: int,
         n_output_tokens: int,
-        ttft_ms: float | None,
+        has_first_token: bool,
     ) -> None:
         """Free the ticket's place and admit those whose turn it is now."""
         model = ticket.query.model
@@ -124,7 +140,9 @@
             entry = held[1]
             now_ms = self._now_ms()
             gate = self._gate(model, capacity)
-            gate.release(entry, n_computed_tokens, n_output_tokens, ttft_ms, now_ms)
+            gate.release(
+                entry, n_computed_tokens, n_output_tokens, has_first_token, now_ms
+            )
             done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
             self._limits.correct(entry, done_tokens - entry.cost_tokens)
             self._count_caller(entry, -1)
@@ -244,4 +262,4 @@
 
 def open_admission(admission: Admission) -> AdmissionPort:
     """Return the port to ``admission``."""
-    return AdmissionPort(admission.admit, admission.release)
+    return AdmissionPort(admission.admit, admission.release, admission.note_first_token)
--- a/buckthornrock/admission/gate.py
+++ b/buckthornrock/admission/gate.py
@@ -135,25 +135,35 @@
         drain_ms = 1000.0 * self.n_waiting_tokens / self._drain_tokens_per_s()
         entry.failure = TooLate(waited_ms, self._retry_after_ms(drain_ms))
 
+    def note_first_token(
+        self, entry: Entry, n_computed_tokens: int, ttft_ms: float, now_ms: float
+    ) -> None:
+        """Let the windows follow a first token as it comes.
+
+        At the end of the answer it would be seconds old.
+        """
+        own_ms = self._own_prefill_ms(n_computed_tokens)
+        sample = (ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
+        self.deferrable_window.note_first_token(*sample)
+        if entry.policy.is_deferrable:
+            return
+        self.window.note_first_token(*sample)
+        self._learn_urgent_ttft(ttft_ms)
+
     def release(
         self,
         entry: Entry,
         n_computed_tokens: int,
         n_output_tokens: int,
-        ttft_ms: float | None,
+        has_first_token: bool,
         now_ms: float,
     ) -> None:
         """Free the place of an admitted request and correct its charge."""
         self._count_in_flight(entry, -entry.cost_tokens)
         done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
-        if ttft_ms is not None:
+        if has_first_token:
             self._cost.learn(entry.query, n_computed_tokens, n_output_tokens)
-            own_ms = self._own_prefill_ms(n_computed_tokens)
-            sample = (ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
-            self.deferrable_window.note_first_token(*sample)
-            if not entry.policy.is_deferrable:
-                self.window.note_first_token(*sample)
-                self._learn_urgent_ttft(ttft_ms)
+            self._drain.note_hold(now_ms - entry.admitted_at_ms)
         extra_tokens = done_tokens - entry.cost_tokens
         self._queue_of(entry).correct(entry, extra_tokens)
         if entry.policy.is_deferrable:
--- a/buckthornrock/admission/port.py
+++ b/buckthornrock/admission/port.py
@@ -55,12 +55,15 @@
         is the request's turn. ``is_abandoned()`` is polled while waiting and tells
         that the caller is gone, which frees its place.
     release : callable
-        ``release(ticket, n_computed_tokens, n_output_tokens, ttft_ms)``; ``ttft_ms``
-        is None if there was no first token.
+        ``release(ticket, n_computed_tokens, n_output_tokens, has_first_token)``.
+    note_first_token : callable
+        ``note_first_token(ticket, n_computed_tokens, ttft_ms)``, when it comes; must
+        not block.
     """
 
     admit: Callable[
         [AdmissionQuery, Callable[[], bool]],
         Result[Ticket, AdmissionFailure | CallerGone],
     ]
-    release: Callable[[Ticket, int, int, float | None], None]
+    release: Callable[[Ticket, int, int, bool], None]
+    note_first_token: Callable[[Ticket, int, float], None]
--- a/buckthornrock/admission/unlimited.py
+++ b/buckthornrock/admission/unlimited.py
@@ -20,8 +20,13 @@
         ticket: Ticket,
         n_computed_tokens: int,
         n_output_tokens: int,
-        ttft_ms: float | None,
+        has_first_token: bool,
     ) -> None:
         """Nothing is held."""
 
-    return AdmissionPort(admit, release)
+    def note_first_token(
+        ticket: Ticket, n_computed_tokens: int, ttft_ms: float
+    ) -> None:
+        """Nothing follows it."""
+
+    return AdmissionPort(admit, release, note_first_token)
--- a/buckthornrock/admission/window.py
+++ b/buckthornrock/admission/window.py
@@ -154,6 +154,11 @@
 DRAIN_PRIOR_MS = 500.0
 
 
+#: Times that requests hold their places over which the rate is averaged at least.
+HOLDS_AVERAGED = 2.0
+HOLD_LEARNING_RATE = 0.1
+
+
 class DrainRate:
     """Work that ends in a second while work waits.
 
@@ -165,12 +170,19 @@
         self._done_tokens = 0.0
         self._is_busy = False
         self._seen_at_ms = 0.0
+        self._mean_hold_ms = 0.0
+
+    def note_hold(self, hold_ms: float) -> None:
+        """Note how long a request that ended held its place."""
+        weight = HOLD_LEARNING_RATE if self._mean_hold_ms else 1.0
+        self._mean_hold_ms += weight * (hold_ms - self._mean_hold_ms)
 
     def observe(self, is_busy: bool, done_tokens: float, now_ms: float) -> None:
         """Advance to ``now_ms``; ``is_busy`` tells whether work waits from now on."""
         if self._is_busy:
             elapsed_ms = max(0.0, now_ms - self._seen_at_ms)
-            keep = max(0.0, 1.0 - elapsed_ms / DRAIN_AVERAGE_MS)
+            average_ms = max(DRAIN_AVERAGE_MS, HOLDS_AVERAGED * self._mean_hold_ms)
+            keep = max(0.0, 1.0 - elapsed_ms / average_ms)
             self._busy_ms = self._busy_ms * keep + elapsed_ms
             self._done_tokens = self._done_tokens * keep + done_tokens
         self._is_busy = is_busy
@@ -178,7 +190,11 @@
 
     def tokens_per_s(self, nominal_tokens_per_s: float) -> float:
         """Return the measured rate, blended with the nominal one at first."""
+        if self._done_tokens <= 0.0:
+            # Nothing has ended yet, which long answers do not for seconds: that says
+            # nothing of the rate.
+            return max(1.0, nominal_tokens_per_s)
         # The nominal rate fades as measured time takes its place.
-        prior_ms = max(0.0, DRAIN_PRIOR_MS - self._busy_ms)
+        prior_ms = max(0.0, max(DRAIN_PRIOR_MS, self._mean_hold_ms) - self._busy_ms)
         tokens = self._done_tokens + nominal_tokens_per_s * prior_ms / 1000.0
         return max(1.0, 1000.0 * tokens / max(1.0, self._busy_ms + prior_ms))
--- a/buckthornrock/dispatch/attempts.py
+++ b/buckthornrock/dispatch/attempts.py
@@ -178,6 +178,7 @@
     if progress.ttft_ms is None:
         progress.ttft_ms = now_ms - progress.started_at_ms
         parts.telemetry.decisions.on_first_token(plan.query.request_id, now_ms)
+        progress.on_first_token(progress.n_computed_tokens, progress.ttft_ms)
     if plan.resumed is None:
         parts.routing.on_first_token(plan.query, plan.choice, progress.ttft_ms, now_ms)
 
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -1,5 +1,6 @@
 """Runs completions: admission, choice of an engine, attempts, continuation."""
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -68,7 +69,12 @@
         ticket = self._admission.admit(_admission_query(request), sink.is_gone)
         if ticket.is_error():
             return ticket
-        progress = Progress(request.request_id, parts.now_ms(), request.resume)
+        progress = Progress(
+            request.request_id,
+            parts.now_ms(),
+            request.resume,
+            functools.partial(self._admission.note_first_token, ticket.ok),
+        )
         parts.telemetry.decisions.on_admitted(request.request_id, parts.now_ms())
         self._budget.note_request()
         try:
@@ -81,7 +87,7 @@
             ticket,
             progress.n_computed_tokens,
             progress.delivered.n_tokens,
-            progress.ttft_ms,
+            progress.ttft_ms is not None,
         )
 
     def _attempt_until_done(
--- a/buckthornrock/dispatch/progress.py
+++ b/buckthornrock/dispatch/progress.py
@@ -1,5 +1,6 @@
 """What one completion has delivered so far, and from where it can go on."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..errors import Failure
@@ -33,12 +34,19 @@
         The stream to be resumed at its own engine first.
     may_have_run : bool
         Whether an attempt may have reached an engine.
+    on_first_token : callable
+        ``on_first_token(n_computed_tokens, ttft_ms)``, called once; must not block.
     """
 
     def __init__(
-        self, request_id: str, started_at_ms: float, resume: ResumePoint | None
+        self,
+        request_id: str,
+        started_at_ms: float,
+        resume: ResumePoint | None,
+        on_first_token: Callable[[int, float], None] = lambda n_tokens, ttft_ms: None,
     ) -> None:
         self.request_id = request_id
+        self.on_first_token = on_first_token
         self.started_at_ms = started_at_ms
         self.delivered = Delivered()
         self.text: bytes | None = b""
--- a/tests/admission/flow_cases.py
+++ b/tests/admission/flow_cases.py
@@ -54,4 +54,6 @@
 
 
 def release(gate, entry, now_ms, ttft_ms=None):
-    gate.release(entry, int(entry.cost_tokens), 0, ttft_ms, now_ms)
+    if ttft_ms is not None:
+        gate.note_first_token(entry, int(entry.cost_tokens), ttft_ms, now_ms)
+    gate.release(entry, int(entry.cost_tokens), 0, ttft_ms is not None, now_ms)
--- a/tests/admission/test_front.py
+++ b/tests/admission/test_front.py
@@ -74,10 +74,10 @@
         start(admission, query(request_id=str(rank), rank=rank), results)
         n = index + 1
         until(lambda n=n: admission.waiting_tokens()["small"] == 100.0 * n)
-    admission.release(first, 100, 0, 5.0)
+    admission.release(first, 100, 0, True)
     until(lambda: results)
     assert [name for name, _ in results] == ["0"]
-    admission.release(results[0][1].ok, 100, 0, 5.0)
+    admission.release(results[0][1].ok, 100, 0, True)
     until(lambda: len(results) == 2)
 
 
@@ -85,7 +85,7 @@
     admission = make_admission()
     ticket = admission.admit(query(), lambda: False).ok
     for _ in range(2):
-        admission.release(ticket, 100, 0, 5.0)
+        admission.release(ticket, 100, 0, True)
     assert admission.admit(query(), lambda: False).is_ok()
     results = []
     start(admission, query(), results)
@@ -99,7 +99,7 @@
     results = []
     start(admission, query(request_id="gone"), results, lambda: True).join(WAIT_S)
     assert isinstance(results[0][1].error, CallerGone)
-    admission.release(first, 100, 0, 5.0)
+    admission.release(first, 100, 0, True)
     assert admission.admit(query(), lambda: False).is_ok()
 
 
