--- a/buckthornrock/admission/fair_queue.py
+++ b/buckthornrock/admission/fair_queue.py
@@ -59,12 +59,21 @@
         share.n_waiting_tokens -= cost_tokens
 
     def tokens_ahead(self, share: _Share | None, weight: float, own: float) -> float:
-        """Return the work that is served before ``own`` tokens of ``share`` are."""
-        others = (other for other in self.backlogged() if other is not share)
+        """Return the work served before ``own`` tokens of ``share`` are.
+
+        Others are served up to the virtual time at which these end.
+        """
+        lead = max(0.0, share.start - self.virtual_tokens) if share else 0.0
+        lead += own / weight
         return own + sum(
-            min(other.n_waiting_tokens, own * other.weight / weight) for other in others
+            min(other.n_waiting_tokens, other.weight * self._served(other, lead))
+            for other in self.backlogged()
+            if other is not share
         )
 
+    def _served(self, share: _Share, lead: float) -> float:
+        return max(0.0, lead - max(0.0, share.start - self.virtual_tokens))
+
 
 class _Account(_Share):
     """The members of one client account."""
--- a/buckthornrock/admission/front.py
+++ b/buckthornrock/admission/front.py
@@ -11,7 +11,7 @@
 from .entry import Entry
 from .errors import AdmissionFailure, LimitReached, QueueFull
 from .gate import Gate, GateRules
-from .policy import CapacityLookup, PolicyLookup
+from .policy import CapacityLookup, ModelCapacity, PolicyLookup
 from .port import AdmissionPort, AdmissionQuery, Ticket
 from .window import CONTROLLERS, Window
 
@@ -98,8 +98,7 @@
             if not capacity.n_engines:
                 # Nothing to wait for: dispatch tells the caller so at once.
                 return Ok(Ticket(query, now_ms, 0.0))
-            gate = self._gate(query.model)
-            gate.set_capacity(capacity)
+            gate = self._gate(query.model, capacity)
             failure = gate.offer(entry, now_ms)
             if failure is not None:
                 self._limits.correct(entry, -cost_tokens)
@@ -108,12 +107,28 @@
             self._wake(gate.dispatch(now_ms))
         return self._wait(gate, entry, is_abandoned)
 
+    def note_first_token(
+        self, ticket: Ticket, n_computed_tokens: int, ttft_ms: float
+    ) -> None:
+        """Let the window follow the first token, and admit those who now find a place.
+
+        Called by the thread that relays streams, so it must not wait for long.
+        """
+        with self._lock:
+            held = self._admitted.get(id(ticket))
+            gate = self._gates.get(ticket.query.model)
+            if held is None or gate is None:
+                return
+            now_ms = self._now_ms()
+            gate.note_first_token(held[1], n_computed_tokens, ttft_ms, now_ms)
+            self._wake(gate.dispatch(now_ms))
+
     def release(
         self,
         ticket: Ticket,
         n_computed_tokens: int,
         n_output_tokens: int,
-        ttft_ms: float | None,
+        has_first_token: bool,
     ) -> None:
         """Free the ticket's place and admit those whose turn it is now."""
         model = ticket.query.model
@@ -124,9 +139,10 @@
                 return
             entry = held[1]
             now_ms = self._now_ms()
-            gate = self._gate(model)
-            gate.set_capacity(capacity)
-            gate.release(entry, n_computed_tokens, n_output_tokens, ttft_ms, now_ms)
+            gate = self._gate(model, capacity)
+            gate.release(
+                entry, n_computed_tokens, n_output_tokens, has_first_token, now_ms
+            )
             done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
             self._limits.correct(entry, done_tokens - entry.cost_tokens)
             self._count_caller(entry, -1)
@@ -222,16 +238,19 @@
         if entry.policy.is_deferrable:
             self._n_deferrable_callers += n
 
-    def _gate(self, model: str) -> Gate:
+    def _gate(self, model: str, capacity: ModelCapacity) -> Gate:
         gate = self._gates.get(model)
         if gate is None:
             controller = CONTROLLERS[self._rules.controller]
-            window = Window(
-                controller(self._rules.target_delay_ms),
-                self._rules.initial_window_tokens,
+            # The window that the settings state is that of the whole fleet.
+            n_tokens = self._rules.initial_window_tokens / capacity.n_instances
+            target_ms = self._rules.target_delay_ms
+            urgent, deferrable = (
+                Window(controller(target_ms), n_tokens) for _ in range(2)
             )
-            gate = Gate(self._rules.gate, self._cost, window)
+            gate = Gate(self._rules.gate, self._cost, urgent, deferrable)
             self._gates[model] = gate
+        gate.set_capacity(capacity)
         return gate
 
     def _wake(self, admitted: list[Entry]) -> None:
@@ -243,4 +262,4 @@
 
 def open_admission(admission: Admission) -> AdmissionPort:
     """Return the port to ``admission``."""
-    return AdmissionPort(admission.admit, admission.release)
+    return AdmissionPort(admission.admit, admission.release, admission.note_first_token)
--- a/buckthornrock/admission/gate.py
+++ b/buckthornrock/admission/gate.py
@@ -16,6 +16,13 @@
 MIN_RETRY_MS = 100
 #: The floor's credit is kept within this many tokens of work on either side.
 MAX_FLOOR_CREDIT_TOKENS = 100_000.0
+#: Part of the target that the estimate of wait and first token may use; the rest is
+#: for its error.
+TARGET_PART = 0.75
+#: Weight of the newest request in the mean cost.
+COST_LEARNING_RATE = 0.05
+#: Weight of the newest first token in the mean of urgent ones.
+TTFT_LEARNING_RATE = 0.1
 
 
 class GateRules(NamedTuple):
@@ -28,10 +35,13 @@
         request finds a place without waiting for one.
     max_deferrable_wait_ms : float
         Longest estimated wait of a deferrable request whose caller waits.
+    min_requests_per_engine : float
+        Requests that may be at an engine, from all instances, whatever the delay.
     """
 
     urgent_headroom: float
     max_deferrable_wait_ms: float
+    min_requests_per_engine: float
 
 
 class Gate:
@@ -43,17 +53,26 @@
         Estimated work of the admitted requests.
     """
 
-    def __init__(self, rules: GateRules, cost: CostModel, window: Window) -> None:
+    def __init__(
+        self, rules: GateRules, cost: CostModel, window: Window, deferrable: Window
+    ) -> None:
         self._rules = rules
         self._cost = cost
         self.window = window
+        # Engines serve by priority, so late first tokens of deferrable work say
+        # nothing of the places that urgent work finds; those of urgent work bound
+        # deferrable work too.
+        self.deferrable_window = deferrable
         self._urgent: dict[int, FairQueue] = {}
         self._deferrable: dict[int, FairQueue] = {}
         self._drain = DrainRate()
         self._capacity = ModelCapacity(0, 0.0)
         self._floor = 0.0
         self._floor_credit_tokens = 0.0
+        self._mean_cost_tokens = 0.0
+        self._urgent_ttft_ms = 0.0
         self.in_flight_tokens = 0.0
+        self._in_flight_deferrable_tokens = 0.0
 
     @property
     def n_waiting_tokens(self) -> float:
@@ -96,7 +115,8 @@
             self._queue_of(entry).pop()
             entry.state = "admitted"
             entry.admitted_at_ms = now_ms
-            self.in_flight_tokens += entry.cost_tokens
+            self._learn_mean_cost(entry.cost_tokens)
+            self._count_in_flight(entry, entry.cost_tokens)
             admitted.append(entry)
         self._note_state(0.0, now_ms)
         return admitted
@@ -115,21 +135,35 @@
         drain_ms = 1000.0 * self.n_waiting_tokens / self._drain_tokens_per_s()
         entry.failure = TooLate(waited_ms, self._retry_after_ms(drain_ms))
 
+    def note_first_token(
+        self, entry: Entry, n_computed_tokens: int, ttft_ms: float, now_ms: float
+    ) -> None:
+        """Let the windows follow a first token as it comes.
+
+        At the end of the answer it would be seconds old.
+        """
+        own_ms = self._own_prefill_ms(n_computed_tokens)
+        sample = (ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
+        self.deferrable_window.note_first_token(*sample)
+        if entry.policy.is_deferrable:
+            return
+        self.window.note_first_token(*sample)
+        self._learn_urgent_ttft(ttft_ms)
+
     def release(
         self,
         entry: Entry,
         n_computed_tokens: int,
         n_output_tokens: int,
-        ttft_ms: float | None,
+        has_first_token: bool,
         now_ms: float,
     ) -> None:
         """Free the place of an admitted request and correct its charge."""
-        self.in_flight_tokens = max(0.0, self.in_flight_tokens - entry.cost_tokens)
+        self._count_in_flight(entry, -entry.cost_tokens)
         done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
-        if ttft_ms is not None:
+        if has_first_token:
             self._cost.learn(entry.query, n_computed_tokens, n_output_tokens)
-            own_ms = self._own_prefill_ms(n_computed_tokens)
-            self.window.note_first_token(ttft_ms, own_ms, now_ms)
+            self._drain.note_hold(now_ms - entry.admitted_at_ms)
         extra_tokens = done_tokens - entry.cost_tokens
         self._queue_of(entry).correct(entry, extra_tokens)
         if entry.policy.is_deferrable:
@@ -155,7 +189,7 @@
             return None
         wait_ms = self.estimated_wait_ms(entry)
         remaining_ms = entry.query.deadline_at_ms - now_ms
-        spare_ms = remaining_ms - self.window.mean_ttft_ms
+        spare_ms = remaining_ms - self._urgent_ttft_ms
         if wait_ms > spare_ms:
             return TooLate(int(wait_ms), self._retry_after_ms(wait_ms - spare_ms))
         longest_ms = self._longest_wait_ms(entry)
@@ -168,7 +202,8 @@
         """Return the bound on the queue, as the time that its work takes."""
         if entry.policy.is_deferrable:
             return self._rules.max_deferrable_wait_ms
-        return max(0.0, entry.policy.ttft_target_ms - self.window.mean_ttft_ms)
+        target_ms = TARGET_PART * entry.policy.ttft_target_ms
+        return max(0.0, target_ms - self._urgent_ttft_ms)
 
     def _drain_tokens_per_s(self) -> float:
         return self._drain.tokens_per_s(self._capacity.prefill_tokens_per_s)
@@ -180,15 +215,51 @@
         return self._next() is None and self._has_place(entry)
 
     def _has_place(self, entry: Entry) -> bool:
+        """Return whether ``entry`` may go to an engine now.
+
+        Engines serve by priority, so deferrable work that is already there hardly
+        delays urgent work and takes none of its places. Deferrable work uses what
+        urgent work leaves, or, where its floor is due, places of its own.
+        """
         if self.in_flight_tokens <= 0.0 or not self._capacity.n_engines:
             return True
-        limit = self._limit_tokens()
-        if entry.policy.is_deferrable and not self._is_floor_due(entry):
-            limit *= 1.0 - self._rules.urgent_headroom
+        limit = self._limit_tokens(self._window_of(entry))
+        if not entry.policy.is_deferrable:
+            deferrable_tokens = self._in_flight_deferrable_tokens
+            return _fits(self.in_flight_tokens - deferrable_tokens, entry, limit)
+        if self._is_floor_due(entry):
+            return True
+        limit *= 1.0 - self._rules.urgent_headroom
         return self.in_flight_tokens + entry.cost_tokens <= limit
 
-    def _limit_tokens(self) -> float:
-        return self.window.tokens_per_engine * self._capacity.n_engines
+    def _count_in_flight(self, entry: Entry, n_tokens: float) -> None:
+        self.in_flight_tokens = max(0.0, self.in_flight_tokens + n_tokens)
+        if entry.policy.is_deferrable:
+            tokens = self._in_flight_deferrable_tokens + n_tokens
+            self._in_flight_deferrable_tokens = max(0.0, tokens)
+
+    def _learn_urgent_ttft(self, ttft_ms: float) -> None:
+        weight = TTFT_LEARNING_RATE if self._urgent_ttft_ms else 1.0
+        self._urgent_ttft_ms += weight * (ttft_ms - self._urgent_ttft_ms)
+
+    def _learn_mean_cost(self, cost_tokens: float) -> None:
+        weight = COST_LEARNING_RATE if self._mean_cost_tokens else 1.0
+        self._mean_cost_tokens += weight * (cost_tokens - self._mean_cost_tokens)
+
+    def _window_of(self, entry: Entry) -> Window:
+        is_deferrable = entry.policy.is_deferrable
+        return self.deferrable_window if is_deferrable else self.window
+
+    def _limit_tokens(self, window: Window) -> float:
+        """Return the window of this instance over all engines.
+
+        However late first tokens are, it holds a few requests an engine over the
+        whole fleet: fewer would only idle the engines.
+        """
+        capacity = self._capacity
+        n_requests = self._rules.min_requests_per_engine / capacity.n_instances
+        least = n_requests * self._mean_cost_tokens
+        return capacity.n_engines * max(window.tokens_per_engine, least)
 
     def _next(self) -> Entry | None:
         urgent = _first(self._urgent)
@@ -198,8 +269,15 @@
         return deferrable if self._is_floor_due(deferrable) else urgent
 
     def _is_floor_due(self, entry: Entry) -> bool:
-        has_urgent = any(queue.n_waiting for queue in self._urgent.values())
-        return has_urgent and self._floor_credit_tokens >= entry.cost_tokens
+        if _first(self._urgent) is None:
+            return False
+        if self._floor_credit_tokens < entry.cost_tokens:
+            return False
+        # Where deferrable work holds its part of the places already, it waits for
+        # these, and urgent work is not held up behind it.
+        limit = self._limit_tokens(self.window)
+        part = self._floor / max(0.01, 1.0 - self._floor) * limit
+        return self._in_flight_deferrable_tokens < part
 
     def _account_floor(self, entry: Entry) -> None:
         """Credit deferrable work with its floor of all that is admitted.
@@ -235,10 +313,19 @@
 
     def _note_state(self, done_tokens: float, now_ms: float) -> None:
         self._drain.observe(self._next() is not None, done_tokens, now_ms)
-        limit = self._limit_tokens()
+        urgent = self.in_flight_tokens - self._in_flight_deferrable_tokens
+        self._note_use(self.window, urgent + _total(self._urgent))
+        waiting = _total(self._deferrable)
+        self._note_use(self.deferrable_window, self.in_flight_tokens + waiting)
+
+    def _note_use(self, window: Window, n_tokens: float) -> None:
+        limit = self._limit_tokens(window)
         if limit > 0.0:
-            waiting = self.n_waiting_tokens
-            self.window.note_use((self.in_flight_tokens + waiting) / limit)
+            window.note_use(n_tokens / limit)
+
+
+def _fits(n_tokens: float, entry: Entry, limit: float) -> bool:
+    return n_tokens <= 0.0 or n_tokens + entry.cost_tokens <= limit
 
 
 def _first(queues: dict[int, FairQueue]) -> Entry | None:
--- a/buckthornrock/admission/window.py
+++ b/buckthornrock/admission/window.py
@@ -18,7 +18,8 @@
 #: Share of the window that must have been used for it to grow.
 GROWTH_USE = 0.8
 AIMD_DECREASE = 0.85
-AIMD_INCREASE_TOKENS = 256.0
+AIMD_MIN = 0.4
+AIMD_INCREASE_TOKENS = 64.0
 SLOW_START_GROWTH = 1.5
 GRADIENT_MIN = 0.7
 GRADIENT_GROWTH = 0.05
@@ -52,7 +53,10 @@
         nonlocal has_shrunk
         if sample.delay_ms > _longest_ms(sample, target_delay_ms):
             has_shrunk = True
-            return window_tokens * AIMD_DECREASE
+            # In proportion, since first tokens that are late by seconds also report
+            # late: there is no time for many small steps.
+            ratio = _longest_ms(sample, target_delay_ms) / sample.delay_ms
+            return window_tokens * max(AIMD_MIN, min(AIMD_DECREASE, ratio))
         if sample.use < GROWTH_USE:
             return window_tokens
         if not has_shrunk:
@@ -102,14 +106,11 @@
     tokens_per_engine : float
         The window divided by the number of engines, so that it follows at once
         when an engine comes or goes.
-    mean_ttft_ms : float
-        Smoothed time to first token.
     """
 
     def __init__(self, controller: Controller, initial_tokens: float) -> None:
         self._controller = controller
         self.tokens_per_engine = initial_tokens
-        self.mean_ttft_ms = 0.0
         self._base_ms = math.inf
         self._delays_ms: list[float] = []
         self._use = 0.0
@@ -119,11 +120,15 @@
         """Note which share of the window is taken."""
         self._use = max(self._use, use)
 
-    def note_first_token(self, ttft_ms: float, own_ms: float, now_ms: float) -> None:
+    def note_first_token(
+        self, ttft_ms: float, own_ms: float, admitted_at_ms: float, now_ms: float
+    ) -> None:
         """Take in one first token; ``own_ms`` is its own expected prefill."""
         delay_ms = max(0.0, ttft_ms - own_ms)
-        weight = 0.1 if self.mean_ttft_ms else 1.0
-        self.mean_ttft_ms += weight * (ttft_ms - self.mean_ttft_ms)
+        if admitted_at_ms < self._stepped_at_ms:
+            # It shows the queue of a window that was changed since; acting on it
+            # would shrink the window several times for one cause.
+            return
         self._delays_ms.append(delay_ms)
         is_due = now_ms - self._stepped_at_ms >= STEP_PERIOD_MS
         if is_due and len(self._delays_ms) >= MIN_SAMPLES:
@@ -149,6 +154,11 @@
 DRAIN_PRIOR_MS = 500.0
 
 
+#: Times that requests hold their places over which the rate is averaged at least.
+HOLDS_AVERAGED = 2.0
+HOLD_LEARNING_RATE = 0.1
+
+
 class DrainRate:
     """Work that ends in a second while work waits.
 
@@ -160,12 +170,19 @@
         self._done_tokens = 0.0
         self._is_busy = False
         self._seen_at_ms = 0.0
+        self._mean_hold_ms = 0.0
+
+    def note_hold(self, hold_ms: float) -> None:
+        """Note how long a request that ended held its place."""
+        weight = HOLD_LEARNING_RATE if self._mean_hold_ms else 1.0
+        self._mean_hold_ms += weight * (hold_ms - self._mean_hold_ms)
 
     def observe(self, is_busy: bool, done_tokens: float, now_ms: float) -> None:
         """Advance to ``now_ms``; ``is_busy`` tells whether work waits from now on."""
         if self._is_busy:
             elapsed_ms = max(0.0, now_ms - self._seen_at_ms)
-            keep = max(0.0, 1.0 - elapsed_ms / DRAIN_AVERAGE_MS)
+            average_ms = max(DRAIN_AVERAGE_MS, HOLDS_AVERAGED * self._mean_hold_ms)
+            keep = max(0.0, 1.0 - elapsed_ms / average_ms)
             self._busy_ms = self._busy_ms * keep + elapsed_ms
             self._done_tokens = self._done_tokens * keep + done_tokens
         self._is_busy = is_busy
@@ -173,7 +190,11 @@
 
     def tokens_per_s(self, nominal_tokens_per_s: float) -> float:
         """Return the measured rate, blended with the nominal one at first."""
+        if self._done_tokens <= 0.0:
+            # Nothing has ended yet, which long answers do not for seconds: that says
+            # nothing of the rate.
+            return max(1.0, nominal_tokens_per_s)
         # The nominal rate fades as measured time takes its place.
-        prior_ms = max(0.0, DRAIN_PRIOR_MS - self._busy_ms)
+        prior_ms = max(0.0, max(DRAIN_PRIOR_MS, self._mean_hold_ms) - self._busy_ms)
         tokens = self._done_tokens + nominal_tokens_per_s * prior_ms / 1000.0
         return max(1.0, 1000.0 * tokens / max(1.0, self._busy_ms + prior_ms))
--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -1,5 +1,6 @@
 """Runs completions: admission, choice of an engine, attempts, continuation."""
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -68,7 +69,12 @@
         ticket = self._admission.admit(_admission_query(request), sink.is_gone)
         if ticket.is_error():
             return ticket
-        progress = Progress(request.request_id, parts.now_ms(), request.resume)
+        progress = Progress(
+            request.request_id,
+            parts.now_ms(),
+            request.resume,
+            functools.partial(self._admission.note_first_token, ticket.ok),
+        )
         parts.telemetry.decisions.on_admitted(request.request_id, parts.now_ms())
         self._budget.note_request()
         try:
@@ -79,9 +85,9 @@
     def _release(self, ticket: Ticket, progress: Progress) -> None:
         self._admission.release(
             ticket,
-            progress.n_prompt_tokens,
+            progress.n_computed_tokens,
             progress.delivered.n_tokens,
-            progress.ttft_ms,
+            progress.ttft_ms is not None,
         )
 
     def _attempt_until_done(
@@ -127,6 +133,8 @@
         if choice.is_error():
             return choice
         progress.n_prompt_tokens = choice.ok.n_prompt_tokens
+        n_hit_tokens = choice.ok.n_hit_tokens
+        progress.n_computed_tokens = choice.ok.n_prompt_tokens - n_hit_tokens
         metrics = parts.telemetry.metrics
         metrics.incr(PROMPT_TOKENS, choice.ok.n_prompt_tokens)
         metrics.incr(EXPECTED_HIT_TOKENS, choice.ok.n_hit_tokens)
