Ignore shares granted before an account's demand ended

Change: grants for reports up to the end of demand are ignored. Conclusion: ending demand is an event both sides have to agree on.

--- a/buckthornrock/admission/share_client.py
+++ b/buckthornrock/admission/share_client.py
@@ -77,6 +77,7 @@
         self._demands: dict[LimitKey, _Demand] = {}
         self._held: dict[LimitKey, _Held] = {}
         self._sent: dict[int, _Sent] = {}
+        self._ended: dict[LimitKey, int] = {}
         self._reported_at_ms: float | None = None
 
     def note_demand(self, key: LimitKey, cost_tokens: float) -> None:
@@ -121,6 +122,9 @@
         expires_at_ms = sent.sent_at_ms + self._valid_ms
         for share in grant.shares:
             key = (share.profile, share.client_account)
+            # The owner has forgotten what it granted before demand ended.
+            if grant.seq <= self._ended.get(key, -1):
+                continue
             held = self._held.get(key)
             if held is not None and held.seq >= grant.seq:
                 continue
@@ -138,6 +142,9 @@
         oldest_ms = now_ms - self._valid_ms
         sent = self._sent.items()
         self._sent = {seq: s for seq, s in sent if s.sent_at_ms > oldest_ms}
+        oldest = min(self._sent, default=self._seq + 1)
+        ended = self._ended.items()
+        self._ended = {key: seq for key, seq in ended if seq >= oldest}
         held = self._held.items()
         self._held = {key: h for key, h in held if h.expires_at_ms > now_ms}
 
@@ -150,6 +157,7 @@
         if demand.requests_per_s < MIN_REQUESTS_PER_S:
             # The owner may give the share to others, so it is not used any more.
             self._held.pop(key, None)
+            self._ended[key] = self._seq
             return AccountDemand(*key, 0.0, 0.0, False)
         has_share = key in self._held
         return AccountDemand(
