--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -16,7 +16,16 @@
 
 SETTLE_S = 3.0
 WATCH_S = 8.0
-SIZES = ((7, 3), (7, 6), (7, 9), (2, 6), (4, 6))
+#: Instances, engines, and periods of load and event polls in milliseconds.
+SIZES = (
+    (7, 3, 250, 100),
+    (7, 6, 250, 100),
+    (7, 9, 250, 100),
+    (2, 6, 250, 100),
+    (4, 6, 250, 100),
+    (7, 6, 1_000, 100),
+    (7, 6, 250, 1_000),
+)
 
 
 class Cost(NamedTuple):
@@ -33,22 +42,30 @@
 @click.command()
 def main() -> None:
     """Measure every size."""
-    click.echo("| instances | engines | core | memory MB | KV calls/s | machine |")
-    click.echo("|---|---|---|---|---|---|")
-    for n_instances, n_engines in SIZES:
-        cost = measure(n_instances, n_engines)
+    click.echo(
+        "| instances | engines | load poll | event poll | core | memory MB "
+        "| KV calls/s | machine |"
+    )
+    click.echo("|---|---|---|---|---|---|---|---|")
+    for n_instances, n_engines, load_ms, events_ms in SIZES:
+        periods = {
+            "upstreams": {"poll_period_ms": load_ms},
+            "routing": {"event_period_ms": events_ms},
+        }
+        cost = measure(n_instances, n_engines, periods)
         click.echo(
-            f"| {cost.n_instances} | {cost.n_engines} | {cost.processor_share:.4f} "
+            f"| {cost.n_instances} | {cost.n_engines} | {load_ms} ms | {events_ms} ms "
+            f"| {cost.processor_share:.4f} "
             f"| {cost.memory_mb:.1f} | {cost.kv_calls_per_s:.2f} "
             f"| {cost.machine_share:.0%} |"
         )
 
 
-def measure(n_instances: int, n_engines: int) -> Cost:
+def measure(n_instances: int, n_engines: int, periods: dict) -> Cost:
     """Return the cost at one size."""
     deployment = DEPLOYMENTS["paddock-lane"]._replace(n_engines=n_engines)
     processes = Processes()
-    trial = Trial("paddock-lane", "idle", {}, n_instances=n_instances)
+    trial = Trial("paddock-lane", "idle", {}, n_instances=n_instances, periods=periods)
     try:
         world = start_world(processes, trial, deployment)
         time.sleep(SETTLE_S)
--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -9,6 +9,12 @@
 #: Processes that the emulated engines are spread over.
 N_ENGINE_GROUPS = 3
 OPERATOR_KEY = "bench-operator-key"
+#: Engines slower by the scale change their state more slowly, so the instances poll
+#: them less often than by default; that leaves the machine to the requests.
+SCALED_PERIODS: dict[str, dict[str, int]] = {
+    "upstreams": {"poll_period_ms": 500},
+    "routing": {"event_period_ms": 250},
+}
 #: An engine of the real fleet prefills this many tokens a second; the emulated ones
 #: are slower by the scale, so that one machine carries the requests.
 REAL_PREFILL_TOKENS_PER_S = 20_000.0
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -14,7 +14,7 @@
 from buckthornrock.load.compare import compare
 
 from . import figures
-from .deployments import DEPLOYMENTS, N_INSTANCES
+from .deployments import DEPLOYMENTS, N_INSTANCES, SCALED_PERIODS
 from .experiments import Experiment, all_experiments
 from .trial import TrialResult, run_trial
 
@@ -191,7 +191,9 @@
     )
     head = (
         f"Made by `python -m benchmarks.measures --seeds {seeds}`. "
-        f"{N_INSTANCES} router processes; {scales}.\n\n"
+        f"{N_INSTANCES} router processes; {scales}. Engines are polled for load every "
+        f"{SCALED_PERIODS['upstreams']['poll_period_ms']} ms and for events every "
+        f"{SCALED_PERIODS['routing']['event_period_ms']} ms.\n\n"
     )
     page = PAGE.read_text()
     before, _, rest = page.partition(BEGIN)
--- a/benchmarks/settings_files.py
+++ b/benchmarks/settings_files.py
@@ -68,7 +68,7 @@
     instance_ports: list[dict[str, int]],
     extra: dict,
 ) -> dict:
-    """Return the settings of one instance; ``extra`` holds whole sections."""
+    """Return the settings of one instance; ``extra`` goes over its sections."""
     ports = instance_ports[index]
     document = {
         "instance_id": f"instance-{index}",
@@ -94,8 +94,9 @@
         },
     }
     # A section that this version does not know yet is left out.
-    known = {name: v for name, v in extra.items() if name in Settings._fields}
-    return document | known
+    for name in extra.keys() & set(Settings._fields):
+        document[name] = document.get(name, {}) | extra[name]
+    return document
 
 
 def _servers(deployment: Deployment, ports: dict[str, int]) -> list[dict]:
--- a/benchmarks/trial.py
+++ b/benchmarks/trial.py
@@ -18,6 +18,7 @@
     N_ENGINE_GROUPS,
     N_INSTANCES,
     OPERATOR_KEY,
+    SCALED_PERIODS,
     Deployment,
     caller_key,
     profile,
@@ -35,6 +36,7 @@
 #: Beyond these shares the bench itself may be what is measured.
 MAX_HARNESS_SHARE = 0.6
 MAX_MACHINE_SHARE = 0.8
+MAX_LATENESS_MS = 100.0
 
 
 HARNESS_PREFIXES = ("standins", "platform")
@@ -52,9 +54,11 @@
     Parameters
     ----------
     extra : dict
-        Whole settings sections of the instances, like ``routing``.
+        Settings of the instances, by section.
     rate_factor : float
         On the deployment's rate.
+    periods : dict
+        Periods at which the instances poll the engines, by section.
     """
 
     deployment: str
@@ -67,6 +71,7 @@
     deferred_share: float = 0.0
     floor: float = 0.1
     n_instances: int = N_INSTANCES
+    periods: dict = SCALED_PERIODS
 
 
 class TrialResult(msgspec.Struct):
@@ -150,7 +155,7 @@
             standin_ports,
             platform_ports,
             instance_ports,
-            _with_store(trial.extra, store),
+            _extra_settings(trial, store),
         )
         path = processes.write(f"instance-{index}.json", document)
         processes.start(f"instance-{index}", "buckthornrock", "serve", path)
@@ -173,11 +178,15 @@
         return None
 
 
-def _with_store(extra: dict, store: str) -> dict:
-    """Fill in the address of the kept-cache store where a section names it."""
+def _extra_settings(trial: Trial, store: str) -> dict:
+    """Join periods and extra settings; "CACHE_STORE" becomes the store's address."""
+    names = trial.periods.keys() | trial.extra.keys()
+    joined = {
+        name: trial.periods.get(name, {}) | trial.extra.get(name, {}) for name in names
+    }
     return {
         name: {k: store if v == "CACHE_STORE" else v for k, v in section.items()}
-        for name, section in extra.items()
+        for name, section in joined.items()
     }
 
 
@@ -299,6 +308,8 @@
     ]
     if shares["machine"] > MAX_MACHINE_SHARE:
         objections.append(f"the machine was {shares['machine']:.0%} busy")
+    if load.worst_lateness_ms > MAX_LATENESS_MS:
+        objections.append(f"a request was sent {load.worst_lateness_ms:.0f} ms late")
     if load.n_skipped:
         objections.append(f"the load tool skipped {load.n_skipped} requests")
     return objections
