Free steward keys and load slots whatever becomes of their writes

Cause: A hand-back that the key-value service did not take left the key under a lease that its holder went on renewing, so no instance ordered the engine again. A lost answer to taking a load slot left a slot that nobody knew of; two of them kept the fleet from loading. After the service was set back to lower revisions, engines refused every order as outdated. A late copy of the write that created a key could bring a handed-back key back. Change: A hand-back is tried until it is settled and marks the key free. A steward looks for its slot before it takes another one. A refused steward whose key still names it goes above the number that the engine has seen.

--- a/buckthornrock/fleet/load_slots.py
+++ b/buckthornrock/fleet/load_slots.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import msgspec
 
@@ -40,6 +41,25 @@
     ]
 
 
+class HeldSlot(NamedTuple):
+    """A slot as the service holds it."""
+
+    key: str
+    mod_revision: int
+    is_roll: bool
+
+
+def held_by(
+    entries: Sequence[KvEntry], upstream_id: str, lease_id: int
+) -> HeldSlot | None:
+    """Return the slot that is held for an engine under a lease."""
+    for entry in entries:
+        record = _decoder.decode(entry.value)
+        if (record.upstream_id, entry.lease_id) == (upstream_id, lease_id):
+            return HeldSlot(entry.key, entry.mod_revision, record.is_roll)
+    return None
+
+
 def taking(
     record: SlotRecord, entries: Sequence[KvEntry], n_slots: int, lease_id: int
 ) -> Transaction | None:
--- a/buckthornrock/fleet/stewards.py
+++ b/buckthornrock/fleet/stewards.py
@@ -15,8 +15,10 @@
 from ..platform import (
     CommitConflict,
     CommitDone,
+    CommitUnknown,
     Compare,
     Delete,
+    KvEntry,
     KvPort,
     Put,
     Transaction,
@@ -37,6 +39,7 @@
     next_order,
 )
 from .stewardship import (
+    FREE,
     StewardRules,
     Stewardship,
     is_first_choice,
@@ -114,13 +117,28 @@
     is_roll: bool
 
 
+class _SlotDoubt(NamedTuple):
+    """A slot that may have been taken, or may still be: the answer was lost."""
+
+    epoch: int
+    lease_id: int
+    until_ms: float
+
+
 class _Engine:
-    """Mutable state of one engine's stewardship."""
+    """Mutable state of one engine's stewardship.
+
+    ``handing_back`` is a stewardship that is no longer used, but whose key may still
+    name this instance. ``free_revision`` is that of a key without a steward.
+    """
 
     def __init__(self, settings: UpstreamSettings) -> None:
         self.settings = settings
         self.stewardship: Stewardship | None = None
+        self.handing_back: Stewardship | None = None
+        self.free_revision = 0
         self.slot: _Slot | None = None
+        self.slot_doubt: _SlotDoubt | None = None
         self.slot_look_at_ms = 0.0
         self.n_orders = 0
         self.last_order = ""
@@ -194,7 +212,12 @@
         upstream_id = engine.settings.id
         is_first = is_first_choice(upstream_id, parts.instance_id, live_ids)
         self._drop_lapsed(engine)
+        self._settle_slot(engine)
+        if engine.handing_back is not None:
+            self._finish_hand_back(engine)
+            return
         if engine.stewardship is None:
+            self._free_dead_slot(engine)
             if is_first and not self._is_draining:
                 self._acquire(engine)
             return
@@ -207,14 +230,15 @@
 
     def _drop_lapsed(self, engine: _Engine) -> None:
         lease = self._parts.lease
-        is_held = lease.holds(self._parts.now_ms(), 0.0)
-        held = engine.stewardship
-        if held is not None and (not is_held or held.epoch != lease.epoch()):
+        epoch = lease.epoch() if lease.holds(self._parts.now_ms(), 0.0) else None
+        if engine.stewardship is not None and engine.stewardship.epoch != epoch:
             engine.stewardship = None
             self._log_lost(engine, "lease lost")
-        slot = engine.slot
-        if slot is not None and (not is_held or slot.epoch != lease.epoch()):
-            engine.slot = None
+        # What hangs on a lost lease goes with it.
+        for name in ("handing_back", "slot", "slot_doubt"):
+            held = getattr(engine, name)
+            if held is not None and held.epoch != epoch:
+                setattr(engine, name, None)
 
     def _acquire(self, engine: _Engine) -> None:
         parts = self._parts
@@ -225,30 +249,41 @@
             return
         key = steward_key(engine.settings.id)
         put = Put(key, parts.instance_id.encode(), lease_id)
-        outcome = parts.kv.commit(Transaction((Compare(key, 0),), (put,)))
-        fencing = 0
+        compare = Compare(key, engine.free_revision)
+        outcome = parts.kv.commit(Transaction((compare,), (put,)))
+        revision = 0
         if isinstance(outcome, CommitDone):
-            fencing = outcome.revision
+            revision = outcome.revision
         if isinstance(outcome, CommitConflict):
+            entry = next(iter(outcome.entries), None)
+            engine.free_revision = _free_revision(entry)
             # The answer to an earlier write of ours may have been lost.
-            own = [e for e in outcome.entries if e.lease_id == lease_id]
-            fencing = own[0].mod_revision if own else 0
-        if not fencing:
+            is_own = entry is not None and entry.lease_id == lease_id
+            revision = entry.mod_revision if is_own else 0
+        if not revision:
             return
         engine.stewardship = Stewardship(
-            engine.settings.id, fencing, epoch, parts.now_ms()
+            engine.settings.id, revision, revision, epoch, parts.now_ms()
         )
         parts.telemetry.log(
-            events.STEWARD_GAINED, upstream_id=engine.settings.id, fencing=fencing
+            events.STEWARD_GAINED, upstream_id=engine.settings.id, fencing=revision
         )
 
     def _hand_back(self, engine: _Engine) -> None:
-        held = engine.stewardship
-        key = steward_key(engine.settings.id)
-        compare = Compare(key, held.fencing)
-        self._parts.kv.commit(Transaction((compare,), (Delete(key),)))
-        engine.stewardship = None
+        """Stop ordering, and free the key for the next steward."""
+        engine.handing_back, engine.stewardship = engine.stewardship, None
         self._log_lost(engine, "handed back")
+        self._finish_hand_back(engine)
+
+    def _finish_hand_back(self, engine: _Engine) -> None:
+        # A key left behind under a lease that is renewed would keep others out for
+        # as long as this instance runs, so this is tried until it is settled.
+        key = steward_key(engine.settings.id)
+        compare = Compare(key, engine.handing_back.key_revision)
+        transaction = Transaction((compare,), (Put(key, FREE),))
+        outcome = self._parts.kv.commit(transaction)
+        if isinstance(outcome, CommitDone | CommitConflict):
+            engine.handing_back = None
 
     def _reconcile(self, engine: _Engine) -> str:
         """Take one step towards what is wanted; return the reason for it."""
@@ -291,11 +326,10 @@
 
     def _take_slot(self, engine: _Engine, state: EngineOrderState) -> Nothing | None:
         parts = self._parts
-        now_ms = parts.now_ms()
-        if now_ms < engine.slot_look_at_ms:
+        if engine.slot_doubt is not None:
+            return Nothing("a load slot may have been taken")
+        if not self._is_time_to_look(engine):
             return Nothing("waiting for a load slot")
-        wait_ms = parts.rng.uniform(MIN_SLOT_WAIT_MS, MAX_SLOT_WAIT_MS)
-        engine.slot_look_at_ms = now_ms + wait_ms
         entries = parts.kv.get_prefix(load_slots.KEY_PREFIX)
         if entries.is_error():
             return Nothing("load slots can't be read")
@@ -315,6 +349,9 @@
         if transaction is None or not lease_id:
             return Nothing("waiting for a load slot")
         outcome = parts.kv.commit(transaction)
+        if isinstance(outcome, CommitUnknown):
+            until_ms = parts.now_ms() + self._rules.lease_ttl_ms
+            engine.slot_doubt = _SlotDoubt(epoch, lease_id, until_ms)
         if not isinstance(outcome, CommitDone):
             return Nothing("waiting for a load slot")
         key = transaction.writes[0].key
@@ -323,6 +360,34 @@
         )
         return None
 
+    def _is_time_to_look(self, engine: _Engine) -> bool:
+        now_ms = self._parts.now_ms()
+        if now_ms < engine.slot_look_at_ms:
+            return False
+        wait_ms = self._parts.rng.uniform(MIN_SLOT_WAIT_MS, MAX_SLOT_WAIT_MS)
+        engine.slot_look_at_ms = now_ms + wait_ms
+        return True
+
+    def _settle_slot(self, engine: _Engine) -> None:
+        """Look whether a write whose answer was lost has taken a slot.
+
+        A slot that nobody knows to be held would be lost to the fleet for as long as
+        this instance renews its lease.
+        """
+        doubt = engine.slot_doubt
+        if doubt is None or not self._is_time_to_look(engine):
+            return
+        entries = self._parts.kv.get_prefix(load_slots.KEY_PREFIX)
+        if entries.is_error():
+            return
+        now_ms = self._parts.now_ms()
+        found = load_slots.held_by(entries.ok, engine.settings.id, doubt.lease_id)
+        if found is not None:
+            key, mod_revision, is_roll = found
+            engine.slot = _Slot(key, mod_revision, doubt.epoch, now_ms, is_roll)
+        if found is not None or now_ms >= doubt.until_ms:
+            engine.slot_doubt = None
+
     def _may_load(
         self,
         engine: _Engine,
@@ -380,16 +445,35 @@
             outcome="taken" if sent.is_ok() else sent.error.code,
         )
         if sent.is_error() and isinstance(sent.error, OrderOutdated):
-            engine.stewardship = None
-            self._log_lost(engine, "the engine knows a later steward")
+            self._on_outdated(engine, sent.error.highest_fencing)
         return step.reason
 
+    def _on_outdated(self, engine: _Engine, highest_fencing: int) -> None:
+        """Give up the stewardship, unless the key says that it is still held.
+
+        Then the service was set back to lower revisions, and the engine remembers a
+        number from before.
+        """
+        held = engine.stewardship
+        entry = self._parts.kv.get(steward_key(engine.settings.id)).default_value(None)
+        is_own = entry is not None and entry.mod_revision == held.key_revision
+        if is_own and entry.lease_id == self._parts.lease.lease_id():
+            engine.stewardship = held._replace(fencing=highest_fencing + 1)
+            return
+        engine.stewardship = None
+        self._log_lost(engine, "the engine knows a later steward")
+
     def _log_lost(self, engine: _Engine, reason: str) -> None:
         self._parts.telemetry.log(
             events.STEWARD_LOST, upstream_id=engine.settings.id, reason=reason
         )
 
 
+def _free_revision(entry: KvEntry | None) -> int:
+    is_free = entry is not None and entry.value == FREE
+    return entry.mod_revision if is_free else 0
+
+
 def _is_slot_for(slot: _Slot, state: EngineOrderState) -> bool:
     # A slot that was taken for a cold engine gives no leave to take a serving one out.
     return slot.is_roll or not state.models
--- a/buckthornrock/fleet/stewardship.py
+++ b/buckthornrock/fleet/stewardship.py
@@ -12,6 +12,9 @@
 from ..runtime.rendezvous import owner
 
 KEY_PREFIX = "stewards/"
+#: Value of a key that was handed back. Were the key deleted instead, a late copy of the
+#: write that created it would take effect once more.
+FREE = b""
 #: An instance that is no longer the first choice keeps the key for this long.
 HANDOVER_MS = 5_000.0
 
@@ -40,6 +43,9 @@
     Parameters
     ----------
     fencing : int
+        Number that orders carry: the key's revision, or a higher one if the engine
+        has seen a higher one from before the service was set back.
+    key_revision : int
         Revision of the key.
     epoch : int
         Of the lease under which it was written; another epoch means that it is gone.
@@ -49,6 +55,7 @@
 
     upstream_id: str
     fencing: int
+    key_revision: int
     epoch: int
     acquired_at_ms: float
     not_first_since_ms: float | None = None
