Keep an accepted placement when the service forgets it

Cause: The version in force was kept in memory but never given back to a service that was set back, and a change of the old version was called accepted though no instance that knew the newer one put it in force. Change: A refresh writes the newer version back by compare-and-swap; a change is compared with the known version, not with the entry's. Of two records of one version the stored one is in force.

--- a/buckthornrock/fleet/placement_store.py
+++ b/buckthornrock/fleet/placement_store.py
@@ -11,12 +11,14 @@
     CommitConflict,
     CommitDone,
     CommitNotDone,
+    CommitOutcome,
     Compare,
     KvEntry,
     KvPort,
     Put,
     Transaction,
 )
+from ..platform.errors import KvUnavailable
 from .placement_document import Placement, empty_placement
 
 KEY = "placement"
@@ -71,25 +73,24 @@
             return self._record
 
     def refresh(self) -> None:
-        """Read the document."""
-        entry = self._kv.get(KEY)
-        if entry.is_ok() and entry.ok is not None:
-            self._offer(_decoder.decode(entry.ok.value))
+        """Read the document; give back a version that the service has forgotten."""
+        entry = self._read()
+        if entry.is_ok() and _version_of(entry.ok) < self.current().version:
+            self._commit(self.current(), entry.ok)
 
     def apply(
         self, placement: Placement, expected_version: int
     ) -> Result[PlacementRecord, ApplyFailure]:
         """Accept ``placement`` as the version after ``expected_version``."""
-        entry = self._kv.get(KEY)
+        entry = self._read()
         if entry.is_error():
             return Error(PlacementUndecided(entry.error.reason, "true"))
-        found_version = _version_of(entry.ok)
+        # Not the version of the entry: the service may have been set back.
+        found_version = self.current().version
         if found_version != expected_version:
             return Error(PlacementConflict(expected_version, found_version))
         record = PlacementRecord(expected_version + 1, placement)
-        revision = entry.ok.mod_revision if entry.ok else 0
-        put = Put(KEY, msgspec.json.encode(record))
-        outcome = self._kv.commit(Transaction((Compare(KEY, revision),), (put,)))
+        outcome = self._commit(record, entry.ok)
         match outcome:
             case CommitDone():
                 self._offer(record)
@@ -101,9 +102,21 @@
                 return Error(PlacementUndecided(reason, "true"))
         return Error(PlacementUndecided(outcome.reason, "unknown"))
 
+    def _read(self) -> Result[KvEntry | None, KvUnavailable]:
+        entry = self._kv.get(KEY)
+        if entry.is_ok() and entry.ok is not None:
+            self._offer(_decoder.decode(entry.ok.value))
+        return entry
+
+    def _commit(self, record: PlacementRecord, over: KvEntry | None) -> CommitOutcome:
+        compare = Compare(KEY, over.mod_revision if over else 0)
+        put = Put(KEY, msgspec.json.encode(record))
+        return self._kv.commit(Transaction((compare,), (put,)))
+
     def _offer(self, record: PlacementRecord) -> None:
         with self._lock:
-            if record.version > self._record.version:
+            # Of two records of one version, the one in the service is in force.
+            if record.version >= self._record.version:
                 self._record = record
 
 
