Accept no change of a profile version that is no longer in force

Cause: If the service had forgotten versions and giving them back failed, a change of the old version was committed and called accepted. It was never in force, or it took the place of an accepted version that this instance knew. Change: The expected version is compared with the newest known one.

--- a/buckthornrock/profiles/acceptance.py
+++ b/buckthornrock/profiles/acceptance.py
@@ -77,16 +77,17 @@
         if entry.is_error():
             return entry
         record = self._record_of(name, profile, expected_version + 1, author)
-        if entry.ok is None:
-            if expected_version:
-                return Error(ProfileConflict(name, expected_version, 0))
-            return self._commit(record, 0)
-        found = decode_entry(entry.ok, name)
+        found = decode_entry(entry.ok, name) if entry.ok else Ok(None)
         if found.is_error():
             return found
-        if found.ok.version != expected_version:
-            return self._refuse(record, found.ok)
-        return self._commit(record, entry.ok.mod_revision)
+        # Not the version of the entry: the service may have forgotten a newer one,
+        # and giving it back may have failed.
+        known = self._accepted(name)
+        if known is None and expected_version:
+            return Error(ProfileConflict(name, expected_version, 0))
+        if known is not None and known.version != expected_version:
+            return self._refuse(record, known)
+        return self._commit(record, entry.ok.mod_revision if entry.ok else 0)
 
     def rollback(
         self, name: str, version: int, expected_version: int, author: str
@@ -126,8 +127,8 @@
         stored = read.ok
         if stored:
             self._offer(stored)
-        known = self._table.get(name)
-        if known is None or known.trust == "start":
+        known = self._accepted(name)
+        if known is None:
             return False
         if stored is not None and order_of(stored) >= order_of(known):
             return False
@@ -143,6 +144,10 @@
         )
         return is_restored
 
+    def _accepted(self, name: str) -> ProfileRecord | None:
+        record = self._table.get(name)
+        return None if record is None or record.trust == "start" else record
+
     def _record_of(
         self, name: str, profile: Profile, version: int, author: str
     ) -> ProfileRecord:
