Serve any profile at once after a restart, and lose no job meanwhile

Cause: Until an instance had heard of a profile it refused every profile but the default one, and every work class but the start profile's, as unknown (422). A job that it ran meanwhile failed for good with unknown-work-class, as did a job whose class came with a change that had not arrived yet. Change: While no profile is known, any name and class is served by the start profile; deferral is put off with no-trusted-profile. Jobs wait until a profile is in force, and until their class is known.

--- a/buckthornrock/compose/deferred.py
+++ b/buckthornrock/compose/deferred.py
@@ -8,6 +8,7 @@
 
 from ..deferred import DeferredPort, DeferredService, JobSubmission, open_deferred
 from ..deferred.claims import LeasePort
+from ..deferred.errors import NoTrustedProfile
 from ..deferred.ids import open_job_ids
 from ..deferred.service import DeferredParts, DeferredRules, JobControl, RunJob
 from ..dispatch import Caller, CompletionRequest, CompletionSink
@@ -112,6 +113,9 @@
         fields = parse_completion(job.body, is_chat)
         if fields.is_error():
             return fields
+        record = parts.profiles.current(job.profile)
+        if record.is_ok() and record.ok.trust == "start":
+            return Error(NoTrustedProfile(job.profile))
         remaining_ms = max(1, job.deadline_wall_ms - parts.clock.wall_ms())
         headers = {
             "x-profile": job.profile,
--- a/buckthornrock/compose/profiles.py
+++ b/buckthornrock/compose/profiles.py
@@ -65,9 +65,17 @@
 def _open_port(
     table: ProfileTable, acceptance: Acceptance, gossip: ProfileGossip
 ) -> ProfilePort:
+    start = start_profile()
+
     def current(name: str) -> Result[ProfileRecord, UnknownProfile]:
         record = table.get(name)
-        return Ok(record) if record else Error(UnknownProfile(name))
+        if record is not None:
+            return Ok(record)
+        if gossip.is_informed():
+            return Error(UnknownProfile(name))
+        # Nothing was heard of any profile yet, so nobody can say that there is none
+        # of this name; a restarted instance serves at once.
+        return Ok(ProfileRecord(name, 0, start, "start"))
 
     return ProfilePort(
         current=current,
--- a/buckthornrock/deferred/running.py
+++ b/buckthornrock/deferred/running.py
@@ -22,6 +22,9 @@
         "no-engine",
         "unavailable",
         "unknown-profile",
+        # The change that brought the class may not have arrived here yet.
+        "unknown-work-class",
+        "no-trusted-profile",
         "caller-gone",
     }
 )
--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -110,6 +110,9 @@
         return record
     profile = record.ok.profile
     class_name = headers.get("x-work-class", profile["default_work_class"])
+    if record.ok.trust == "start" and class_name not in profile["work_classes"]:
+        # The classes of the accepted profile are not known yet; serve all the same.
+        class_name = profile["default_work_class"]
     work_class = profile["work_classes"].get(class_name)
     if work_class is None:
         return Error(UnknownWorkClass(name, class_name))
--- a/buckthornrock/entry/deferred.py
+++ b/buckthornrock/entry/deferred.py
@@ -19,15 +19,15 @@
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
     """Accept a completion as a deferred job, once it is durable."""
-    if request.work_class["kind"] != "deferrable":
-        failure = NotDeferrable(request.work_class_name)
-        refuse(parts, exchange, failure, request.request_id, request.caller)
-        return
     record = parts.profiles.current(request.profile)
     if record.is_error() or record.ok.trust == "start":
         failure = NoTrustedProfile(request.profile)
         refuse(parts, exchange, failure, request.request_id, request.caller)
         return
+    if request.work_class["kind"] != "deferrable":
+        failure = NotDeferrable(request.work_class_name)
+        refuse(parts, exchange, failure, request.request_id, request.caller)
+        return
     submission = _submission(parts, exchange, request, is_chat)
     wait_ms = _wait_ms(exchange.headers["prefer"])
     job_id = parts.deferred.submit(submission, wait_ms)
