Forget dead instances on all instances

Cause: An instance that had forgotten a dead one learned of it again from the next that had not, so records of the dead were never forgotten. They count in n_known, which cuts the key-value budget of each instance. Change: Anti-entropy compares live records only; departures spread as news and as corrections of stale beliefs. A record that says that an unknown instance is gone is not stored.

--- a/buckthornrock/membership/detector.py
+++ b/buckthornrock/membership/detector.py
@@ -160,22 +160,24 @@
         )
 
     def records_in(self, buckets: Iterable[int]) -> tuple[MemberRecord, ...]:
-        """Return the records of some buckets, sorted by id."""
+        """Return the live records of some buckets, sorted by id.
+
+        Departures spread as news and as corrections only. If they were compared too,
+        those that have not forgotten one yet would bring it back to those that have,
+        and nobody would ever forget it.
+        """
         wanted = set(buckets)
-        ids = sorted(id_ for id_ in self._records if _bucket_of(id_) in wanted)
-        return tuple(self._records[id_] for id_ in ids)
+        return tuple(r for r in self._live if _bucket_of(r.instance_id) in wanted)
 
     def newer_than(
         self, records: Iterable[MemberRecord], buckets: Iterable[int]
     ) -> tuple[MemberRecord, ...]:
-        """Return own records of ``buckets`` that ``records`` lack or hold older."""
+        """Return live records that ``records`` lack, and any that it holds older."""
         theirs = {record.instance_id: record for record in records}
-        return tuple(
-            record
-            for record in self.records_in(buckets)
-            if record.instance_id not in theirs
-            or _order(record) > _order(theirs[record.instance_id])
-        )
+        lacking = [r for r in self.records_in(buckets) if r.instance_id not in theirs]
+        own = (self._records.get(instance_id) for instance_id in theirs)
+        newer = [r for r in own if r and _order(r) > _order(theirs[r.instance_id])]
+        return tuple(lacking + newer)
 
     def _refute(self, record: MemberRecord, now_ms: float) -> list[MemberRecord]:
         own = self.self_record
@@ -187,7 +189,10 @@
 
     def _replaces(self, record: MemberRecord) -> bool:
         known = self._records.get(record.instance_id)
-        return known is None or _order(record) > _order(known)
+        if known is None:
+            # What is not known is not live already.
+            return record.state in ("live", "suspect")
+        return _order(record) > _order(known)
 
     def _store(self, record: MemberRecord, now_ms: float) -> None:
         self._records[record.instance_id] = record
