Go on recording outcomes after the service lost a lease

Cause: etcd refuses a put whose lease is gone; the stand-in took it. With etcd's answer each such write was tried for seconds and then unknown, and five of them opened the breaker. The withdrawal of a claim kept the lost lease for ever, and since outcomes are committed together none of the instance's was recorded again. Change: The stand-in answers as etcd does. The client reads this answer as a refusal: not done if no earlier copy is unaccounted for, and no sign of an outage. Outcomes hang on the instance's present lease. A service that drops a retention lease before its time still forgets keys, and a call may then run again; nothing here can tell.

--- a/buckthornrock/idempotency/claims.py
+++ b/buckthornrock/idempotency/claims.py
@@ -11,7 +11,8 @@
 from ..conf.settings import IdempotencySettings
 from ..errors import Failure
 from ..events import idempotency as events
-from ..platform import CommitUnknown, KvPort
+from ..platform import CommitNotDone, CommitOutcome, CommitUnknown, KvPort
+from ..platform.kv_port import LEASE_GONE
 from ..runtime import Clock
 from ..telemetry import Telemetry
 from ..telemetry.metrics import KEYED_CALLS, OUTCOMES_PENDING
@@ -214,8 +215,7 @@
         match step:
             case CommitClaim(transaction):
                 outcome = self._committer.commit(transaction)
-                if isinstance(outcome, CommitUnknown):
-                    self._retention.forget()
+                self._check_lease(outcome)
                 return call.on_commit(outcome, self._clock.now_ms())
             case MakeAttempt():
                 result = _guarded(attempt)
@@ -247,8 +247,15 @@
             due = self._outcomes.due_commits(now_ms, MAX_BATCH)
         if not due:
             return False
+        lease = self._retention.current(now_ms)
+        if lease.is_error():
+            return False
+        # The lease of the claim may be gone; one such record would fail all of them.
+        due = [settlement._replace(lease_id=lease.ok) for settlement in due]
         transactions = [transaction_of(settlement) for settlement in due]
         outcomes = commit_together(self._kv.commit, transactions)
+        for outcome in outcomes:
+            self._check_lease(outcome)
         now_ms = self._clock.now_ms()
         with self._lock:
             for settlement, outcome in zip(due, outcomes, strict=True):
@@ -256,6 +263,12 @@
                     self._forget_flight(settlement.claim_id)
         return True
 
+    def _check_lease(self, outcome: CommitOutcome) -> None:
+        """Take a new lease next time if the service may have lost this one."""
+        is_gone = outcome == CommitNotDone(LEASE_GONE)
+        if is_gone or isinstance(outcome, CommitUnknown):
+            self._retention.forget()
+
     def _forget_flight(self, claim_id: str) -> None:
         key = self._flight_of_claim.pop(claim_id, None)
         if key is not None:
--- a/buckthornrock/platform/kv_client.py
+++ b/buckthornrock/platform/kv_client.py
@@ -124,6 +124,11 @@
             answer = self._http.call(kind, "write", "/v3/kv/txn", body, give_up_at_ms)
             if answer.is_ok():
                 return self._outcome(answer.ok, write_id, was_sent)
+            if answer.error.is_refused and not was_sent:
+                return CommitNotDone(answer.error.reason)
+            if answer.error.is_refused:
+                # An earlier copy may have taken effect before the lease was gone.
+                return CommitUnknown(answer.error.reason, write_id)
             was_sent = was_sent or answer.error.was_sent
             revision = self._own_revision(transaction, write_id) if was_sent else 0
             if revision:
--- a/buckthornrock/platform/kv_http.py
+++ b/buckthornrock/platform/kv_http.py
@@ -16,6 +16,7 @@
 from ..telemetry.metrics import KV_CALLS, KV_FAILURES, KV_WAITS_MS
 from .breaker import Breaker
 from .budget import Budget, CallKind
+from .kv_port import LEASE_GONE
 
 N_POOLED_CONNECTIONS = 8
 WATCH_SILENCE_LIMIT_S = 30.0
@@ -26,16 +27,30 @@
 )
 
 
+NOT_FOUND = 404
+#: The service's own code of the same; a 404 without it comes from somewhere else.
+NOT_FOUND_CODE = 5
+_LEASED_PATHS = ("/v3/kv/txn", "/v3/kv/put")
+
+
+class _Refusal(msgspec.Struct):
+    """Why the service refused a call."""
+
+    code: int = 0
+
+
 class CallFailed(NamedTuple):
     """A call without a usable answer.
 
     ``was_sent`` is False only if the service provably received nothing,
-    ``is_held_back`` is True if the breaker or the budget forbade the call.
+    ``is_held_back`` is True if the breaker or the budget forbade the call,
+    ``is_refused`` if the service answered that it did nothing.
     """
 
     reason: str
     was_sent: bool
     is_held_back: bool = False
+    is_refused: bool = False
 
     code = "kv-call-failed"
 
@@ -154,6 +169,8 @@
             return Error(CallFailed(type(error).__name__, was_sent=False))
         except urllib3.exceptions.HTTPError as error:
             return Error(CallFailed(type(error).__name__, was_sent=True))
+        if _is_lease_gone(path, response):
+            return Error(CallFailed(LEASE_GONE, was_sent=True, is_refused=True))
         if response.status != 200:
             return Error(CallFailed(f"status {response.status}", was_sent=True))
         try:
@@ -164,7 +181,7 @@
     def _report(self, answer: Result[dict, CallFailed]) -> None:
         with self._lock:
             was_open = self._breaker.is_open
-            if answer.is_ok():
+            if answer.is_ok() or answer.error.is_refused:
                 self._breaker.on_success()
             else:
                 self._breaker.on_failure(self._clock.now_ms(), self._rng)
@@ -175,6 +192,15 @@
             self._telemetry.log(events.KV_BACK)
 
 
+def _is_lease_gone(path: str, response: urllib3.BaseHTTPResponse) -> bool:
+    if response.status != NOT_FOUND or path not in _LEASED_PATHS:
+        return False
+    try:
+        return msgspec.json.decode(response.data, type=_Refusal).code == NOT_FOUND_CODE
+    except msgspec.MsgspecError:
+        return False
+
+
 def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[dict]:
     buffer = b""
     try:
--- a/buckthornrock/platform/kv_port.py
+++ b/buckthornrock/platform/kv_port.py
@@ -11,6 +11,9 @@
 
 from .errors import KvUnavailable, LeaseGone
 
+#: Reason of a write that was refused because its lease is gone.
+LEASE_GONE = "lease gone"
+
 
 class KvEntry(NamedTuple):
     """A key with its value.
--- a/buckthornrock/standins/kv.py
+++ b/buckthornrock/standins/kv.py
@@ -23,6 +23,9 @@
 from .kv_watches import Change, Watches
 
 CONTROL_PATH = "/control"
+#: How etcd answers to a put with a lease that it does not have.
+LEASE_NOT_FOUND = "etcdserver: requested lease not found"
+NOT_FOUND_CODE = 5
 N_THREADS = 48
 
 
@@ -147,19 +150,30 @@
             exchange.respond_json(404, {"error": "not found"})
             return
         answer = self._perform(exchange.path, body)
+        status = 404 if "error" in answer else 200
         if is_lost:
             exchange.respond_json(503, {"error": "answer lost"})
             return
-        exchange.respond_json(200, answer)
+        exchange.respond_json(status, answer)
 
     def _perform(self, path: str, body: dict) -> dict:
         with self._lock:
             self._expire_leases()
+            if self._names_unknown_lease(path, body):
+                return {"error": LEASE_NOT_FOUND, "code": NOT_FOUND_CODE}
             answer = _OPERATIONS[path](self, body)
             answer["header"] = {"revision": str(self._revision)}
             self._publish()
         return answer
 
+    def _names_unknown_lease(self, path: str, body: dict) -> bool:
+        """Tell whether a put that would take effect names a lease that is gone."""
+        puts = [body] if path == "/v3/kv/put" else []
+        if path == "/v3/kv/txn" and all(map(self._compare, body.get("compare", ()))):
+            puts = [o.get("request_put", {}) for o in body.get("success", ())]
+        leases = {int(put.get("lease", 0)) for put in puts} - {0}
+        return not leases <= self._leases.keys()
+
     def _apply_late(self, exchange: Exchange, body: dict) -> None:
         path = exchange.path
         delay_s = self.faults.late_ms / 1000.0
--- a/tests/platform/fake_kv.py
+++ b/tests/platform/fake_kv.py
@@ -5,6 +5,7 @@
 from buckthornrock.platform.errors import KvUnavailable, LeaseGone
 from buckthornrock.platform.kv_http import CallFailed
 from buckthornrock.platform.kv_port import (
+    LEASE_GONE,
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -63,6 +64,9 @@
         if fate == "overtaken":
             argument()
         answer = self._perform(path, body)
+        if "error" in answer:
+            refused = CallFailed(LEASE_GONE, was_sent=True, is_refused=True)
+            return Error(refused) if fate == "answer" else Error(CallFailed("?", True))
         if fate in ("lost", "lost_then_overtaken"):
             if argument:
                 argument()
@@ -71,7 +75,7 @@
 
     def _perform(self, path, body):
         answer = self.standin._perform(path, body)
-        if path == "/v3/kv/txn" and answer["succeeded"]:
+        if path == "/v3/kv/txn" and answer.get("succeeded"):
             key = body["success"][0]["request_put"]["value"]
             self.n_applied[key] = self.n_applied.get(key, 0) + 1
         return answer
--- a/tests/platform/test_kv_sockets.py
+++ b/tests/platform/test_kv_sockets.py
@@ -14,7 +14,9 @@
     Transaction,
     open_kv,
 )
+from buckthornrock.platform.breaker import N_FAILURES_TO_OPEN
 from buckthornrock.platform.kv_client import PAGE_ENTRIES
+from buckthornrock.platform.kv_port import LEASE_GONE
 from buckthornrock.standins.kv import KvStandin, start_kv
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 
@@ -69,6 +71,16 @@
     assert isinstance(put(kv, "a/1"), expected)
 
 
+def test_write_with_a_lost_lease_is_refused_and_no_outage(kv, standin):
+    lease_id = kv.grant_lease(60).ok.lease_id
+    standin.expire_leases()
+    transaction = Transaction((Compare("a/1", 0),), (Put("a/1", b"v", lease_id),))
+    for _ in range(N_FAILURES_TO_OPEN + 1):
+        assert kv.commit(transaction) == CommitNotDone(LEASE_GONE)
+    assert kv.is_answering()
+    assert kv.get("a/1").ok is None
+
+
 def test_refused_connection_proves_that_nothing_was_done():
     kv = open_kv(KvSettings("http://127.0.0.1:1", timeout_ms=300), TELEMETRY)
     assert isinstance(put(kv, "a/1"), CommitNotDone)
