Settle a group whose commit raises, and doubt keys that look forged

Cause: An exception in a group's commit left the others of the group without an outcome, waiting in a loop without end. An issued key from before a change of the isolation secret was refused as "not run", though its call may have run.

--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -65,7 +65,8 @@
     idempotency.KeyStoreUnavailable: ProblemRule(
         503, "The key can't be claimed", "unknown"
     ),
-    idempotency.KeyNotGenuine: ProblemRule(422, "The key is not genuine", "true"),
+    # A genuine key looks forged once the secret that sealed it was changed.
+    idempotency.KeyNotGenuine: ProblemRule(422, "The key is not genuine", "unknown"),
     idempotency.KeyExpired: ProblemRule(410, "The key expired", "unknown"),
     idempotency.TooManyKeys: ProblemRule(503, "Too many keys in use", "true"),
     idempotency.ForwardedNotRun: ProblemRule(503, "The issuer did not run it", "true"),
--- a/buckthornrock/idempotency/group_commit.py
+++ b/buckthornrock/idempotency/group_commit.py
@@ -6,6 +6,7 @@
 from ..platform import (
     CommitConflict,
     CommitOutcome,
+    CommitUnknown,
     Compare,
     KvEntry,
     Transaction,
@@ -102,7 +103,10 @@
         with self._lock:
             batch, self._waiting = _split(self._waiting)
         transactions = [slot.transaction for slot in batch]
-        outcomes = commit_together(self._commit, transactions)
+        try:
+            outcomes = commit_together(self._commit, transactions)
+        except Exception as error:  # noqa: BLE001 - the others would wait for ever
+            outcomes = [CommitUnknown(type(error).__name__)] * len(batch)
         for slot, outcome in zip(batch, outcomes, strict=True):
             slot.outcome = outcome
 
--- a/tests/idempotency/test_group_commit.py
+++ b/tests/idempotency/test_group_commit.py
@@ -68,3 +68,12 @@
         thread.join(10)
     assert len(kv.entries) == n_threads
     assert kv.n_writes <= 2
+
+
+def test_commit_that_raises_is_unknown_for_all_that_wait():
+    def commit(transaction):
+        raise ValueError("a malformed answer")
+
+    committer = GroupCommitter(commit)
+    assert committer.commit(create("a")) == CommitUnknown("ValueError")
+    assert committer.commit(create("b")) == CommitUnknown("ValueError")
