Begin a watch on profiles at the present revision

Cause: A watch began after the newest known change of a profile. A service that compacts its history, as etcd does, has dropped that revision when profiles have not changed for a while, and ends such a watch at once, every time. Change: The watch begins at the present; once it is established everything is read again, which closes the gap. Figures: tests/profiles/test_watching.py, before no watch was established, after one was and no change was missed.

--- a/buckthornrock/profiles/watching.py
+++ b/buckthornrock/profiles/watching.py
@@ -74,36 +74,40 @@
         """Read or watch, if it is time to; blocks as long as the watch lasts."""
         if self._now_ms() < self._next_read_at_ms or not self._may_start():
             return
-        revision = self.read_all()
-        if revision is None:
+        if not self.read_all():
             self._next_read_at_ms = self._now_ms() + RETRY_PERIOD_MS
             return
         if self._is_watcher():
-            self._watch(revision + 1)
+            self._watch()
             self._next_read_at_ms = self._now_ms() + self._rng.random() * WATCH_GAP_MS
             return
         jitter = 0.5 + self._rng.random()
         self._next_read_at_ms = self._now_ms() + RARE_READ_PERIOD_MS * jitter
 
-    def read_all(self) -> int | None:
-        """Read all profiles; return None if the service did not answer."""
+    def read_all(self) -> bool:
+        """Read all profiles; return whether the service answered."""
         entries = self._kv.get_prefix(KEY_PREFIX)
         if entries.is_error():
-            return None
+            return False
         by_name = {e.key.removeprefix(KEY_PREFIX): e for e in entries.ok}
         for name in by_name.keys() | set(self._names()):
             self._acceptance.reconcile(name, by_name.get(name))
-        return max((entry.mod_revision for entry in entries.ok), default=0)
+        return True
 
     def close(self) -> None:
         """Let a watch in progress end at its next sign of life."""
         self._closed.set()
 
-    def _watch(self, start_revision: int) -> None:
+    def _watch(self) -> None:
         give_up_at_ms = self._now_ms() + MAX_WATCH_MS
         reason = "the service ended it"
-        watch = self._kv.watch(KEY_PREFIX, start_revision)
-        for batch in watch:
+        # From now on, not from the newest known change: the service may have dropped
+        # what came after that one, and would end the watch at once.
+        watch = self._kv.watch(KEY_PREFIX, 0)
+        for index, batch in enumerate(watch):
+            if index == 0:
+                # What changed between the first read and the watch.
+                self.read_all()
             self._take(batch)
             if self._closed.is_set() or not self._is_watcher():
                 reason = "no longer this instance's turn"
