Let no exception in a run lose its job or end its worker

Cause: an exception in a deferred job's run passed through run_next and ended the worker's thread. The job stayed "running" in the backlog, was neither run again nor expired, and nobody adopted it while the instance's lease lived. A prompt that can't be read waits by the same path. The tests' KilledError is a BaseException now, since the end of a process can't be caught by the code under test.

--- a/buckthornrock/deferred/errors.py
+++ b/buckthornrock/deferred/errors.py
@@ -53,5 +53,17 @@
     code = "job-unreadable"
 
 
+class PromptGone(NamedTuple):
+    """The stored prompt was deleted, so the job can't run any more."""
+
+    code = "prompt-gone"
+
+
+class RunBroken(NamedTuple):
+    """A run ended with an exception; the log names its type."""
+
+    code = "run-broken"
+
+
 SubmitFailure = NotAccepted | KeyReused | NoTrustedProfile
 ReadFailure = UnknownJob | JobUnreadable
--- a/buckthornrock/deferred/running.py
+++ b/buckthornrock/deferred/running.py
@@ -22,6 +22,7 @@
         "no-engine",
         "unavailable",
         "unknown-profile",
+        "kv-unavailable",
         "caller-gone",
     }
 )
@@ -33,6 +34,7 @@
         "upstream-refused",
         "answer-incomplete",
         "deadline-exceeded",
+        "run-broken",
     }
 )
 
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -23,7 +23,14 @@
 from .blobs import BlobStore
 from .claims import ClaimTerms, LeasePort, read_terms
 from .collection import Collector
-from .errors import NotAccepted, ReadFailure, SubmitFailure, UnknownJob
+from .errors import (
+    NotAccepted,
+    PromptGone,
+    ReadFailure,
+    RunBroken,
+    SubmitFailure,
+    UnknownJob,
+)
 from .holdings import Finished, HeldSegment, Holdings, SavedJob
 from .ids import JobAddress, JobIds
 from .packing import PackedJob, pack, unpack
@@ -420,32 +427,40 @@
         return segment.epoch == self._parts.lease.epoch()
 
     def _run(self, held: HeldJob) -> None:
+        if not self._note_start(held):
+            return
+        try:
+            answer = self._load_and_run(held)
+        except Exception as error:  # noqa: BLE001 - a bad job must not end its worker
+            self._parts.telemetry.log(
+                events.RUN_BROKEN,
+                segment_id=held.address.segment_id,
+                index=held.address.index,
+                error_type=type(error).__name__,
+            )
+            answer = Error(RunBroken())
+        if answer.is_ok():
+            self._holdings.finish(held.address, Finished(Outcome("done"), answer.ok))
+            self._leave(held)
+            return
+        self._judge(held, answer.error)
+
+    def _load_and_run(self, held: HeldJob) -> Result[bytes, Failure]:
+        """Return the answer's JSON."""
         submission = self._load(held.job)
         if submission.is_error():
-            self._put_back(held, RETRY_DELAY_MS)
-            return
+            return submission
         if submission.ok is None:
-            self._end(held, "failed", "prompt-gone")
-            return
-        if not self._note_start(held):
-            return
+            return Error(PromptGone())
         address, job = held.address, held.job
         job_id = self._parts.ids.make(address, job.client_account, job.member)
-        result = self._parts.run_job(
-            job_id,
-            submission.ok,
-            JobControl(
-                rank=lambda class_rank: self._rank(held, class_rank),
-                is_lost=lambda: not self._is_claimed(held),
-                should_yield=lambda: self._should_yield(held),
-            ),
+        control = JobControl(
+            rank=lambda class_rank: self._rank(held, class_rank),
+            is_lost=lambda: not self._is_claimed(held),
+            should_yield=lambda: self._should_yield(held),
         )
-        if result.is_ok():
-            answer = msgspec.json.encode(result.ok)
-            self._holdings.finish(address, Finished(Outcome("done"), answer))
-            self._leave(held)
-            return
-        self._judge(held, result.error)
+        result = self._parts.run_job(job_id, submission.ok, control)
+        return result.map(msgspec.json.encode)
 
     def _load(self, job: Job) -> Result[JobSubmission | None, Failure]:
         """Return the job as it was submitted, None if its prompt is gone."""
--- a/buckthornrock/events/deferred.py
+++ b/buckthornrock/events/deferred.py
@@ -30,6 +30,13 @@
     ("segment_id",),
     "Another instance took over jobs while this one's lease had lapsed.",
 )
+RUN_BROKEN = Event(
+    1805,
+    "deferred.run_broken",
+    "error",
+    ("segment_id", "index", "error_type"),
+    "A job's run raised an exception; the job is tried again a few times.",
+)
 JOB_RETRIED = Event(
     1804,
     "deferred.retried",
--- a/tests/deferred/fake_platform.py
+++ b/tests/deferred/fake_platform.py
@@ -22,7 +22,7 @@
 LEASE_MS = 10_000.0
 
 
-class KilledError(Exception):
+class KilledError(BaseException):
     """The instance ended in the middle of a call."""
 
 
--- /dev/null
+++ b/tests/deferred/test_faults.py
@@ -0,0 +1,50 @@
+"""Faults found by reading the code: each case is one fault and its consequence."""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+from fleet import (  # noqa: E402
+    HOUR_MS,
+    RULES,
+    Fleet,
+    submission,
+)
+
+
+def make_fleet(n_instances=1, rules=RULES):
+    fleet = Fleet(n_instances, rules)
+    for name in fleet.instances:
+        fleet.step(name, "lease")
+    return fleet
+
+
+def accept(fleet, name, *jobs):
+    for job in jobs:
+        assert fleet.submit(name, job).is_ok()
+    fleet.step(name, "commit")
+    return list(fleet.accepted())
+
+
+def view(fleet, name, job_id, job):
+    service = fleet.instances[name].service
+    return service.read(job.client_account, job.member, job_id).ok
+
+
+@pytest.mark.parametrize(
+    ("n_raised", "state", "code"), [(1, "done", ""), (99, "failed", "run-broken")]
+)
+def test_run_that_raises_neither_loses_the_job_nor_its_worker(n_raised, state, code):
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=10 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+
+    def fail(instance):
+        raise RuntimeError("an unforeseen fault")
+
+    fleet.during_run = [fail] * n_raised
+    fleet.settle(n_rounds=80, step_ms=9_000.0)
+    found = view(fleet, "i0", ids[0], job)
+    assert (found.state, found.failure_code) == (state, code)
