Count only starts that ended their holder against a deferred job

Cause: once a segment has lost three holders, each start of its jobs is noted first, and a job with three noted starts fails as "holders-lost". A start that came back alive (no engine, queue full, made way for another job) was counted as well, so an accepted job failed for good after three refusals. Change: an instance notes a job's start once; what comes back to it alive is not noted again. Figures: tests/deferred/test_faults.py, three lost holders and eight times no engine: "failed" before, "done" now.

--- a/buckthornrock/deferred/backlog.py
+++ b/buckthornrock/deferred/backlog.py
@@ -25,7 +25,8 @@
 class HeldJob(NamedTuple):
     """A job of a segment that this instance holds.
 
-    ``is_raised`` tells whether it was taken at a higher rank than its class has.
+    ``is_raised`` tells whether it was taken at a higher rank than its class has,
+    ``is_start_noted`` whether this instance has started it before.
     """
 
     address: JobAddress
@@ -33,6 +34,7 @@
     n_attempts: int = 0
     not_before_wall_ms: int = 0
     is_raised: bool = False
+    is_start_noted: bool = False
 
     @property
     def prefix(self) -> tuple[str, str, str]:
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -429,6 +429,8 @@
     def _run(self, held: HeldJob) -> None:
         if not self._note_start(held):
             return
+        # A start that ends here, however it ends, is not noted again.
+        held = held._replace(is_start_noted=True)
         try:
             answer = self._load_and_run(held)
         except Exception as error:  # noqa: BLE001 - a bad job must not end its worker
@@ -478,7 +480,7 @@
         if segment is None:
             self._leave(held)
             return False
-        if segment.outcomes.n_losses < MAX_LOSSES:
+        if held.is_start_noted or segment.outcomes.n_losses < MAX_LOSSES:
             return True
         outcome = segment.outcomes.jobs[held.address.index]
         if outcome.n_attempts >= MAX_NOTED_ATTEMPTS:
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -13,6 +13,8 @@
     submission,
 )
 
+from buckthornrock.routing.errors import NoEngine  # noqa: E402
+
 
 def make_fleet(n_instances=1, rules=RULES):
     fleet = Fleet(n_instances, rules)
@@ -48,3 +50,18 @@
     fleet.settle(n_rounds=80, step_ms=9_000.0)
     found = view(fleet, "i0", ids[0], job)
     assert (found.state, found.failure_code) == (state, code)
+
+
+def test_refused_starts_are_not_taken_for_lost_holders():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=100 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    for index in range(3):
+        fleet.instances.clear()
+        fleet.kv.advance(11_000.0)
+        fleet.start(f"n{index}")
+        for step in ("lease", "scan"):
+            fleet.step(f"n{index}", step)
+    fleet.failures = [NoEngine("small")] * 8
+    fleet.settle(n_rounds=20, step_ms=70_000.0)
+    assert view(fleet, "n2", ids[0], job).state == "done"
