Let a noted start not undo outcomes saved meanwhile

Cause: between the commit of a noted start and its entry in memory another thread may save outcomes at a higher revision; the entry then went back to the older state, and a segment whose jobs had all ended could stay in memory for good. Change: the entry is only replaced by a higher revision. Figures: tests/deferred/test_faults.py, noted start: "waiting" in memory against "done" in the service before, equal now.

--- a/buckthornrock/deferred/holdings.py
+++ b/buckthornrock/deferred/holdings.py
@@ -205,7 +205,9 @@
                 self._reload((held,), commit.entries)
             if not isinstance(commit, CommitDone):
                 return False
-            held.outcomes, held.revision = outcomes, commit.revision
+            # Outcomes that were saved since hold this start already.
+            if commit.revision > held.revision:
+                held.outcomes, held.revision = outcomes, commit.revision
         return True
 
     def step(self) -> bool:
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -13,6 +13,9 @@
     submission,
 )
 
+from buckthornrock.deferred.holdings import Finished  # noqa: E402
+from buckthornrock.deferred.ids import JobAddress  # noqa: E402
+from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
 from buckthornrock.routing.errors import NoEngine  # noqa: E402
 
 
@@ -65,3 +68,24 @@
     fleet.failures = [NoEngine("small")] * 8
     fleet.settle(n_rounds=20, step_ms=70_000.0)
     assert view(fleet, "n2", ids[0], job).state == "done"
+
+
+def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
+    fleet = make_fleet()
+    ids = accept(fleet, "i0", submission("a"), submission("b"))
+    segment_id = ids[0].split("-")[0]
+    holdings = fleet.instances["i0"].service._holdings
+    holdings.finish(JobAddress(segment_id, 0), Finished(Outcome("done"), b"{}"))
+    commit = fleet.kv.commit
+
+    def commit_and_be_overtaken(transaction):
+        holdings._kv = holdings._kv._replace(commit=commit)
+        outcome = commit(transaction)
+        assert holdings.step()
+        return outcome
+
+    holdings._kv = holdings._kv._replace(commit=commit_and_be_overtaken)
+    assert holdings.note_attempt(JobAddress(segment_id, 1))
+    held = holdings.get(segment_id)
+    assert held.outcomes.jobs[0].state == "done"
+    assert held.revision == fleet.kv.entries[outcomes_key(segment_id)].mod_revision
