Let a deferred job wait for a work class that is not known yet

Cause: an instance that has just started holds only the start profile, which has no deferrable class. If it adopted a job before it had heard of the profile in force, the run was refused as "unknown-work-class", which was a final failure. Change: the refusal is one of those that wait; a class that is gone for good ends the job at its deadline, as an unknown profile does.

--- a/buckthornrock/deferred/running.py
+++ b/buckthornrock/deferred/running.py
@@ -22,6 +22,8 @@
         "no-engine",
         "unavailable",
         "unknown-profile",
+        # A new instance may not have heard of the profile's version with the class.
+        "unknown-work-class",
         "kv-unavailable",
         "caller-gone",
     }
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -16,6 +16,7 @@
 from buckthornrock.deferred.holdings import Finished  # noqa: E402
 from buckthornrock.deferred.ids import JobAddress  # noqa: E402
 from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
+from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
 from buckthornrock.routing.errors import NoEngine  # noqa: E402
 
 
@@ -70,6 +71,15 @@
     assert view(fleet, "n2", ids[0], job).state == "done"
 
 
+def test_job_whose_work_class_is_not_known_yet_waits():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=10 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    fleet.failures = [UnknownWorkClass("p", "notes")] * 5
+    fleet.settle(n_rounds=40, step_ms=20_000.0)
+    assert view(fleet, "i0", ids[0], job).state == "done"
+
+
 def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
     fleet = make_fleet()
     ids = accept(fleet, "i0", submission("a"), submission("b"))
