Settle an adoption whose answer was lost by adopting again

Cause: the claim of an adoption with an unknown outcome was looked up once. If the transaction took effect after that, the segment was claimed under this instance's live lease without the instance knowing: nobody ran its jobs until the instance ended. Change: an absent claim is made again, which changes the outcomes' revision that the late transaction compares, so it can't take effect any more; a try that was not done is tried again too. A scan that meets a claim of its own instance which the instance does not hold has it looked into.

--- a/buckthornrock/deferred/scan.py
+++ b/buckthornrock/deferred/scan.py
@@ -15,7 +15,6 @@
 from ..platform import (
     CommitConflict,
     CommitDone,
-    CommitNotDone,
     Compare,
     Delete,
     KvEntry,
@@ -85,8 +84,8 @@
     Returns
     -------
     Result
-        None if another was faster or the segment has ended; an error if the outcome
-        is not known.
+        None if another was faster or the segment has ended, so that no earlier try
+        can take effect either; else an error.
     """
     entries = []
     for key in (segment_key(segment_id), outcomes_key(segment_id)):
@@ -109,7 +108,7 @@
         (terms.put(segment_id), Put(key, msgspec.msgpack.encode(changed))),
     )
     outcome = kv.commit(transaction)
-    if isinstance(outcome, CommitConflict | CommitNotDone):
+    if isinstance(outcome, CommitConflict):
         return Ok(None)
     if not isinstance(outcome, CommitDone):
         return Error(KvUnavailable(outcome.reason))
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -373,12 +373,21 @@
 
     def _consider(self, found: FoundSegment) -> None:
         """Adopt a segment without a holder, if there is room for its jobs."""
-        if found.holder or self._acceptance.is_unsettled(found.segment_id):
+        if self._acceptance.is_unsettled(found.segment_id):
+            return
+        if found.holder:
+            self._consider_held(found)
             return
         terms = self._claim_terms()
         if terms is not None:
             self._adopt(found.segment_id, terms, claim_revision=0)
 
+    def _consider_held(self, found: FoundSegment) -> None:
+        """Look into a claim of this instance that it does not know of."""
+        is_own = found.holder == self._parts.holder
+        if is_own and self._holdings.get(found.segment_id) is None:
+            self._to_check.add(found.segment_id)
+
     def _adopt(self, segment_id: str, terms: ClaimTerms, claim_revision: int) -> None:
         adopted = adopt(self._parts.kv, segment_id, terms, claim_revision)
         if adopted.is_error():
@@ -405,7 +414,11 @@
             if claim.is_error():
                 return
             self._to_check.discard(segment_id)
-            if claim.ok and claim.ok.value == terms.holder.encode():
+            if claim.ok is None:
+                # A lost claim may still arrive. Claiming again settles that: it
+                # changes what the lost one compares.
+                self._adopt(segment_id, terms, claim_revision=0)
+            elif claim.ok.value == terms.holder.encode():
                 self._adopt(segment_id, terms, claim.ok.mod_revision)
 
     def _may_run(self) -> bool:
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -71,6 +71,24 @@
     assert view(fleet, "n2", ids[0], job).state == "done"
 
 
+def test_adoption_that_arrives_late_leaves_no_job_behind():
+    fleet = make_fleet(3)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    del fleet.instances["i0"]
+    fleet.kv.advance(11_000.0)
+    for name in ("i1", "i2"):
+        fleet.step(name, "lease")
+    fleet.kv.faults.append("late")
+    # Not the shard's owner perhaps, but an idle instance looks at any in time.
+    while fleet.kv.faults:
+        fleet.step("i1", "scan")
+    fleet.instances["i1"].service._check_claims()
+    fleet.kv.apply_late()
+    fleet.settle()
+    assert view(fleet, "i1", ids[0], job).state == "done"
+
+
 def test_job_whose_work_class_is_not_known_yet_waits():
     fleet = make_fleet()
     job = submission("x", deadline_ms=10 * HOUR_MS)
