Run no deferred job again that has ended elsewhere

Cause: a paused holder whose segments another instance had adopted and finished found their claims absent, claimed them again and ran every job once more; the results were dropped at the commit. A job that was cancelled while it ran, and then refused, was run again until the rest of its segment had ended. Change: outcomes are read again when a segment is claimed anew (one read a segment after a lost lease), and a job is only started while its outcome is open.

--- a/buckthornrock/deferred/holdings.py
+++ b/buckthornrock/deferred/holdings.py
@@ -156,6 +156,14 @@
         with self._lock:
             return self._segments.get(segment_id)
 
+    def is_open(self, address: JobAddress) -> bool:
+        """Return whether a job of a held segment has still to be run."""
+        with self._lock:
+            held = self._segments.get(address.segment_id)
+            if held is None or address.index in held.unsaved:
+                return False
+            return not held.outcomes.jobs[address.index].is_final
+
     def all(self) -> list[HeldSegment]:
         """Return all held segments."""
         with self._lock:
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -223,9 +223,8 @@
             held = self._backlog.take(self._parts.clock.wall_ms())
         if held is None:
             return False
-        if self._holdings.get(held.address.segment_id) is None:
-            with self._lock:
-                self._backlog.finish(held, self._parts.clock.now_ms())
+        if not self._holdings.is_open(held.address):
+            self._leave(held)
             return True
         if not self._is_claimed(held):
             self._put_back(held, RETRY_DELAY_MS)
@@ -347,6 +346,8 @@
         held, lost = claim_again(self._parts.kv, stale, terms)
         for segment in held:
             segment.epoch = terms.epoch
+            # Another instance may have held it, and ended jobs, in between.
+            self._holdings.refresh(segment.segment_id)
         for segment in lost:
             self._lose(segment)
 
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from expression import Error
 
 sys.path.insert(0, str(Path(__file__).parent))
 from fleet import (  # noqa: E402
@@ -98,6 +99,38 @@
     assert view(fleet, "i0", ids[0], job).state == "done"
 
 
+def test_job_that_was_cancelled_while_it_ran_is_not_run_again():
+    fleet = make_fleet()
+    jobs = [submission("first", deadline_ms=HOUR_MS), submission("second")]
+    ids = accept(fleet, "i0", *jobs)
+    service = fleet.instances["i0"].service
+
+    def run_job(job_id, run, control):
+        fleet.runs.append(job_id)
+        if job_id == ids[0]:
+            service.cancel("a", "m", job_id)
+        return Error(NoEngine("small"))
+
+    service._parts = service._parts._replace(run_job=run_job)
+    fleet.settle(n_rounds=10)
+    assert fleet.runs.count(ids[0]) == 1
+    assert fleet.runs.count(ids[1]) > 1
+    assert view(fleet, "i0", ids[0], jobs[0]).state == "cancelled"
+
+
+def test_paused_holder_does_not_repeat_what_another_has_finished():
+    fleet = make_fleet(2)
+    accept(fleet, "i0", *(submission(f"note {index}") for index in range(4)))
+    paused = fleet.instances.pop("i0")
+    fleet.kv.advance(30_000.0)
+    fleet.settle(n_rounds=3)
+    assert len(fleet.runs) == 4
+    fleet.instances["i0"] = paused
+    fleet.settle(n_rounds=5)
+    assert len(fleet.runs) == 4
+    assert not [key for key in fleet.kv.entries if "/c/" in key]
+
+
 def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
     fleet = make_fleet()
     ids = accept(fleet, "i0", submission("a"), submission("b"))
