Accept deferred jobs whose prefix another instance pinned for longer

Cause: an instance keeps the pins that it knows. When another instance extended the pin of a shared prefix, the first one went on comparing the old revision: each of its submissions with that prefix was refused ("blob-changed"), for as long as the remembered pin sufficed, which is hours. Change: after such a conflict the submission follows the pin if it still lasts long enough, and the remembered pin is dropped.

--- a/buckthornrock/deferred/acceptance.py
+++ b/buckthornrock/deferred/acceptance.py
@@ -33,6 +33,7 @@
     KeyRecord,
     Outcome,
     Outcomes,
+    Pin,
     Segment,
     SegmentNote,
     key_record_key,
@@ -132,6 +133,8 @@
         should not hold more segments.
     on_accepted : callable
         Receives each :class:`AcceptedSegment`.
+    forget_pin : callable
+        ``forget_pin(blob_id)``: the blob's pin is not as it was.
     """
 
     def __init__(
@@ -140,11 +143,13 @@
         ids: JobIds,
         claim_terms: Callable[[], ClaimTerms | None],
         on_accepted: Callable[[AcceptedSegment], None],
+        forget_pin: Callable[[str], None],
     ) -> None:
         self._kv = kv
         self._ids = ids
         self._claim_terms = claim_terms
         self._on_accepted = on_accepted
+        self._forget_pin = forget_pin
         self._lock = threading.Lock()
         self._queue: list[Pending] = []
         self._unsettled: list[_Attempt] = []
@@ -276,7 +281,7 @@
             self._accept(attempt, entry.mod_revision, claim)
             return
         rest = [p for p in attempt.pendings if not self._settle_known(p, found)]
-        rest = [p for p in rest if not _settle_unpinned(p, found)]
+        rest = [p for p in rest if not self._settle_unpinned(p, found)]
         terms = attempt.terms
         if terms is not None and not _holds(terms.guard, found):
             terms = None
@@ -296,6 +301,19 @@
         pending.settle(Ok(record.job_id) if is_same else Error(failure))
         return True
 
+    def _settle_unpinned(self, pending: Pending, found: dict[str, KvEntry]) -> bool:
+        """Settle a submission whose blob was deleted; follow a pin that moved."""
+        if all(_holds(compare, found) for compare in pending.pins):
+            return False
+        for blob in pending.packed.blobs:
+            self._forget_pin(blob.blob_id)
+        pins = [_follow(compare, found, pending) for compare in pending.pins]
+        if None in pins:
+            pending.settle(Error(NotAccepted("blob-changed", "true")))
+            return True
+        pending.pins = tuple(pins)
+        return False
+
     def _put_back(self, attempt: _Attempt, reason: str) -> None:
         """Queue again what was certainly not written, if its submitter waits."""
         self._forget(attempt)
@@ -339,12 +357,17 @@
     return Outcomes(jobs, is_released=attempt.terms is None)
 
 
-def _settle_unpinned(pending: Pending, found: dict[str, KvEntry]) -> bool:
-    """Settle a submission whose blob was deleted or pinned anew meanwhile."""
-    if all(_holds(compare, found) for compare in pending.pins):
-        return False
-    pending.settle(Error(NotAccepted("blob-changed", "true")))
-    return True
+def _follow(
+    compare: Compare, found: dict[str, KvEntry], pending: Pending
+) -> Compare | None:
+    """Return the comparison with a pin as it is now, None if it is gone or short."""
+    entry = found.get(compare.key)
+    if entry is None:
+        return None
+    pin = msgspec.msgpack.decode(entry.value, type=Pin)
+    if pin.expires_wall_ms < pending.packed.needed_until_wall_ms:
+        return None
+    return Compare(compare.key, entry.mod_revision)
 
 
 def _holds(compare: Compare, found: dict[str, KvEntry]) -> bool:
--- a/buckthornrock/deferred/packing.py
+++ b/buckthornrock/deferred/packing.py
@@ -12,7 +12,7 @@
 
 from .ids import JobIds
 from .port import JobSubmission
-from .records import MAX_VALUE_BYTES, Job
+from .records import HOUR_MS, MAX_VALUE_BYTES, Job
 
 #: A shared prefix is kept apart from this size on.
 MIN_PREFIX_BYTES = 1_024
@@ -39,6 +39,11 @@
     key_digest: str
     body_digest: bytes
 
+    @property
+    def needed_until_wall_ms(self) -> int:
+        """Time until which the blobs are needed."""
+        return self.job.deadline_wall_ms + HOUR_MS
+
 
 def pack(submission: JobSubmission, ids: JobIds, wall_ms: int) -> PackedJob:
     """Return the stored form of ``submission``."""
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -37,7 +37,7 @@
 from .port import DeferredPort, JobSubmission, JobView
 from .reachability import Reachability
 from .reading import cancel_job, read_job
-from .records import HOUR_MS, Job, Outcome, claim_key
+from .records import Job, Outcome, claim_key
 from .running import (
     MAX_LOSSES,
     MAX_NOTED_ATTEMPTS,
@@ -123,7 +123,11 @@
         self._collector = Collector(parts.kv)
         self._reachability = Reachability(DOWN_MS)
         self._acceptance = Acceptance(
-            parts.kv, parts.ids, self._claim_terms, self._on_accepted
+            parts.kv,
+            parts.ids,
+            self._claim_terms,
+            self._on_accepted,
+            self._blobs.forget_pin,
         )
         self._holdings = Holdings(
             parts.kv, parts.clock.wall_ms, rules.retention_ms, self._on_saved
@@ -269,7 +273,7 @@
     def _ensure_blobs(
         self, packed: PackedJob
     ) -> Result[tuple[Compare, ...], NotAccepted]:
-        until_ms = packed.job.deadline_wall_ms + HOUR_MS
+        until_ms = packed.needed_until_wall_ms
         pins = []
         for blob in packed.blobs:
             pin = self._blobs.ensure(blob, until_ms)
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -11,6 +11,7 @@
     HOUR_MS,
     RULES,
     Fleet,
+    expected_answer,
     submission,
 )
 
@@ -40,6 +41,30 @@
     return service.read(job.client_account, job.member, job_id).ok
 
 
+def test_pin_that_another_instance_extended_refuses_nothing():
+    fleet = make_fleet(2)
+    text = "clause " * 1_000
+
+    def job(name, hours):
+        return submission(
+            text + name, deadline_ms=hours * HOUR_MS, prefix_levels=[len(text)]
+        )
+
+    accept(fleet, "i0", job("a", 1))
+    accept(fleet, "i1", job("b", 48))
+    pendings = [fleet.submit("i0", job(name, 1)).ok for name in ("c", "d")]
+    for _ in range(2):
+        fleet.step("i0", "commit")
+    assert [pending.result.is_ok() for pending in pendings] == [True, True]
+    before = fleet.kv.n_commits
+    accept(fleet, "i0", job("e", 1))
+    assert fleet.kv.n_commits - before == 1
+    fleet.settle()
+    assert len(fleet.accepted()) == 5
+    for job_id, one in fleet.accepted().items():
+        assert view(fleet, "i0", job_id, one).answer == expected_answer(one)
+
+
 @pytest.mark.parametrize(
     ("n_raised", "state", "code"), [(1, "done", ""), (99, "failed", "run-broken")]
 )
