Notice the end of an outage on instances that own no shard

Cause: only an answered scan marks the key-value service as up. A busy instance scans its own shards only, and of 340 instances at most 16 own one: after one failed commit the others took the service for down for good, and so ran jobs without looking at their lease or claims. Change: while the service counts as down, an instance scans one shard at random. Figures: tests/deferred/test_faults.py, instance without a shard: a job run without a lease before, none now.

--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -366,6 +366,8 @@
         parts = self._parts
         with self._lock:
             is_idle = self._backlog.n_waiting * 2 < self._rules.max_held_jobs
+        # Only an answered read tells that an outage is over.
+        is_idle = is_idle or self._reachability.is_down
         for shard in shards_to_scan(
             parts.self_id, parts.live_ids(), is_idle, parts.rng
         ):
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -18,6 +18,7 @@
 from buckthornrock.deferred.holdings import Finished  # noqa: E402
 from buckthornrock.deferred.ids import JobAddress  # noqa: E402
 from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
+from buckthornrock.deferred.scan import owned_shards  # noqa: E402
 from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
 from buckthornrock.routing.errors import NoEngine  # noqa: E402
 
@@ -156,6 +157,23 @@
     assert not [key for key in fleet.kv.entries if "/c/" in key]
 
 
+def test_busy_instance_without_a_shard_notices_that_an_outage_is_over():
+    fleet = make_fleet(1, RULES._replace(max_held_jobs=2))
+    for index in range(400):
+        fleet.instances[f"j{index}"] = None
+    assert owned_shards("i0", sorted(fleet.instances)) == []
+    accept(fleet, "i0", *(submission(f"note {index}") for index in range(2)))
+    fleet.submit("i0", submission("x"))
+    fleet.kv.is_down = True
+    fleet.step("i0", "commit")
+    fleet.kv.is_down = False
+    for step in ("lease", "commit", "scan"):
+        fleet.step("i0", step)
+    fleet.kv.advance(30_000.0)
+    fleet.step("i0", "run")
+    assert fleet.runs == []
+
+
 def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
     fleet = make_fleet()
     ids = accept(fleet, "i0", submission("a"), submission("b"))
