Guard the cache of blobs against its many threads

Cause: 32 workers use the cache without a lock. Two that loaded a blob at once counted its bytes twice, for good, so that the cache shrank to one entry in time; and one could be dropped between look-up and move_to_end, which raised KeyError. Change: a lock around the cache's own steps, not around calls to the service. Figures: tests/deferred/test_faults.py, two loads at once: 2,000 bytes counted for 1,000 before, 1,000 now.

--- a/buckthornrock/deferred/blobs.py
+++ b/buckthornrock/deferred/blobs.py
@@ -5,6 +5,7 @@
 compares it too, so that neither can overlook the other.
 """
 
+import threading
 from collections import OrderedDict
 
 import msgspec
@@ -42,6 +43,7 @@
 
     def __init__(self, kv: KvPort) -> None:
         self._kv = kv
+        self._lock = threading.Lock()
         self._pins: OrderedDict[str, tuple[Pin, int]] = OrderedDict()
         self._contents: OrderedDict[str, bytes] = OrderedDict()
         self._n_cached_bytes = 0
@@ -74,9 +76,8 @@
 
     def load(self, blob_id: str) -> Result[bytes | None, KvUnavailable]:
         """Return the content, or None if the blob is gone."""
-        cached = self._contents.get(blob_id)
+        cached = self._cached(blob_id)
         if cached is not None:
-            self._contents.move_to_end(blob_id)
             return Ok(cached)
         pin = self._kv.get(pin_key(blob_id))
         if pin.is_error() or pin.ok is None:
@@ -136,16 +137,27 @@
         return Ok(compares)
 
     def _remember_pin(self, blob_id: str, pin: Pin, revision: int) -> None:
-        self._pins[blob_id] = (pin, revision)
-        if len(self._pins) > MAX_CACHED_PINS:
-            self._pins.popitem(last=False)
+        with self._lock:
+            self._pins[blob_id] = (pin, revision)
+            if len(self._pins) > MAX_CACHED_PINS:
+                self._pins.popitem(last=False)
+
+    def _cached(self, blob_id: str) -> bytes | None:
+        with self._lock:
+            content = self._contents.get(blob_id)
+            if content is not None:
+                self._contents.move_to_end(blob_id)
+            return content
 
     def _remember(self, blob_id: str, content: bytes) -> None:
-        self._contents[blob_id] = content
-        self._n_cached_bytes += len(content)
-        while self._n_cached_bytes > MAX_CACHED_BYTES and len(self._contents) > 1:
-            _, dropped = self._contents.popitem(last=False)
-            self._n_cached_bytes -= len(dropped)
+        with self._lock:
+            if blob_id in self._contents:
+                return
+            self._contents[blob_id] = content
+            self._n_cached_bytes += len(content)
+            while self._n_cached_bytes > MAX_CACHED_BYTES and len(self._contents) > 1:
+                _, dropped = self._contents.popitem(last=False)
+                self._n_cached_bytes -= len(dropped)
 
 
 def _pin_of(entry: KvEntry) -> Pin:
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -2,9 +2,10 @@
 
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
-from expression import Error
+from expression import Error, Ok
 
 sys.path.insert(0, str(Path(__file__).parent))
 from fleet import (  # noqa: E402
@@ -15,8 +16,10 @@
     submission,
 )
 
+from buckthornrock.deferred.blobs import BlobStore  # noqa: E402
 from buckthornrock.deferred.holdings import Finished  # noqa: E402
 from buckthornrock.deferred.ids import JobAddress  # noqa: E402
+from buckthornrock.deferred.packing import Blob  # noqa: E402
 from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
 from buckthornrock.deferred.scan import owned_shards  # noqa: E402
 from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
@@ -174,6 +177,27 @@
     assert fleet.runs == []
 
 
+def test_blob_that_two_threads_load_at_once_is_counted_once():
+    entries = {}
+    store = None
+    depth = []
+
+    def get(key):
+        # The second thread's load lies within the first one's.
+        if "/b/" in key and not depth:
+            depth.append(key)
+            assert store.load("x").ok == b"z" * 1_000
+        return Ok(entries.get(key))
+
+    fleet = make_fleet()
+    port = fleet.instances["i0"].connection.port()
+    BlobStore(port).ensure(Blob("x", b"z" * 1_000), HOUR_MS)
+    entries.update(fleet.kv.entries)
+    store = BlobStore(SimpleNamespace(get=get))
+    assert store.load("x").ok == b"z" * 1_000
+    assert store._n_cached_bytes == 1_000
+
+
 def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
     fleet = make_fleet()
     ids = accept(fleet, "i0", submission("a"), submission("b"))
