Delete parts of blobs and results whose writer ended halfway

Cause: large prompts and results are written in parts before the transaction that makes them count, and only that one noted them for deletion. If the writer ended, or the answer was lost and it tried under another id, up to 8 MB stayed in the service for good. Change: the note goes with the first part; the last transaction writes it anew. Figures: tests/deferred/test_faults.py, writer that ends halfway: parts left after 12 and 40 hours before, none now. No additional transaction.

--- a/buckthornrock/deferred/blobs.py
+++ b/buckthornrock/deferred/blobs.py
@@ -102,7 +102,8 @@
         pin = Pin(needed_until_wall_ms + PIN_STEP_MS, len(parts))
         compares = [Compare(pin_key(blob.blob_id), entry.mod_revision if entry else 0)]
         if entry is None:
-            written = self._write_parts(blob.blob_id, parts)
+            # Noted with the first part, so that parts without a pin go as well.
+            written = self._write_parts(blob.blob_id, parts, _trash(blob.blob_id, pin))
             if written.is_error():
                 return written
             # A part may be another writer's; its revision proves that it is there.
@@ -118,13 +119,13 @@
         return Error(NotAccepted(outcome.code, "true"))
 
     def _write_parts(
-        self, blob_id: str, parts: tuple[bytes, ...]
+        self, blob_id: str, parts: tuple[bytes, ...], trash: Put
     ) -> Result[list[Compare], NotAccepted]:
         compares = []
         for index, part in enumerate(parts):
             key = part_key(blob_id, index)
-            put = Put(key, part)
-            outcome = self._kv.commit(Transaction((Compare(key, 0),), (put,)))
+            writes = (Put(key, part),) if index else (Put(key, part), trash)
+            outcome = self._kv.commit(Transaction((Compare(key, 0),), writes))
             if isinstance(outcome, CommitDone):
                 compares.append(Compare(key, outcome.revision))
                 continue
--- a/buckthornrock/deferred/holdings.py
+++ b/buckthornrock/deferred/holdings.py
@@ -268,15 +268,14 @@
         expires_wall_ms += self._retention_ms
         parts = split_value(batch.content)
         puts = [Put(batch_key(batch.id, i), part) for i, part in enumerate(parts)]
+        part_keys = [put.key for put in puts]
         for put in puts[:-1]:
-            early = self._kv.commit(Transaction((Compare(put.key, 0),), (put,)))
+            # Noted with the parts, so that parts of a batch that is never done go too.
+            early_writes = (put, _trash(batch.id, part_keys, expires_wall_ms))
+            early = self._kv.commit(Transaction((Compare(put.key, 0),), early_writes))
             if not isinstance(early, CommitDone):
                 return early
-        keys += [put.key for put in puts]
-        trash = Put(
-            trash_prefix(expires_wall_ms + HOUR_MS) + batch.id,
-            msgspec.msgpack.encode(Trash(tuple(keys))),
-        )
+        trash = _trash(batch.id, [*keys, *part_keys], expires_wall_ms)
         transaction = Transaction(tuple(compares), (*writes, puts[-1], trash))
         outcome = self._kv.commit(transaction)
         if isinstance(outcome, CommitDone):
@@ -355,6 +354,11 @@
         return placed
 
 
+def _trash(batch_id: str, keys: list[str], expires_wall_ms: int) -> Put:
+    name = trash_prefix(expires_wall_ms + HOUR_MS) + batch_id
+    return Put(name, msgspec.msgpack.encode(Trash(tuple(keys))))
+
+
 def _removal(segment_id: str) -> list[Delete]:
     keys = (segment_key(segment_id), note_key(segment_id), claim_key(segment_id))
     return [Delete(key) for key in keys]
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok
 
 sys.path.insert(0, str(Path(__file__).parent))
+from fake_platform import KilledError  # noqa: E402
 from fleet import (  # noqa: E402
     HOUR_MS,
     RULES,
@@ -198,6 +199,52 @@
     assert store._n_cached_bytes == 1_000
 
 
+def collect_for_hours(fleet, name, n_hours):
+    for _ in range(n_hours):
+        fleet.kv.advance(HOUR_MS)
+        for _ in range(3):
+            fleet.step(name, "collect")
+
+
+def test_blob_whose_writer_ended_halfway_is_deleted_in_time():
+    fleet = make_fleet()
+    # The pin is read and two of four parts are written.
+    fleet.instances["i0"].connection.n_calls_left = 3
+    with pytest.raises(KilledError):
+        fleet.submit("i0", submission("z" * 3_000_000))
+    fleet.instances.clear()
+    assert [key for key in fleet.kv.entries if "/b/" in key]
+    fleet.start("i1")
+    fleet.step("i1", "collect")
+    collect_for_hours(fleet, "i1", 12)
+    assert not [key for key in fleet.kv.entries if "/b/" in key]
+
+
+def test_result_whose_writer_ended_halfway_is_deleted_in_time():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=2 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    instance = fleet.instances["i0"]
+    run_job = instance.run_job
+
+    def run_large(job_id, run, control):
+        run_job(job_id, run, control)
+        return Ok({"text": "y" * 3_000_000})
+
+    instance.service._parts = instance.service._parts._replace(run_job=run_large)
+    fleet.step("i0", "run")
+    instance.connection.n_calls_left = 2
+    fleet.step("i0", "commit")
+    assert len([key for key in fleet.kv.entries if "/r/" in key]) == 2
+    fleet.kv.advance(11_000.0)
+    fleet.start("i1")
+    fleet.step("i1", "collect")
+    fleet.settle(n_rounds=3)
+    assert view(fleet, "i1", ids[0], job).state == "done"
+    collect_for_hours(fleet, "i1", 40)
+    assert not [key for key in fleet.kv.entries if "/r/" in key]
+
+
 def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
     fleet = make_fleet()
     ids = accept(fleet, "i0", submission("a"), submission("b"))
