Run deferred jobs whose deadline is more than a week away

Cause: a run states the time that is left as a deadline header, which may be a week at most, while a profile's own deadline has no such bound. Such a job was accepted and then failed for good as "bad-request" at its first run. Change: the run states at most what a header may state.

--- a/buckthornrock/compose/deferred.py
+++ b/buckthornrock/compose/deferred.py
@@ -14,7 +14,7 @@
 from ..dispatch.requests import CompletionDone
 from ..entry import EntryParts
 from ..entry.completions import build_request, collect_answer
-from ..entry.parsing import parse_completion
+from ..entry.parsing import MAX_DEADLINE_MS, parse_completion
 from ..errors import Failure
 from ..membership import MembershipPort
 from ..upstreams.engine_messages import EngineChunk
@@ -113,6 +113,8 @@
         if fields.is_error():
             return fields
         remaining_ms = max(1, job.deadline_wall_ms - parts.clock.wall_ms())
+        # A profile may allow more time than a header may state.
+        remaining_ms = min(remaining_ms, MAX_DEADLINE_MS)
         headers = {
             "x-profile": job.profile,
             "x-work-class": job.work_class,
