Free the place of a request whose wait for admission raises

Cause: if the question whether the caller is still there raises, admit left the request in its queue, or its work in flight, and its thread counted for good. Each one took a place from everybody until the instance ended. Change: what the request holds is freed before the exception goes on. Figures: tests/admission/test_faults.py, wait that raises: the next request waited until its deadline before, is admitted at once now.

--- a/buckthornrock/admission/front.py
+++ b/buckthornrock/admission/front.py
@@ -165,6 +165,9 @@
                 # The caller is asked outside the lock, since that is a system call.
                 if is_abandoned():
                     self._abandon(gate, entry)
+        except BaseException:
+            self._give_back(gate, entry)
+            raise
         finally:
             with self._lock:
                 del self._wakers[id(entry)]
@@ -190,6 +193,15 @@
             gate.withdraw(entry, self._now_ms())
             self._leave(gate, entry)
 
+    def _give_back(self, gate: Gate, entry: Entry) -> None:
+        """Free what a request holds whose wait ended with an exception."""
+        self._abandon(gate, entry)
+        with self._lock:
+            if entry.state != "admitted":
+                return
+            gate.release(entry, 0, 0, None, self._now_ms())
+            self._leave(gate, entry)
+
     def _leave(self, gate: Gate, entry: Entry) -> None:
         self._count_caller(entry, -1)
         self._limits.correct(entry, -entry.cost_tokens)
--- /dev/null
+++ b/tests/admission/test_faults.py
@@ -0,0 +1,62 @@
+"""Faults found by reading the code: each case is one fault and its consequence."""
+
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+from flow_cases import (  # noqa: E402
+    make_policy,
+    make_query,
+)
+
+from buckthornrock.admission.front import (  # noqa: E402
+    Admission,
+    AdmissionRules,
+    no_limits,
+)
+from buckthornrock.admission.gate import GateRules  # noqa: E402
+from buckthornrock.admission.policy import ModelCapacity  # noqa: E402
+
+
+def now_ms():
+    return time.monotonic() * 1000.0
+
+
+def make_admission(n_callers=2):
+    rules = AdmissionRules(
+        gate=GateRules(0.0, 3_600_000.0),
+        controller="fixed",
+        target_delay_ms=100.0,
+        initial_window_tokens=100.0,
+        output_token_cost=1.0,
+        max_caller_threads=n_callers,
+        max_deferrable_threads=n_callers,
+    )
+    capacity = ModelCapacity(1, 1_000.0)
+    policy = make_policy(ttft_target_ms=3_600_000.0)
+    return Admission(
+        rules, lambda query: policy, lambda model: capacity, no_limits(), now_ms
+    )
+
+
+@pytest.mark.parametrize("is_admitted_meanwhile", [False, True])
+def test_wait_that_raises_leaves_its_place(is_admitted_meanwhile):
+    admission = make_admission()
+    query = make_query(deadline_at_ms=now_ms() + 10_000.0)
+    first = admission.admit(query, lambda: False).ok
+
+    def raise_error():
+        if is_admitted_meanwhile:
+            admission.release(first, 100, 0, 5.0)
+        raise OSError("the caller's connection can't be looked at")
+
+    with pytest.raises(OSError, match="connection"):
+        admission.admit(query, raise_error)
+    assert admission.waiting_tokens() == {"small": 0.0}
+    admission.release(first, 100, 0, 5.0)
+    second = admission.admit(query, lambda: False)
+    assert second.is_ok()
+    assert second.ok.waited_ms == 0.0
