Judge urgent requests by urgent work's times to first token

Cause: one mean time to first token was learned from all work. In a flood of deferrable work, which engines serve last, it passed the urgent target, and urgent requests were refused ("too-late" or "queue-full") while deferrable ones were served. Change: urgent and deferrable work have means of their own, and a request with nothing ahead of it is never refused on an estimate: it shows when times are short again. Figures: tests/admission/test_faults.py, deferrable first tokens of 30 s: the first urgent request refused before, three of three queued now. Floods were not measured again.

--- a/buckthornrock/admission/gate.py
+++ b/buckthornrock/admission/gate.py
@@ -16,6 +16,8 @@
 MIN_RETRY_MS = 100
 #: The floor's credit is kept within this many tokens of work on either side.
 MAX_FLOOR_CREDIT_TOKENS = 100_000.0
+#: Weight of the newest time to first token in the mean.
+TTFT_LEARNING_RATE = 0.1
 
 
 class GateRules(NamedTuple):
@@ -50,6 +52,7 @@
         self._urgent: dict[int, FairQueue] = {}
         self._deferrable: dict[int, FairQueue] = {}
         self._drain = DrainRate()
+        self._ttfts_ms: dict[bool, float] = {}
         self._capacity = ModelCapacity(0, 0.0)
         self._floor = 0.0
         self._floor_credit_tokens = 0.0
@@ -128,6 +131,7 @@
         done_tokens = self._cost.tokens(n_computed_tokens, n_output_tokens)
         if ttft_ms is not None:
             self._cost.learn(entry.query, n_computed_tokens, n_output_tokens)
+            self._learn_ttft(entry, ttft_ms)
             own_ms = self._own_prefill_ms(n_computed_tokens)
             self.window.note_first_token(ttft_ms, own_ms, now_ms)
         extra_tokens = done_tokens - entry.cost_tokens
@@ -155,7 +159,11 @@
             return None
         wait_ms = self.estimated_wait_ms(entry)
         remaining_ms = entry.query.deadline_at_ms - now_ms
-        spare_ms = remaining_ms - self.window.mean_ttft_ms
+        if wait_ms <= 0.0 and remaining_ms > 0.0:
+            # The first in line is how a time to first token that was once long is
+            # found to be short again.
+            return None
+        spare_ms = remaining_ms - self._mean_ttft_ms(entry)
         if wait_ms > spare_ms:
             return TooLate(int(wait_ms), self._retry_after_ms(wait_ms - spare_ms))
         longest_ms = self._longest_wait_ms(entry)
@@ -168,7 +176,16 @@
         """Return the bound on the queue, as the time that its work takes."""
         if entry.policy.is_deferrable:
             return self._rules.max_deferrable_wait_ms
-        return max(0.0, entry.policy.ttft_target_ms - self.window.mean_ttft_ms)
+        return max(0.0, entry.policy.ttft_target_ms - self._mean_ttft_ms(entry))
+
+    def _mean_ttft_ms(self, entry: Entry) -> float:
+        return self._ttfts_ms.get(entry.policy.is_deferrable, 0.0)
+
+    def _learn_ttft(self, entry: Entry, ttft_ms: float) -> None:
+        # Engines prefer urgent work, so the two kinds have times of their own.
+        mean_ms = self._ttfts_ms.get(entry.policy.is_deferrable, ttft_ms)
+        mean_ms += TTFT_LEARNING_RATE * (ttft_ms - mean_ms)
+        self._ttfts_ms[entry.policy.is_deferrable] = mean_ms
 
     def _drain_tokens_per_s(self) -> float:
         return self._drain.tokens_per_s(self._capacity.prefill_tokens_per_s)
--- a/buckthornrock/admission/window.py
+++ b/buckthornrock/admission/window.py
@@ -102,14 +102,11 @@
     tokens_per_engine : float
         The window divided by the number of engines, so that it follows at once
         when an engine comes or goes.
-    mean_ttft_ms : float
-        Smoothed time to first token.
     """
 
     def __init__(self, controller: Controller, initial_tokens: float) -> None:
         self._controller = controller
         self.tokens_per_engine = initial_tokens
-        self.mean_ttft_ms = 0.0
         self._base_ms = math.inf
         self._delays_ms: list[float] = []
         self._use = 0.0
@@ -122,8 +119,6 @@
     def note_first_token(self, ttft_ms: float, own_ms: float, now_ms: float) -> None:
         """Take in one first token; ``own_ms`` is its own expected prefill."""
         delay_ms = max(0.0, ttft_ms - own_ms)
-        weight = 0.1 if self.mean_ttft_ms else 1.0
-        self.mean_ttft_ms += weight * (ttft_ms - self.mean_ttft_ms)
         self._delays_ms.append(delay_ms)
         is_due = now_ms - self._stepped_at_ms >= STEP_PERIOD_MS
         if is_due and len(self._delays_ms) >= MIN_SAMPLES:
--- a/tests/admission/test_faults.py
+++ b/tests/admission/test_faults.py
@@ -8,8 +8,11 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 from flow_cases import (  # noqa: E402
+    make_entry,
+    make_gate,
     make_policy,
     make_query,
+    release,
 )
 
 from buckthornrock.admission.front import (  # noqa: E402
@@ -60,3 +63,23 @@
     second = admission.admit(query, lambda: False)
     assert second.is_ok()
     assert second.ok.waited_ms == 0.0
+
+
+def test_slow_first_tokens_of_deferrable_work_refuse_no_urgent_request():
+    gate = make_gate(window_tokens=100.0)
+    deferrable = make_policy(is_deferrable=True)
+    for index in range(40):
+        at_ms = 1_000.0 * index
+        assert gate.offer(make_entry(policy=deferrable, rank=2), at_ms) is None
+        for entry in gate.dispatch(at_ms):
+            release(gate, entry, at_ms + 900.0, ttft_ms=30_000.0)
+    urgent = make_policy(ttft_target_ms=1_300.0)
+    now = 50_000.0
+    entries = [
+        make_entry(policy=urgent, now_ms=now, deadline_at_ms=now + 5_000.0)
+        for _ in range(3)
+    ]
+    # One runs; the next waits 100 ms for it, and the third one 200 ms.
+    for entry in entries:
+        assert gate.offer(entry, now) is None
+        gate.dispatch(now)
