Let no client account shut others out by holding all threads

Cause: the bound on callers' threads comes before the fair queue and knows no accounts. One account whose requests wait in all of them had everybody else refused ("queue-full"), although the fair queue would have served them next. Change: where threads run out, a waiting request of the account with most waiting for its weight is refused in favour of a newcomer, never a more urgent one. An account's own limit is looked at first. Figures: tests/admission/test_faults.py, 20 threads of 20 held by one account: the other account's request refused before, served within two releases now. Floods were not measured again.

--- a/buckthornrock/admission/front.py
+++ b/buckthornrock/admission/front.py
@@ -8,6 +8,7 @@
 
 from ..errors import CallerGone
 from .cost import CostModel
+from .crowding import find_displaced
 from .entry import Entry
 from .errors import AdmissionFailure, LimitReached, QueueFull
 from .gate import Gate, GateRules
@@ -77,6 +78,7 @@
         self._gates: dict[str, Gate] = {}
         self._cost = CostModel(rules.output_token_cost)
         self._wakers: dict[int, threading.Condition] = {}
+        self._waiting: dict[int, tuple[Gate, Entry]] = {}
         self._admitted: dict[int, tuple[Ticket, Entry]] = {}
         self._n_callers = 0
         self._n_deferrable_callers = 0
@@ -91,9 +93,12 @@
             now_ms = self._now_ms()
             cost_tokens = self._cost.estimate(query)
             entry = Entry(query, policy, cost_tokens, now_ms)
+            failure = self._limits.take(entry, now_ms)
+            if failure is not None:
+                return Error(failure)
             failure = self._thread_refusal(entry)
-            failure = failure or self._limits.take(entry, now_ms)
             if failure is not None:
+                self._limits.correct(entry, -cost_tokens)
                 return Error(failure)
             if not capacity.n_engines:
                 # Nothing to wait for: dispatch tells the caller so at once.
@@ -160,6 +165,7 @@
         with self._lock:
             waker = threading.Condition(self._lock)
             self._wakers[id(entry)] = waker
+            self._waiting[id(entry)] = gate, entry
         try:
             while not self._is_settled(gate, entry, waker):
                 # The caller is asked outside the lock, since that is a system call.
@@ -171,6 +177,7 @@
         finally:
             with self._lock:
                 del self._wakers[id(entry)]
+                del self._waiting[id(entry)]
         return self._outcome(entry)
 
     def _is_settled(self, gate: Gate, entry: Entry, waker: threading.Condition) -> bool:
@@ -221,11 +228,32 @@
     def _thread_refusal(self, entry: Entry) -> QueueFull | None:
         if entry.query.is_deferred:
             return None
-        is_over = self._n_callers >= self._rules.max_caller_threads
-        if entry.policy.is_deferrable:
-            bound = self._rules.max_deferrable_threads
-            is_over = is_over or self._n_deferrable_callers >= bound
-        return QueueFull(entry.query.rank, MIN_RETRY_MS) if is_over else None
+        bound = self._rules.max_deferrable_threads
+        is_deferrable = entry.policy.is_deferrable
+        is_kind_over = is_deferrable and self._n_deferrable_callers >= bound
+        is_over = is_kind_over or self._n_callers >= self._rules.max_caller_threads
+        if not is_over or self._displace(entry, is_kind_over):
+            return None
+        return QueueFull(entry.query.rank, MIN_RETRY_MS)
+
+    def _displace(self, newcomer: Entry, is_only_deferrable: bool) -> bool:
+        """Refuse a waiting request of an account that crowds others out."""
+        callers = (
+            entry
+            for _, entry in self._waiting.values()
+            if not entry.query.is_deferred
+            and (entry.policy.is_deferrable or not is_only_deferrable)
+        )
+        entry = find_displaced(callers, newcomer)
+        if entry is None:
+            return False
+        gate = self._waiting[id(entry)][0]
+        gate.withdraw(entry, self._now_ms())
+        entry.state = "refused"
+        entry.failure = QueueFull(entry.query.rank, MIN_RETRY_MS)
+        self._leave(gate, entry)
+        self._wakers[id(entry)].notify()
+        return True
 
     def _count_caller(self, entry: Entry, n: int) -> None:
         if entry.query.is_deferred:
--- a/tests/admission/test_faults.py
+++ b/tests/admission/test_faults.py
@@ -1,6 +1,7 @@
 """Faults found by reading the code: each case is one fault and its consequence."""
 
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -15,6 +16,7 @@
     release,
 )
 
+from buckthornrock.admission.crowding import find_displaced  # noqa: E402
 from buckthornrock.admission.front import (  # noqa: E402
     Admission,
     AdmissionRules,
@@ -83,3 +85,63 @@
     for entry in entries:
         assert gate.offer(entry, now) is None
         gate.dispatch(now)
+
+
+def test_account_that_fills_all_threads_shuts_no_other_out():
+    admission = make_admission(n_callers=20)
+    results = []
+
+    def admit(account):
+        query = make_query(client_account=account, deadline_at_ms=now_ms() + 60_000.0)
+        results.append((account, admission.admit(query, lambda: False)))
+
+    def start(account):
+        threading.Thread(target=admit, args=(account,), daemon=True).start()
+
+    def until(condition):
+        give_up_at_ms = now_ms() + 10_000.0
+        while not condition():
+            assert now_ms() < give_up_at_ms
+            time.sleep(0.005)
+
+    for _ in range(20):
+        start("large")
+    until(lambda: admission.waiting_tokens().get("small") == 1_900.0)
+    first = results.pop()[1].ok
+    start("little")
+    until(lambda: results)
+    account, refused = results.pop()
+    assert (account, refused.error.code) == ("large", "queue-full")
+    assert admission.waiting_tokens() == {"small": 1_900.0}
+    for _ in range(2):
+        admission.release(first, 100, 0, 5.0)
+        until(lambda: results)
+        account, served = results.pop()
+        if account == "little":
+            break
+        first = served.ok
+    assert account == "little"
+    assert served.is_ok()
+
+
+CROWDS = [
+    # Waiting (account, weight, rank), newcomer, rank of the displaced one or None.
+    ([("a", 1.0, 0)] * 3, ("a", 1.0, 0), None),
+    ([("a", 1.0, 0)] * 3, ("b", 1.0, 0), ("a", 0)),
+    ([("a", 1.0, 0)], ("b", 1.0, 0), None),
+    ([("a", 1.0, 0), ("a", 1.0, 2), ("a", 1.0, 1)], ("b", 1.0, 1), ("a", 2)),
+    ([("a", 1.0, 0)] * 3, ("b", 1.0, 1), None),
+    ([("a", 4.0, 0)] * 4 + [("c", 1.0, 0)] * 3, ("b", 1.0, 0), ("c", 0)),
+]
+
+
+@pytest.mark.parametrize(("waiting", "newcomer", "displaced"), CROWDS)
+def test_most_crowding_account_makes_room(waiting, newcomer, displaced):
+    def entry(account, weight, rank):
+        one = make_entry(client_account=account, weight=weight, rank=rank)
+        one.state = "waiting"
+        return one
+
+    found = find_displaced([entry(*one) for one in waiting], entry(*newcomer))
+    found = found and (found.query.client_account, found.query.rank)
+    assert found == displaced
