Refuse settings that use one key for two callers or an operator

Cause: a key listed for two callers silently belonged to the last one, so that its holder acted as another client account; one listed as a caller's and an operator's opened the operators' port to a caller. Change: a check reports a key that stands twice (SET-E014). Figures: tests/conf/test_settings.py, both cases: accepted before, refused now.

--- a/benchmarks/relay_overhead.py
+++ b/benchmarks/relay_overhead.py
@@ -43,7 +43,7 @@
         "failure_domain": "fd-0",
         "isolation_secret": "benchmark-isolation-secret",
         "entry": {"port": entry_port, "n_threads": 160},
-        "operator": {"port": operator_port, "keys_sha256": [digest]},
+        "operator": {"port": operator_port, "keys_sha256": []},
         "platform": {"kv": {"url": "http://127.0.0.1:9"}},
         "upstreams": {
             "servers": [
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -93,6 +93,24 @@
             yield Problem(BAD_HASH, path, "not a SHA-256", hint)
 
 
+def _check_keys_differ(settings: Settings) -> Iterator[Problem]:
+    # A key that stands twice would let its holder in under another identity.
+    hint = "give each caller and each operator a key of its own"
+    callers = [
+        (f"$.caller_keys[{index}].sha256", key.sha256)
+        for index, key in enumerate(settings.caller_keys)
+    ]
+    operators = [
+        (f"$.operator.keys_sha256[{index}]", digest)
+        for index, digest in enumerate(settings.operator.keys_sha256)
+    ]
+    seen: set[str] = set()
+    for path, digest in (*callers, *operators):
+        if digest in seen:
+            yield Problem(DUPLICATE_ID, path, "a key that is used above", hint)
+        seen.add(digest)
+
+
 def _check_upstreams(settings: Settings) -> Iterator[Problem]:
     seen: set[str] = set()
     for index, server in enumerate(settings.upstreams.servers):
@@ -150,6 +168,7 @@
     _check_numbers,
     _check_secrets,
     _check_hashes,
+    _check_keys_differ,
     _check_upstreams,
     _check_orders,
     _check_shares,
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -15,6 +15,7 @@
     "upstreams": {"servers": []},
     "caller_keys": [],
 }
+CALLER = {"client_account": "a", "member": "m", "sha256": "1" * 64}
 ENGINE = {"id": "e", "kind": "engine", "address": "x", "failure_domain": "f"}
 
 CASES = [
@@ -39,6 +40,14 @@
         {("SET-E040", "$.orders.load_time_ms")},
     ),
     ({"isolation_secret": "short"}, {("SET-E015", "$.isolation_secret")}),
+    (
+        {"caller_keys": [CALLER, CALLER | {"client_account": "b"}]},
+        {("SET-E014", "$.caller_keys[1].sha256")},
+    ),
+    (
+        {"caller_keys": [CALLER | {"sha256": "0" * 64}]},
+        {("SET-E014", "$.operator.keys_sha256[0]")},
+    ),
     (
         {"upstreams": {"servers": [ENGINE, ENGINE]}},
         {
