--- a/tests/deferred/test_lifecycle.py
+++ b/tests/deferred/test_lifecycle.py
@@ -162,6 +162,16 @@
     def runs_fail(self):
         self.fleet.failures.append(AttemptFailed("e", "x", "unknown"))
 
+    @has_instances
+    @rule(index=st.integers(0, 2))
+    def run_raises(self, index):
+        def fail(instance):
+            raise RuntimeError("an unforeseen fault")
+
+        self.fleet.during_run = [fail]
+        self.fleet.step(self.pick(index), "run")
+        self.fleet.during_run = []
+
     @has_instances
     @rule(index=st.integers(0, 2), number=st.integers(0, 9))
     def cancel(self, index, number):
