--- a/buckthornrock/deferred/running.py
+++ b/buckthornrock/deferred/running.py
@@ -22,8 +22,9 @@
         "no-engine",
         "unavailable",
         "unknown-profile",
-        # A new instance may not have heard of the profile's version with the class.
+        # The change that brought the class may not have arrived here yet.
         "unknown-work-class",
+        "no-trusted-profile",
         "kv-unavailable",
         "caller-gone",
     }
