--- a/buckthornrock/admission/gate.py
+++ b/buckthornrock/admission/gate.py
@@ -21,7 +21,7 @@
 TARGET_PART = 0.75
 #: Weight of the newest request in the mean cost.
 COST_LEARNING_RATE = 0.05
-#: Weight of the newest first token in the mean of urgent ones.
+#: Weight of the newest time to first token in the mean.
 TTFT_LEARNING_RATE = 0.1
 
 
@@ -66,11 +66,11 @@
         self._urgent: dict[int, FairQueue] = {}
         self._deferrable: dict[int, FairQueue] = {}
         self._drain = DrainRate()
+        self._ttfts_ms: dict[bool, float] = {}
         self._capacity = ModelCapacity(0, 0.0)
         self._floor = 0.0
         self._floor_credit_tokens = 0.0
         self._mean_cost_tokens = 0.0
-        self._urgent_ttft_ms = 0.0
         self.in_flight_tokens = 0.0
         self._in_flight_deferrable_tokens = 0.0
 
@@ -145,10 +145,9 @@
         own_ms = self._own_prefill_ms(n_computed_tokens)
         sample = (ttft_ms, own_ms, entry.admitted_at_ms, now_ms)
         self.deferrable_window.note_first_token(*sample)
-        if entry.policy.is_deferrable:
-            return
-        self.window.note_first_token(*sample)
-        self._learn_urgent_ttft(ttft_ms)
+        self._learn_ttft(entry, ttft_ms)
+        if not entry.policy.is_deferrable:
+            self.window.note_first_token(*sample)
 
     def release(
         self,
@@ -189,7 +188,11 @@
             return None
         wait_ms = self.estimated_wait_ms(entry)
         remaining_ms = entry.query.deadline_at_ms - now_ms
-        spare_ms = remaining_ms - self._urgent_ttft_ms
+        if wait_ms <= 0.0 and remaining_ms > 0.0:
+            # The first in line is how a time to first token that was once long is
+            # found to be short again.
+            return None
+        spare_ms = remaining_ms - self._mean_ttft_ms(entry)
         if wait_ms > spare_ms:
             return TooLate(int(wait_ms), self._retry_after_ms(wait_ms - spare_ms))
         longest_ms = self._longest_wait_ms(entry)
@@ -203,7 +206,16 @@
         if entry.policy.is_deferrable:
             return self._rules.max_deferrable_wait_ms
         target_ms = TARGET_PART * entry.policy.ttft_target_ms
-        return max(0.0, target_ms - self._urgent_ttft_ms)
+        return max(0.0, target_ms - self._mean_ttft_ms(entry))
+
+    def _mean_ttft_ms(self, entry: Entry) -> float:
+        return self._ttfts_ms.get(entry.policy.is_deferrable, 0.0)
+
+    def _learn_ttft(self, entry: Entry, ttft_ms: float) -> None:
+        # Engines prefer urgent work, so the two kinds have times of their own.
+        mean_ms = self._ttfts_ms.get(entry.policy.is_deferrable, ttft_ms)
+        mean_ms += TTFT_LEARNING_RATE * (ttft_ms - mean_ms)
+        self._ttfts_ms[entry.policy.is_deferrable] = mean_ms
 
     def _drain_tokens_per_s(self) -> float:
         return self._drain.tokens_per_s(self._capacity.prefill_tokens_per_s)
@@ -238,10 +250,6 @@
             tokens = self._in_flight_deferrable_tokens + n_tokens
             self._in_flight_deferrable_tokens = max(0.0, tokens)
 
-    def _learn_urgent_ttft(self, ttft_ms: float) -> None:
-        weight = TTFT_LEARNING_RATE if self._urgent_ttft_ms else 1.0
-        self._urgent_ttft_ms += weight * (ttft_ms - self._urgent_ttft_ms)
-
     def _learn_mean_cost(self, cost_tokens: float) -> None:
         weight = COST_LEARNING_RATE if self._mean_cost_tokens else 1.0
         self._mean_cost_tokens += weight * (cost_tokens - self._mean_cost_tokens)
--- /dev/null
+++ b/tests/deferred/test_faults.py
@@ -0,0 +1,266 @@
+"""Faults found by reading the code: each case is one fault and its consequence."""
+
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+from expression import Error, Ok
+
+sys.path.insert(0, str(Path(__file__).parent))
+from fake_platform import KilledError  # noqa: E402
+from fleet import (  # noqa: E402
+    HOUR_MS,
+    RULES,
+    Fleet,
+    expected_answer,
+    submission,
+)
+
+from buckthornrock.deferred.blobs import BlobStore  # noqa: E402
+from buckthornrock.deferred.holdings import Finished  # noqa: E402
+from buckthornrock.deferred.ids import JobAddress  # noqa: E402
+from buckthornrock.deferred.packing import Blob  # noqa: E402
+from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
+from buckthornrock.deferred.scan import owned_shards  # noqa: E402
+from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
+from buckthornrock.routing.errors import NoEngine  # noqa: E402
+
+
+def make_fleet(n_instances=1, rules=RULES):
+    fleet = Fleet(n_instances, rules)
+    for name in fleet.instances:
+        fleet.step(name, "lease")
+    return fleet
+
+
+def accept(fleet, name, *jobs):
+    for job in jobs:
+        assert fleet.submit(name, job).is_ok()
+    fleet.step(name, "commit")
+    return list(fleet.accepted())
+
+
+def view(fleet, name, job_id, job):
+    service = fleet.instances[name].service
+    return service.read(job.client_account, job.member, job_id).ok
+
+
+def test_pin_that_another_instance_extended_refuses_nothing():
+    fleet = make_fleet(2)
+    text = "clause " * 1_000
+
+    def job(name, hours):
+        return submission(
+            text + name, deadline_ms=hours * HOUR_MS, prefix_levels=[len(text)]
+        )
+
+    accept(fleet, "i0", job("a", 1))
+    accept(fleet, "i1", job("b", 48))
+    pendings = [fleet.submit("i0", job(name, 1)).ok for name in ("c", "d")]
+    for _ in range(2):
+        fleet.step("i0", "commit")
+    assert [pending.result.is_ok() for pending in pendings] == [True, True]
+    before = fleet.kv.n_commits
+    accept(fleet, "i0", job("e", 1))
+    assert fleet.kv.n_commits - before == 1
+    fleet.settle()
+    assert len(fleet.accepted()) == 5
+    for job_id, one in fleet.accepted().items():
+        assert view(fleet, "i0", job_id, one).answer == expected_answer(one)
+
+
+@pytest.mark.parametrize(
+    ("n_raised", "state", "code"), [(1, "done", ""), (99, "failed", "run-broken")]
+)
+def test_run_that_raises_neither_loses_the_job_nor_its_worker(n_raised, state, code):
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=10 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+
+    def fail(instance):
+        raise RuntimeError("an unforeseen fault")
+
+    fleet.during_run = [fail] * n_raised
+    fleet.settle(n_rounds=80, step_ms=9_000.0)
+    found = view(fleet, "i0", ids[0], job)
+    assert (found.state, found.failure_code) == (state, code)
+
+
+def test_refused_starts_are_not_taken_for_lost_holders():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=100 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    for index in range(3):
+        fleet.instances.clear()
+        fleet.kv.advance(11_000.0)
+        fleet.start(f"n{index}")
+        for step in ("lease", "scan"):
+            fleet.step(f"n{index}", step)
+    fleet.failures = [NoEngine("small")] * 8
+    fleet.settle(n_rounds=20, step_ms=70_000.0)
+    assert view(fleet, "n2", ids[0], job).state == "done"
+
+
+def test_adoption_that_arrives_late_leaves_no_job_behind():
+    fleet = make_fleet(3)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    del fleet.instances["i0"]
+    fleet.kv.advance(11_000.0)
+    for name in ("i1", "i2"):
+        fleet.step(name, "lease")
+    fleet.kv.faults.append("late")
+    # Not the shard's owner perhaps, but an idle instance looks at any in time.
+    while fleet.kv.faults:
+        fleet.step("i1", "scan")
+    fleet.instances["i1"].service._check_claims()
+    fleet.kv.apply_late()
+    fleet.settle()
+    assert view(fleet, "i1", ids[0], job).state == "done"
+
+
+def test_job_whose_work_class_is_not_known_yet_waits():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=10 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    fleet.failures = [UnknownWorkClass("p", "notes")] * 5
+    fleet.settle(n_rounds=40, step_ms=20_000.0)
+    assert view(fleet, "i0", ids[0], job).state == "done"
+
+
+def test_job_that_was_cancelled_while_it_ran_is_not_run_again():
+    fleet = make_fleet()
+    jobs = [submission("first", deadline_ms=HOUR_MS), submission("second")]
+    ids = accept(fleet, "i0", *jobs)
+    service = fleet.instances["i0"].service
+
+    def run_job(job_id, run, control):
+        fleet.runs.append(job_id)
+        if job_id == ids[0]:
+            service.cancel("a", "m", job_id)
+        return Error(NoEngine("small"))
+
+    service._parts = service._parts._replace(run_job=run_job)
+    fleet.settle(n_rounds=10)
+    assert fleet.runs.count(ids[0]) == 1
+    assert fleet.runs.count(ids[1]) > 1
+    assert view(fleet, "i0", ids[0], jobs[0]).state == "cancelled"
+
+
+def test_paused_holder_does_not_repeat_what_another_has_finished():
+    fleet = make_fleet(2)
+    accept(fleet, "i0", *(submission(f"note {index}") for index in range(4)))
+    paused = fleet.instances.pop("i0")
+    fleet.kv.advance(30_000.0)
+    fleet.settle(n_rounds=3)
+    assert len(fleet.runs) == 4
+    fleet.instances["i0"] = paused
+    fleet.settle(n_rounds=5)
+    assert len(fleet.runs) == 4
+    assert not [key for key in fleet.kv.entries if "/c/" in key]
+
+
+def test_busy_instance_without_a_shard_notices_that_an_outage_is_over():
+    fleet = make_fleet(1, RULES._replace(max_held_jobs=2))
+    for index in range(400):
+        fleet.instances[f"j{index}"] = None
+    assert owned_shards("i0", sorted(fleet.instances)) == []
+    accept(fleet, "i0", *(submission(f"note {index}") for index in range(2)))
+    fleet.submit("i0", submission("x"))
+    fleet.kv.is_down = True
+    fleet.step("i0", "commit")
+    fleet.kv.is_down = False
+    for step in ("lease", "commit", "scan"):
+        fleet.step("i0", step)
+    fleet.kv.advance(30_000.0)
+    fleet.step("i0", "run")
+    assert fleet.runs == []
+
+
+def test_blob_that_two_threads_load_at_once_is_counted_once():
+    entries = {}
+    store = None
+    depth = []
+
+    def get(key):
+        # The second thread's load lies within the first one's.
+        if "/b/" in key and not depth:
+            depth.append(key)
+            assert store.load("x").ok == b"z" * 1_000
+        return Ok(entries.get(key))
+
+    fleet = make_fleet()
+    port = fleet.instances["i0"].connection.port()
+    BlobStore(port).ensure(Blob("x", b"z" * 1_000), HOUR_MS)
+    entries.update(fleet.kv.entries)
+    store = BlobStore(SimpleNamespace(get=get))
+    assert store.load("x").ok == b"z" * 1_000
+    assert store._n_cached_bytes == 1_000
+
+
+def collect_for_hours(fleet, name, n_hours):
+    for _ in range(n_hours):
+        fleet.kv.advance(HOUR_MS)
+        for _ in range(3):
+            fleet.step(name, "collect")
+
+
+def test_blob_whose_writer_ended_halfway_is_deleted_in_time():
+    fleet = make_fleet()
+    # The pin is read and two of four parts are written.
+    fleet.instances["i0"].connection.n_calls_left = 3
+    with pytest.raises(KilledError):
+        fleet.submit("i0", submission("z" * 3_000_000))
+    fleet.instances.clear()
+    assert [key for key in fleet.kv.entries if "/b/" in key]
+    fleet.start("i1")
+    fleet.step("i1", "collect")
+    collect_for_hours(fleet, "i1", 12)
+    assert not [key for key in fleet.kv.entries if "/b/" in key]
+
+
+def test_result_whose_writer_ended_halfway_is_deleted_in_time():
+    fleet = make_fleet()
+    job = submission("x", deadline_ms=2 * HOUR_MS)
+    ids = accept(fleet, "i0", job)
+    instance = fleet.instances["i0"]
+    run_job = instance.run_job
+
+    def run_large(job_id, run, control):
+        run_job(job_id, run, control)
+        return Ok({"text": "y" * 3_000_000})
+
+    instance.service._parts = instance.service._parts._replace(run_job=run_large)
+    fleet.step("i0", "run")
+    instance.connection.n_calls_left = 2
+    fleet.step("i0", "commit")
+    assert len([key for key in fleet.kv.entries if "/r/" in key]) == 2
+    fleet.kv.advance(11_000.0)
+    fleet.start("i1")
+    fleet.step("i1", "collect")
+    fleet.settle(n_rounds=3)
+    assert view(fleet, "i1", ids[0], job).state == "done"
+    collect_for_hours(fleet, "i1", 40)
+    assert not [key for key in fleet.kv.entries if "/r/" in key]
+
+
+def test_noted_start_undoes_no_outcome_that_was_saved_meanwhile():
+    fleet = make_fleet()
+    ids = accept(fleet, "i0", submission("a"), submission("b"))
+    segment_id = ids[0].split("-")[0]
+    holdings = fleet.instances["i0"].service._holdings
+    holdings.finish(JobAddress(segment_id, 0), Finished(Outcome("done"), b"{}"))
+    commit = fleet.kv.commit
+
+    def commit_and_be_overtaken(transaction):
+        holdings._kv = holdings._kv._replace(commit=commit)
+        outcome = commit(transaction)
+        assert holdings.step()
+        return outcome
+
+    holdings._kv = holdings._kv._replace(commit=commit_and_be_overtaken)
+    assert holdings.note_attempt(JobAddress(segment_id, 1))
+    held = holdings.get(segment_id)
+    assert held.outcomes.jobs[0].state == "done"
+    assert held.revision == fleet.kv.entries[outcomes_key(segment_id)].mod_revision
