Choose stewards only when the live instances change

Cause: Every step ranked all live instances for every engine. Change: The choice is kept until the live instances change.

--- a/buckthornrock/compose/orders.py
+++ b/buckthornrock/compose/orders.py
@@ -7,7 +7,8 @@
 from ..fleet.placement_document import Placement, wanted_of
 from ..fleet.placement_store import PlacementStore
 from ..fleet.reconciler import EngineSummary
-from ..fleet.stewards import LeasePort, StewardParts, Stewards, StewardView
+from ..fleet.steward_state import LeasePort, StewardParts, StewardView
+from ..fleet.stewards import Stewards
 from ..fleet.stewardship import KEY_PREFIX as STEWARDS_PREFIX
 from ..fleet.stewardship import StewardRules
 from ..membership import MembershipPort
--- a/buckthornrock/fleet/stewards.py
+++ b/buckthornrock/fleet/stewards.py
@@ -5,10 +5,8 @@
 :mod:`.stewardship`, :mod:`.reconciler` and :mod:`.load_slots`.
 """
 
-import random
 import threading
-from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from collections.abc import Sequence
 
 from ..conf.settings import UpstreamSettings
 from ..events import fleet as events
@@ -19,25 +17,28 @@
     Compare,
     Delete,
     KvEntry,
-    KvPort,
     Put,
     Transaction,
 )
-from ..telemetry import Telemetry
 from ..telemetry.metrics import ORDERS
-from ..upstreams.order_client import OrderClient, OrderOutdated
+from ..upstreams.order_client import OrderOutdated
 from ..upstreams.order_messages import EngineOrder, EngineOrderState
 from . import load_slots
 from .placement_document import wanted_of
-from .placement_store import PlacementStore
 from .reconciler import (
-    EngineSummary,
     LoadInProgress,
     Nothing,
     WantedOrder,
     may_load,
     next_order,
 )
+from .steward_state import (
+    EngineState,
+    Slot,
+    SlotDoubt,
+    StewardParts,
+    StewardView,
+)
 from .stewardship import (
     FREE,
     StewardRules,
@@ -56,95 +57,6 @@
 CLOSE_STEP_MS = 200.0
 
 
-class LeasePort(NamedTuple):
-    """The lease of this instance.
-
-    Parameters
-    ----------
-    lease_id : callable
-        ``lease_id() -> int``, 0 if none is held.
-    epoch : callable
-        ``epoch() -> int``; rises with every grant.
-    holds : callable
-        ``holds(now_ms, margin_ms) -> bool``.
-    """
-
-    lease_id: Callable[[], int]
-    epoch: Callable[[], int]
-    holds: Callable[[float, float], bool]
-
-
-class StewardParts(NamedTuple):
-    """What stewards work with.
-
-    Parameters
-    ----------
-    live_ids : callable
-        ``live_ids() -> tuple[str, ...]`` of instances.
-    summaries : callable
-        ``summaries(placement) -> list[EngineSummary]`` from load reports.
-    """
-
-    instance_id: str
-    kv: KvPort
-    lease: LeasePort
-    client: OrderClient
-    placements: PlacementStore
-    live_ids: Callable[[], tuple[str, ...]]
-    summaries: Callable[[object], Sequence[EngineSummary]]
-    telemetry: Telemetry
-    now_ms: Callable[[], float]
-    sleep_ms: Callable[[float], None]
-    rng: random.Random
-
-
-class StewardView(NamedTuple):
-    """What a steward last saw and decided of an engine."""
-
-    upstream_id: str
-    fencing: int
-    last_order: str
-    reason: str
-
-
-class _Slot(NamedTuple):
-    """A held load slot."""
-
-    key: str
-    mod_revision: int
-    epoch: int
-    taken_at_ms: float
-    is_roll: bool
-
-
-class _SlotDoubt(NamedTuple):
-    """A slot that may have been taken, or may still be: the answer was lost."""
-
-    epoch: int
-    lease_id: int
-    until_ms: float
-
-
-class _Engine:
-    """Mutable state of one engine's stewardship.
-
-    ``handing_back`` is a stewardship that is no longer used, but whose key may still
-    name this instance. ``free_revision`` is that of a key without a steward.
-    """
-
-    def __init__(self, settings: UpstreamSettings) -> None:
-        self.settings = settings
-        self.stewardship: Stewardship | None = None
-        self.handing_back: Stewardship | None = None
-        self.free_revision = 0
-        self.slot: _Slot | None = None
-        self.slot_doubt: _SlotDoubt | None = None
-        self.slot_look_at_ms = 0.0
-        self.n_orders = 0
-        self.last_order = ""
-        self.reason = ""
-
-
 class Stewards:
     """The stewardships of this instance.
 
@@ -165,19 +77,20 @@
         n_slots: int,
         parts: StewardParts,
     ) -> None:
-        self._engines = [_Engine(settings) for settings in engines]
+        self._engines = [EngineState(settings) for settings in engines]
         self._rules = rules
         self._n_slots = n_slots
         self._parts = parts
         self._step_lock = threading.Lock()
+        self._live_ids: tuple[str, ...] = ()
         self._is_draining = False
 
     def step(self) -> None:
         """Look at every engine once."""
         with self._step_lock:
-            live_ids = self._parts.live_ids()
+            self._choose(self._parts.live_ids())
             for engine in self._engines:
-                self._step_engine(engine, live_ids)
+                self._step_engine(engine)
 
     def drain(self) -> None:
         """Take no further stewardship and start no further load."""
@@ -207,10 +120,23 @@
             if stewardship is not None
         ]
 
-    def _step_engine(self, engine: _Engine, live_ids: tuple[str, ...]) -> None:
+    def _choose(self, live_ids: tuple[str, ...]) -> None:
+        """Note for which engines this instance is the first choice.
+
+        Only when the live instances change: ranking each of them for each engine at
+        every step would grow with the product of both.
+        """
+        if live_ids == self._live_ids:
+            return
+        self._live_ids = live_ids
+        own_id = self._parts.instance_id
+        for engine in self._engines:
+            upstream_id = engine.settings.id
+            engine.is_first = is_first_choice(upstream_id, own_id, live_ids)
+
+    def _step_engine(self, engine: EngineState) -> None:
         parts = self._parts
-        upstream_id = engine.settings.id
-        is_first = is_first_choice(upstream_id, parts.instance_id, live_ids)
+        is_first = engine.is_first
         self._drop_lapsed(engine)
         self._settle_slot(engine)
         if engine.handing_back is not None:
@@ -228,7 +154,7 @@
             return
         engine.reason = self._reconcile(engine)
 
-    def _drop_lapsed(self, engine: _Engine) -> None:
+    def _drop_lapsed(self, engine: EngineState) -> None:
         lease = self._parts.lease
         epoch = lease.epoch() if lease.holds(self._parts.now_ms(), 0.0) else None
         if engine.stewardship is not None and engine.stewardship.epoch != epoch:
@@ -240,7 +166,7 @@
             if held is not None and held.epoch != epoch:
                 setattr(engine, name, None)
 
-    def _acquire(self, engine: _Engine) -> None:
+    def _acquire(self, engine: EngineState) -> None:
         parts = self._parts
         # The epoch is read before the lease id, so that a lease granted in between
         # makes the stewardship look lost, never held too long.
@@ -269,13 +195,13 @@
             events.STEWARD_GAINED, upstream_id=engine.settings.id, fencing=revision
         )
 
-    def _hand_back(self, engine: _Engine) -> None:
+    def _hand_back(self, engine: EngineState) -> None:
         """Stop ordering, and free the key for the next steward."""
         engine.handing_back, engine.stewardship = engine.stewardship, None
         self._log_lost(engine, "handed back")
         self._finish_hand_back(engine)
 
-    def _finish_hand_back(self, engine: _Engine) -> None:
+    def _finish_hand_back(self, engine: EngineState) -> None:
         # A key left behind under a lease that is renewed would keep others out for
         # as long as this instance runs, so this is tried until it is settled.
         key = steward_key(engine.settings.id)
@@ -285,7 +211,7 @@
         if isinstance(outcome, CommitDone | CommitConflict):
             engine.handing_back = None
 
-    def _reconcile(self, engine: _Engine) -> str:
+    def _reconcile(self, engine: EngineState) -> str:
         """Take one step towards what is wanted; return the reason for it."""
         settings = engine.settings
         record = self._parts.placements.current()
@@ -308,7 +234,7 @@
         return self._send(engine, step)
 
     def _wait_for(
-        self, engine: _Engine, order: WantedOrder, state: EngineOrderState
+        self, engine: EngineState, order: WantedOrder, state: EngineOrderState
     ) -> Nothing | None:
         """Return why the order must wait; take a slot if it needs one."""
         checks_fencing = engine.settings.checks_fencing
@@ -324,7 +250,9 @@
             return Nothing("this instance stops")
         return self._take_slot(engine, state)
 
-    def _take_slot(self, engine: _Engine, state: EngineOrderState) -> Nothing | None:
+    def _take_slot(
+        self, engine: EngineState, state: EngineOrderState
+    ) -> Nothing | None:
         parts = self._parts
         if engine.slot_doubt is not None:
             return Nothing("a load slot may have been taken")
@@ -351,16 +279,14 @@
         outcome = parts.kv.commit(transaction)
         if isinstance(outcome, CommitUnknown):
             until_ms = parts.now_ms() + self._rules.lease_ttl_ms
-            engine.slot_doubt = _SlotDoubt(epoch, lease_id, until_ms)
+            engine.slot_doubt = SlotDoubt(epoch, lease_id, until_ms)
         if not isinstance(outcome, CommitDone):
             return Nothing("waiting for a load slot")
         key = transaction.writes[0].key
-        engine.slot = _Slot(
-            key, outcome.revision, epoch, parts.now_ms(), record.is_roll
-        )
+        engine.slot = Slot(key, outcome.revision, epoch, parts.now_ms(), record.is_roll)
         return None
 
-    def _is_time_to_look(self, engine: _Engine) -> bool:
+    def _is_time_to_look(self, engine: EngineState) -> bool:
         now_ms = self._parts.now_ms()
         if now_ms < engine.slot_look_at_ms:
             return False
@@ -368,7 +294,7 @@
         engine.slot_look_at_ms = now_ms + wait_ms
         return True
 
-    def _settle_slot(self, engine: _Engine) -> None:
+    def _settle_slot(self, engine: EngineState) -> None:
         """Look whether a write whose answer was lost has taken a slot.
 
         A slot that nobody knows to be held would be lost to the fleet for as long as
@@ -384,13 +310,13 @@
         found = load_slots.held_by(entries.ok, engine.settings.id, doubt.lease_id)
         if found is not None:
             key, mod_revision, is_roll = found
-            engine.slot = _Slot(key, mod_revision, doubt.epoch, now_ms, is_roll)
+            engine.slot = Slot(key, mod_revision, doubt.epoch, now_ms, is_roll)
         if found is not None or now_ms >= doubt.until_ms:
             engine.slot_doubt = None
 
     def _may_load(
         self,
-        engine: _Engine,
+        engine: EngineState,
         state: EngineOrderState,
         in_progress: list[LoadInProgress],
     ) -> Nothing | None:
@@ -403,7 +329,7 @@
             placement["min_serving_share"],
         )
 
-    def _free_dead_slot(self, engine: _Engine) -> None:
+    def _free_dead_slot(self, engine: EngineState) -> None:
         # An engine that died while loading must not keep the others waiting.
         slot = engine.slot
         if slot is None:
@@ -411,7 +337,7 @@
         if self._parts.now_ms() - slot.taken_at_ms > self._rules.load_time_ms:
             self._release_slot(engine)
 
-    def _release_slot(self, engine: _Engine) -> None:
+    def _release_slot(self, engine: EngineState) -> None:
         slot = engine.slot
         if slot is None:
             return
@@ -420,7 +346,7 @@
         if isinstance(outcome, CommitDone | CommitConflict):
             engine.slot = None
 
-    def _send(self, engine: _Engine, step: WantedOrder) -> str:
+    def _send(self, engine: EngineState, step: WantedOrder) -> str:
         parts = self._parts
         held = engine.stewardship
         engine.n_orders += 1
@@ -448,7 +374,7 @@
             self._on_outdated(engine, sent.error.highest_fencing)
         return step.reason
 
-    def _on_outdated(self, engine: _Engine, highest_fencing: int) -> None:
+    def _on_outdated(self, engine: EngineState, highest_fencing: int) -> None:
         """Give up the stewardship, unless the key says that it is still held.
 
         Then the service was set back to lower revisions, and the engine remembers a
@@ -463,7 +389,7 @@
         engine.stewardship = None
         self._log_lost(engine, "the engine knows a later steward")
 
-    def _log_lost(self, engine: _Engine, reason: str) -> None:
+    def _log_lost(self, engine: EngineState, reason: str) -> None:
         self._parts.telemetry.log(
             events.STEWARD_LOST, upstream_id=engine.settings.id, reason=reason
         )
@@ -474,7 +400,7 @@
     return entry.mod_revision if is_free else 0
 
 
-def _is_slot_for(slot: _Slot, state: EngineOrderState) -> bool:
+def _is_slot_for(slot: Slot, state: EngineOrderState) -> bool:
     # A slot that was taken for a cold engine gives no leave to take a serving one out.
     return slot.is_roll or not state.models
 
--- a/tests/fleet/steward_model.py
+++ b/tests/fleet/steward_model.py
@@ -13,7 +13,8 @@
 from buckthornrock.fleet.placement_document import wanted_of
 from buckthornrock.fleet.placement_store import PlacementStore
 from buckthornrock.fleet.reconciler import EngineSummary
-from buckthornrock.fleet.stewards import LeasePort, StewardParts, Stewards
+from buckthornrock.fleet.steward_state import LeasePort, StewardParts
+from buckthornrock.fleet.stewards import Stewards
 from buckthornrock.fleet.stewardship import StewardRules
 from buckthornrock.standins.engine import Served
 from buckthornrock.standins.engine_orders import EngineOrders, LoadGate
--- a/tests/fleet/test_steward_kv_faults.py
+++ b/tests/fleet/test_steward_kv_faults.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from buckthornrock.fleet import stewards
 from buckthornrock.fleet.load_slots import KEY_PREFIX as SLOTS_PREFIX
 from buckthornrock.fleet.placement_store import KEY as PLACEMENT_KEY
 from buckthornrock.fleet.stewardship import HANDOVER_MS
@@ -127,3 +128,21 @@
     ]
     assert by_holder == []
     assert model.problems == []
+
+
+def test_first_choices_are_computed_only_when_the_live_instances_change(monkeypatch):
+    n_ranked = []
+    choose = stewards.is_first_choice
+
+    def count(*arguments):
+        n_ranked.append(arguments)
+        return choose(*arguments)
+
+    monkeypatch.setattr(stewards, "is_first_choice", count)
+    model = StewardModel(checks_fencing=True, n_engines=4, n_instances=2)
+    for _ in range(5):
+        model.step(0)
+    assert len(n_ranked) == 4
+    model.pause(1)
+    model.step(0)
+    assert len(n_ranked) == 8
