--- a/buckthornrock/deferred/running.py
+++ b/buckthornrock/deferred/running.py
@@ -25,6 +25,7 @@
         # The change that brought the class may not have arrived here yet.
         "unknown-work-class",
         "no-trusted-profile",
+        "kv-unavailable",
         "caller-gone",
     }
 )
@@ -36,6 +37,7 @@
         "upstream-refused",
         "answer-incomplete",
         "deadline-exceeded",
+        "run-broken",
     }
 )
 
--- /dev/null
+++ b/tests/admission/test_faults.py
@@ -0,0 +1,147 @@
+"""Faults found by reading the code: each case is one fault and its consequence."""
+
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+from flow_cases import (  # noqa: E402
+    make_entry,
+    make_gate,
+    make_policy,
+    make_query,
+    release,
+)
+
+from buckthornrock.admission.crowding import find_displaced  # noqa: E402
+from buckthornrock.admission.front import (  # noqa: E402
+    Admission,
+    AdmissionRules,
+    no_limits,
+)
+from buckthornrock.admission.gate import GateRules  # noqa: E402
+from buckthornrock.admission.policy import ModelCapacity  # noqa: E402
+
+
+def now_ms():
+    return time.monotonic() * 1000.0
+
+
+def make_admission(n_callers=2):
+    rules = AdmissionRules(
+        gate=GateRules(0.0, 3_600_000.0),
+        controller="fixed",
+        target_delay_ms=100.0,
+        initial_window_tokens=100.0,
+        output_token_cost=1.0,
+        max_caller_threads=n_callers,
+        max_deferrable_threads=n_callers,
+    )
+    capacity = ModelCapacity(1, 1_000.0)
+    policy = make_policy(ttft_target_ms=3_600_000.0)
+    return Admission(
+        rules, lambda query: policy, lambda model: capacity, no_limits(), now_ms
+    )
+
+
+@pytest.mark.parametrize("is_admitted_meanwhile", [False, True])
+def test_wait_that_raises_leaves_its_place(is_admitted_meanwhile):
+    admission = make_admission()
+    query = make_query(deadline_at_ms=now_ms() + 10_000.0)
+    first = admission.admit(query, lambda: False).ok
+
+    def raise_error():
+        if is_admitted_meanwhile:
+            admission.release(first, 100, 0, 5.0)
+        raise OSError("the caller's connection can't be looked at")
+
+    with pytest.raises(OSError, match="connection"):
+        admission.admit(query, raise_error)
+    assert admission.waiting_tokens() == {"small": 0.0}
+    admission.release(first, 100, 0, 5.0)
+    second = admission.admit(query, lambda: False)
+    assert second.is_ok()
+    assert second.ok.waited_ms == 0.0
+
+
+def test_slow_first_tokens_of_deferrable_work_refuse_no_urgent_request():
+    gate = make_gate(window_tokens=100.0)
+    deferrable = make_policy(is_deferrable=True)
+    for index in range(40):
+        at_ms = 1_000.0 * index
+        assert gate.offer(make_entry(policy=deferrable, rank=2), at_ms) is None
+        for entry in gate.dispatch(at_ms):
+            release(gate, entry, at_ms + 900.0, ttft_ms=30_000.0)
+    urgent = make_policy(ttft_target_ms=1_300.0)
+    now = 50_000.0
+    entries = [
+        make_entry(policy=urgent, now_ms=now, deadline_at_ms=now + 5_000.0)
+        for _ in range(3)
+    ]
+    # One runs; the next waits 100 ms for it, and the third one 200 ms.
+    for entry in entries:
+        assert gate.offer(entry, now) is None
+        gate.dispatch(now)
+
+
+def test_account_that_fills_all_threads_shuts_no_other_out():
+    admission = make_admission(n_callers=20)
+    results = []
+
+    def admit(account):
+        query = make_query(client_account=account, deadline_at_ms=now_ms() + 60_000.0)
+        results.append((account, admission.admit(query, lambda: False)))
+
+    def start(account):
+        threading.Thread(target=admit, args=(account,), daemon=True).start()
+
+    def until(condition):
+        give_up_at_ms = now_ms() + 10_000.0
+        while not condition():
+            assert now_ms() < give_up_at_ms
+            time.sleep(0.005)
+
+    for _ in range(20):
+        start("large")
+    until(lambda: admission.waiting_tokens().get("small") == 1_900.0)
+    first = results.pop()[1].ok
+    start("little")
+    until(lambda: results)
+    account, refused = results.pop()
+    assert (account, refused.error.code) == ("large", "queue-full")
+    assert admission.waiting_tokens() == {"small": 1_900.0}
+    for _ in range(2):
+        admission.release(first, 100, 0, 5.0)
+        until(lambda: results)
+        account, served = results.pop()
+        if account == "little":
+            break
+        first = served.ok
+    assert account == "little"
+    assert served.is_ok()
+
+
+CROWDS = [
+    # Waiting (account, weight, rank), newcomer, rank of the displaced one or None.
+    ([("a", 1.0, 0)] * 3, ("a", 1.0, 0), None),
+    ([("a", 1.0, 0)] * 3, ("b", 1.0, 0), ("a", 0)),
+    ([("a", 1.0, 0)], ("b", 1.0, 0), None),
+    ([("a", 1.0, 0), ("a", 1.0, 2), ("a", 1.0, 1)], ("b", 1.0, 1), ("a", 2)),
+    ([("a", 1.0, 0)] * 3, ("b", 1.0, 1), None),
+    ([("a", 4.0, 0)] * 4 + [("c", 1.0, 0)] * 3, ("b", 1.0, 0), ("c", 0)),
+]
+
+
+@pytest.mark.parametrize(("waiting", "newcomer", "displaced"), CROWDS)
+def test_most_crowding_account_makes_room(waiting, newcomer, displaced):
+    def entry(account, weight, rank):
+        one = make_entry(client_account=account, weight=weight, rank=rank)
+        one.state = "waiting"
+        return one
+
+    found = find_displaced([entry(*one) for one in waiting], entry(*newcomer))
+    found = found and (found.query.client_account, found.query.rank)
+    assert found == displaced
