--- a/tests/path/test_cold_start.py
+++ b/tests/path/test_cold_start.py
@@ -30,7 +30,7 @@
         "failure_domain": "fd",
         "isolation_secret": "sixteen-bytes-or-more",
         "entry": {"port": 0, "n_threads": 8, "drain_grace_ms": 50},
-        "operator": {"port": 0, "keys_sha256": [digest]},
+        "operator": {"port": 0, "keys_sha256": ["0" * 64]},
         "platform": {"kv": {"url": "http://127.0.0.1:9"}},
         "upstreams": {"servers": [server | {"address": f"127.0.0.1:{engine.port}"}]},
         "caller_keys": [{"sha256": digest, "client_account": "a"}],
