--- a/tests/entry/test_bad_callers.py
+++ b/tests/entry/test_bad_callers.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from buckthornrock.commands.demo_world import start_world
+from buckthornrock.commands.demo_world import demo_profile, start_world
 
 KEY = b"Authorization: Bearer demo-caller-key\r\n"
 HEAD = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
@@ -16,6 +16,8 @@
 @pytest.fixture(scope="module")
 def world():
     world = start_world()
+    body = {"expected_version": 0, "profile": demo_profile()}
+    assert world.operate("PUT", "/v1/profiles/default", body).status == 200
     yield world
     world.stop()
 
