Refuse cut bodies and fields that only the router may set

Cause: tests with misbehaving callers showed three faults: a body that ended early was run as if it were whole; a caller's resume_stream reached the engine; negative prefix levels were accepted. Change: a body shorter than its length is refused; the engine client drops the fields that the router owns; levels must be above 0.

--- a/buckthornrock/entry/parsing.py
+++ b/buckthornrock/entry/parsing.py
@@ -53,8 +53,10 @@
         return Error(BadRequest("$.max_tokens", reason))
     if fields.n != 1:
         return Error(BadRequest("$.n", "only one answer a request"))
-    if fields.prefix_levels != sorted(set(fields.prefix_levels)):
-        return Error(BadRequest("$.prefix_levels", "write rising offsets"))
+    levels = fields.prefix_levels
+    if levels != sorted(set(levels)) or any(offset <= 0 for offset in levels):
+        reason = "write rising offsets above 0"
+        return Error(BadRequest("$.prefix_levels", reason))
     return Ok(fields)
 
 
--- a/buckthornrock/httpd/exchange.py
+++ b/buckthornrock/httpd/exchange.py
@@ -76,7 +76,11 @@
     def read_body(self) -> Result[bytes, BodyProblem]:
         """Return the whole request body."""
         try:
-            return Ok(self._request.rfile.read())
+            body = self._request.rfile.read()
+            if len(body) < int(self.headers.get("content-length", 0)):
+                # cheroot returns what came before the connection ended.
+                raise ValueError("the body is shorter than its length")
+            return Ok(body)
         except cheroot.errors.MaxSizeExceeded:
             self.close_after()
             return Error(BodyProblem("the body is too large", 413))
--- a/buckthornrock/upstreams/engine_client.py
+++ b/buckthornrock/upstreams/engine_client.py
@@ -15,6 +15,12 @@
 N_POOLED_CONNECTIONS = 64
 
 
+#: Fields of an engine's request that only the router may set.
+ROUTER_FIELDS = frozenset(
+    {"cache_salt", "priority", "output_offset", "generated", "resume_stream"}
+)
+
+
 class EngineClient:
     """Connection pools to engines."""
 
@@ -39,7 +45,7 @@
 
     def open_stream(self, call: EngineCall) -> Result[EngineStream, StreamFailure]:
         """Send the completion and return its stream once the head has come."""
-        body = dict(call.body)
+        body = {k: v for k, v in call.body.items() if k not in ROUTER_FIELDS}
         body |= {"stream": True, "cache_salt": call.cache_salt}
         body |= {"priority": call.priority, "output_offset": call.output_offset}
         if call.generated:
