Start HTTP worker threads as daemon threads

Cause: a test whose set-up failed left cheroot's worker threads behind, and they kept the test process alive (seen for over 100 s in a failed run). Change: the workers are started from a daemon thread, from which they take it. Conclusion: a process whose start fails ends, with its failure.

--- a/buckthornrock/httpd/server.py
+++ b/buckthornrock/httpd/server.py
@@ -65,6 +65,27 @@
         self._thread.join(STOP_TIMEOUT_S)
 
 
+def _prepare(server: HTTPServer) -> None:
+    """Bind and start the worker threads, as daemon threads.
+
+    cheroot's workers take this from the thread that starts them; workers that are not
+    daemon threads would keep a process alive whose start failed elsewhere.
+    """
+    failures: list[OSError] = []
+
+    def prepare() -> None:
+        try:
+            server.prepare()
+        except OSError as error:
+            failures.append(error)
+
+    preparing = threading.Thread(target=prepare, daemon=True)
+    preparing.start()
+    preparing.join()
+    if failures:
+        raise failures[0]
+
+
 def _accept(server: HTTPServer, listener: socket.socket) -> HTTPConnection | None:
     try:
         return server._connections._from_server_socket(listener)
@@ -116,5 +137,5 @@
     server.timeout = read_timeout_ms / 1000.0
     server.shutdown_timeout = STOP_TIMEOUT_S
     server.request_queue_size = 512
-    server.prepare()
+    _prepare(server)
     return HttpServer(server, n_threads)
