Keep silent and endless callers from holding threads and memory

Cause: cheroot gives an accepted connection a thread before its first byte, so that a few hundred silent connections held every thread for the read time-out, and it reads a head of any length, before any key is checked. Change: the kernel keeps connections back until they send (TCP_DEFER_ACCEPT); heads are bounded to 64 KB. A caller that drips bytes still holds its thread.

--- a/buckthornrock/httpd/server.py
+++ b/buckthornrock/httpd/server.py
@@ -12,6 +12,7 @@
 Handler = Callable[[Exchange], None]
 
 STOP_TIMEOUT_S = 1.0
+MAX_HEAD_BYTES = 65_536
 
 
 class HttpServer:
@@ -133,9 +134,14 @@
         maxthreads=n_threads,
         server_name="buckthornrock",
     )
+    server.max_request_header_size = MAX_HEAD_BYTES
     server.max_request_body_size = max_body_bytes
     server.timeout = read_timeout_ms / 1000.0
     server.shutdown_timeout = STOP_TIMEOUT_S
     server.request_queue_size = 512
     _prepare(server)
+    # cheroot gives an accepted connection a thread before its first byte has come, so
+    # the kernel keeps silent ones back.
+    wait_s = -(-read_timeout_ms // 1000)
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, wait_s)
     return HttpServer(server, n_threads)
