Drop a caller's stream options on the way to the engine

Cause: with include_usage an engine sends an event without a choice, which has no offset; the stream then counts as broken at every engine in turn. Change: stream_options is one more field that the router owns. A caller that asks for the usage event does not get one.

--- a/buckthornrock/upstreams/engine_client.py
+++ b/buckthornrock/upstreams/engine_client.py
@@ -15,9 +15,11 @@
 N_POOLED_CONNECTIONS = 64
 
 
-#: Fields of an engine's request that only the router may set.
+#: Fields of an engine's request that only the router may set. It sets no options of
+#: the stream: the event of the usage, which they ask for, has no token and no offset.
 ROUTER_FIELDS = frozenset(
     {"cache_salt", "priority", "output_offset", "generated", "resume_stream"}
+    | {"stream_options"}
 )
 
 
