Continue a stream whose engine resets behind its head

Cause: the first look at a body raised ConnectionResetError out of the client, so that a request ended as an internal error instead of going on elsewhere. Change: it is a broken stream like any later reset.

--- a/buckthornrock/upstreams/engine_stream.py
+++ b/buckthornrock/upstreams/engine_stream.py
@@ -98,7 +98,7 @@
         self._body = ChunkedBody() if _is_chunked(response) else None
         self._pending = b""
         # http.client may have buffered the start of the body with the head.
-        self._unread = response._original_response.fp.peek()
+        self._unread = _buffered(response)
 
     def fileno(self) -> int:
         """Return the file descriptor to wait on."""
@@ -197,6 +197,13 @@
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
 
 
+def _buffered(response: urllib3.HTTPResponse) -> bytes:
+    try:
+        return response._original_response.fp.peek()
+    except OSError as error:
+        raise BrokenStreamError(type(error).__name__, is_cut=True) from error
+
+
 def _socket_of(response: urllib3.HTTPResponse) -> socket.socket:
     """Return the socket of the body.
 
--- a/tests/upstreams/test_engine_client.py
+++ b/tests/upstreams/test_engine_client.py
@@ -1,13 +1,23 @@
 """What reaches an engine, and what becomes of engines that break off at once."""
 
+import socket
+import struct
+import threading
+
 import msgspec
 import pytest
+import urllib3
 
 from buckthornrock.conf.settings import UpstreamsSettings
 from buckthornrock.upstreams.engine_client import EngineClient
 from buckthornrock.upstreams.engine_stream import EngineCall
+from buckthornrock.upstreams.errors import StreamBroken
 from tests.upstreams.raw_server import RawServer, answer
 
+WAIT_S = 10.0
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 def make_call(address, **changes):
     call = EngineCall("e", address, "r", {}, "aa", "w", 0, 0)
@@ -54,3 +64,31 @@
     assert sent["seed"] == 7
     # Its event of the usage holds no token and no offset.
     assert "stream_options" not in sent
+
+
+def test_reset_behind_the_head_is_a_broken_stream(serve, monkeypatch):
+    may_reset, is_reset = threading.Event(), threading.Event()
+
+    def send_head_and_reset(server, connection):
+        server.read_request(connection)
+        connection.sendall(HEAD)
+        may_reset.wait(WAIT_S)
+        linger = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        connection.setsockopt(*linger)
+        connection.close()
+        is_reset.set()
+
+    server = serve(send_head_and_reset)
+    urlopen = urllib3.HTTPConnectionPool.urlopen
+
+    def urlopen_then_reset(pool, *args, **kwargs):
+        response = urlopen(pool, *args, **kwargs)
+        may_reset.set()
+        is_reset.wait(WAIT_S)
+        return response
+
+    monkeypatch.setattr(urllib3.HTTPConnectionPool, "urlopen", urlopen_then_reset)
+    client = EngineClient(UpstreamsSettings(()))
+    opened = client.open_stream(make_call(server.address))
+    assert isinstance(opened.error, StreamBroken)
+    assert opened.error.is_cut
