Refuse streams at a relay that was stopped

Cause: a stream that was handed to a relay after, or while, it was stopped waited for ever, and its thread with it. Change: starting and stopping exclude each other; a stopped relay says so; a flow ends once.

--- a/buckthornrock/upstreams/relay.py
+++ b/buckthornrock/upstreams/relay.py
@@ -89,6 +89,7 @@
         self._flows: dict[int, _Flow] = {}
         self._checked_at_ms = now_ms()
         self._is_stopped = False
+        self._stopping = threading.Lock()
         self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
         self._thread.start()
 
@@ -104,7 +105,11 @@
             caller.setblocking(False)
         # The engine's descriptor comes last: the caller's may end the flow alone,
         # but nothing may move before both are known.
-        self._add(flow)
+        with self._stopping:
+            if self._is_stopped:
+                self._end(flow, _stopped(flow))
+            else:
+                self._add(flow)
         flow.ended.acquire()
         if caller:
             caller.settimeout(timeout_s)
@@ -112,11 +117,11 @@
 
     def stop(self) -> None:
         """End the thread; streams in progress are not served any further."""
-        self._is_stopped = True
+        with self._stopping:
+            self._is_stopped = True
         self._thread.join(STOP_TIMEOUT_S)
         for flow in set(self._flows.values()):
-            upstream_id = flow.stream.call.upstream_id
-            self._end(flow, Error(StreamBroken(upstream_id, "stopped")))
+            self._end(flow, _stopped(flow))
 
     def _add(self, flow: _Flow) -> None:
         caller = flow.sink.socket
@@ -206,6 +211,8 @@
             self._end(flow, Ok(None))
 
     def _end(self, flow: _Flow, result: Result[None, RelayFailure]) -> None:
+        if flow.result is not None:
+            return
         sockets = (flow.stream, flow.sink.socket)
         for descriptor in (s.fileno() for s in sockets if s is not None):
             self._flows.pop(descriptor, None)
@@ -231,6 +238,10 @@
             )
 
 
+def _stopped(flow: _Flow) -> Result[None, RelayFailure]:
+    return Error(StreamBroken(flow.stream.call.upstream_id, "stopped"))
+
+
 def _flushed(flow: _Flow) -> Result[None, RelayFailure]:
     """Send what a broken stream left behind, so that another can go on after it."""
     result = flow.result
--- a/tests/upstreams/test_engine_client.py
+++ b/tests/upstreams/test_engine_client.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 import threading
+import time
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from buckthornrock.upstreams.engine_client import EngineClient
 from buckthornrock.upstreams.engine_stream import EngineCall
 from buckthornrock.upstreams.errors import StreamBroken
+from buckthornrock.upstreams.relay import Relay, RelaySink
 from tests.upstreams.raw_server import RawServer, answer
 
 WAIT_S = 10.0
@@ -92,3 +94,26 @@
     opened = client.open_stream(make_call(server.address))
     assert isinstance(opened.error, StreamBroken)
     assert opened.error.is_cut
+
+
+def test_stopped_relay_refuses_streams(serve):
+    def send_head(server, connection):
+        server.read_request(connection)
+        connection.sendall(HEAD)
+        connection.recv(1)
+
+    stream = EngineClient(UpstreamsSettings(())).open_stream(
+        make_call(serve(send_head).address)
+    )
+    relay = Relay(lambda: time.monotonic() * 1000.0, 60_000.0, 60_000.0)
+    relay.stop()
+    results = []
+    sink = RelaySink(lambda chunks: b"", None)
+    runner = threading.Thread(
+        target=lambda: results.append(relay.run(stream.ok, sink)), daemon=True
+    )
+    runner.start()
+    runner.join(3.0)
+    assert results, "the caller of a stopped relay waits for ever"
+    assert results[0].error == StreamBroken("e", "stopped")
+    stream.ok.finish()
