Leave an engine that cuts before its first token

Cause: after a cut the engine stayed in the choice, to be resumed, even if it had named no stream to resume. The same engine was chosen again and again, and callers got stream-broken beside a sound engine. Change: only a named stream keeps its engine in the choice.

--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -167,6 +167,7 @@
         progress.last_failure = failure
         if not _is_cut(failure):
             progress.stream = None
+        if progress.stream is None:
             progress.excluded.add(upstream_id)
         if _is_engine_fault(failure):
             parts.fleet.note_outcome(upstream_id, False)
