Free the engine when the caller of a whole answer leaves

Cause: only streamed answers watched their caller; for a whole one the engine computed on to the last token, and a thread waited for it. Change: the relay watches the caller of a whole answer too.

--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -1,6 +1,8 @@
 """Serves completions: at once as a stream or whole, or deferred."""
 
 import os
+import socket
+from collections.abc import Callable
 
 from expression import Error, Ok, Result
 
@@ -179,7 +181,13 @@
 def _serve_whole(
     parts: EntryParts, exchange: Exchange, request: CompletionRequest, is_chat: bool
 ) -> None:
-    answer = collect_answer(parts, request, is_chat, lambda: is_gone(exchange.socket))
+    answer = collect_answer(
+        parts,
+        request,
+        is_chat,
+        lambda: is_gone(exchange.socket),
+        exchange.socket,
+    )
     if answer.is_error():
         refuse(parts, exchange, answer.error, request.request_id, request.caller)
         return
@@ -188,9 +196,16 @@
 
 
 def collect_answer(
-    parts: EntryParts, request: CompletionRequest, is_chat: bool, is_gone: object
+    parts: EntryParts,
+    request: CompletionRequest,
+    is_chat: bool,
+    is_gone: Callable[[], bool],
+    caller: socket.socket | None = None,
 ) -> Result[dict, Failure]:
-    """Run a completion and return its whole answer."""
+    """Run a completion and return its whole answer.
+
+    It ends early if ``caller`` is given and hangs up.
+    """
     texts: list[str] = []
     finish_reasons: list[str | None] = [None]
 
@@ -200,7 +215,7 @@
             finish_reasons.append(chunk.choices[0].finish_reason)
         return b""
 
-    result = parts.completions.run(request, CompletionSink(keep, None, is_gone))
+    result = parts.completions.run(request, CompletionSink(keep, caller, is_gone))
     if result.is_error():
         return result
     _note_served(parts, request, result.ok.n_tokens, result.ok.ttft_ms)
--- a/tests/path/test_bad_engines.py
+++ b/tests/path/test_bad_engines.py
@@ -1,7 +1,11 @@
 """Bad engines and callers that leave: who is asked again, and who is freed."""
 
+import http.client
+import time
 from collections import Counter
 
+import msgspec
+import pytest
 
 from benchmarks.stream_world import StreamWorld, ask, verdict
 
@@ -9,6 +13,7 @@
 
 PROMPTS = [f"Assess lot {number} of contract 12. " * 20 for number in range(24)]
 N_TOKENS = 6
+GIVE_UP_S = 5.0
 
 
 class HeadOnlyEngine(ScriptedEngine):
@@ -31,3 +36,30 @@
     assert "whole" in verdicts
     assert bad.n_by_request
     assert set(bad.n_by_request.values()) == {1}
+
+
+@pytest.fixture
+def world():
+    world = StreamWorld(1, inter_token_ms=20.0)
+    yield world
+    world.stop()
+
+
+def wait_until(is_so):
+    give_up_at_s = time.monotonic() + GIVE_UP_S
+    while not is_so():
+        assert time.monotonic() < give_up_at_s
+        time.sleep(0.02)
+
+
+@pytest.mark.parametrize("is_streamed", [True, False])
+def test_caller_that_leaves_frees_the_engine(world, is_streamed):
+    core = world.engines[0]._core
+    body = {"model": "small", "prompt": PROMPTS[0], "max_tokens": 2_000}
+    body["stream"] = is_streamed
+    caller = http.client.HTTPConnection("127.0.0.1", world.ports[0])
+    head = {"Authorization": "Bearer north-key"}
+    caller.request("POST", "/v1/completions", msgspec.json.encode(body), head)
+    wait_until(lambda: core.running)
+    caller.close()
+    wait_until(lambda: not core.running)
