Send nothing for a caller that left, and cancel its stream when it is named

Cause: a caller that left while its prefix was computed by another request, or between two attempts, was still sent to an engine. And a stream whose first token came just behind its head was not cancelled, since nothing named it yet. Change: the caller is asked again before each send; the cancel waits up to 1 s for the first token. While the engine's head is awaited a leaving caller is still not seen.

--- a/buckthornrock/dispatch/attempts.py
+++ b/buckthornrock/dispatch/attempts.py
@@ -1,9 +1,10 @@
 """One attempt at an engine: send, relay, cancel."""
 
+import select
 from collections.abc import Callable
 from typing import NamedTuple
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from ..errors import CallerGone
 from ..fleet import Fleet
@@ -20,6 +21,9 @@
 from .progress import Progress, Replay, StreamRef
 from .requests import CompletionRequest, CompletionSink
 
+#: Longest wait for the first token, which names the stream, behind the head.
+FIRST_TOKEN_WAIT_MS = 1_000.0
+
 AttemptFailure = CallerGone | StreamFailure
 
 
@@ -59,6 +63,8 @@
     query, choice = plan.query, plan.choice
     if plan.resumed is None:
         parts.preparation.hold(query, choice, sink.is_gone)
+        if sink.is_gone():
+            return Error(CallerGone(progress.delivered.n_tokens))
         parts.routing.on_sent(query, choice, parts.now_ms())
     parts.fleet.begin(choice.upstream_id)
     try:
@@ -195,10 +201,22 @@
 
 def _cancel(parts: AttemptParts, choice: RouteChoice, stream: EngineStream) -> None:
     """Free the engine from a stream that nobody reads."""
-    if not stream.stream_id:
+    if not stream.stream_id and not _has_begun(stream):
+        return
+    if stream.stream_id and not stream.is_whole:
+        parts.control.cancel(choice.address, stream.stream_id)
+
+
+def _has_begun(stream: EngineStream) -> bool:
+    poll = select.poll()
+    poll.register(stream, select.POLLIN)
+    # What the head brought along is read first; only then the socket tells.
+    for wait_ms in (0.0, FIRST_TOKEN_WAIT_MS):
+        poll.poll(wait_ms)
         try:
             stream.read()
         except BrokenStreamError:
-            return
-    if stream.stream_id and not stream.is_whole:
-        parts.control.cancel(choice.address, stream.stream_id)
+            return False
+        if stream.stream_id:
+            return True
+    return False
