Refuse requests whose answer can't be put together

Cause: with echo, an engine that continues an answer repeats the prompt and the text so far in its middle, and the caller's answer is wrong; best_of above 1 has no single stream to continue. A deadline of thousands of digits was an internal error whose outcome counts as unknown. Change: all three are bad requests that have not run.

--- a/buckthornrock/entry/parsing.py
+++ b/buckthornrock/entry/parsing.py
@@ -11,6 +11,7 @@
 MAX_OUTPUT_TOKENS = 32_768
 DEFAULT_OUTPUT_TOKENS = 16
 MAX_DEADLINE_MS = 7 * 24 * 3_600_000
+MAX_DEADLINE_DIGITS = 12
 MAX_KEY_CHARS = 512
 _KEY = re.compile(r"[\x21-\x7e]+")
 
@@ -26,6 +27,8 @@
     adapter: str = ""
     prefix_levels: list[int] = []
     n: int = 1
+    best_of: int = 1
+    echo: bool = False
 
 
 def parse_object(raw: bytes) -> Result[dict, BadRequest]:
@@ -51,8 +54,11 @@
     if not 1 <= fields.max_tokens <= MAX_OUTPUT_TOKENS:
         reason = f"write 1 to {MAX_OUTPUT_TOKENS}"
         return Error(BadRequest("$.max_tokens", reason))
-    if fields.n != 1:
+    if fields.n != 1 or fields.best_of != 1:
         return Error(BadRequest("$.n", "only one answer a request"))
+    if fields.echo:
+        # An engine that continues an answer would repeat the prompt in its middle.
+        return Error(BadRequest("$.echo", "the prompt is not sent back"))
     levels = fields.prefix_levels
     if levels != sorted(set(levels)) or any(offset <= 0 for offset in levels):
         reason = "write rising offsets above 0"
@@ -81,7 +87,8 @@
     """Return the milliseconds of an ``X-Deadline-Ms`` header."""
     if not header:
         return Ok(default_ms)
-    if not header.isascii() or not header.isdigit():
+    is_number = header.isascii() and header.isdigit()
+    if not is_number or len(header) > MAX_DEADLINE_DIGITS:
         return Error(BadRequest("X-Deadline-Ms", "write whole milliseconds"))
     if not 1 <= int(header) <= MAX_DEADLINE_MS:
         return Error(BadRequest("X-Deadline-Ms", f"write 1 to {MAX_DEADLINE_MS}"))
--- /dev/null
+++ b/tests/entry/test_parsing.py
@@ -0,0 +1,55 @@
+"""Requests that can't be answered rightly are refused before they run."""
+
+import msgspec
+import pytest
+
+from buckthornrock.entry.parsing import (
+    parse_completion,
+    parse_deadline_ms,
+    parse_object,
+)
+
+PLAIN = {"model": "small", "prompt": "x"}
+
+#: Field, and a value whose answer the router can't put together.
+REFUSED = [
+    {"n": 2},
+    {"best_of": 2},
+    {"echo": True},
+    {"prompt": ["x", "y"]},
+    {"max_tokens": 0},
+    {"max_tokens": 10**30},
+    {"prefix_levels": [5, 3]},
+]
+
+
+@pytest.mark.parametrize("changes", REFUSED, ids=str)
+def test_completion_is_refused(changes):
+    assert parse_completion(PLAIN | changes, is_chat=False).is_error()
+
+
+ACCEPTED = [{"n": 1}, {"best_of": 1}, {"echo": False}, {"suffix": "y"}, {"seed": 1}]
+
+
+@pytest.mark.parametrize("changes", ACCEPTED, ids=str)
+def test_completion_is_accepted(changes):
+    assert parse_completion(PLAIN | changes, is_chat=False).is_ok()
+
+
+BROKEN = [b"", b"[]", b"NaN", b'{"a": Infinity}', b'{"a": 1e999}', b'{"a": "\xff"}']
+BROKEN += [b'{"a": "\\ud800"}', b'{"a": ' + b"9" * 5_000 + b"}", b"[" * 100_000]
+
+
+@pytest.mark.parametrize("raw", BROKEN, ids=lambda raw: repr(raw[:20]))
+def test_body_is_refused(raw):
+    assert parse_object(raw).is_error()
+
+
+@pytest.mark.parametrize("header", ["-1", "0", "1.5", "x", "²", "9" * 5_000])
+def test_deadline_is_refused(header):
+    assert parse_deadline_ms(header, 1).is_error()
+
+
+def test_whole_numbers_beyond_64_bits_pass_through():
+    raw = b'{"seed": 123456789012345678901234567890}'
+    assert msgspec.json.encode(parse_object(raw).ok) == raw.replace(b" ", b"")
