Choose only engines that have loaded the request's adapter

Cause: the choice did not look at adapters, though load reports name them. An engine without the adapter refuses the request, or answers it from the bare model. Change: an engine that does not report the adapter is no candidate.

--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -114,7 +114,7 @@
         """Choose the engine of the next attempt."""
         parts = self._parts
         query = _route_query(request, progress)
-        candidates = parts.fleet.engines(request.model)
+        candidates = parts.fleet.engines(request.model, request.adapter)
         resumed = progress.stream
         if resumed is not None:
             # One try; a stream that its engine does not hold is continued elsewhere.
--- a/buckthornrock/fleet/registry.py
+++ b/buckthornrock/fleet/registry.py
@@ -67,11 +67,16 @@
         with self._lock:
             return tuple(self._status(r, now_ms) for r in self._records.values())
 
-    def engines(self, model: str) -> tuple[EngineView, ...]:
-        """Return the engines that serve ``model`` and may get new work."""
+    def engines(self, model: str, adapter: str = "") -> tuple[EngineView, ...]:
+        """Return the engines that serve ``model`` and may get new work.
+
+        Without the ``adapter`` an engine would answer from the bare model.
+        """
         now_ms = self._now_ms()
         with self._lock:
-            records = [r for r in self._records.values() if self._serves(r, model)]
+            records = [
+                r for r in self._records.values() if self._serves(r, model, adapter)
+            ]
             views = [self._engine_view(record, now_ms) for record in records]
         return tuple(view for view in views if view.health > 0.0)
 
@@ -164,10 +169,12 @@
         with self._lock:
             self._records[upstream_id].n_own_requests -= 1
 
-    def _serves(self, record: _Record, model: str) -> bool:
+    def _serves(self, record: _Record, model: str, adapter: str) -> bool:
         report = record.report
         if report is None or report.state != "live" or model not in report.models:
             return False
+        if adapter and adapter not in report.adapters:
+            return False
         return not self._leaving.is_leaving(record.settings.id, self._now_ms())
 
     def _status(self, record: _Record, now_ms: float) -> UpstreamStatus:
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -56,3 +56,13 @@
 def test_engine_without_report_or_model_gets_no_work():
     fleet = fleet_of()
     assert fleet.engines("other") == ()
+
+
+@pytest.mark.parametrize(("adapter", "expected"), [("", 2), ("a", 1), ("b", 0)])
+def test_only_engines_that_have_loaded_the_adapter_serve_it(adapter, expected):
+    fleet = fleet_of()
+    report = LoadReport(
+        "i1", ("small",), "w1", 0, 0, 0, 1.0, 5.0, 0, 10, "live", ("a",)
+    )
+    fleet.note_report("e0", report)
+    assert len(fleet.engines("small", adapter)) == expected
