Forget the digests of peers that are gone

Cause: the last digest of every instance ever heard of was kept and looked at in every estimate; instances are replaced all the time. Change: old ones are dropped with each own digest.

--- a/buckthornrock/routing/inflight.py
+++ b/buckthornrock/routing/inflight.py
@@ -53,6 +53,12 @@
             ]
             for request_id in stale:
                 del waiting[request_id]
+        # Instances are replaced all the time, and come back under other names.
+        self._peers = {
+            instance_id: digest
+            for instance_id, digest in self._peers.items()
+            if now_ms - digest.received_at_ms < PEER_TTL_MS
+        }
         totals = {
             upstream_id: self.own_tokens(upstream_id, now_ms - max_age_ms)
             for upstream_id in self._sent
