Blame no upstream for a caller's deadline or sampling

Cause: three calls in a row that ran into their callers' own short deadlines ejected a sound upstream, most likely in a flood; so did a reconnecting caller whose sampled answer can't be computed twice. Change: neither counts against the upstream's health. An engine that hangs is still found by polls and by stalls.

--- a/buckthornrock/dispatch/completions.py
+++ b/buckthornrock/dispatch/completions.py
@@ -18,7 +18,7 @@
 from ..upstreams.errors import AttemptFailed, StreamBroken, UpstreamRefused
 from .attempts import AttemptParts, Plan, run_attempt
 from .errors import AnswerIncomplete
-from .progress import Progress
+from .progress import DIFFERS, Progress
 from .recording import ending_of, facts_of
 from .requests import CompletionDone, CompletionRequest, CompletionSink
 from .retry import RetryBudget, backoff_ms
@@ -169,7 +169,9 @@
             progress.stream = None
         if progress.stream is None:
             progress.excluded.add(upstream_id)
-        if _is_engine_fault(failure):
+        # A call cut short by its caller's deadline tells nothing of the engine.
+        is_in_time = parts.now_ms() < request.deadline_at_ms
+        if is_in_time and _is_engine_fault(failure):
             parts.fleet.note_outcome(upstream_id, False)
         parts.telemetry.decisions.on_failed(request.request_id, failure.code)
         parts.routing.on_failed(plan.query, plan.choice, parts.now_ms())
@@ -191,12 +193,14 @@
 def _is_engine_fault(failure: Failure) -> bool:
     """Tell whether the failure counts against the engine's health.
 
-    A refused request may itself be wrong, and an engine that has just loaded other
-    weights than its last report says is sound.
+    A refused request may itself be wrong, an engine that has just loaded other
+    weights than its last report says is sound, and so is one that samples another
+    text than the engine before.
     """
     if isinstance(failure, UpstreamRefused):
         return failure.status >= 500
-    return not (isinstance(failure, StreamBroken) and failure.reason == OTHER_WEIGHTS)
+    is_broken = isinstance(failure, StreamBroken)
+    return not (is_broken and failure.reason in (OTHER_WEIGHTS, DIFFERS))
 
 
 def _done(progress: Progress) -> CompletionDone:
--- a/buckthornrock/dispatch/services.py
+++ b/buckthornrock/dispatch/services.py
@@ -141,7 +141,9 @@
         upstream_id = server.upstream_id
         call = _service_call(request, server, is_repeatable)
         answer = self._counted(upstream_id, lambda: self._client.call(call))
-        self._fleet.note_outcome(upstream_id, answer.is_ok())
+        # A call cut short by its caller's deadline tells nothing of the server.
+        if answer.is_ok() or self._clock.now_ms() < request.deadline_at_ms:
+            self._fleet.note_outcome(upstream_id, answer.is_ok())
         if answer.is_error():
             self._telemetry.metrics.incr(ATTEMPTS_FAILED, label=upstream_id)
             if answer.error.reason == CROSSED_ANSWER:
