Bound the threads that calls to plain services hold

Cause: completions are bounded in the threads they hold, calls to services were not: a service that hangs took every thread within its time-out, and urgent completions with it. Change: half of the entry port's threads; beyond that too-many-calls, which is "not run" unless the call carries a key that may have run before.

--- a/buckthornrock/compose/services.py
+++ b/buckthornrock/compose/services.py
@@ -10,6 +10,8 @@
 from .fleet import FleetParts
 
 RECORD_PERIOD_MS = 250.0
+#: Share of the entry port's threads that calls to plain services may hold.
+THREAD_SHARE = 0.5
 
 
 def build_services(
@@ -27,6 +29,7 @@
         core.telemetry,
         core.clock,
         core.rng,
+        max(1, int(core.settings.entry.n_threads * THREAD_SHARE)),
     )
     issued.serve(dispatcher.run_forwarded)
     core.closers.append(issued.close)
--- a/buckthornrock/dispatch/errors.py
+++ b/buckthornrock/dispatch/errors.py
@@ -33,6 +33,16 @@
     code = "no-server"
 
 
+class TooManyCalls(NamedTuple):
+    """Calls to plain services hold as many threads as they may."""
+
+    service: str
+    not_run: NotRun
+    retry_after_ms: int = 1_000
+
+    code = "too-many-calls"
+
+
 class ProfileNotInForce(NamedTuple):
     """The instance has heard of no accepted profile yet.
 
--- a/buckthornrock/dispatch/services.py
+++ b/buckthornrock/dispatch/services.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import threading
 from collections.abc import Callable
 
 from expression import Error, Result
@@ -23,14 +24,20 @@
     ServiceCall,
     ServiceClient,
 )
-from .errors import CallOutcomeUnknown, NoServer, ProfileNotInForce
+from .errors import CallOutcomeUnknown, NoServer, ProfileNotInForce, TooManyCalls
 from .requests import Caller, ServiceRequest
 from .routes import is_repeatable
 from .service_retry import RetryBudget, retry_delay_ms
 
 
 class ServiceDispatcher:
-    """Runs calls against the servers of plain services."""
+    """Runs calls against the servers of plain services.
+
+    Parameters
+    ----------
+    max_calls : int
+        Callers' calls at a time; a server that hangs must not hold every thread.
+    """
 
     def __init__(
         self,
@@ -41,6 +48,7 @@
         telemetry: Telemetry,
         clock: Clock,
         rng: random.Random,
+        max_calls: int,
     ) -> None:
         self._fleet = fleet
         self._client = client
@@ -50,9 +58,18 @@
         self._clock = clock
         self._rng = rng
         self._budget = RetryBudget()
+        self._places = threading.BoundedSemaphore(max_calls)
 
     def run(self, request: ServiceRequest) -> Result[ServiceAnswer, Failure]:
         """Return the server's answer, or why there is none."""
+        if not self._places.acquire(blocking=False):
+            return Error(TooManyCalls(request.service, _unseen(request)))
+        try:
+            return self._run(request)
+        finally:
+            self._places.release()
+
+    def _run(self, request: ServiceRequest) -> Result[ServiceAnswer, Failure]:
         record = self._profiles.current(request.profile)
         if record.is_error():
             return record
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -55,6 +55,7 @@
     dispatch.NoServer: ProblemRule(503, "No server is available", None),
     PlacementConflict: ProblemRule(409, "Another change came first", "true"),
     PlacementUndecided: ProblemRule(503, "Change not confirmed", None),
+    dispatch.TooManyCalls: ProblemRule(503, "Too many calls are running", None),
     dispatch.ProfileNotInForce: ProblemRule(503, "No profile is in force", None),
     idempotency.KeyReused: ProblemRule(422, "The key names another call", "true"),
     idempotency.CallInProgress: ProblemRule(409, "The call is running", "unknown"),
--- a/tests/dispatch/test_blame.py
+++ b/tests/dispatch/test_blame.py
@@ -82,6 +82,7 @@
         SimpleNamespace(metrics=SimpleNamespace(incr=ignore)),
         SimpleNamespace(now_ms=lambda: NOW_MS),
         random.Random(1),
+        max_calls=1,
     )
     request = ServiceRequest(
         request_id="r",
