Test engine answers in every framing that HTTP allows

Cause: bodies are read past urllib3's layers, and only one framing was tested. Change: ten shapes, among them one packet, a length, no framing, a continue first, a trailer and byte by byte.

--- /dev/null
+++ b/tests/upstreams/test_answer_shapes.py
@@ -0,0 +1,76 @@
+"""Engine answers in every framing that HTTP allows are taken whole."""
+
+import time
+
+import pytest
+
+from buckthornrock.conf.settings import UpstreamsSettings
+from buckthornrock.upstreams.engine_client import EngineClient
+from buckthornrock.upstreams.engine_stream import EngineCall
+from buckthornrock.upstreams.relay import Relay, RelaySink
+from tests.upstreams.raw_server import RawServer
+
+EVENTS = [
+    b'data: {"id":"r","stream":"s","offset":%d,"weights":"w","cache_salt":"aa",'
+    b'"choices":[{"index":0,"text":"t%d","finish_reason":%b}]}\n\n'
+    % (index, index, b'"stop"' if index == 2 else b"null")
+    for index in range(3)
+]
+EVENTS.append(b"data: [DONE]\n\n")
+BODY = b"".join(EVENTS)
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+LENGTH = OK + b"Content-Length: %d\r\n\r\n" % len(BODY)
+N_REQUESTS = 3
+
+
+def chunk(part):
+    return b"%x\r\n%b\r\n" % (len(part), part)
+
+
+ONE_CHUNK = chunk(BODY) + b"0\r\n\r\n"
+SHAPES = {
+    "one packet, chunked": [CHUNKED + ONE_CHUNK],
+    "one packet, length": [LENGTH + BODY],
+    "no framing": [OK + b"Connection: close\r\n\r\n" + BODY],
+    "old protocol": [b"HTTP/1.0 200 OK\r\n\r\n" + BODY],
+    "continue first": [b"HTTP/1.1 100 Continue\r\n\r\n", CHUNKED, ONE_CHUNK],
+    "closes after chunks": [CHUNKED[:-2] + b"Connection: close\r\n\r\n" + ONE_CHUNK],
+    "byte by byte": [bytes([byte]) for byte in CHUNKED + ONE_CHUNK],
+    "late last chunk": [CHUNKED, chunk(BODY), b"0\r\n", b"\r\n"],
+    "trailer": [CHUNKED, chunk(BODY), b"0\r\nX-Sum: 1\r\n\r\n"],
+    "chunk extension": [CHUNKED, b"%x;a=b\r\n%b\r\n" % (len(BODY), BODY), b"0\r\n\r\n"],
+}
+
+
+@pytest.fixture
+def relay():
+    relay = Relay(lambda: time.monotonic() * 1000.0, 5_000.0, 5_000.0)
+    yield relay
+    relay.stop()
+
+
+@pytest.mark.parametrize("parts", SHAPES.values(), ids=SHAPES)
+def test_answer_is_taken_whole(relay, parts):
+    def script(server, connection):
+        while server.read_request(connection):
+            for part in parts:
+                connection.sendall(part)
+            if b"chunked" not in parts[0] and b"Length" not in parts[0]:
+                return
+
+    server = RawServer(script)
+    client = EngineClient(UpstreamsSettings(()))
+    for _ in range(N_REQUESTS):
+        texts = []
+
+        def encode(chunks, texts=texts):
+            texts.extend(chunk.choices[0].text for chunk in chunks)
+            return b""
+
+        call = EngineCall("e", server.address, "r", {}, "aa", "w", 0, 0)
+        stream = client.open_stream(call).ok
+        assert relay.run(stream, RelaySink(encode, None)).is_ok()
+        stream.finish()
+        assert texts == ["t0", "t1", "t2"]
+    server.stop()
