--- a/buckthornrock/deferred/blobs.py
+++ b/buckthornrock/deferred/blobs.py
@@ -5,6 +5,7 @@
 compares it too, so that neither can overlook the other.
 """
 
+import threading
 from collections import OrderedDict
 
 import msgspec
@@ -42,6 +43,7 @@
 
     def __init__(self, kv: KvPort) -> None:
         self._kv = kv
+        self._lock = threading.Lock()
         self._pins: OrderedDict[str, tuple[Pin, int]] = OrderedDict()
         self._contents: OrderedDict[str, bytes] = OrderedDict()
         self._n_cached_bytes = 0
@@ -74,9 +76,8 @@
 
     def load(self, blob_id: str) -> Result[bytes | None, KvUnavailable]:
         """Return the content, or None if the blob is gone."""
-        cached = self._contents.get(blob_id)
+        cached = self._cached(blob_id)
         if cached is not None:
-            self._contents.move_to_end(blob_id)
             return Ok(cached)
         pin = self._kv.get(pin_key(blob_id))
         if pin.is_error() or pin.ok is None:
@@ -101,7 +102,8 @@
         pin = Pin(needed_until_wall_ms + PIN_STEP_MS, len(parts))
         compares = [Compare(pin_key(blob.blob_id), entry.mod_revision if entry else 0)]
         if entry is None:
-            written = self._write_parts(blob.blob_id, parts)
+            # Noted with the first part, so that parts without a pin go as well.
+            written = self._write_parts(blob.blob_id, parts, _trash(blob.blob_id, pin))
             if written.is_error():
                 return written
             # A part may be another writer's; its revision proves that it is there.
@@ -117,13 +119,13 @@
         return Error(NotAccepted(outcome.code, "true"))
 
     def _write_parts(
-        self, blob_id: str, parts: tuple[bytes, ...]
+        self, blob_id: str, parts: tuple[bytes, ...], trash: Put
     ) -> Result[list[Compare], NotAccepted]:
         compares = []
         for index, part in enumerate(parts):
             key = part_key(blob_id, index)
-            put = Put(key, part)
-            outcome = self._kv.commit(Transaction((Compare(key, 0),), (put,)))
+            writes = (Put(key, part),) if index else (Put(key, part), trash)
+            outcome = self._kv.commit(Transaction((Compare(key, 0),), writes))
             if isinstance(outcome, CommitDone):
                 compares.append(Compare(key, outcome.revision))
                 continue
@@ -136,16 +138,27 @@
         return Ok(compares)
 
     def _remember_pin(self, blob_id: str, pin: Pin, revision: int) -> None:
-        self._pins[blob_id] = (pin, revision)
-        if len(self._pins) > MAX_CACHED_PINS:
-            self._pins.popitem(last=False)
+        with self._lock:
+            self._pins[blob_id] = (pin, revision)
+            if len(self._pins) > MAX_CACHED_PINS:
+                self._pins.popitem(last=False)
+
+    def _cached(self, blob_id: str) -> bytes | None:
+        with self._lock:
+            content = self._contents.get(blob_id)
+            if content is not None:
+                self._contents.move_to_end(blob_id)
+            return content
 
     def _remember(self, blob_id: str, content: bytes) -> None:
-        self._contents[blob_id] = content
-        self._n_cached_bytes += len(content)
-        while self._n_cached_bytes > MAX_CACHED_BYTES and len(self._contents) > 1:
-            _, dropped = self._contents.popitem(last=False)
-            self._n_cached_bytes -= len(dropped)
+        with self._lock:
+            if blob_id in self._contents:
+                return
+            self._contents[blob_id] = content
+            self._n_cached_bytes += len(content)
+            while self._n_cached_bytes > MAX_CACHED_BYTES and len(self._contents) > 1:
+                _, dropped = self._contents.popitem(last=False)
+                self._n_cached_bytes -= len(dropped)
 
 
 def _pin_of(entry: KvEntry) -> Pin:
--- a/buckthornrock/deferred/holdings.py
+++ b/buckthornrock/deferred/holdings.py
@@ -156,6 +156,14 @@
         with self._lock:
             return self._segments.get(segment_id)
 
+    def is_open(self, address: JobAddress) -> bool:
+        """Return whether a job of a held segment has still to be run."""
+        with self._lock:
+            held = self._segments.get(address.segment_id)
+            if held is None or address.index in held.unsaved:
+                return False
+            return not held.outcomes.jobs[address.index].is_final
+
     def all(self) -> list[HeldSegment]:
         """Return all held segments."""
         with self._lock:
@@ -205,7 +213,9 @@
                 self._reload((held,), commit.entries)
             if not isinstance(commit, CommitDone):
                 return False
-            held.outcomes, held.revision = outcomes, commit.revision
+            # Outcomes that were saved since hold this start already.
+            if commit.revision > held.revision:
+                held.outcomes, held.revision = outcomes, commit.revision
         return True
 
     def step(self) -> bool:
@@ -258,15 +268,14 @@
         expires_wall_ms += self._retention_ms
         parts = split_value(batch.content)
         puts = [Put(batch_key(batch.id, i), part) for i, part in enumerate(parts)]
+        part_keys = [put.key for put in puts]
         for put in puts[:-1]:
-            early = self._kv.commit(Transaction((Compare(put.key, 0),), (put,)))
+            # Noted with the parts, so that parts of a batch that is never done go too.
+            early_writes = (put, _trash(batch.id, part_keys, expires_wall_ms))
+            early = self._kv.commit(Transaction((Compare(put.key, 0),), early_writes))
             if not isinstance(early, CommitDone):
                 return early
-        keys += [put.key for put in puts]
-        trash = Put(
-            trash_prefix(expires_wall_ms + HOUR_MS) + batch.id,
-            msgspec.msgpack.encode(Trash(tuple(keys))),
-        )
+        trash = _trash(batch.id, [*keys, *part_keys], expires_wall_ms)
         transaction = Transaction(tuple(compares), (*writes, puts[-1], trash))
         outcome = self._kv.commit(transaction)
         if isinstance(outcome, CommitDone):
@@ -345,6 +354,11 @@
         return placed
 
 
+def _trash(batch_id: str, keys: list[str], expires_wall_ms: int) -> Put:
+    name = trash_prefix(expires_wall_ms + HOUR_MS) + batch_id
+    return Put(name, msgspec.msgpack.encode(Trash(tuple(keys))))
+
+
 def _removal(segment_id: str) -> list[Delete]:
     keys = (segment_key(segment_id), note_key(segment_id), claim_key(segment_id))
     return [Delete(key) for key in keys]
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -23,14 +23,21 @@
 from .blobs import BlobStore
 from .claims import ClaimTerms, LeasePort, read_terms
 from .collection import Collector
-from .errors import NotAccepted, ReadFailure, SubmitFailure, UnknownJob
+from .errors import (
+    NotAccepted,
+    PromptGone,
+    ReadFailure,
+    RunBroken,
+    SubmitFailure,
+    UnknownJob,
+)
 from .holdings import Finished, HeldSegment, Holdings, SavedJob
 from .ids import JobAddress, JobIds
 from .packing import PackedJob, pack, unpack
 from .port import DeferredPort, JobSubmission, JobView
 from .reachability import Reachability
 from .reading import cancel_job, read_job
-from .records import HOUR_MS, Job, Outcome, claim_key
+from .records import Job, Outcome, claim_key
 from .running import (
     MAX_LOSSES,
     MAX_NOTED_ATTEMPTS,
@@ -116,7 +123,11 @@
         self._collector = Collector(parts.kv)
         self._reachability = Reachability(DOWN_MS)
         self._acceptance = Acceptance(
-            parts.kv, parts.ids, self._claim_terms, self._on_accepted
+            parts.kv,
+            parts.ids,
+            self._claim_terms,
+            self._on_accepted,
+            self._blobs.forget_pin,
         )
         self._holdings = Holdings(
             parts.kv, parts.clock.wall_ms, rules.retention_ms, self._on_saved
@@ -216,9 +227,8 @@
             held = self._backlog.take(self._parts.clock.wall_ms())
         if held is None:
             return False
-        if self._holdings.get(held.address.segment_id) is None:
-            with self._lock:
-                self._backlog.finish(held, self._parts.clock.now_ms())
+        if not self._holdings.is_open(held.address):
+            self._leave(held)
             return True
         if not self._is_claimed(held):
             self._put_back(held, RETRY_DELAY_MS)
@@ -263,7 +273,7 @@
     def _ensure_blobs(
         self, packed: PackedJob
     ) -> Result[tuple[Compare, ...], NotAccepted]:
-        until_ms = packed.job.deadline_wall_ms + HOUR_MS
+        until_ms = packed.needed_until_wall_ms
         pins = []
         for blob in packed.blobs:
             pin = self._blobs.ensure(blob, until_ms)
@@ -340,6 +350,8 @@
         held, lost = claim_again(self._parts.kv, stale, terms)
         for segment in held:
             segment.epoch = terms.epoch
+            # Another instance may have held it, and ended jobs, in between.
+            self._holdings.refresh(segment.segment_id)
         for segment in lost:
             self._lose(segment)
 
@@ -354,6 +366,8 @@
         parts = self._parts
         with self._lock:
             is_idle = self._backlog.n_waiting * 2 < self._rules.max_held_jobs
+        # Only an answered read tells that an outage is over.
+        is_idle = is_idle or self._reachability.is_down
         for shard in shards_to_scan(
             parts.self_id, parts.live_ids(), is_idle, parts.rng
         ):
@@ -366,12 +380,21 @@
 
     def _consider(self, found: FoundSegment) -> None:
         """Adopt a segment without a holder, if there is room for its jobs."""
-        if found.holder or self._acceptance.is_unsettled(found.segment_id):
+        if self._acceptance.is_unsettled(found.segment_id):
+            return
+        if found.holder:
+            self._consider_held(found)
             return
         terms = self._claim_terms()
         if terms is not None:
             self._adopt(found.segment_id, terms, claim_revision=0)
 
+    def _consider_held(self, found: FoundSegment) -> None:
+        """Look into a claim of this instance that it does not know of."""
+        is_own = found.holder == self._parts.holder
+        if is_own and self._holdings.get(found.segment_id) is None:
+            self._to_check.add(found.segment_id)
+
     def _adopt(self, segment_id: str, terms: ClaimTerms, claim_revision: int) -> None:
         adopted = adopt(self._parts.kv, segment_id, terms, claim_revision)
         if adopted.is_error():
@@ -398,7 +421,11 @@
             if claim.is_error():
                 return
             self._to_check.discard(segment_id)
-            if claim.ok and claim.ok.value == terms.holder.encode():
+            if claim.ok is None:
+                # A lost claim may still arrive. Claiming again settles that: it
+                # changes what the lost one compares.
+                self._adopt(segment_id, terms, claim_revision=0)
+            elif claim.ok.value == terms.holder.encode():
                 self._adopt(segment_id, terms, claim.ok.mod_revision)
 
     def _may_run(self) -> bool:
@@ -420,32 +447,42 @@
         return segment.epoch == self._parts.lease.epoch()
 
     def _run(self, held: HeldJob) -> None:
+        if not self._note_start(held):
+            return
+        # A start that ends here, however it ends, is not noted again.
+        held = held._replace(is_start_noted=True)
+        try:
+            answer = self._load_and_run(held)
+        except Exception as error:  # noqa: BLE001 - a bad job must not end its worker
+            self._parts.telemetry.log(
+                events.RUN_BROKEN,
+                segment_id=held.address.segment_id,
+                index=held.address.index,
+                error_type=type(error).__name__,
+            )
+            answer = Error(RunBroken())
+        if answer.is_ok():
+            self._holdings.finish(held.address, Finished(Outcome("done"), answer.ok))
+            self._leave(held)
+            return
+        self._judge(held, answer.error)
+
+    def _load_and_run(self, held: HeldJob) -> Result[bytes, Failure]:
+        """Return the answer's JSON."""
         submission = self._load(held.job)
         if submission.is_error():
-            self._put_back(held, RETRY_DELAY_MS)
-            return
+            return submission
         if submission.ok is None:
-            self._end(held, "failed", "prompt-gone")
-            return
-        if not self._note_start(held):
-            return
+            return Error(PromptGone())
         address, job = held.address, held.job
         job_id = self._parts.ids.make(address, job.client_account, job.member)
-        result = self._parts.run_job(
-            job_id,
-            submission.ok,
-            JobControl(
-                rank=lambda class_rank: self._rank(held, class_rank),
-                is_lost=lambda: not self._is_claimed(held),
-                should_yield=lambda: self._should_yield(held),
-            ),
+        control = JobControl(
+            rank=lambda class_rank: self._rank(held, class_rank),
+            is_lost=lambda: not self._is_claimed(held),
+            should_yield=lambda: self._should_yield(held),
         )
-        if result.is_ok():
-            answer = msgspec.json.encode(result.ok)
-            self._holdings.finish(address, Finished(Outcome("done"), answer))
-            self._leave(held)
-            return
-        self._judge(held, result.error)
+        result = self._parts.run_job(job_id, submission.ok, control)
+        return result.map(msgspec.json.encode)
 
     def _load(self, job: Job) -> Result[JobSubmission | None, Failure]:
         """Return the job as it was submitted, None if its prompt is gone."""
@@ -463,7 +500,7 @@
         if segment is None:
             self._leave(held)
             return False
-        if segment.outcomes.n_losses < MAX_LOSSES:
+        if held.is_start_noted or segment.outcomes.n_losses < MAX_LOSSES:
             return True
         outcome = segment.outcomes.jobs[held.address.index]
         if outcome.n_attempts >= MAX_NOTED_ATTEMPTS:
