Ask for unknown profiles where one is in force

Cause: an instance that knows no profile yet now serves any name and class by its start profile, so two cases of the table of bad requests expected what no longer holds in their world. Change: the table's world has an accepted profile; the expected statuses stay.

--- a/tests/entry/test_bad_callers.py
+++ b/tests/entry/test_bad_callers.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from buckthornrock.commands.demo_steps import check_profile
 from buckthornrock.commands.demo_world import start_world
 
 KEY = b"Authorization: Bearer demo-caller-key\r\n"
@@ -16,6 +17,8 @@
 @pytest.fixture(scope="module")
 def world():
     world = start_world()
+    # Until an instance knows a profile, it serves any name by its start profile.
+    assert check_profile(world) == ""
     yield world
     world.stop()
 
