Record as known red that the window collapses on slow engines

Cause: at most the target is allowed for the delay that is the engine's own, so an engine whose first tokens take over twice the target beyond their nominal prefill (also where prefill_tokens_per_s is stated too high) looks overloaded for ever. Change: none to the code. Learning the own delay at the smallest window was weighed: instances that share engines would learn each other's queues and push them up in turn, and that has to be measured with several instances first. Conclusion: known red, strict; until mended, raise admission.target_delay_ms.

--- a/tests/admission/test_faults.py
+++ b/tests/admission/test_faults.py
@@ -24,6 +24,7 @@
 )
 from buckthornrock.admission.gate import GateRules  # noqa: E402
 from buckthornrock.admission.policy import ModelCapacity  # noqa: E402
+from buckthornrock.admission.window import CONTROLLERS, Window  # noqa: E402
 
 
 def now_ms():
@@ -145,3 +146,17 @@
     found = find_displaced([entry(*one) for one in waiting], entry(*newcomer))
     found = found and (found.query.client_account, found.query.rank)
     assert found == displaced
+
+
+@pytest.mark.xfail(
+    strict=True,
+    reason="KNOWN-RED: an engine whose own delay is over twice the target (issue 6)",
+)
+@pytest.mark.parametrize("name", ["aimd", "gradient"])
+def test_window_is_kept_where_the_delay_is_the_engines_own(name):
+    window = Window(CONTROLLERS[name](100.0), 8_192.0)
+    for index in range(8_000):
+        window.note_use(1.0)
+        queue_ms = max(0.0, window.tokens_per_engine - 50_000.0) / 10.0
+        window.note_first_token(300.0 + queue_ms, 0.0, now_ms=index * 25.0)
+    assert window.tokens_per_engine >= 8_192.0
