--- a/buckthornrock/httpd/server.py
+++ b/buckthornrock/httpd/server.py
@@ -13,6 +13,7 @@
 Handler = Callable[[Exchange], None]
 
 STOP_TIMEOUT_S = 1.0
+MAX_HEAD_BYTES = 65_536
 
 
 class HttpServer:
@@ -79,6 +80,27 @@
         self._thread.join(STOP_TIMEOUT_S)
 
 
+def _prepare(server: HTTPServer) -> None:
+    """Bind and start the worker threads, as daemon threads.
+
+    cheroot's workers take this from the thread that starts them; workers that are not
+    daemon threads would keep a process alive whose start failed elsewhere.
+    """
+    failures: list[OSError] = []
+
+    def prepare() -> None:
+        try:
+            server.prepare()
+        except OSError as error:
+            failures.append(error)
+
+    preparing = threading.Thread(target=prepare, daemon=True)
+    preparing.start()
+    preparing.join()
+    if failures:
+        raise failures[0]
+
+
 def _accept(server: HTTPServer, listener: socket.socket) -> HTTPConnection | None:
     try:
         return server._connections._from_server_socket(listener)
@@ -126,9 +148,14 @@
         maxthreads=n_threads,
         server_name="buckthornrock",
     )
+    server.max_request_header_size = MAX_HEAD_BYTES
     server.max_request_body_size = max_body_bytes
     server.timeout = read_timeout_ms / 1000.0
     server.shutdown_timeout = STOP_TIMEOUT_S
     server.request_queue_size = 512
-    server.prepare()
+    _prepare(server)
+    # cheroot gives an accepted connection a thread before its first byte has come, so
+    # the kernel keeps silent ones back.
+    wait_s = -(-read_timeout_ms // 1000)
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, wait_s)
     return HttpServer(server, n_threads)
