Let the known-red window test fail for its own reason only

Change: the call states when the request was admitted, and only a failed assertion counts as the expected failure.

--- a/tests/admission/test_faults.py
+++ b/tests/admission/test_faults.py
@@ -150,6 +150,7 @@
 
 @pytest.mark.xfail(
     strict=True,
+    raises=AssertionError,
     reason="KNOWN-RED: an engine whose own delay is over twice the target (issue 6)",
 )
 @pytest.mark.parametrize("name", ["aimd", "gradient"])
@@ -158,5 +159,6 @@
     for index in range(8_000):
         window.note_use(1.0)
         queue_ms = max(0.0, window.tokens_per_engine - 50_000.0) / 10.0
-        window.note_first_token(300.0 + queue_ms, 0.0, now_ms=index * 25.0)
+        ttft_ms, now_ms = 300.0 + queue_ms, index * 25.0
+        window.note_first_token(ttft_ms, 0.0, now_ms - ttft_ms, now_ms)
     assert window.tokens_per_engine >= 8_192.0
