--- a/buckthornrock/compose/routing.py
+++ b/buckthornrock/compose/routing.py
@@ -8,15 +8,11 @@
 from ..membership import MembershipPort
 from ..routing import RoutingPort
 from ..routing.cost import RoutingContext
+from ..routing.keepers import IndexKeepers
 from ..routing.policies import open_routing
-from ..runtime.rendezvous import rank
 from .core import Core, run_periodically
 from .fleet import FleetParts
 
-#: Up to this many instances, each reads the cache events of every engine.
-SMALL_FLEET_N_INSTANCES = 8
-#: Instances that read one engine's cache events in a larger fleet.
-N_INDEX_REPLICAS = 2
 EXPORT_PERIOD_MS = 100
 MAX_EXPORTS_PER_STEP = 8
 
@@ -84,8 +80,10 @@
     membership: MembershipPort,
     engine: UpstreamSettings,
 ) -> Callable[[], None]:
+    keepers = IndexKeepers(membership.self_view().instance_id)
+
     def step() -> None:
-        if not _is_responsible(membership, engine.id):
+        if not keepers.is_keeper(membership.live(), engine.id):
             return
         since = routing.events_since(engine.id)
         batch = fleet.control.events(engine.address, since)
@@ -99,15 +97,6 @@
     return step
 
 
-def _is_responsible(membership: MembershipPort, upstream_id: str) -> bool:
-    """Tell whether this instance keeps the full index of the engine's cache."""
-    ids = [view.instance_id for view in membership.live()]
-    if len(ids) <= SMALL_FLEET_N_INSTANCES:
-        return True
-    responsible = rank(upstream_id.encode(), ids)[:N_INDEX_REPLICAS]
-    return membership.self_view().instance_id in responsible
-
-
 def start_exports(core: Core, fleet: FleetParts, routing: RoutingPort) -> None:
     """Copy prefixes that are used again to the kept-cache store, one at a time."""
     store = core.settings.routing.cache_store
