Show no waiting state for a job whose claim may be gone

Cause: an instance answered for the jobs in its own backlog without looking at its lease. After a pause it said "waiting" for a job that another instance had adopted, finished and shown as "done". Change: the backlog's state is only shown while the claim stands, or while the service is down; else the service is read. Figures: tests/deferred/test_faults.py, paused holder: "waiting" before, "done" now.

--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -230,7 +230,7 @@
         if not self._holdings.is_open(held.address):
             self._leave(held)
             return True
-        if not self._is_claimed(held):
+        if not self._is_claimed(held.address):
             self._put_back(held, RETRY_DELAY_MS)
             return False
         self._run(held)
@@ -332,7 +332,8 @@
     ) -> Result[JobView, ReadFailure] | None:
         with self._lock:
             state = self._backlog.state(address)
-        if not state:
+        # Without a claim that stands, another instance may have ended the job.
+        if not state or not self._is_claimed(address):
             return None
         return Ok(JobView(job_id, state, None, ""))
 
@@ -439,10 +440,10 @@
             return False
         return self._reachability.is_down or self._parts.lease.holds()
 
-    def _is_claimed(self, held: HeldJob) -> bool:
+    def _is_claimed(self, address: JobAddress) -> bool:
         if self._reachability.is_down:
             return True
-        segment = self._holdings.get(held.address.segment_id)
+        segment = self._holdings.get(address.segment_id)
         if segment is None or not self._parts.lease.holds():
             return False
         return segment.epoch == self._parts.lease.epoch()
@@ -479,7 +480,7 @@
         job_id = self._parts.ids.make(address, job.client_account, job.member)
         control = JobControl(
             rank=lambda class_rank: self._rank(held, class_rank),
-            is_lost=lambda: not self._is_claimed(held),
+            is_lost=lambda: not self._is_claimed(held.address),
             should_yield=lambda: self._should_yield(held),
         )
         result = self._parts.run_job(job_id, submission.ok, control)
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -264,3 +264,15 @@
     held = holdings.get(segment_id)
     assert held.outcomes.jobs[0].state == "done"
     assert held.revision == fleet.kv.entries[outcomes_key(segment_id)].mod_revision
+
+
+def test_paused_holder_shows_what_another_has_finished():
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    paused = fleet.instances.pop("i0")
+    fleet.kv.advance(30_000.0)
+    fleet.settle(n_rounds=3)
+    fleet.instances["i0"] = paused
+    assert view(fleet, "i1", ids[0], job).state == "done"
+    assert view(fleet, "i0", ids[0], job).state == "done"
