--- a/buckthornrock/compose/deferred.py
+++ b/buckthornrock/compose/deferred.py
@@ -10,7 +10,7 @@
 from ..deferred.claims import LeasePort
 from ..deferred.errors import NoTrustedProfile
 from ..deferred.ids import open_job_ids
-from ..deferred.service import DeferredParts, DeferredRules, JobControl, RunJob
+from ..deferred.parts import DeferredParts, DeferredRules, JobControl, RunJob
 from ..dispatch import Caller, CompletionRequest, CompletionSink
 from ..dispatch.requests import CompletionDone
 from ..entry import EntryParts
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -4,24 +4,19 @@
 starts a thread.
 """
 
-import random
 import threading
-from collections.abc import Callable
-from typing import NamedTuple
 
 import msgspec
 from expression import Error, Ok, Result
 
 from ..errors import Failure
 from ..events import deferred as events
-from ..platform import Compare, KvPort
-from ..runtime import Clock
-from ..telemetry import Telemetry
+from ..platform import Compare
 from ..telemetry.metrics import DEFERRED_FINISHED, DEFERRED_WAITING
 from .acceptance import Acceptance, AcceptedSegment, Pending
 from .backlog import Backlog, HeldJob
 from .blobs import BlobStore
-from .claims import ClaimTerms, LeasePort, read_terms
+from .claims import ClaimTerms, read_terms
 from .collection import Collector
 from .errors import (
     NotAccepted,
@@ -32,8 +27,9 @@
     UnknownJob,
 )
 from .holdings import Finished, HeldSegment, Holdings, SavedJob
-from .ids import JobAddress, JobIds
+from .ids import JobAddress
 from .packing import PackedJob, pack, unpack
+from .parts import DeferredParts, DeferredRules, JobControl
 from .port import DeferredPort, JobSubmission, JobView
 from .reachability import Reachability
 from .reading import cancel_job, read_job
@@ -47,70 +43,11 @@
 )
 from .scan import FoundSegment, adopt, claim_again, release, scan_shard, shards_to_scan
 
-
-class JobControl(NamedTuple):
-    """What a run asks while it waits and works.
-
-    Parameters
-    ----------
-    rank : callable
-        ``rank(class_rank) -> int``, by how near the deadline is.
-    is_lost : callable
-        ``is_lost() -> bool``: another instance may run the job.
-    should_yield : callable
-        ``should_yield() -> bool``: as long as nothing was sent, the job had better
-        wait again, because another is more urgent or its own rank has risen.
-    """
-
-    rank: Callable[[int], int]
-    is_lost: Callable[[], bool]
-    should_yield: Callable[[], bool]
-
-
-#: ``run_job(job_id, submission, control)``; runs to the answer.
-RunJob = Callable[[str, JobSubmission, JobControl], Result[dict, Failure]]
-
 #: The service counts as down this long after a call without an answer.
 DOWN_MS = 2_000.0
 SUBMIT_RETRY_MS = 200.0
 
 
-class DeferredRules(NamedTuple):
-    """Settings of deferred work; see ``conf.settings.DeferredSettings``."""
-
-    max_held_jobs: int
-    max_unsaved_bytes: int
-    max_waiting_submitters: int
-    submit_timeout_ms: int
-    retention_ms: int
-    fleet_writes_per_s: float
-
-
-class DeferredParts(NamedTuple):
-    """What deferred work is built on.
-
-    Parameters
-    ----------
-    holder : str
-        This run of this instance, as it appears in claims.
-    self_id : str
-        This instance.
-    live_ids : callable
-        ``live_ids() -> Sequence[str]``.
-    """
-
-    kv: KvPort
-    lease: LeasePort
-    ids: JobIds
-    run_job: RunJob
-    clock: Clock
-    telemetry: Telemetry
-    rng: random.Random
-    holder: str
-    self_id: str
-    live_ids: Callable[[], tuple[str, ...]]
-
-
 class DeferredService:
     """Accepts jobs, runs those it holds and keeps their results."""
 
--- a/tests/deferred/fleet.py
+++ b/tests/deferred/fleet.py
@@ -12,12 +12,9 @@
 
 from buckthornrock.deferred.claims import LeasePort  # noqa: E402
 from buckthornrock.deferred.ids import open_job_ids  # noqa: E402
+from buckthornrock.deferred.parts import DeferredParts, DeferredRules  # noqa: E402
 from buckthornrock.deferred.port import JobSubmission  # noqa: E402
-from buckthornrock.deferred.service import (  # noqa: E402
-    DeferredParts,
-    DeferredRules,
-    DeferredService,
-)
+from buckthornrock.deferred.service import DeferredService  # noqa: E402
 from buckthornrock.runtime import Clock  # noqa: E402
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics  # noqa: E402
 
