Share one memory of the index keepers among all engines' polls

Change: one object, made where the polling starts; its view is replaced as a whole, so that polls in several threads can't mix answers of two views. Conclusion: behaviour is unchanged; tests keep their assertions.

--- a/buckthornrock/compose/routing.py
+++ b/buckthornrock/compose/routing.py
@@ -47,6 +47,7 @@
     core: Core, fleet: FleetParts, routing: RoutingPort, membership: MembershipPort
 ) -> None:
     """Poll each engine in an actor of its own, so that none delays another."""
+    keepers = IndexKeepers(membership.self_view().instance_id)
     for engine in fleet.fleet.engine_settings():
         run_periodically(
             core,
@@ -57,7 +58,7 @@
         run_periodically(
             core,
             f"routing.events.{engine.id}",
-            _events_step(core, fleet, routing, membership, engine),
+            _events_step(core, fleet, routing, membership, keepers, engine),
             core.settings.routing.event_period_ms,
         )
 
@@ -78,10 +79,9 @@
     fleet: FleetParts,
     routing: RoutingPort,
     membership: MembershipPort,
+    keepers: IndexKeepers,
     engine: UpstreamSettings,
 ) -> Callable[[], None]:
-    keepers = IndexKeepers(membership.self_view().instance_id)
-
     def step() -> None:
         if not keepers.is_keeper(membership.live(), engine.id):
             return
--- a/buckthornrock/routing/keepers.py
+++ b/buckthornrock/routing/keepers.py
@@ -1,6 +1,6 @@
 """Which instances keep the full cache index of an engine."""
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..runtime.rendezvous import rank
 
@@ -15,11 +15,20 @@
     instance_id: str
 
 
+class _View(NamedTuple):
+    """One view of the live instances, and what was found for it."""
+
+    instances: tuple[LiveInstance, ...]
+    ids: tuple[str, ...]
+    is_keeper: dict[str, bool]
+
+
 class IndexKeepers:
     """Tells whether this instance keeps an engine's index.
 
     The keepers of an engine are the same until the live instances change, so they are
-    ranked once for each view of these, not at every poll.
+    ranked once for each view of these, not at every poll. One object serves all
+    engines, from any thread.
 
     Parameters
     ----------
@@ -29,28 +38,27 @@
 
     def __init__(self, instance_id: str) -> None:
         self._instance_id = instance_id
-        self._views: tuple[LiveInstance, ...] = ()
-        self._ids: tuple[str, ...] = ()
-        self._is_keeper: dict[str, bool] = {}
+        self._view = _View((), (), {})
 
-    def is_keeper(self, views: tuple[LiveInstance, ...], upstream_id: str) -> bool:
+    def is_keeper(self, instances: tuple[LiveInstance, ...], upstream_id: str) -> bool:
         """Return whether this instance keeps the index of ``upstream_id``.
 
-        ``views`` are the live instances; the same object while nothing changed.
+        ``instances`` are the live ones; the same object while nothing changed.
         """
-        if views is not self._views:
-            self._note_views(views)
-        if len(self._ids) <= SMALL_FLEET_N_INSTANCES:
+        # The view is replaced as a whole, so that what another thread finds for an
+        # older one can't be taken for an answer to this one.
+        view = self._view
+        if instances is not view.instances:
+            view = self._view = _next_view(view, instances)
+        if len(view.ids) <= SMALL_FLEET_N_INSTANCES:
             return True
-        found = self._is_keeper.get(upstream_id)
+        found = view.is_keeper.get(upstream_id)
         if found is None:
-            keepers = rank(upstream_id.encode(), self._ids)[:N_INDEX_REPLICAS]
-            found = self._is_keeper[upstream_id] = self._instance_id in keepers
+            keepers = rank(upstream_id.encode(), view.ids)[:N_INDEX_REPLICAS]
+            found = view.is_keeper[upstream_id] = self._instance_id in keepers
         return found
 
-    def _note_views(self, views: tuple[LiveInstance, ...]) -> None:
-        ids = tuple(view.instance_id for view in views)
-        if ids != self._ids:
-            self._is_keeper = {}
-        self._ids = ids
-        self._views = views
+
+def _next_view(view: _View, instances: tuple[LiveInstance, ...]) -> _View:
+    ids = tuple(instance.instance_id for instance in instances)
+    return _View(instances, ids, view.is_keeper if ids == view.ids else {})
