Move the store's port, breaker, budget and lease into their own package

The package `platform` is to hold only the adapter to the users' platform. What decides about the store (port, lease, breaker, budget) is the product's, so it moves to `store`; nothing but the import paths changes.

--- a/buckthornrock/compose/core.py
+++ b/buckthornrock/compose/core.py
@@ -7,10 +7,10 @@
 
 from ..conf import Settings
 from ..events import lifecycle as events
-from ..platform import KvPort, LeaseHolder, open_kv
-from ..platform.instance_list import InstanceList
 from ..runtime import Clock, PeriodicHandle, Timer, start_periodic, system_clock
 from ..runtime.spreading import open_start_gate
+from ..store import KvPort, LeaseHolder, open_kv
+from ..store.instance_list import InstanceList
 from ..telemetry import Telemetry
 from ..telemetry.burn import BurnAccounts
 from .telemetry import build_telemetry
--- a/buckthornrock/compose/fleet.py
+++ b/buckthornrock/compose/fleet.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..fleet import Fleet
-from ..platform.instance_list import InstanceList
+from ..store.instance_list import InstanceList
 from ..upstreams.engine_client import EngineClient
 from ..upstreams.engine_control import EngineControl
 from ..upstreams.relay import Relay
--- a/buckthornrock/compose/membership.py
+++ b/buckthornrock/compose/membership.py
@@ -14,8 +14,8 @@
     ReadList,
     open_membership,
 )
-from ..platform.errors import ListUnavailable
-from ..platform.instance_list import ListedInstance, open_instance_list
+from ..store.errors import ListUnavailable
+from ..store.instance_list import ListedInstance, open_instance_list
 from ..wire import Identity, PeerAddress, Transport, open_transport
 from .core import Core, run_periodically
 
--- a/buckthornrock/deferred/acceptance.py
+++ b/buckthornrock/deferred/acceptance.py
@@ -14,7 +14,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
--- a/buckthornrock/deferred/blobs.py
+++ b/buckthornrock/deferred/blobs.py
@@ -11,7 +11,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     Compare,
@@ -20,7 +20,7 @@
     Put,
     Transaction,
 )
-from ..platform.errors import KvUnavailable
+from ..store.errors import KvUnavailable
 from .errors import NotAccepted
 from .packing import Blob, split_value
 from .records import (
--- a/buckthornrock/deferred/claims.py
+++ b/buckthornrock/deferred/claims.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ..platform import Compare, Put
+from ..store import Compare, Put
 from .records import claim_key
 
 
--- a/buckthornrock/deferred/collection.py
+++ b/buckthornrock/deferred/collection.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..platform import CommitDone, Compare, Delete, KvPort, Put, Transaction
+from ..store import CommitDone, Compare, Delete, KvPort, Put, Transaction
 from .records import (
     PREFIX,
     TRASH_STEP_MS,
--- a/buckthornrock/deferred/holdings.py
+++ b/buckthornrock/deferred/holdings.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     Compare,
--- a/buckthornrock/deferred/parts.py
+++ b/buckthornrock/deferred/parts.py
@@ -7,8 +7,8 @@
 from expression import Result
 
 from ..errors import Failure
-from ..platform import KvPort
 from ..runtime import Clock
+from ..store import KvPort
 from ..telemetry import Telemetry
 from .claims import LeasePort
 from .ids import JobIds
--- a/buckthornrock/deferred/reading.py
+++ b/buckthornrock/deferred/reading.py
@@ -3,7 +3,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     Compare,
--- a/buckthornrock/deferred/scan.py
+++ b/buckthornrock/deferred/scan.py
@@ -12,7 +12,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..platform import (
+from ..runtime import rendezvous
+from ..store import (
     CommitConflict,
     CommitDone,
     Compare,
@@ -22,8 +23,7 @@
     Put,
     Transaction,
 )
-from ..platform.errors import KvUnavailable
-from ..runtime import rendezvous
+from ..store.errors import KvUnavailable
 from .claims import ClaimTerms
 from .holdings import HeldSegment
 from .records import (
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -11,7 +11,7 @@
 
 from ..errors import Failure
 from ..events import deferred as events
-from ..platform import Compare
+from ..store import Compare
 from ..telemetry.metrics import DEFERRED_FINISHED, DEFERRED_WAITING
 from .acceptance import Acceptance, AcceptedSegment, Pending
 from .backlog import Backlog, HeldJob
--- a/buckthornrock/fleet/load_slots.py
+++ b/buckthornrock/fleet/load_slots.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..platform import Compare, KvEntry, Put, Transaction
+from ..store import Compare, KvEntry, Put, Transaction
 from .reconciler import LoadInProgress
 
 KEY_PREFIX = "load-slots/"
--- a/buckthornrock/fleet/placement_store.py
+++ b/buckthornrock/fleet/placement_store.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from ..errors import NotRun
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -18,7 +18,7 @@
     Put,
     Transaction,
 )
-from ..platform.errors import KvUnavailable
+from ..store.errors import KvUnavailable
 from .placement_document import Placement, empty_placement
 
 KEY = "placement"
--- a/buckthornrock/fleet/steward_state.py
+++ b/buckthornrock/fleet/steward_state.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..conf.settings import UpstreamSettings
-from ..platform import KvPort
+from ..store import KvPort
 from ..telemetry import Telemetry
 from ..upstreams.order_client import OrderClient
 from .placement_store import PlacementStore
--- a/buckthornrock/fleet/stewards.py
+++ b/buckthornrock/fleet/stewards.py
@@ -10,7 +10,7 @@
 
 from ..conf.settings import UpstreamSettings
 from ..events import fleet as events
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     CommitUnknown,
--- a/buckthornrock/idempotency/claims.py
+++ b/buckthornrock/idempotency/claims.py
@@ -11,9 +11,9 @@
 from ..conf.settings import IdempotencySettings
 from ..errors import Failure
 from ..events import idempotency as events
-from ..platform import CommitNotDone, CommitOutcome, CommitUnknown, KvPort
-from ..platform.kv_port import LEASE_GONE
 from ..runtime import Clock
+from ..store import CommitNotDone, CommitOutcome, CommitUnknown, KvPort
+from ..store.kv_port import LEASE_GONE
 from ..telemetry import Telemetry
 from ..telemetry.metrics import KEYED_CALLS, OUTCOMES_PENDING
 from ..upstreams.service_client import ServiceAnswer
--- a/buckthornrock/idempotency/group_commit.py
+++ b/buckthornrock/idempotency/group_commit.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable, Sequence
 
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitOutcome,
     CommitUnknown,
--- a/buckthornrock/idempotency/keyed_call.py
+++ b/buckthornrock/idempotency/keyed_call.py
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 
 from ..errors import DeadlineExceeded, Failure
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
--- a/buckthornrock/idempotency/outcome_queue.py
+++ b/buckthornrock/idempotency/outcome_queue.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Iterable
 
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     CommitOutcome,
--- a/buckthornrock/idempotency/retention.py
+++ b/buckthornrock/idempotency/retention.py
@@ -10,7 +10,7 @@
 
 from expression import Error, Ok, Result
 
-from ..platform.errors import KvUnavailable
+from ..store.errors import KvUnavailable
 
 ROTATION_MS = 3_600_000.0
 
--- a/buckthornrock/membership/service.py
+++ b/buckthornrock/membership/service.py
@@ -8,10 +8,10 @@
 from expression import Error, Result
 
 from ..events import membership as events
-from ..platform.errors import ListUnavailable
-from ..platform.instance_list import ListedInstance
 from ..runtime import Clock
 from ..runtime.rendezvous import rank
+from ..store.errors import ListUnavailable
+from ..store.instance_list import ListedInstance
 from ..telemetry import Telemetry
 from ..telemetry.metrics import MEMBERS_LIVE
 from ..wire import (
--- a/buckthornrock/profiles/acceptance.py
+++ b/buckthornrock/profiles/acceptance.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from ..events import profiles as events
-from ..platform import (
+from ..store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
--- a/buckthornrock/profiles/stored.py
+++ b/buckthornrock/profiles/stored.py
@@ -3,7 +3,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..platform import KvEntry
+from ..store import KvEntry
 from .document import Profile
 from .errors import UnreadableProfile
 from .port import ProfileRecord
--- a/buckthornrock/profiles/watching.py
+++ b/buckthornrock/profiles/watching.py
@@ -6,9 +6,9 @@
 
 from ..events import profiles as events
 from ..membership import MembershipPort
-from ..platform import KvPort, WatchBatch
 from ..runtime.rendezvous import rank
 from ..runtime.spreading import open_start_gate
+from ..store import KvPort, WatchBatch
 from ..telemetry import Telemetry
 from .acceptance import Acceptance
 from .stored import KEY_PREFIX
--- a/tests/deferred/fake_platform.py
+++ b/tests/deferred/fake_platform.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok
 
-from buckthornrock.platform import (
+from buckthornrock.store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -16,8 +16,8 @@
     Put,
     Transaction,
 )
-from buckthornrock.platform.errors import KvUnavailable, LeaseGone
-from buckthornrock.platform.kv_port import LeaseGrant
+from buckthornrock.store.errors import KvUnavailable, LeaseGone
+from buckthornrock.store.kv_port import LeaseGrant
 
 LEASE_MS = 10_000.0
 
--- a/tests/idempotency/fakes.py
+++ b/tests/idempotency/fakes.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok
 
-from buckthornrock.platform import (
+from buckthornrock.store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -13,8 +13,8 @@
     KvEntry,
     KvPort,
 )
-from buckthornrock.platform.errors import KvUnavailable
-from buckthornrock.platform.kv_port import LeaseGrant
+from buckthornrock.store.errors import KvUnavailable
+from buckthornrock.store.kv_port import LeaseGrant
 
 
 class FakeKv:
--- a/tests/idempotency/test_group_commit.py
+++ b/tests/idempotency/test_group_commit.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from buckthornrock.idempotency.group_commit import GroupCommitter, commit_together
-from buckthornrock.platform import CommitUnknown, Compare, Put, Transaction
+from buckthornrock.store import CommitUnknown, Compare, Put, Transaction
 from tests.idempotency.fakes import FakeKv
 
 
--- a/tests/idempotency/test_lost_lease.py
+++ b/tests/idempotency/test_lost_lease.py
@@ -7,13 +7,13 @@
 from buckthornrock.conf.settings import IdempotencySettings
 from buckthornrock.idempotency import KeyedRequest
 from buckthornrock.idempotency.claims import ClaimedCalls, Identity
-from buckthornrock.platform.kv_client import KvClient
-from buckthornrock.platform.kv_codec import KvCodec
-from buckthornrock.platform.kv_port import KvPort
 from buckthornrock.standins.kv import KvStandin
+from buckthornrock.store.kv_client import KvClient
+from buckthornrock.store.kv_codec import KvCodec
+from buckthornrock.store.kv_port import KvPort
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 from buckthornrock.upstreams.service_client import ServiceAnswer
-from tests.platform.fake_kv import FakeHttp, FakeTime
+from tests.store.fake_kv import FakeHttp, FakeTime
 
 RETRY_MS = 10_000.0
 
--- a/tests/profiles/test_service_restored.py
+++ b/tests/profiles/test_service_restored.py
@@ -4,7 +4,7 @@
 
 from buckthornrock.profiles.stored import key_of
 from buckthornrock.standins.kv import KvStandin
-from tests.platform.fake_kv import FakeTime
+from tests.store.fake_kv import FakeTime
 
 from .fleet import profile
 from .test_versions import NAME, Instance
--- a/tests/profiles/test_versions.py
+++ b/tests/profiles/test_versions.py
@@ -7,10 +7,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from buckthornrock.platform import Compare, Put, Transaction
-from buckthornrock.platform.kv_client import KvClient
-from buckthornrock.platform.kv_codec import KvCodec
-from buckthornrock.platform.kv_port import KvPort
 from buckthornrock.profiles import ProfileRecord
 from buckthornrock.profiles.acceptance import Acceptance
 from buckthornrock.profiles.encoding import from_wire, to_wire
@@ -18,8 +14,12 @@
 from buckthornrock.profiles.stored import key_of
 from buckthornrock.profiles.table import ProfileTable, order_of
 from buckthornrock.standins.kv import KvStandin
+from buckthornrock.store import Compare, Put, Transaction
+from buckthornrock.store.kv_client import KvClient
+from buckthornrock.store.kv_codec import KvCodec
+from buckthornrock.store.kv_port import KvPort
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
-from tests.platform.fake_kv import FakeHttp, FakeTime
+from tests.store.fake_kv import FakeHttp, FakeTime
 
 from .fleet import profile
 
--- a/tests/profiles/test_watching.py
+++ b/tests/profiles/test_watching.py
@@ -5,9 +5,9 @@
 
 from expression import Ok
 
-from buckthornrock.platform import KvEntry, WatchBatch
 from buckthornrock.profiles.stored import KEY_PREFIX
 from buckthornrock.profiles.watching import ProfileWatch
+from buckthornrock.store import KvEntry, WatchBatch
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 
 #: The newest change of a profile is older than what the service still keeps.
--- a/tests/platform/fake_kv.py
+++ b/tests/store/fake_kv.py
@@ -2,9 +2,11 @@
 
 from expression import Error, Ok
 
-from buckthornrock.platform.errors import KvUnavailable, LeaseGone
-from buckthornrock.platform.kv_http import CallFailed
-from buckthornrock.platform.kv_port import (
+from buckthornrock.runtime import Clock
+from buckthornrock.standins.kv import KvStandin
+from buckthornrock.store.errors import KvUnavailable, LeaseGone
+from buckthornrock.store.kv_http import CallFailed
+from buckthornrock.store.kv_port import (
     LEASE_GONE,
     CommitConflict,
     CommitDone,
@@ -13,8 +15,6 @@
     KvPort,
     LeaseGrant,
 )
-from buckthornrock.runtime import Clock
-from buckthornrock.standins.kv import KvStandin
 
 
 class FakeTime:
--- a/tests/platform/test_budget.py
+++ b/tests/store/test_budget.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornrock.platform.breaker import MAX_OPEN_MS, N_FAILURES_TO_OPEN, Breaker
-from buckthornrock.platform.budget import MIN_BURST_CALLS, Budget, kind_of
+from buckthornrock.store.breaker import MAX_OPEN_MS, N_FAILURES_TO_OPEN, Breaker
+from buckthornrock.store.budget import MIN_BURST_CALLS, Budget, kind_of
 
 FLEET_WRITES_PER_S = 300.0
 
--- a/tests/platform/test_commits.py
+++ b/tests/store/test_commits.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from buckthornrock.platform import (
+from buckthornrock.store import (
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -17,8 +17,8 @@
     Put,
     Transaction,
 )
-from buckthornrock.platform.kv_client import KvClient
-from buckthornrock.platform.kv_codec import KvCodec
+from buckthornrock.store.kv_client import KvClient
+from buckthornrock.store.kv_codec import KvCodec
 
 from .fake_kv import FakeHttp, FakeTime
 
--- a/tests/platform/test_kv_sockets.py
+++ b/tests/store/test_kv_sockets.py
@@ -5,7 +5,8 @@
 import pytest
 
 from buckthornrock.conf.settings import KvSettings
-from buckthornrock.platform import (
+from buckthornrock.standins.kv import KvStandin, start_kv
+from buckthornrock.store import (
     CommitDone,
     CommitNotDone,
     CommitUnknown,
@@ -14,10 +15,9 @@
     Transaction,
     open_kv,
 )
-from buckthornrock.platform.breaker import N_FAILURES_TO_OPEN
-from buckthornrock.platform.kv_client import PAGE_ENTRIES
-from buckthornrock.platform.kv_port import LEASE_GONE
-from buckthornrock.standins.kv import KvStandin, start_kv
+from buckthornrock.store.breaker import N_FAILURES_TO_OPEN
+from buckthornrock.store.kv_client import PAGE_ENTRIES
+from buckthornrock.store.kv_port import LEASE_GONE
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 
 TELEMETRY = Telemetry(open_log(None), open_metrics("", 0, ""))
--- a/tests/platform/test_lease.py
+++ b/tests/store/test_lease.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from buckthornrock.platform.lease import LeaseHolder
+from buckthornrock.store.lease import LeaseHolder
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 
 from .fake_kv import FakeLeases, FakeTime
