--- /dev/null
+++ b/buckthornrock/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""What operators and upstreams have published: routes, accounts and upstreams."""
--- /dev/null
+++ b/buckthornrock/catalog/route_table.py
@@ -0,0 +1,67 @@
+"""Finds the route of a request and the client account of a key."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from .configuration import ClientAccount, Configuration, Route
+
+BEARER = "bearer "
+
+
+class NoRoute(NamedTuple):
+    """No route of the configuration covers the request."""
+
+    version: int
+
+    code = "no-route"
+
+
+class UnknownKey(NamedTuple):
+    """The request needs an API key and carries none that is known."""
+
+    version: int
+
+    code = "unknown-key"
+
+
+class RouteTable:
+    """Lookup by host and longest path prefix over one configuration."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        by_host: dict[str, list[Route]] = defaultdict(list)
+        for route in configuration.routes:
+            by_host[route.host.lower()].append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._by_host = dict(by_host)
+
+    def match(self, host: str, path: str) -> Result[Route, NoRoute]:
+        """Return the route with the longest prefix that begins ``path``."""
+        for route in self._by_host.get(_host_name(host), ()):
+            if path.startswith(route.path_prefix):
+                return Ok(route)
+        return Error(NoRoute(self.configuration.version))
+
+    def authenticate(
+        self, route: Route, authorization: str
+    ) -> Result[ClientAccount | None, UnknownKey]:
+        """Return the account of the request's key, None where none is needed."""
+        if not self.configuration.requires_keys:
+            return Ok(None)
+        account = self.configuration.accounts.get(_bearer_key(authorization))
+        if account is None and not route.is_public:
+            return Error(UnknownKey(self.configuration.version))
+        return Ok(account)
+
+
+def _host_name(host: str) -> str:
+    return host.strip().lower().rsplit(":", 1)[0] if ":" in host else host.lower()
+
+
+def _bearer_key(authorization: str) -> str:
+    if authorization[: len(BEARER)].lower() != BEARER:
+        return ""
+    return authorization[len(BEARER) :].strip()
--- /dev/null
+++ b/buckthornrock/catalog/upstreams.py
@@ -0,0 +1,130 @@
+"""The upstreams that are known to live, each with what it last said of itself.
+
+Pure: the caller gives the time. An outage of the store freezes what is known: entries
+that the store lost meanwhile are dropped only if they are still missing some time
+after its return.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+#: Entries that lapsed in an outage are written again within this time.
+RETURN_GRACE_MS = 2_000.0
+
+
+class Upstream(NamedTuple):
+    """One incarnation of an upstream.
+
+    ``started_ms`` (Unix time) distinguishes incarnations with the same id.
+    ``weights_versions`` maps each model to the version that is loaded.
+    """
+
+    upstream_id: str
+    service: str
+    address: str
+    failure_domain: str
+    is_draining: bool
+    started_ms: int
+    n_slots: int
+    weights_versions: dict[str, int]
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """What identifies this start of the upstream."""
+        return self.upstream_id, self.started_ms
+
+
+class UpstreamDirectory:
+    """Live upstreams by id.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store up to which the entries are known.
+    heard_at_ms : float
+        When the store last confirmed them.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.heard_at_ms = 0.0
+        self._upstreams: dict[str, Upstream] = {}
+        self._missing_since_ms: dict[str, float] = {}
+        self._is_store_lost = False
+        self._store_back_at_ms = -RETURN_GRACE_MS
+
+    def replace(
+        self, upstreams: Iterable[Upstream], revision: int, now_ms: float
+    ) -> None:
+        """Take over a full reading of the store."""
+        found = {upstream.upstream_id: upstream for upstream in upstreams}
+        self._confirm(revision, now_ms)
+        for upstream_id in set(self._upstreams) - set(found):
+            self._remove(upstream_id, now_ms)
+        for upstream in found.values():
+            self._put(upstream)
+
+    def apply(
+        self,
+        changed: Iterable[Upstream],
+        removed: Iterable[str],
+        revision: int,
+        now_ms: float,
+    ) -> None:
+        """Take over changes up to ``revision``."""
+        self._confirm(revision, now_ms)
+        for upstream_id in removed:
+            self._remove(upstream_id, now_ms)
+        for upstream in changed:
+            self._put(upstream)
+
+    def on_store_lost(self) -> None:
+        """Note that the store does not answer."""
+        self._is_store_lost = True
+
+    def expire(self, now_ms: float) -> list[str]:
+        """Drop entries that stayed missing after the store's return."""
+        if self._is_store_lost:
+            return []
+        since_ms = now_ms - RETURN_GRACE_MS
+        gone = [key for key, at_ms in self._missing_since_ms.items() if at_ms < since_ms]
+        for upstream_id in gone:
+            del self._missing_since_ms[upstream_id]
+            self._upstreams.pop(upstream_id, None)
+        return gone
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return the upstream, also while it drains."""
+        return self._upstreams.get(upstream_id)
+
+    def all(self) -> list[Upstream]:
+        """Return every known upstream, also those that drain."""
+        return list(self._upstreams.values())
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of ``service`` that take new work."""
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.service == service and not upstream.is_draining
+        ]
+
+    def _confirm(self, revision: int, now_ms: float) -> None:
+        if self._is_store_lost:
+            self._is_store_lost = False
+            self._store_back_at_ms = now_ms
+        self.revision = revision
+        self.heard_at_ms = now_ms
+
+    def _put(self, upstream: Upstream) -> None:
+        self._missing_since_ms.pop(upstream.upstream_id, None)
+        self._upstreams[upstream.upstream_id] = upstream
+
+    def _remove(self, upstream_id: str, now_ms: float) -> None:
+        if upstream_id not in self._upstreams:
+            return
+        if now_ms - self._store_back_at_ms < RETURN_GRACE_MS:
+            self._missing_since_ms.setdefault(upstream_id, now_ms)
+            return
+        self._missing_since_ms.pop(upstream_id, None)
+        del self._upstreams[upstream_id]
--- a/buckthornrock/commands/serve.py
+++ b/buckthornrock/commands/serve.py
@@ -9,7 +9,9 @@
 import click
 
 from ..compose import start_instance
+from ..compose.gateway import run_gateway
 from ..conf import load_settings
+from ..platform.settings import PATH_VARIABLE, load_node_settings
 from .check import print_problems
 
 EXIT_CLEAN = 0
@@ -17,13 +19,19 @@
 
 
 @click.command()
-@click.argument("settings_path")
-def serve(settings_path: str) -> None:
+@click.argument("settings_path", required=False)
+def serve(settings_path: str | None) -> None:
     """Run one instance with the settings file SETTINGS_PATH.
 
+    Without a path, the instance runs on the platform whose settings file is named in
+    the environment.
+
     SIGTERM and SIGINT drain it: it turns not ready, finishes every request and ends
     with 0. A second signal ends it at once. Exits with 1 if requests were cut.
     """
+    if settings_path is None:
+        _serve_on_platform()
+        return
     settings = load_settings(settings_path)
     if settings.is_error():
         print_problems(settings.error, as_json=False)
@@ -44,6 +52,17 @@
     _exit(instance.stop())
 
 
+def _serve_on_platform() -> None:
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise click.UsageError(f"no SETTINGS_PATH given, and {PATH_VARIABLE} not set")
+    settings = load_node_settings(path)
+    if settings.is_error():
+        click.echo(f"{settings.error.path}: {settings.error.reason}", err=True)
+        sys.exit(1)
+    run_gateway(settings.ok, sys.stdout)
+
+
 def _exit(n_cut: int) -> None:
     """End the process without waiting for threads that serve cut requests."""
     click.echo(f"stopped, {n_cut} requests cut", err=True)
--- a/buckthornrock/events/__init__.py
+++ b/buckthornrock/events/__init__.py
@@ -10,6 +10,7 @@
     dispatch,
     entry,
     fleet,
+    gateway,
     idempotency,
     lifecycle,
     membership,
@@ -31,6 +32,7 @@
     deferred,
     idempotency,
     fleet,
+    gateway,
 )
 
 #: Every event by number.
--- /dev/null
+++ b/buckthornrock/events/gateway.py
@@ -0,0 +1,120 @@
+"""Log events of the gateway (numbers 2200 to 2299)."""
+
+from .event import Event
+
+SERVED = Event(
+    2200,
+    "gateway.served",
+    "info",
+    (
+        "request_id",
+        "route",
+        "upstream_id",
+        "estimate_ms",
+        "n_cached_tokens",
+        "weights_version",
+        "n_attempts",
+        "duration_ms",
+    ),
+    "A request got an upstream's whole answer; estimate_ms and n_cached_tokens are "
+    "what the choice of the upstream rested on.",
+)
+NOT_SERVED = Event(
+    2201,
+    "gateway.not_served",
+    "warning",
+    (
+        "request_id",
+        "route",
+        "status",
+        "failure",
+        "n_may_have_run",
+        "n_unexecuted",
+        "duration_ms",
+    ),
+    "A request got no upstream's answer; status 0 is a stream that was broken off.",
+)
+ATTEMPT_FAILED = Event(
+    2202,
+    "gateway.attempt_failed",
+    "warning",
+    ("request_id", "upstream_id", "failure", "reason", "weights_version"),
+    "An upstream gave no usable answer to a request.",
+)
+TURNED_AWAY = Event(
+    2203,
+    "gateway.turned_away",
+    "info",
+    ("request_id", "status", "failure", "configuration_version"),
+    "The configuration in force does not allow a request.",
+)
+CONFIGURATION_IN_FORCE = Event(
+    2210,
+    "gateway.configuration_in_force",
+    "info",
+    ("version", "source", "n_routes"),
+    "A newer configuration is in force.",
+)
+UNDECODABLE = Event(
+    2211,
+    "gateway.undecodable",
+    "warning",
+    ("what", "reason"),
+    "A value of the store can't be read and is left out.",
+)
+UPSTREAM_CHANGED = Event(
+    2212,
+    "gateway.upstream_changed",
+    "info",
+    ("upstream_id", "service", "state", "revision"),
+    "An upstream appeared, drains or is gone.",
+)
+WEIGHTS_WANTED = Event(
+    2213,
+    "gateway.weights_wanted",
+    "info",
+    ("model", "version", "source"),
+    "New weights were named for a model.",
+)
+STORE_LOST = Event(
+    2214,
+    "gateway.store_lost",
+    "warning",
+    ("prefix", "reason"),
+    "The store does not answer; what is known is kept as it is.",
+)
+STORE_BACK = Event(
+    2215,
+    "gateway.store_back",
+    "info",
+    ("prefix", "outage_ms"),
+    "The store answers again.",
+)
+STARTED = Event(
+    2220,
+    "gateway.started",
+    "info",
+    ("instance_id", "failure_domain", "address"),
+    "The gateway listens; it is ready once it knows a configuration.",
+)
+STOPPING = Event(
+    2221,
+    "gateway.stopping",
+    "info",
+    ("instance_id", "n_open_requests"),
+    "A graceful shutdown began.",
+)
+STOPPED = Event(
+    2222,
+    "gateway.stopped",
+    "info",
+    ("instance_id", "n_cut_requests"),
+    "The gateway ended.",
+)
+BROKEN = Event(
+    2223,
+    "gateway.handler_failed",
+    "error",
+    ("request_id", "error_type", "reason"),
+    "Serving a request raised; the client got status 502.",
+)
--- /dev/null
+++ b/buckthornrock/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The path of requests: clients' connections, attempts at upstreams, answers."""
--- /dev/null
+++ b/buckthornrock/gateway/admission.py
@@ -0,0 +1,111 @@
+"""Decides whether the configuration allows a request, and what it demands. Pure."""
+
+import random
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from ..catalog.configuration import ClientAccount, Route, RouteKind
+from ..catalog.route_table import RouteTable
+from ..scheduling.choice import Demand
+from ..scheduling.prompt import PromptShape, parse_prompt
+from ..scheduling.weights import WeightsView
+from .requests import AdmittedRequest, ClientRequest, Refusal
+
+#: Text that stands for accounts which share cached parts with one another.
+SHARED_SALT = "shared"
+
+
+class AdmissionInputs(NamedTuple):
+    """What admission is decided from; ``table`` is None before any configuration."""
+
+    table: RouteTable | None
+    weights: WeightsView
+    rng: random.Random
+
+
+def admit(
+    request: ClientRequest, inputs: AdmissionInputs
+) -> Result[AdmittedRequest, Refusal]:
+    """Return the request with its route, account and demand, or a refusal."""
+    if inputs.table is None:
+        return Error(
+            Refusal(503, "no-configuration", "no configuration is known yet", 500.0)
+        )
+    path = request.target.decode("latin-1").partition("?")[0]
+    matched = inputs.table.match(request.fields.host, path)
+    if matched.is_error():
+        return Error(Refusal(404, matched.error.code, "no route covers this path"))
+    route = matched.ok
+    account = inputs.table.authenticate(route, request.fields.authorization)
+    if account.is_error():
+        return Error(Refusal(401, account.error.code, "the API key is not known"))
+    return _demand(request, route, account.ok, inputs).map(
+        lambda demand: _admitted(request, route, account.ok, demand)
+    )
+
+
+def cache_salt(
+    account: ClientAccount | None, prompt: PromptShape, version: int | None
+) -> str:
+    """Return the text that keeps cached parts apart.
+
+    It holds the isolated account, the model and the version of its weights, so that
+    nothing cached crosses any of them.
+    """
+    is_isolated = account is not None and account.is_isolated
+    wall = f"account={account.name}" if is_isolated else SHARED_SALT
+    return f"{wall}/{prompt.model}/{version or 0}"
+
+
+def _demand(
+    request: ClientRequest,
+    route: Route,
+    account: ClientAccount | None,
+    inputs: AdmissionInputs,
+) -> Result[Demand, Refusal]:
+    configuration = inputs.table.configuration
+    name = _pick_service(route, inputs.rng)
+    service = configuration.services.get(name)
+    if service is None:
+        return Error(Refusal(503, "no-service", "the route's service is gone", 500.0))
+    prompt = None
+    if service.engine is not None and request.fields.model:
+        parsed = parse_prompt(
+            request.fields.model,
+            request.fields.token_counts,
+            request.fields.prompt_parts,
+        )
+        if parsed.is_error():
+            return Error(Refusal(400, parsed.error.code, parsed.error.reason))
+        prompt = parsed.ok
+    rank = route.rank
+    if account is not None and account.rank is not None:
+        rank = account.rank
+    wanted = inputs.weights.wanted(prompt.model) if prompt else None
+    salt = cache_salt(account, prompt, wanted and wanted.version) if prompt else ""
+    return Ok(Demand(request.fields.request_id, route, rank, service, salt, prompt))
+
+
+def _pick_service(route: Route, rng: random.Random) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    names = [share.service for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    return rng.choices(names, weights)[0]
+
+
+def _admitted(
+    request: ClientRequest, route: Route, account: ClientAccount | None, demand: Demand
+) -> AdmittedRequest:
+    deadline_ms = request.fields.deadline_ms
+    gives_up_at_ms = request.received_at_ms + (
+        route.timeout_ms if deadline_ms is None else deadline_ms
+    )
+    ends_at_ms = min(gives_up_at_ms, request.received_at_ms + route.timeout_ms)
+    return AdmittedRequest(request, route, account, demand, gives_up_at_ms, ends_at_ms)
+
+
+def is_stream(route: Route) -> bool:
+    """Return whether answers of the route are event streams."""
+    return route.kind is RouteKind.STREAM
--- /dev/null
+++ b/buckthornrock/gateway/dispatcher.py
@@ -0,0 +1,190 @@
+"""Waits for places at upstreams and accounts for the work that is handed on."""
+
+import asyncio
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from ..catalog.upstreams import Upstream, UpstreamDirectory
+from ..scheduling.choice import Demand, NoPlace, Placement, View, choose
+from ..scheduling.loads import FleetLoads, LoadReport, Work
+from ..scheduling.waiting import (
+    MIN_SERVICE_MS,
+    Waiting,
+    WaitingRoom,
+    expected_wait_ms,
+    is_hopeless,
+)
+from .requests import AdmittedRequest, Refusal
+
+#: Places also come free by peers' requests, which only this period shows.
+TICK_MS = 20.0
+#: Clients of refused requests come back no earlier and no later than this.
+MIN_RETRY_AFTER_MS = 200.0
+MAX_RETRY_AFTER_MS = 3_000.0
+
+
+class Ticket:
+    """Work of one request at one upstream.
+
+    Attributes
+    ----------
+    placement : Placement
+        Where the work is.
+    """
+
+    def __init__(
+        self, placement: Placement, loads: FleetLoads, on_freed: Callable[[], None]
+    ) -> None:
+        self.placement = placement
+        self._load = loads.of(placement.upstream.incarnation)
+        self._left = placement.work
+        self._on_freed = on_freed
+        self._load.own = self._load.own.plus(placement.work)
+
+    def on_first_event(self) -> None:
+        """Note that the prompt has been read."""
+        read = Work(
+            n_prefill_tokens=self._left.n_prefill_tokens,
+            n_urgent_prefill_tokens=self._left.n_urgent_prefill_tokens,
+        )
+        self._give_up(read)
+
+    def release(self) -> None:
+        """Note that the request is no longer at the upstream."""
+        self._give_up(self._left)
+
+    def _give_up(self, work: Work) -> None:
+        if not any(work):
+            return
+        self._left = self._left.minus(work)
+        self._load.own = self._load.own.minus(work)
+        self._on_freed()
+
+
+class Dispatcher:
+    """Finds a place for each request, in the order of the waiting rooms."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        loads: FleetLoads,
+        view: Callable[[], View],
+        n_instances: Callable[[], int],
+    ) -> None:
+        self.loads = loads
+        self._directory = directory
+        self._view = view
+        self._n_instances = n_instances
+        self._rooms: dict[str, WaitingRoom] = defaultdict(WaitingRoom)
+        self._places: dict[int, asyncio.Future[Ticket]] = {}
+        self._excluded: dict[int, frozenset[str]] = {}
+        self._numbers = itertools.count()
+        self._is_wake_due = False
+
+    async def place(
+        self, admitted: AdmittedRequest, excluded: frozenset[str]
+    ) -> Result[Ticket, Refusal]:
+        """Return a place at an upstream that is not excluded, or a refusal."""
+        demand = admitted.demand
+        room = self._rooms[demand.service.name]
+        now_ms = self._view().now_ms
+        waiting = Waiting(next(self._numbers), demand, now_ms, admitted.ends_at_ms)
+        backlog = room.ahead_of(demand)
+        if not backlog.n_requests:
+            placement = self._choose(demand, excluded)
+            if isinstance(placement, Placement):
+                return Ok(self._ticket(placement))
+            if not placement.n_usable:
+                return Error(_refusal("no upstream is in service", 500.0))
+        n_upstreams = len(self._directory.usable(demand.service.name))
+        wait_ms = expected_wait_ms(demand, backlog, n_upstreams, self._n_instances())
+        if is_hopeless(waiting, wait_ms, now_ms):
+            return Error(_refusal("no place before the deadline", wait_ms))
+        return await self._wait(waiting, excluded, room)
+
+    def report(self, upstream: Upstream, load: tuple[int, int, int]) -> None:
+        """Take over an upstream's own word on its load."""
+        state = self.loads.of(upstream.incarnation)
+        state.report = LoadReport(*load, self._view().now_ms)
+
+    def block(self, upstream: Upstream, duration_ms: float) -> None:
+        """Give an upstream no new work for a while."""
+        state = self.loads.of(upstream.incarnation)
+        until_ms = self._view().now_ms + duration_ms
+        state.blocked_until_ms = max(state.blocked_until_ms, until_ms)
+
+    def n_waiting(self) -> int:
+        """Return the number of requests that wait for a place."""
+        return sum(len(room) for room in self._rooms.values())
+
+    def wake_soon(self) -> None:
+        """Offer places that came free at the next turn of the loop."""
+        if self._is_wake_due or not self._places:
+            return
+        self._is_wake_due = True
+        asyncio.get_running_loop().call_soon(self._wake)
+
+    async def tick(self) -> None:
+        """Offer places periodically."""
+        while True:
+            await asyncio.sleep(TICK_MS / 1000.0)
+            self.wake_soon()
+
+    async def _wait(
+        self, waiting: Waiting, excluded: frozenset[str], room: WaitingRoom
+    ) -> Result[Ticket, Refusal]:
+        place = asyncio.get_running_loop().create_future()
+        self._places[waiting.number] = place
+        self._excluded[waiting.number] = excluded
+        room.join(waiting)
+        limit_ms = waiting.give_up_at_ms - MIN_SERVICE_MS - self._view().now_ms
+        ticket = None
+        try:
+            async with asyncio.timeout(max(0.0, limit_ms) / 1000.0):
+                ticket = await place
+            return Ok(ticket)
+        except TimeoutError:
+            return Error(_refusal("no place came free in time", MIN_RETRY_AFTER_MS))
+        finally:
+            del self._places[waiting.number], self._excluded[waiting.number]
+            if ticket is None:
+                room.leave(waiting.number)
+                _release_unused(place)
+
+    def _wake(self) -> None:
+        self._is_wake_due = False
+        for room in self._rooms.values():
+            if len(room):
+                room.place_each(self._try_place)
+
+    def _try_place(self, waiting: Waiting) -> bool:
+        place = self._places.get(waiting.number)
+        if place is None or place.done():
+            return True
+        placement = self._choose(waiting.demand, self._excluded[waiting.number])
+        if isinstance(placement, NoPlace):
+            return False
+        place.set_result(self._ticket(placement))
+        return True
+
+    def _choose(self, demand: Demand, excluded: frozenset[str]) -> Placement | NoPlace:
+        usable = self._directory.usable(demand.service.name)
+        upstreams = [u for u in usable if u.upstream_id not in excluded]
+        return choose(demand, upstreams or usable, self._view())
+
+    def _ticket(self, placement: Placement) -> Ticket:
+        return Ticket(placement, self.loads, self.wake_soon)
+
+
+def _release_unused(place: asyncio.Future[Ticket]) -> None:
+    """Give back a place that was found just as its client left."""
+    if place.done() and not place.cancelled():
+        place.result().release()
+
+
+def _refusal(reason: str, wait_ms: float) -> Refusal:
+    retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
+    return Refusal(503, "no-place", reason, retry_after_ms)
--- /dev/null
+++ b/buckthornrock/gateway/exchange.py
@@ -0,0 +1,323 @@
+"""Serves one admitted request: attempts, checks of answers, relayed streams."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+from expression import Error, Ok, Result
+
+from ..catalog.configuration import RouteKind
+from ..events import gateway as events
+from ..scheduling.choice import MIN_SHARED_TOKENS, View
+from ..scheduling.retry_budget import RetryBudget
+from ..telemetry import Telemetry
+from .admission import cache_salt
+from .dispatcher import Dispatcher, Ticket
+from .errors import (
+    AttemptFailure,
+    ConnectionBrokenError,
+    Interrupted,
+    NotExecuted,
+    NotReached,
+)
+from .front import FrontConnection
+from .pool import ConnectionPool
+from .ports import HeaderCodec, SendPlan
+from .requests import AdmittedRequest, Refusal
+from .stream_relay import StreamRelay
+from .upstream_connection import AnswerHead, UpstreamConnection
+
+#: Attempts that did not run, after which a request is refused.
+MAX_UNEXECUTED = 4
+#: An upstream that refused a request gets no new one for this time.
+BLOCK_AFTER_REFUSAL_MS = 120.0
+#: An upstream that can't be reached gets no new request for this time.
+BLOCK_AFTER_UNREACHED_MS = 500.0
+#: Share of the time left that a repeatable request waits for its first upstream.
+FIRST_ATTEMPT_SHARE = 0.5
+#: Part of the deadline that the answer's way to the client takes.
+ANSWER_MARGIN_MS = 20.0
+RETRY_AFTER_MS = 300.0
+
+
+class ExchangeParts(NamedTuple):
+    """What all exchanges share."""
+
+    dispatcher: Dispatcher
+    pool: ConnectionPool
+    codec: HeaderCodec
+    budget: RetryBudget
+    n_instances: Callable[[], int]
+    view: Callable[[], View]
+    telemetry: Telemetry
+
+
+class Exchange:
+    """One request on its way through one or more upstreams."""
+
+    def __init__(
+        self, parts: ExchangeParts, admitted: AdmittedRequest, client: FrontConnection
+    ) -> None:
+        self._parts = parts
+        self._admitted = admitted
+        self._client = client
+        self._relay = StreamRelay(
+            client,
+            admitted.request.fields.last_event_id,
+            admitted.route.is_resumable,
+        )
+        self._n_may_have_run = 0
+        self._n_unexecuted = 0
+        self._excluded: frozenset[str] = frozenset()
+        self._server_failure: tuple[AnswerHead, bytes] | None = None
+
+    async def run(self) -> None:
+        """Answer the client."""
+        service = self._admitted.demand.service.name
+        self._parts.budget.on_request(service, self._now_ms())
+        limit_ms = self._admitted.ends_at_ms - self._now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, limit_ms) / 1000.0):
+                await self._attempt_until_answered()
+        except TimeoutError:
+            self._fail("deadline", "no answer before the deadline")
+
+    async def _attempt_until_answered(self) -> None:
+        while True:
+            placed = await self._parts.dispatcher.place(self._admitted, self._excluded)
+            if placed.is_error():
+                self._refuse(placed.error)
+                return
+            ticket = placed.ok
+            try:
+                outcome = await self._attempt(ticket)
+            finally:
+                ticket.release()
+            if outcome.is_ok():
+                self._log_served(ticket)
+                return
+            if not self._may_try_again(ticket, outcome.error):
+                self._give_up(outcome.error)
+                return
+
+    async def _attempt(self, ticket: Ticket) -> Result[None, AttemptFailure]:
+        upstream = ticket.placement.upstream
+        taken = await self._parts.pool.take(upstream, self._left_ms())
+        if taken.is_error():
+            return taken
+        connection = taken.ok
+        request = self._admitted.request
+        headers = self._parts.codec.encode_request(
+            request.headers, self._plan(ticket), len(request.body)
+        )
+        try:
+            connection.send(request.method, request.target, headers, request.body)
+            async with asyncio.timeout(self._attempt_limit_s()):
+                head = await connection.read_head(self._admitted.request_id)
+            return await self._take_answer(ticket, connection, head)
+        except ConnectionBrokenError as error:
+            return Error(Interrupted(str(error)))
+        except h11.LocalProtocolError as error:
+            return Error(NotReached(str(error)))
+        except TimeoutError:
+            return Error(Interrupted("no answer from the upstream"))
+        finally:
+            self._parts.pool.give_back(upstream, connection)
+
+    async def _take_answer(
+        self, ticket: Ticket, connection: UpstreamConnection, head: AnswerHead
+    ) -> Result[None, AttemptFailure]:
+        upstream = ticket.placement.upstream
+        if head.fields.load is not None:
+            self._parts.dispatcher.report(upstream, head.fields.load)
+        if head.fields.is_not_executed:
+            await connection.read_body()
+            self._note_version(ticket, head)
+            return Error(NotExecuted(head.status))
+        if head.fields.is_encoded or not head.fields.is_signed:
+            return Error(Interrupted("the answer is not the upstream's own"))
+        if self._is_stream(head):
+            self._note_cached_parts(ticket)
+            await self._relay.run(
+                connection, self._parts.codec.encode_answer(head.headers), ticket
+            )
+            self._count(ticket, is_failure=False)
+            return Ok(None)
+        body = await connection.read_body()
+        is_failure = head.status >= 500
+        self._count(ticket, is_failure)
+        if is_failure and self._admitted.route.kind is RouteKind.IDEMPOTENT:
+            self._server_failure = (head, body)
+            return Error(Interrupted(f"status {head.status}"))
+        self._send_whole(head, body)
+        return Ok(None)
+
+    def _is_stream(self, head: AnswerHead) -> bool:
+        return self._admitted.route.kind is RouteKind.STREAM and head.status == 200
+
+    def _send_whole(self, head: AnswerHead, body: bytes) -> None:
+        headers = self._parts.codec.encode_answer(head.headers)
+        self._client.send_whole(head.status, headers, body)
+
+    def _plan(self, ticket: Ticket) -> SendPlan:
+        admitted, placement = self._admitted, ticket.placement
+        prompt = admitted.demand.prompt
+        account = admitted.account
+        version = placement.weights_version
+        return SendPlan(
+            upstream=placement.upstream,
+            remaining_ms=self._left_ms(),
+            client_account=account.name if account else "",
+            weights_version=version,
+            priority_class=min(9, admitted.demand.rank) if prompt else None,
+            cache_salt=cache_salt(account, prompt, version) if prompt else "",
+            kv_source=self._kv_source(ticket),
+            kv_target="",
+            last_event_id=self._relay.last_event_id,
+        )
+
+    def _kv_source(self, ticket: Ticket) -> str:
+        prompt = self._admitted.demand.prompt
+        if prompt is None:
+            return ""
+        n_shared = sum(part.n_tokens for part in prompt.shared)
+        if n_shared - ticket.placement.n_cached_tokens < MIN_SHARED_TOKENS:
+            return ""
+        return ""
+
+    def _note_cached_parts(self, ticket: Ticket) -> None:
+        demand = self._admitted.demand
+        if demand.prompt is None or demand.service.engine is None:
+            return
+        load = self._parts.dispatcher.loads.of(ticket.placement.upstream.incarnation)
+        salt = cache_salt(
+            self._admitted.account, demand.prompt, ticket.placement.weights_version
+        )
+        for part in demand.prompt.shared:
+            load.use_part(
+                (salt, part.part_id),
+                part.n_tokens,
+                demand.service.engine.kv_capacity_tokens,
+            )
+
+    def _note_version(self, ticket: Ticket, head: AnswerHead) -> None:
+        """Learn from a refusal which weights the upstream has by now."""
+        prompt = self._admitted.demand.prompt
+        if prompt is None or head.fields.weights_version is None:
+            return
+        self._parts.view().weights.on_loaded(
+            ticket.placement.upstream.incarnation,
+            prompt.model,
+            head.fields.weights_version,
+        )
+
+    def _may_try_again(self, ticket: Ticket, failure: AttemptFailure) -> bool:
+        upstream = ticket.placement.upstream
+        now_ms = self._now_ms()
+        self._log_attempt(ticket, failure)
+        self._excluded |= {upstream.upstream_id}
+        if isinstance(failure, NotReached):
+            self._n_unexecuted += 1
+            self._parts.dispatcher.block(upstream, BLOCK_AFTER_UNREACHED_MS)
+            return self._n_unexecuted < MAX_UNEXECUTED
+        if isinstance(failure, NotExecuted):
+            self._n_unexecuted += 1
+            self._parts.dispatcher.block(upstream, BLOCK_AFTER_REFUSAL_MS)
+            return self._n_unexecuted < MAX_UNEXECUTED and self._take_budget(now_ms)
+        self._n_may_have_run += 1
+        self._count(ticket, is_failure=self._server_failure is None)
+        if not self._admitted.route.is_repeatable:
+            return False
+        if self._n_may_have_run >= self._admitted.route.n_attempts:
+            return False
+        return self._left_ms() > ANSWER_MARGIN_MS and self._take_budget(now_ms)
+
+    def _take_budget(self, now_ms: float) -> bool:
+        service = self._admitted.demand.service.name
+        return self._parts.budget.take(service, self._parts.n_instances(), now_ms)
+
+    def _count(self, ticket: Ticket, is_failure: bool) -> None:
+        load = self._parts.dispatcher.loads.of(ticket.placement.upstream.incarnation)
+        load.on_outcome(is_failure, self._now_ms())
+
+    def _give_up(self, failure: AttemptFailure) -> None:
+        if self._client.has_started:
+            self._fail(failure.code, "the stream broke off")
+            return
+        if self._server_failure is not None:
+            self._send_whole(*self._server_failure)
+            self._log_refused(self._server_failure[0].status, "upstream-failed")
+            return
+        self._fail(failure.code, "no upstream gave a whole answer")
+
+    def _fail(self, code: str, reason: str) -> None:
+        """End without an upstream's answer, saying no more than is known."""
+        if self._client.has_started:
+            self._log_refused(0, code)
+            self._client.break_off()
+            return
+        if self._n_may_have_run == 0 and code != "deadline":
+            self._refuse(Refusal(503, code, reason, RETRY_AFTER_MS))
+            return
+        self._refuse(Refusal(504 if code == "deadline" else 502, code, reason))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        if self._n_may_have_run and refusal.status == 503:
+            refusal = Refusal(502, refusal.code, refusal.reason)
+        self._log_refused(refusal.status, refusal.code)
+        self._client.refuse(refusal)
+
+    def _attempt_limit_s(self) -> float:
+        """Return how long to wait for the head of an answer."""
+        left_ms = self._left_ms()
+        has_more = self._n_may_have_run + 1 < self._admitted.route.n_attempts
+        if self._admitted.route.is_repeatable and has_more:
+            left_ms *= FIRST_ATTEMPT_SHARE
+        return max(0.0, left_ms) / 1000.0
+
+    def _left_ms(self) -> float:
+        return self._admitted.ends_at_ms - self._now_ms()
+
+    def _now_ms(self) -> float:
+        return self._parts.view().now_ms
+
+    def _log_served(self, ticket: Ticket) -> None:
+        placement = ticket.placement
+        self._parts.telemetry.log(
+            events.SERVED,
+            request_id=self._admitted.request_id,
+            route=self._admitted.route.name,
+            upstream_id=placement.upstream.upstream_id,
+            estimate_ms=round(placement.estimate_ms, 1),
+            n_cached_tokens=placement.n_cached_tokens,
+            weights_version=placement.weights_version,
+            n_attempts=self._n_may_have_run + self._n_unexecuted + 1,
+            duration_ms=round(
+                self._now_ms() - self._admitted.request.received_at_ms, 1
+            ),
+        )
+
+    def _log_refused(self, status: int, code: str) -> None:
+        self._parts.telemetry.log(
+            events.NOT_SERVED,
+            request_id=self._admitted.request_id,
+            route=self._admitted.route.name,
+            status=status,
+            failure=code,
+            n_may_have_run=self._n_may_have_run,
+            n_unexecuted=self._n_unexecuted,
+            duration_ms=round(
+                self._now_ms() - self._admitted.request.received_at_ms, 1
+            ),
+        )
+
+    def _log_attempt(self, ticket: Ticket, failure: AttemptFailure) -> None:
+        self._parts.telemetry.log(
+            events.ATTEMPT_FAILED,
+            request_id=self._admitted.request_id,
+            upstream_id=ticket.placement.upstream.upstream_id,
+            failure=failure.code,
+            reason=str(failure[0]),
+            weights_version=ticket.placement.weights_version,
+        )
--- /dev/null
+++ b/buckthornrock/gateway/front.py
@@ -0,0 +1,271 @@
+"""Clients' connections: limits on what they send, one request at a time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import h11
+import msgspec
+
+from ..catalog.configuration import ClientLimits
+from .ports import HeaderCodec, Headers
+from .requests import ClientRequest, Refusal
+from .sockets import tune
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+#: Unsent bytes of a client that does not read; beyond, its connection is broken off.
+MAX_UNSENT_BYTES = 8_388_608
+
+
+class FrontParts(NamedTuple):
+    """What all connections share.
+
+    Parameters
+    ----------
+    serve : callable
+        ``serve(request, connection)`` answers a request; a coroutine function.
+    limits : callable
+        Limits that are in force.
+    is_draining : callable
+        Whether connections are to be closed after their answer.
+    codec : HeaderCodec
+        Decodes headers.
+    now_ms : callable
+        Monotonic milliseconds.
+    connections : set
+        Every open connection.
+    """
+
+    serve: Callable[[ClientRequest, "FrontConnection"], Awaitable[None]]
+    limits: Callable[[], ClientLimits]
+    is_draining: Callable[[], bool]
+    codec: HeaderCodec
+    now_ms: Callable[[], float]
+    connections: set["FrontConnection"]
+
+
+class FrontConnection(asyncio.Protocol):
+    """One connection of a client; it holds no thread, whatever the client does."""
+
+    def __init__(self, parts: FrontParts) -> None:
+        self._parts = parts
+        self._h11 = h11.Connection(h11.SERVER, parts.limits().max_header_bytes)
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._head: h11.Request | None = None
+        self._head_at_ms = 0.0
+        self._body: list[bytes] = []
+        self._n_body_bytes = 0
+        self._has_partial_head = False
+        self._request_id = b""
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being answered."""
+        return self._task is not None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of an answer was sent."""
+        return self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Begin to wait for a request."""
+        self._transport = transport
+        tune(transport.get_extra_info("socket"))
+        self._parts.connections.add(self)
+        self._wait(self._parts.limits().idle_timeout_ms)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Stop the work for a client that is gone."""
+        self._parts.connections.discard(self)
+        self._stop_waiting()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Close; a client that sends nothing more has left."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of a request."""
+        self._h11.receive_data(data)
+        if self._task is None:
+            self._advance()
+
+    def close_idle(self) -> None:
+        """Close the connection unless a request is being answered or arrives."""
+        if not self.is_busy and self._head is None and not self._has_partial_head:
+            self._transport.close()
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        head = [*headers, (b"content-length", str(len(body)).encode())]
+        message = self._encode_head(status, head)
+        if self._head is None or self._head.method != b"HEAD":
+            message += self._h11.send(h11.Data(data=body)) or b""
+        message += self._h11.send(h11.EndOfMessage()) or b""
+        self._transport.write(message)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send an answer of the gateway's own."""
+        headers = [(b"content-type", b"application/problem+json")]
+        if self._request_id:
+            headers.append((self._parts.codec.request_id_header, self._request_id))
+        if refusal.retry_after_ms is not None:
+            seconds = f"{refusal.retry_after_ms / 1000.0:.2f}"
+            headers.append((b"retry-after", seconds.encode()))
+        problem = {
+            "status": refusal.status,
+            "code": refusal.code,
+            "detail": refusal.reason,
+        }
+        self.send_whole(refusal.status, headers, msgspec.json.encode(problem))
+
+    def start(self, status: int, headers: Headers, part: bytes) -> None:
+        """Send the head of a stream and its first bytes."""
+        message = self._encode_head(status, headers)
+        self._transport.write(message + (self._h11.send(h11.Data(data=part)) or b""))
+
+    def send_part(self, part: bytes) -> None:
+        """Send the next bytes of a stream."""
+        self._transport.write(self._h11.send(h11.Data(data=part)))
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.break_off()
+
+    def end(self) -> None:
+        """End a stream as complete."""
+        self._transport.write(self._h11.send(h11.EndOfMessage()) or b"")
+
+    def break_off(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+        self._transport.abort()
+
+    def _encode_head(self, status: int, headers: Headers) -> bytes:
+        if self._parts.is_draining():
+            headers = [*headers, (b"connection", b"close")]
+        reason = REASONS.get(status, b"")
+        return self._h11.send(
+            h11.Response(status_code=status, headers=headers, reason=reason)
+        )
+
+    def _advance(self) -> None:
+        """Read on until a whole request is there or more bytes are needed."""
+        self._stop_waiting()
+        try:
+            while self._task is None:
+                event = self._h11.next_event()
+                if event is h11.NEED_DATA:
+                    self._wait_for_rest()
+                    return
+                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    self._transport.close()
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._reject_malformed(error.error_status_hint, str(error))
+
+    def _take(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            self._head = event
+            self._head_at_ms = self._parts.now_ms()
+            self._body, self._n_body_bytes = [], 0
+            if self._h11.they_are_waiting_for_100_continue:
+                self._transport.write(
+                    self._h11.send(h11.InformationalResponse(status_code=100))
+                )
+            return
+        if isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._n_body_bytes += len(event.data)
+            if self._n_body_bytes > self._parts.limits().max_body_bytes:
+                self._reject_malformed(413, "body is too large")
+            return
+        if isinstance(event, h11.EndOfMessage):
+            self._start_serving()
+
+    def _start_serving(self) -> None:
+        headers = list(self._head.headers)
+        fields = self._parts.codec.decode_request(headers)
+        self._request_id = fields.request_id.encode("latin-1")
+        request = ClientRequest(
+            method=self._head.method,
+            target=self._head.target,
+            headers=headers,
+            body=b"".join(self._body),
+            fields=fields,
+            received_at_ms=self._head_at_ms,
+        )
+        self._body = []
+        self._task = asyncio.create_task(self._serve(request))
+
+    async def _serve(self, request: ClientRequest) -> None:
+        try:
+            await self._parts.serve(request, self)
+        finally:
+            self._task = None
+            self._head = None
+        self._continue()
+
+    def _continue(self) -> None:
+        """Go on to the next request of the connection, or close it."""
+        if self._transport.is_closing():
+            return
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+            self._request_id = b""
+            self._advance()
+            return
+        self._transport.close()
+
+    def _wait_for_rest(self) -> None:
+        limits = self._parts.limits()
+        buffered, _ = self._h11.trailing_data
+        self._has_partial_head = bool(buffered) and self._head is None
+        if self._has_partial_head:
+            self._wait(limits.header_timeout_ms)
+            return
+        self._wait(limits.idle_timeout_ms)
+
+    def _wait(self, limit_ms: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(limit_ms / 1000.0, self._on_silence)
+
+    def _stop_waiting(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_silence(self) -> None:
+        if self._head is None and not self._has_partial_head:
+            self._transport.close()
+            return
+        self._reject_malformed(408, "the request did not arrive in time")
+
+    def _reject_malformed(self, status: int, reason: str) -> None:
+        if self._h11.our_state is h11.SEND_RESPONSE or self._h11.our_state is h11.IDLE:
+            status = status if status in REASONS else 400
+            head = [
+                (b"content-length", b"0"),
+                (b"connection", b"close"),
+            ]
+            self._transport.write(
+                self._h11.send(
+                    h11.Response(
+                        status_code=status, headers=head, reason=REASONS[status]
+                    )
+                )
+            )
+        self._transport.close()
--- /dev/null
+++ b/buckthornrock/gateway/gateway.py
@@ -0,0 +1,191 @@
+"""The gateway's listeners, readiness and graceful shutdown."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from ..events import gateway as events
+from ..telemetry import Telemetry
+from .admission import AdmissionInputs, admit
+from .dispatcher import Dispatcher
+from .exchange import Exchange, ExchangeParts
+from .front import FrontConnection, FrontParts
+from .knowledge import Knowledge
+from .pool import ConnectionPool
+from .ports import HeaderCodec
+from .requests import ClientRequest, Refusal
+
+LISTEN_BACKLOG = 1_024
+HOUSEKEEPING_PERIOD_MS = 500.0
+#: New connections still arrive for this long after the instance is not ready.
+ROTATION_LAG_MS = 3_200.0
+#: Left of the time for shutdown when requests that are still open are cut.
+KILL_MARGIN_MS = 600.0
+#: Pause between two looks at the requests that are still open.
+DRAIN_POLL_MS = 50.0
+
+
+class GatewaySettings(NamedTuple):
+    """Addresses and bounds of the gateway."""
+
+    instance_id: str
+    failure_domain: str
+    front_address: str
+    ready_address: str
+    shutdown_limit_ms: float
+
+
+class Gateway:
+    """Serves clients until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        knowledge: Knowledge,
+        exchange_parts: ExchangeParts,
+        pool: ConnectionPool,
+        now_ms: Callable[[], float],
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._knowledge = knowledge
+        self._exchange_parts = exchange_parts
+        self._dispatcher: Dispatcher = exchange_parts.dispatcher
+        self._pool = pool
+        self._now_ms = now_ms
+        self._telemetry = telemetry
+        self._rng = random.Random()
+        self._is_draining = False
+        self._connections: set[FrontConnection] = set()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Listen until ``stop`` is set, then finish what is open."""
+        codec = self._exchange_parts.codec
+        front = await self._listen(self._settings.front_address, self._serve, codec)
+        ready = await self._listen(
+            self._settings.ready_address, self._serve_ready, codec, set()
+        )
+        self._telemetry.log(
+            events.STARTED,
+            instance_id=self._settings.instance_id,
+            failure_domain=self._settings.failure_domain,
+            address=self._settings.front_address,
+        )
+        async with asyncio.TaskGroup() as tasks:
+            background = [
+                tasks.create_task(self._dispatcher.tick()),
+                tasks.create_task(self._keep_house()),
+            ]
+            await stop.wait()
+            await self._drain()
+            for task in background:
+                task.cancel()
+        front.close()
+        ready.close()
+
+    async def _listen(
+        self,
+        address: str,
+        serve: Callable,
+        codec: HeaderCodec,
+        connections: set[FrontConnection] | None = None,
+    ) -> asyncio.Server:
+        parts = FrontParts(
+            serve=serve,
+            limits=self._knowledge.limits,
+            is_draining=lambda: self._is_draining,
+            codec=codec,
+            now_ms=self._now_ms,
+            connections=self._connections if connections is None else connections,
+        )
+        host, _, port = address.rpartition(":")
+        return await asyncio.get_running_loop().create_server(
+            lambda: FrontConnection(parts),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
+
+    async def _serve(self, request: ClientRequest, client: FrontConnection) -> None:
+        try:
+            admitted = self._admit(request)
+            if admitted.is_error():
+                client.refuse(admitted.error)
+                return
+            await Exchange(self._exchange_parts, admitted.ok, client).run()
+        except Exception as error:
+            self._on_broken(request, client, error)
+
+    def _admit(self, request: ClientRequest) -> Result:
+        inputs = AdmissionInputs(
+            self._knowledge.table, self._knowledge.weights, self._rng
+        )
+        admitted = admit(request, inputs)
+        if admitted.is_ok():
+            return Ok(admitted.ok)
+        table = self._knowledge.table
+        self._telemetry.log(
+            events.TURNED_AWAY,
+            request_id=request.fields.request_id,
+            status=admitted.error.status,
+            failure=admitted.error.code,
+            configuration_version=table.configuration.version if table else 0,
+        )
+        return Error(admitted.error)
+
+    def _on_broken(
+        self, request: ClientRequest, client: FrontConnection, error: Exception
+    ) -> None:
+        self._telemetry.log(
+            events.BROKEN,
+            request_id=request.fields.request_id,
+            error_type=type(error).__name__,
+            reason=str(error),
+        )
+        if client.has_started:
+            client.break_off()
+            return
+        client.refuse(Refusal(502, "internal-error", "serving the request failed"))
+
+    async def _serve_ready(
+        self, request: ClientRequest, client: FrontConnection
+    ) -> None:
+        if self._knowledge.is_complete and not self._is_draining:
+            client.send_whole(200, [], b"ready")
+            return
+        client.refuse(Refusal(503, "not-ready", "draining or without configuration"))
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_PERIOD_MS / 1000.0)
+            self._pool.retain(self._knowledge.expire())
+
+    async def _drain(self) -> None:
+        """Finish every request; new ones come until the balancer has noticed."""
+        started_at_ms = self._now_ms()
+        self._is_draining = True
+        self._telemetry.log(
+            events.STOPPING,
+            instance_id=self._settings.instance_id,
+            n_open_requests=self._n_busy(),
+        )
+        cut_at_ms = started_at_ms + self._settings.shutdown_limit_ms - KILL_MARGIN_MS
+        while self._now_ms() < cut_at_ms:
+            is_unseen = self._now_ms() - started_at_ms >= ROTATION_LAG_MS
+            if is_unseen and not self._n_busy():
+                break
+            await asyncio.sleep(DRAIN_POLL_MS / 1000.0)
+        self._telemetry.log(
+            events.STOPPED,
+            instance_id=self._settings.instance_id,
+            n_cut_requests=self._n_busy(),
+        )
+        for connection in list(self._connections):
+            connection.close_idle()
+
+    def _n_busy(self) -> int:
+        return sum(connection.is_busy for connection in self._connections)
--- /dev/null
+++ b/buckthornrock/gateway/pool.py
@@ -0,0 +1,82 @@
+"""Kept connections to upstreams, by incarnation."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from ..catalog.upstreams import Upstream
+from .errors import NotReached
+from .ports import HeaderCodec
+from .sockets import tune
+from .upstream_connection import UpstreamConnection
+
+CONNECT_TIMEOUT_MS = 600.0
+#: Idle time after which a connection is not used if the upstream said nothing.
+DEFAULT_IDLE_LIMIT_MS = 3_000.0
+#: A connection is not used any more this long before the upstream closes it.
+IDLE_MARGIN_MS = 400.0
+
+Incarnation = tuple[str, int]
+
+
+class ConnectionPool:
+    """Connections that wait for their next request."""
+
+    def __init__(self, codec: HeaderCodec, now_ms: Callable[[], float]) -> None:
+        self._codec = codec
+        self._now_ms = now_ms
+        self._idle: dict[Incarnation, list[UpstreamConnection]] = defaultdict(list)
+
+    async def take(
+        self, upstream: Upstream, limit_ms: float
+    ) -> Result[UpstreamConnection, NotReached]:
+        """Return a kept connection or open one."""
+        connections = self._idle[upstream.incarnation]
+        while connections:
+            connection = connections.pop()
+            if connection.is_open and self._is_fresh(connection):
+                return Ok(connection)
+            connection.close()
+        return await self._open(upstream, min(limit_ms, CONNECT_TIMEOUT_MS))
+
+    def give_back(self, upstream: Upstream, connection: UpstreamConnection) -> None:
+        """Keep a connection for the next request, if it can carry one."""
+        if connection.finish(self._now_ms()):
+            self._idle[upstream.incarnation].append(connection)
+
+    def retain(self, incarnations: set[Incarnation]) -> None:
+        """Close connections to upstreams that are gone, and stale ones."""
+        for incarnation in list(self._idle):
+            connections = self._idle[incarnation]
+            kept = [c for c in connections if c.is_open and self._is_fresh(c)]
+            if incarnation not in incarnations:
+                kept = []
+            for connection in set(connections) - set(kept):
+                connection.close()
+            self._idle[incarnation] = kept
+            if not kept:
+                del self._idle[incarnation]
+
+    def _is_fresh(self, connection: UpstreamConnection) -> bool:
+        limit_ms = connection.idle_limit_ms
+        if limit_ms is None:
+            limit_ms = DEFAULT_IDLE_LIMIT_MS
+        idle_ms = self._now_ms() - connection.idle_since_ms
+        return idle_ms < limit_ms - IDLE_MARGIN_MS
+
+    async def _open(
+        self, upstream: Upstream, limit_ms: float
+    ) -> Result[UpstreamConnection, NotReached]:
+        host, _, port = upstream.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(limit_ms / 1000.0):
+                transport, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(self._codec), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            return Error(NotReached(type(error).__name__))
+        tune(transport.get_extra_info("socket"))
+        return Ok(connection)
--- /dev/null
+++ b/buckthornrock/platform/configuration.py
@@ -0,0 +1,157 @@
+"""Decodes the operators' configuration."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..catalog.configuration import (
+    ClientAccount,
+    ClientLimits,
+    Configuration,
+    EngineSpec,
+    PromptStore,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from .errors import Undecodable
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class _Share(msgspec.Struct, rename="camel"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    split: list[_Share] = []
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_slo_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int
+    kv_capacity: int
+    kv_bytes: int
+    link_mbps: float
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+    #: Set only for stores of kept KV cache.
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_capacity: int = 0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Document(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(value: bytes) -> Result[Configuration, Undecodable]:
+    """Decode one version of the configuration."""
+    try:
+        document = msgspec.json.decode(value, type=_Document)
+    except msgspec.MsgspecError as error:
+        return Error(Undecodable("configuration", str(error)))
+    services = [entry for entry in document.services if not entry.kv_store_addr]
+    stores = [entry for entry in document.services if entry.kv_store_addr]
+    return Ok(
+        Configuration(
+            version=document.version,
+            routes=tuple(_route(route) for route in document.routes),
+            services={service.name: _service(service) for service in services},
+            prompt_stores=tuple(_prompt_store(store) for store in stores),
+            accounts=_accounts(document.tenants or []),
+            requires_keys=document.tenants is not None,
+            limits=_limits(document.limits),
+        )
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(ServiceShare(share.service, share.weight) for share in route.split)
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        # An unknown kind is treated as the one that may be repeated least.
+        kind=_KINDS.get(route.route_kind, RouteKind.NON_IDEMPOTENT),
+        shares=shares or (ServiceShare(route.service, 1.0),),
+        timeout_ms=route.timeout_ms,
+        objective_ms=route.slo_ms or route.timeout_ms,
+        rank=route.priority,
+        n_attempts=max(1, route.attempts),
+        is_public=route.public,
+        is_resumable=route.resumable,
+        max_pause_ms=route.gap_slo_ms,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    spec = engine and EngineSpec(
+        n_slots=engine.slots,
+        kv_capacity_tokens=engine.kv_capacity,
+        kv_bytes_per_token=engine.kv_bytes,
+        link_mbps=engine.link_mbps,
+    )
+    return Service(service.name, service.max_conns, spec)
+
+
+def _prompt_store(store: _Service) -> PromptStore:
+    return PromptStore(store.name, store.kv_store_addr, store.zone, store.kv_capacity)
+
+
+def _accounts(tenants: list[_Tenant]) -> dict[str, ClientAccount]:
+    return {
+        key: ClientAccount(tenant.name, tenant.priority, tenant.isolated)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
+def _limits(limits: _Limits | None) -> ClientLimits:
+    if limits is None:
+        return ClientLimits()
+    return ClientLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms,
+        limits.idle_timeout_ms,
+    )
--- /dev/null
+++ b/buckthornrock/platform/headers.py
@@ -0,0 +1,174 @@
+"""Decodes and encodes the platform's headers."""
+
+from ..gateway.ports import (
+    AnswerFields,
+    HeaderCodec,
+    Headers,
+    RequestFields,
+    SendPlan,
+)
+
+_PREFIX = b"x-buckthornrock-"
+REQUEST_ID = _PREFIX + b"request-id"
+DEADLINE = _PREFIX + b"deadline-ms"
+#: Tokens of the prompt and at most of the answer, not a single count.
+TOKEN_COUNTS = _PREFIX + b"token-count"
+#: The parts of the prompt as ID:TOKENS entries, not one hash.
+PROMPT_PARTS = _PREFIX + b"prefix-hash"
+MODEL = _PREFIX + b"model"
+ACCOUNT = _PREFIX + b"tenant"
+EXPECT_INSTANCE = _PREFIX + b"expect-instance"
+EXPECT_VERSION = _PREFIX + b"expect-version"
+PRIORITY_CLASS = _PREFIX + b"priority-class"
+CACHE_SALT = _PREFIX + b"cache-salt"
+KV_SOURCE = _PREFIX + b"kv-source"
+KV_TARGET = _PREFIX + b"kv-target"
+STAMP = _PREFIX + b"server-stamp"
+NOT_EXECUTED = _PREFIX + b"not-executed"
+LOAD = _PREFIX + b"instance-load"
+WEIGHTS_VERSION = _PREFIX + b"weight-versions"
+LAST_EVENT_ID = b"last-event-id"
+
+_CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+#: Headers that only the system may set; a client's are dropped.
+_SYSTEM_HEADERS = frozenset(
+    (
+        DEADLINE,
+        ACCOUNT,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        PRIORITY_CLASS,
+        CACHE_SALT,
+        KV_SOURCE,
+        KV_TARGET,
+        _PREFIX + b"hold",
+        _PREFIX + b"pin-ms",
+        _PREFIX + b"kv-backup",
+        b"kv-from",
+    )
+)
+_REQUEST_DROPPED = (
+    _CONNECTION_HEADERS
+    | _SYSTEM_HEADERS
+    | {b"authorization", b"content-length", b"expect", LAST_EVENT_ID}
+)
+_ANSWER_DROPPED = _CONNECTION_HEADERS | {b"content-length"}
+
+
+def open_header_codec() -> HeaderCodec:
+    """Return the functions that speak the platform's headers."""
+    return HeaderCodec(
+        decode_request=decode_request,
+        encode_request=encode_request,
+        decode_answer=decode_answer,
+        encode_answer=encode_answer,
+        request_id_header=REQUEST_ID,
+    )
+
+
+def decode_request(headers: Headers) -> RequestFields:
+    """Decode what a client says."""
+    found = _by_name(headers)
+    return RequestFields(
+        request_id=_text(found, REQUEST_ID),
+        host=_text(found, b"host"),
+        authorization=_text(found, b"authorization"),
+        deadline_ms=_number(_text(found, DEADLINE)),
+        model=_text(found, MODEL),
+        token_counts=_text(found, TOKEN_COUNTS),
+        prompt_parts=_text(found, PROMPT_PARTS),
+        last_event_id=_text(found, LAST_EVENT_ID),
+    )
+
+
+def encode_request(headers: Headers, plan: SendPlan, n_body_bytes: int) -> Headers:
+    """Return the headers of a request to an upstream."""
+    dropped = _REQUEST_DROPPED | _named_by_connection(headers)
+    sent = [(name, value) for name, value in headers if name.lower() not in dropped]
+    sent.append((EXPECT_INSTANCE, plan.upstream.upstream_id.encode()))
+    sent.append((DEADLINE, str(max(1, int(plan.remaining_ms))).encode()))
+    if n_body_bytes or any(name.lower() == b"content-length" for name, _ in headers):
+        sent.append((b"content-length", str(n_body_bytes).encode()))
+    optional = (
+        (ACCOUNT, plan.client_account),
+        (EXPECT_VERSION, plan.weights_version),
+        (PRIORITY_CLASS, plan.priority_class),
+        (CACHE_SALT, plan.cache_salt),
+        (KV_SOURCE, plan.kv_source),
+        (KV_TARGET, plan.kv_target),
+        (LAST_EVENT_ID, plan.last_event_id),
+    )
+    sent += [
+        (name, str(value).encode())
+        for name, value in optional
+        if value is not None and value != ""
+    ]
+    return sent
+
+
+def decode_answer(status: int, headers: Headers) -> AnswerFields:
+    """Decode what an upstream says."""
+    found = _by_name(headers)
+    version = _number(_text(found, WEIGHTS_VERSION))
+    return AnswerFields(
+        request_id=_text(found, REQUEST_ID),
+        is_signed=STAMP in found,
+        # A misdirected request is refused before it runs, without saying so.
+        is_not_executed=NOT_EXECUTED in found or status == 421,
+        is_encoded=_text(found, b"content-encoding") not in ("", "identity"),
+        load=_load(_text(found, LOAD)),
+        weights_version=None if version is None else int(version),
+    )
+
+
+def encode_answer(headers: Headers) -> Headers:
+    """Return an upstream's headers as the client gets them."""
+    dropped = _ANSWER_DROPPED | _named_by_connection(headers)
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def _by_name(headers: Headers) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in headers}
+
+
+def _text(found: dict[bytes, bytes], name: bytes) -> str:
+    return found.get(name, b"").decode("latin-1").strip()
+
+
+def _number(text: str) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def _load(text: str) -> tuple[int, int, int] | None:
+    fields = text.split(",")
+    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+        return None
+    return int(fields[0]), int(fields[1]), int(fields[2])
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    """Return the headers that the sender says concern only its connection."""
+    names = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    return frozenset(
+        name for name in names if name and not name.startswith(_PREFIX) and name != b"host"
+    )
--- /dev/null
+++ b/buckthornrock/platform/upstream_entries.py
@@ -0,0 +1,76 @@
+"""Decodes what upstreams say of themselves in the store, and new weights."""
+
+from typing import Literal, NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..catalog.upstreams import Upstream
+from .errors import Undecodable
+
+#: Keys of the store under which upstreams register.
+UPSTREAMS_PREFIX = "servers/"
+#: Keys of the operator: the configuration, and the newest weights of each model.
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+WEIGHTS_PREFIX = "op/version/"
+
+
+class _Model(msgspec.Struct, rename="camel"):
+    name: str
+    version: int
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    service: str
+    addr: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    #: Unix milliseconds of the start.
+    born: int
+    models: list[_Model] = []
+
+
+class _Weights(msgspec.Struct, rename="camel"):
+    model: str
+    version: int
+
+
+class NamedWeights(NamedTuple):
+    """The version of a model's weights that operators want everywhere."""
+
+    model: str
+    version: int
+
+
+def decode_upstream(key: str, value: bytes) -> Result[Upstream, Undecodable]:
+    """Decode the entry of one upstream; strangers' entries are failures."""
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(Undecodable(key, str(error)))
+    host, separator, port = entry.addr.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        return Error(Undecodable(key, "address is not IP:PORT"))
+    return Ok(
+        Upstream(
+            upstream_id=key.removeprefix(UPSTREAMS_PREFIX),
+            service=entry.service,
+            address=entry.addr,
+            failure_domain=entry.zone,
+            is_draining=entry.state == "draining",
+            started_ms=entry.born,
+            n_slots=entry.slots,
+            weights_versions={model.name: model.version for model in entry.models},
+        )
+    )
+
+
+def decode_weights(key: str, value: bytes) -> Result[NamedWeights, Undecodable]:
+    """Decode which version of a model's weights is wanted."""
+    try:
+        weights = msgspec.json.decode(value, type=_Weights)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(Undecodable(key, str(error)))
+    return Ok(NamedWeights(weights.model, weights.version))
--- /dev/null
+++ b/buckthornrock/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on waiting, refusal and choice of an upstream; pure."""
--- /dev/null
+++ b/buckthornrock/scheduling/loads.py
@@ -0,0 +1,152 @@
+"""What is known of the work at each upstream: own sends, peers' and its own word.
+
+Pure: the caller gives the time.
+"""
+
+from collections import OrderedDict, defaultdict
+from typing import NamedTuple
+
+#: A peer's digest is used for this long after it was made.
+DIGEST_LIFETIME_MS = 1_000.0
+#: An upstream's word on its load is used for this long.
+REPORT_LIFETIME_MS = 400.0
+#: Failures count half after this time.
+FAILURE_HALF_LIFE_MS = 2_000.0
+#: Share of an engine's memory in which cached parts are assumed to survive.
+CACHE_SHARE = 0.6
+
+Incarnation = tuple[str, int]
+
+
+class Work(NamedTuple):
+    """Work of one request or of several.
+
+    ``n_urgent_prefill_tokens`` is the part of ``n_prefill_tokens`` that belongs to
+    the most urgent rank; prefill counts until the first event arrives.
+    """
+
+    n_requests: int = 0
+    n_prefill_tokens: int = 0
+    n_urgent_prefill_tokens: int = 0
+    n_memory_tokens: int = 0
+
+    def plus(self, other: "Work") -> "Work":
+        """Return the sum."""
+        return Work(*(a + b for a, b in zip(self, other, strict=True)))
+
+    def minus(self, other: "Work") -> "Work":
+        """Return the difference."""
+        return Work(*(a - b for a, b in zip(self, other, strict=True)))
+
+
+class LoadReport(NamedTuple):
+    """An upstream's own word on its load."""
+
+    n_running: int
+    n_waiting: int
+    n_slots: int
+    at_ms: float
+
+
+class UpstreamLoad:
+    """State of one incarnation of an upstream.
+
+    Attributes
+    ----------
+    own : Work
+        Work that this instance has there.
+    report : LoadReport or None
+        The upstream's last word.
+    blocked_until_ms : float
+        The upstream gets no new work before.
+    cached : OrderedDict
+        Parts assumed to be cached, with their tokens, least recently used first.
+    """
+
+    def __init__(self) -> None:
+        self.own = Work()
+        self.report: LoadReport | None = None
+        self.blocked_until_ms = 0.0
+        self.cached: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self.n_cached_tokens = 0
+        self._failures = 0.0
+        self._answers = 0.0
+        self._counted_at_ms = 0.0
+
+    def on_outcome(self, is_failure: bool, now_ms: float) -> None:
+        """Count an answer, or its failure, towards the failure rate."""
+        self._decay(now_ms)
+        self._answers += 1.0
+        self._failures += 1.0 if is_failure else 0.0
+
+    def failure_rate(self, now_ms: float) -> float:
+        """Return the share of recent requests that failed; 0 with little evidence."""
+        self._decay(now_ms)
+        return self._failures / (self._answers + 3.0)
+
+    def use_part(self, key: tuple[str, str], n_tokens: int, capacity: int) -> None:
+        """Note that a part is cached there from now on."""
+        if key in self.cached:
+            self.cached.move_to_end(key)
+            return
+        self.cached[key] = n_tokens
+        self.n_cached_tokens += n_tokens
+        while self.n_cached_tokens > capacity * CACHE_SHARE and len(self.cached) > 1:
+            self.n_cached_tokens -= self.cached.popitem(last=False)[1]
+
+    def forget_parts(self) -> None:
+        """Note that the upstream's cache is empty."""
+        self.cached.clear()
+        self.n_cached_tokens = 0
+
+    def _decay(self, now_ms: float) -> None:
+        passed_ms = max(0.0, now_ms - self._counted_at_ms)
+        factor = 0.5 ** (passed_ms / FAILURE_HALF_LIFE_MS)
+        self._failures *= factor
+        self._answers *= factor
+        self._counted_at_ms = now_ms
+
+
+class FleetLoads:
+    """Loads of all upstreams, own and as peers tell them."""
+
+    def __init__(self) -> None:
+        self._loads: dict[Incarnation, UpstreamLoad] = defaultdict(UpstreamLoad)
+        self._peers: dict[str, tuple[float, dict[Incarnation, Work]]] = {}
+
+    def of(self, incarnation: Incarnation) -> UpstreamLoad:
+        """Return the state of an upstream, fresh if it is new."""
+        return self._loads[incarnation]
+
+    def on_digest(
+        self, peer: str, works: dict[Incarnation, Work], now_ms: float
+    ) -> None:
+        """Take over what a peer has at the upstreams."""
+        self._peers[peer] = (now_ms, works)
+
+    def digest(self) -> dict[Incarnation, Work]:
+        """Return this instance's work at each upstream where it has some."""
+        return {
+            incarnation: load.own
+            for incarnation, load in self._loads.items()
+            if load.own.n_requests
+        }
+
+    def total(self, incarnation: Incarnation, now_ms: float) -> Work:
+        """Return the work of all instances at an upstream."""
+        total = self._loads[incarnation].own
+        for at_ms, works in self._peers.values():
+            if now_ms - at_ms <= DIGEST_LIFETIME_MS and incarnation in works:
+                total = total.plus(works[incarnation])
+        report = self._loads[incarnation].report
+        if report is None or now_ms - report.at_ms > REPORT_LIFETIME_MS:
+            return total
+        n_reported = report.n_running + report.n_waiting
+        return total._replace(n_requests=max(total.n_requests, n_reported))
+
+    def retain(self, incarnations: set[Incarnation]) -> None:
+        """Forget upstreams that are gone and have no work of this instance."""
+        for incarnation in list(self._loads):
+            load = self._loads[incarnation]
+            if incarnation not in incarnations and not load.own.n_requests:
+                del self._loads[incarnation]
--- /dev/null
+++ b/buckthornrock/scheduling/prompt.py
@@ -0,0 +1,56 @@
+"""What a request to a model says of its prompt."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt; equal ids hold equal tokens."""
+
+    part_id: str
+    n_tokens: int
+
+
+class PromptShape(NamedTuple):
+    """Size and parts of a prompt; the last part is the request's own."""
+
+    model: str
+    parts: tuple[PromptPart, ...]
+    n_prompt_tokens: int
+    n_output_tokens: int
+
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have too."""
+        return self.parts[:-1]
+
+    @property
+    def n_total_tokens(self) -> int:
+        """Memory that the request takes at most."""
+        return self.n_prompt_tokens + self.n_output_tokens
+
+
+class MalformedPrompt(NamedTuple):
+    """The description of a prompt can't be read."""
+
+    reason: str
+
+    code = "malformed-prompt"
+
+
+def parse_prompt(
+    model: str, token_counts: str, parts: str
+) -> Result[PromptShape, MalformedPrompt]:
+    """Parse ``PROMPT,OUTPUT`` token counts and ``ID:TOKENS,...`` parts."""
+    try:
+        n_prompt, n_output = (int(count) for count in token_counts.split(","))
+        found = tuple(_part(text) for text in parts.split(",") if text.strip())
+    except ValueError as error:
+        return Error(MalformedPrompt(str(error)))
+    return Ok(PromptShape(model, found, n_prompt, n_output))
+
+
+def _part(text: str) -> PromptPart:
+    part_id, _, n_tokens = text.strip().partition(":")
+    return PromptPart(part_id, int(n_tokens))
--- /dev/null
+++ b/buckthornrock/scheduling/weights.py
@@ -0,0 +1,77 @@
+"""Which weights are wanted, and which each upstream is believed to have. Pure."""
+
+from typing import NamedTuple
+
+from ..catalog.upstreams import Upstream
+
+
+class WantedWeights(NamedTuple):
+    """The newest version of a model, and when this instance learnt of it."""
+
+    version: int
+    known_at_ms: float
+
+
+class WeightsView:
+    """Versions wanted for each model and loaded at each upstream.
+
+    Parameters
+    ----------
+    usable_ms : float
+        How long after a newer version was named an older one may be used.
+    """
+
+    def __init__(self, usable_ms: float) -> None:
+        self._usable_ms = usable_ms
+        self._wanted: dict[str, WantedWeights] = {}
+        self._learnt: dict[tuple[tuple[str, int], str], int] = {}
+
+    def on_wanted(self, model: str, version: int, now_ms: float) -> bool:
+        """Take over a wanted version; versions only rise. Return whether it did."""
+        known = self._wanted.get(model)
+        if known is not None and known.version >= version:
+            return False
+        self._wanted[model] = WantedWeights(version, now_ms)
+        return True
+
+    def on_loaded(self, incarnation: tuple[str, int], model: str, version: int) -> bool:
+        """Note a version seen at an upstream; return whether it is news."""
+        key = (incarnation, model)
+        if version <= self._learnt.get(key, 0):
+            return False
+        self._learnt[key] = version
+        return True
+
+    def wanted(self, model: str) -> WantedWeights | None:
+        """Return the newest version of a model."""
+        return self._wanted.get(model)
+
+    def models(self) -> dict[str, WantedWeights]:
+        """Return every model with its newest version."""
+        return dict(self._wanted)
+
+    def loaded(self, upstream: Upstream, model: str) -> int | None:
+        """Return the version that an upstream is believed to have."""
+        listed = upstream.weights_versions.get(model)
+        learnt = self._learnt.get((upstream.incarnation, model))
+        if listed is None or learnt is None:
+            return listed if learnt is None else learnt
+        return max(listed, learnt)
+
+    def is_usable(self, upstream: Upstream, model: str, now_ms: float) -> bool:
+        """Return whether requests may begin on the weights that are loaded there."""
+        loaded = self.loaded(upstream, model)
+        if loaded is None:
+            return False
+        wanted = self._wanted.get(model)
+        if wanted is None or loaded >= wanted.version:
+            return True
+        return now_ms - wanted.known_at_ms < self._usable_ms
+
+    def lag_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
+        """Return how long a newer version than the loaded one has been wanted."""
+        wanted = self._wanted.get(model)
+        loaded = self.loaded(upstream, model) or 0
+        if wanted is None or loaded >= wanted.version:
+            return 0.0
+        return now_ms - wanted.known_at_ms
--- a/buckthornrock/store/errors.py
+++ b/buckthornrock/store/errors.py
@@ -25,3 +25,11 @@
     reason: str
 
     code = "instance-list-unavailable"
+
+
+class HistoryGone(NamedTuple):
+    """The store no longer knows what changed after the revision."""
+
+    revision: int
+
+    code = "kv-history-gone"
--- /dev/null
+++ b/buckthornrock/store/follower.py
@@ -0,0 +1,93 @@
+"""Follows all keys under a prefix of the store, through outages and lost history."""
+
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pykka
+
+from .breaker import backoff_ms
+from .errors import HistoryGone
+from .kv_port import Change, Snapshot, StorePort
+
+#: Waiting time of one long poll.
+POLL_WAIT_MS = 5_000.0
+
+
+class Listener(NamedTuple):
+    """What a follower reports; called on the follower's thread.
+
+    Parameters
+    ----------
+    on_snapshot : callable
+        ``on_snapshot(Snapshot)``: every key, at the start and after lost history.
+    on_change : callable
+        ``on_change(Change)``; also with no entries, which confirms the revision.
+    on_lost : callable
+        ``on_lost(reason)``: the store does not answer.
+    """
+
+    on_snapshot: Callable[[Snapshot], None]
+    on_change: Callable[[Change], None]
+    on_lost: Callable[[str], None]
+
+
+class PrefixFollower(pykka.ThreadingActor):
+    """Actor that reads a prefix once and then waits for its changes.
+
+    Parameters
+    ----------
+    store : StorePort
+        The store.
+    prefix : str
+        Keys that are followed.
+    listener : Listener
+        Receives what is found.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, store: StorePort, prefix: str, listener: Listener) -> None:
+        super().__init__()
+        self._store = store
+        self._prefix = prefix
+        self._listener = listener
+        self._rng = random.Random()
+        self._revision = 0
+        self._n_failures = 0
+
+    def on_start(self) -> None:
+        """Begin to follow."""
+        self.actor_ref.tell(None)
+
+    def on_receive(self, message: None) -> None:
+        """Take one step and ask for the next."""
+        is_answered = self._poll() if self._revision else self._read()
+        self.actor_ref.tell(message)
+        if is_answered:
+            self._n_failures = 0
+            return
+        time.sleep(backoff_ms(self._n_failures, self._rng) / 1000.0)
+        self._n_failures += 1
+
+    def _read(self) -> bool:
+        found = self._store.snapshot(self._prefix)
+        if found.is_error():
+            self._listener.on_lost(found.error.reason)
+            return False
+        self._revision = found.ok.revision
+        self._listener.on_snapshot(found.ok)
+        return True
+
+    def _poll(self) -> bool:
+        found = self._store.poll(self._prefix, self._revision, POLL_WAIT_MS)
+        if found.is_ok():
+            self._revision = max(self._revision, found.ok.revision)
+            self._listener.on_change(found.ok)
+            return True
+        if isinstance(found.error, HistoryGone):
+            self._revision = 0
+            return True
+        self._listener.on_lost(found.error.reason)
+        return False
--- a/buckthornrock/store/kv_port.py
+++ b/buckthornrock/store/kv_port.py
@@ -9,7 +9,7 @@
 
 from expression import Result
 
-from .errors import KvUnavailable, LeaseGone
+from .errors import HistoryGone, KvUnavailable, LeaseGone
 
 #: Reason of a write that was refused because its lease is gone.
 LEASE_GONE = "lease gone"
@@ -153,3 +153,49 @@
     revoke_lease: Callable[[int], Result[None, KvUnavailable]]
     watch: Callable[[str, int], Iterator[WatchBatch]] = _no_watch
     is_answering: Callable[[], bool] = lambda: True
+
+
+class Snapshot(NamedTuple):
+    """All keys under a prefix; watching from ``revision`` misses no later change."""
+
+    revision: int
+    entries: tuple[KvEntry, ...]
+
+
+class Change(NamedTuple):
+    """What changed under a prefix, up to ``revision``, in order of the revisions."""
+
+    revision: int
+    entries: tuple[KvEntry, ...]
+    deleted: tuple[str, ...]
+
+
+class StorePort(NamedTuple):
+    """Functions of a store that is watched by long polls; each blocks its thread.
+
+    Parameters
+    ----------
+    get : callable
+        ``get(key) -> Result[KvEntry | None, KvUnavailable]``.
+    snapshot : callable
+        ``snapshot(prefix) -> Result[Snapshot, KvUnavailable]``.
+    poll : callable
+        ``poll(prefix, after_revision, wait_ms)`` returns ``Result[Change,
+        KvUnavailable | HistoryGone]``.
+    commit : callable
+        ``commit(transaction) -> CommitOutcome``.
+    grant_lease : callable
+        ``grant_lease(ttl_s) -> Result[LeaseGrant, KvUnavailable]``.
+    keep_alive : callable
+        ``keep_alive(lease_id) -> Result[float, KvUnavailable | LeaseGone]``.
+    revoke_lease : callable
+        ``revoke_lease(lease_id) -> Result[None, KvUnavailable]``.
+    """
+
+    get: Callable[[str], Result[KvEntry | None, KvUnavailable]]
+    snapshot: Callable[[str], Result[Snapshot, KvUnavailable]]
+    poll: Callable[[str, int, float], Result[Change, KvUnavailable | HistoryGone]]
+    commit: Callable[[Transaction], CommitOutcome]
+    grant_lease: Callable[[float], Result[LeaseGrant, KvUnavailable]]
+    keep_alive: Callable[[int], Result[float, KvUnavailable | LeaseGone]]
+    revoke_lease: Callable[[int], Result[None, KvUnavailable]]
