--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -6,16 +6,22 @@
 from collections.abc import Callable
 from typing import IO
 
+import pykka
+
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.exchange import ExchangeParts
 from ..gateway.gateway import Gateway, GatewaySettings
 from ..gateway.knowledge import Knowledge
 from ..gateway.pool import ConnectionPool
+from ..platform.engine_control import open_engine_control
 from ..platform.feeds import operator_listener, upstream_listener
 from ..platform.headers import open_header_codec
 from ..platform.settings import NodeSettings
 from ..platform.store_client import open_store
 from ..platform.upstream_entries import OPERATOR_PREFIX, UPSTREAMS_PREFIX
+from ..rollout.actor import RolloutActor
+from ..rollout.holder import DutyHolder
+from ..rollout.port import RolloutInputs, RolloutNews
 from ..runtime import system_clock
 from ..scheduling.retry_budget import RetryBudget
 from ..scheduling.weights import WeightsView
@@ -64,9 +70,10 @@
     gateway = Gateway(
         _gateway_settings(settings), knowledge, parts, pool, now_ms, telemetry
     )
+    rollout = _start_rollout(settings, store, knowledge, loop, telemetry)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    await gateway.run(stop)
+    await gateway.run(stop, on_draining=lambda: rollout.tell("stop"))
     # Followers wait in long polls; they hold nothing that must be given back.
     os._exit(0)
 
@@ -81,6 +88,39 @@
     PrefixFollower.start(store, prefix, listener(knowledge, loop, prefix))
 
 
+def _start_rollout(
+    settings: NodeSettings,
+    store: StorePort,
+    knowledge: Knowledge,
+    loop: asyncio.AbstractEventLoop,
+    telemetry: Telemetry,
+) -> pykka.ActorRef:
+    now_ms = system_clock().now_ms
+    lease_ms = max(settings.bounds.lease_ms, settings.platform.ttl_min_ms)
+    holder = DutyHolder(
+        store, settings.node_name, lease_ms, settings.bounds.lease_ms, now_ms
+    )
+
+    def post(handle: Callable[..., None]) -> Callable[..., None]:
+        return lambda *args: loop.call_soon_threadsafe(handle, *args)
+
+    async def read_on_loop() -> RolloutInputs:
+        return knowledge.rollout_inputs()
+
+    def read_inputs() -> RolloutInputs:
+        return asyncio.run_coroutine_threadsafe(read_on_loop(), loop).result()
+
+    return RolloutActor.start(
+        holder,
+        open_engine_control(),
+        read_inputs,
+        RolloutNews(post(knowledge.on_loading), post(knowledge.on_loaded)),
+        settings.node_name,
+        now_ms,
+        telemetry,
+    )
+
+
 def _gateway_settings(settings: NodeSettings) -> GatewaySettings:
     return GatewaySettings(
         instance_id=settings.node_name,
--- a/buckthornrock/events/__init__.py
+++ b/buckthornrock/events/__init__.py
@@ -11,6 +11,7 @@
     entry,
     fleet,
     gateway,
+    rollout,
     idempotency,
     lifecycle,
     membership,
@@ -33,6 +34,7 @@
     idempotency,
     fleet,
     gateway,
+    rollout,
 )
 
 #: Every event by number.
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -61,8 +61,13 @@
         self._is_draining = False
         self._connections: set[FrontConnection] = set()
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Listen until ``stop`` is set, then finish what is open."""
+    async def run(
+        self, stop: asyncio.Event, on_draining: Callable[[], None] = lambda: None
+    ) -> None:
+        """Listen until ``stop`` is set, then finish what is open.
+
+        ``on_draining`` is called as the shutdown begins.
+        """
         codec = self._exchange_parts.codec
         front = await self._listen(self._settings.front_address, self._serve, codec)
         ready = await self._listen(
@@ -80,6 +85,7 @@
                 tasks.create_task(self._keep_house()),
             ]
             await stop.wait()
+            on_draining()
             await self._drain()
             for task in background:
                 task.cancel()
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -9,6 +9,8 @@
 from ..catalog.route_table import RouteTable
 from ..catalog.upstreams import Upstream, UpstreamDirectory
 from ..events import gateway as events
+from ..rollout.plan import EngineView
+from ..rollout.port import RolloutInputs
 from ..scheduling.choice import View
 from ..scheduling.loads import FleetLoads
 from ..scheduling.weights import WeightsView
@@ -120,6 +122,32 @@
             self._lost_at_ms[prefix] = self._now_ms()
             self._telemetry.log(events.STORE_LOST, prefix=prefix, reason=reason)
 
+    def on_loading(self, upstream: Upstream, duration_ms: float) -> None:
+        """Give an engine that loads weights no new work for a while."""
+        load = self.loads.of(upstream.incarnation)
+        load.loading_until_ms = self._now_ms() + duration_ms
+
+    def on_loaded(self, upstream: Upstream, model: str, version: int) -> None:
+        """Note the weights that an engine has; it takes work again."""
+        load = self.loads.of(upstream.incarnation)
+        load.loading_until_ms = 0.0
+        if self.weights.on_loaded(upstream.incarnation, model, version):
+            load.forget_parts()
+
+    def rollout_inputs(self) -> RolloutInputs:
+        """Return what the rollout of weights is planned from."""
+        wanted = {name: w.version for name, w in self.weights.models().items()}
+        now_ms = self._now_ms()
+        engines: dict[str, list[EngineView]] = {model: [] for model in wanted}
+        for upstream in self.directory.all():
+            for model in upstream.weights_versions.keys() & wanted.keys():
+                if upstream.is_draining:
+                    continue
+                total = self.loads.total(upstream.incarnation, now_ms)
+                version = self.weights.loaded(upstream, model) or 0
+                engines[model].append(EngineView(upstream, version, total.n_requests))
+        return RolloutInputs(wanted, engines)
+
     def log_undecodable(self, what: str, reason: str) -> None:
         """Note a value that can't be read."""
         self._telemetry.log(events.UNDECODABLE, what=what, reason=reason)
--- /dev/null
+++ b/buckthornrock/rollout/actor.py
@@ -0,0 +1,160 @@
+"""The actor that holds the duty and gives the orders."""
+
+import time
+from collections.abc import Callable
+
+import pykka
+
+from ..catalog.upstreams import Upstream
+from ..events import rollout as events
+from ..telemetry import Telemetry
+from .holder import DutyHolder
+from .plan import Order, PendingOrder, plan_orders
+from .port import EnginePort, Fencing, RolloutInputs, RolloutNews
+
+STEP_PERIOD_MS = 200.0
+#: Others look for a free lease this often while engines are behind.
+CANDIDATE_PERIOD_MS = 1_000.0
+#: Pause between two questions to an engine that loads.
+REPORT_PERIOD_MS = 400.0
+#: Time for which an engine that was told to load gets no new work, if no news comes.
+EXPECTED_LOAD_MS = 3_000.0
+
+
+class RolloutActor(pykka.ThreadingActor):
+    """Steps periodically; all its calls block this actor's thread only."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        holder: DutyHolder,
+        engines: EnginePort,
+        read_inputs: Callable[[], RolloutInputs],
+        news: RolloutNews,
+        instance_id: str,
+        now_ms: Callable[[], float],
+        telemetry: Telemetry,
+    ) -> None:
+        super().__init__()
+        self._holder = holder
+        self._engines = engines
+        self._read_inputs = read_inputs
+        self._news = news
+        self._instance_id = instance_id
+        self._now_ms = now_ms
+        self._telemetry = telemetry
+        self._pending: dict[tuple[str, int], PendingOrder] = {}
+        self._asked_at_ms: dict[tuple[str, int], float] = {}
+        self._next_try_ms = 0.0
+        self._is_stopping = False
+        self._was_holding = False
+
+    def on_start(self) -> None:
+        """Begin to step."""
+        self.actor_ref.tell("step")
+
+    def on_receive(self, message: str) -> None:
+        """Take one step, or give the duty back."""
+        if message == "stop":
+            self._is_stopping = True
+            self._holder.give_back()
+            return
+        if self._is_stopping:
+            return
+        try:
+            self._step()
+        finally:
+            time.sleep(STEP_PERIOD_MS / 1000.0)
+            self.actor_ref.tell(message)
+
+    def _step(self) -> None:
+        inputs = self._read_inputs()
+        self._hold(inputs)
+        if not self._holder.may_act():
+            return
+        for model, version in inputs.wanted.items():
+            self._bring(model, version, inputs)
+
+    def _hold(self, inputs: RolloutInputs) -> None:
+        """Keep the lease; look for a free one only while there is work."""
+        if not self._holder.holds():
+            if not _is_any_behind(inputs) or self._now_ms() < self._next_try_ms:
+                return
+            self._next_try_ms = self._now_ms() + CANDIDATE_PERIOD_MS
+        self._holder.step()
+        if self._holder.holds() != self._was_holding:
+            self._was_holding = not self._was_holding
+            event = events.DUTY_TAKEN if self._was_holding else events.DUTY_LOST
+            self._telemetry.log(event, fence=self._holder.fence)
+
+    def _bring(self, model: str, version: int, inputs: RolloutInputs) -> None:
+        engines = inputs.engines.get(model, [])
+        for engine in engines:
+            if engine.loaded_version >= version:
+                self._pending.pop(engine.upstream.incarnation, None)
+            elif engine.upstream.incarnation in self._pending:
+                self._look_at(engine.upstream, model)
+        now_ms = self._now_ms()
+        for order in plan_orders(model, version, engines, self._pending, now_ms):
+            if self._holder.may_act():
+                self._give(order)
+
+    def _look_at(self, upstream: Upstream, model: str) -> None:
+        """Ask an engine that was told to load how far it is."""
+        now_ms = self._now_ms()
+        if now_ms - self._asked_at_ms.get(upstream.incarnation, 0.0) < REPORT_PERIOD_MS:
+            return
+        self._asked_at_ms[upstream.incarnation] = now_ms
+        report = self._engines.report(upstream)
+        if report.is_error():
+            return
+        if report.ok.is_busy:
+            self._news.on_loading(upstream, REPORT_PERIOD_MS * 2.5)
+            return
+        pending = self._pending[upstream.incarnation]
+        loaded = report.ok.versions.get(model, 0)
+        if loaded >= pending.version:
+            del self._pending[upstream.incarnation]
+            self._news.on_loaded(upstream, model, loaded)
+
+    def _give(self, order: Order) -> None:
+        upstream = order.upstream
+        report = self._engines.report(upstream)
+        if report.is_error() or report.ok.is_busy:
+            return
+        loaded = report.ok.versions.get(order.model, 0)
+        if loaded >= order.version:
+            self._news.on_loaded(upstream, order.model, loaded)
+            return
+        if not self._holder.may_act():
+            return
+        fencing = Fencing(self._instance_id, self._holder.fence, report.ok.n_orders)
+        self._news.on_loading(upstream, EXPECTED_LOAD_MS)
+        sent_at_ms = self._now_ms()
+        answer = self._engines.order(order, fencing)
+        is_accepted = answer.is_ok() and answer.ok.is_accepted
+        self._asked_at_ms[upstream.incarnation] = sent_at_ms + EXPECTED_LOAD_MS * 0.5
+        self._pending[upstream.incarnation] = PendingOrder(
+            order.version, sent_at_ms, is_accepted
+        )
+        if not is_accepted:
+            self._asked_at_ms[upstream.incarnation] = sent_at_ms
+        self._telemetry.log(
+            events.ORDER_SENT,
+            upstream_id=upstream.upstream_id,
+            model=order.model,
+            version=order.version,
+            loaded_version=loaded,
+            fence=fencing.fence,
+            n_orders=fencing.n_orders,
+            outcome=str(answer.ok.status) if answer.is_ok() else answer.error.reason,
+        )
+
+
+def _is_any_behind(inputs: RolloutInputs) -> bool:
+    return any(
+        engine.loaded_version < version
+        for model, version in inputs.wanted.items()
+        for engine in inputs.engines.get(model, [])
+    )
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -122,7 +122,7 @@
     demand: Demand, upstream: Upstream, homes: dict[Incarnation, int], view: View
 ) -> Placement | None:
     load = view.loads.of(upstream.incarnation)
-    if view.now_ms < load.blocked_until_ms:
+    if view.now_ms < max(load.blocked_until_ms, load.loading_until_ms):
         return None
     total = view.loads.total(upstream.incarnation, view.now_ms)
     if demand.prompt is None:
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -59,6 +59,8 @@
         The upstream's last word.
     blocked_until_ms : float
         The upstream gets no new work before.
+    loading_until_ms : float
+        The engine loads weights and takes no new work until about then.
     cached : OrderedDict
         Parts assumed to be cached, with their tokens, least recently used first.
     """
@@ -67,6 +69,7 @@
         self.own = Work()
         self.report: LoadReport | None = None
         self.blocked_until_ms = 0.0
+        self.loading_until_ms = 0.0
         self.cached: OrderedDict[tuple[str, str], int] = OrderedDict()
         self.n_cached_tokens = 0
         self._failures = 0.0
