--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -87,7 +87,9 @@
         if self._is_store_lost:
             return []
         since_ms = now_ms - RETURN_GRACE_MS
-        gone = [key for key, at_ms in self._missing_since_ms.items() if at_ms < since_ms]
+        gone = [
+            key for key, at_ms in self._missing_since_ms.items() if at_ms < since_ms
+        ]
         for upstream_id in gone:
             del self._missing_since_ms[upstream_id]
             self._upstreams.pop(upstream_id, None)
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -12,6 +12,7 @@
 from ..gateway.exchange import ExchangeParts
 from ..gateway.gateway import Gateway, GatewaySettings
 from ..gateway.knowledge import Knowledge
+from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
 from ..platform.engine_control import open_engine_control
 from ..platform.feeds import operator_listener, upstream_listener
@@ -31,8 +32,6 @@
 
 #: Replaced weights are given up this long before the platform's bound.
 WEIGHTS_MARGIN_MS = 1_500.0
-#: Instances that share the fleet's budgets until membership is known.
-N_ASSUMED_INSTANCES = 8
 
 
 def run_gateway(settings: NodeSettings, log_stream: IO[str]) -> None:
@@ -52,7 +51,8 @@
     _follow(store, knowledge, loop, UPSTREAMS_PREFIX, upstream_listener)
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
-    n_instances = _count_instances
+    peers = PeerExchange(_peer_settings(settings), knowledge, now_ms, telemetry)
+    n_instances = peers.n_instances
     dispatcher = Dispatcher(
         knowledge.directory, knowledge.loads, knowledge.view, n_instances
     )
@@ -64,11 +64,11 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s * 1000.0
         ),
         n_instances=n_instances,
-        view=knowledge.view,
+        knowledge=knowledge,
         telemetry=telemetry,
     )
     gateway = Gateway(
-        _gateway_settings(settings), knowledge, parts, pool, now_ms, telemetry
+        _gateway_settings(settings), knowledge, parts, pool, peers, now_ms, telemetry
     )
     rollout = _start_rollout(settings, store, knowledge, loop, telemetry)
     stop = asyncio.Event()
@@ -127,9 +127,22 @@
         failure_domain=settings.zone,
         front_address=settings.listen.front,
         ready_address=settings.listen.ready_addr,
+        peer_address=_peer_address(settings),
         shutdown_limit_ms=settings.bounds.grace_s * 1000.0,
     )
 
 
-def _count_instances() -> int:
-    return N_ASSUMED_INSTANCES
+def _peer_settings(settings: NodeSettings) -> PeerSettings:
+    port = _peer_address(settings).rpartition(":")[2]
+    seeds = tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds)
+    return PeerSettings(
+        instance_id=settings.node_name,
+        address=_peer_address(settings),
+        seeds=seeds,
+        incarnation=system_clock().wall_ms(),
+    )
+
+
+def _peer_address(settings: NodeSettings) -> str:
+    """Return where digests arrive; the port is the same on all machines."""
+    return f"{settings.ip}:{settings.port_range[0]}"
--- a/buckthornrock/events/__init__.py
+++ b/buckthornrock/events/__init__.py
@@ -11,12 +11,12 @@
     entry,
     fleet,
     gateway,
-    rollout,
     idempotency,
     lifecycle,
     membership,
     platform,
     profiles,
+    rollout,
     routing,
 )
 from .event import Event, collect
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -9,7 +9,7 @@
 
 from ..catalog.configuration import RouteKind
 from ..events import gateway as events
-from ..scheduling.choice import MIN_SHARED_TOKENS, View
+from ..scheduling.choice import MIN_SHARED_TOKENS
 from ..scheduling.retry_budget import RetryBudget
 from ..telemetry import Telemetry
 from .admission import cache_salt
@@ -22,6 +22,7 @@
     NotReached,
 )
 from .front import FrontConnection
+from .knowledge import Knowledge
 from .pool import ConnectionPool
 from .ports import HeaderCodec, SendPlan
 from .requests import AdmittedRequest, Refusal
@@ -49,7 +50,7 @@
     codec: HeaderCodec
     budget: RetryBudget
     n_instances: Callable[[], int]
-    view: Callable[[], View]
+    knowledge: Knowledge
     telemetry: Telemetry
 
 
@@ -190,12 +191,12 @@
         demand = self._admitted.demand
         if demand.prompt is None or demand.service.engine is None:
             return
-        load = self._parts.dispatcher.loads.of(ticket.placement.upstream.incarnation)
         salt = cache_salt(
             self._admitted.account, demand.prompt, ticket.placement.weights_version
         )
         for part in demand.prompt.shared:
-            load.use_part(
+            self._parts.knowledge.on_cached(
+                ticket.placement.upstream,
                 (salt, part.part_id),
                 part.n_tokens,
                 demand.service.engine.kv_capacity_tokens,
@@ -206,10 +207,8 @@
         prompt = self._admitted.demand.prompt
         if prompt is None or head.fields.weights_version is None:
             return
-        self._parts.view().weights.on_loaded(
-            ticket.placement.upstream.incarnation,
-            prompt.model,
-            head.fields.weights_version,
+        self._parts.knowledge.on_loaded(
+            ticket.placement.upstream, prompt.model, head.fields.weights_version
         )
 
     def _may_try_again(self, ticket: Ticket, failure: AttemptFailure) -> bool:
@@ -280,7 +279,7 @@
         return self._admitted.ends_at_ms - self._now_ms()
 
     def _now_ms(self) -> float:
-        return self._parts.view().now_ms
+        return self._parts.knowledge.view().now_ms
 
     def _log_served(self, ticket: Ticket) -> None:
         placement = ticket.placement
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -14,6 +14,7 @@
 from .exchange import Exchange, ExchangeParts
 from .front import FrontConnection, FrontParts
 from .knowledge import Knowledge
+from .peers import PeerExchange
 from .pool import ConnectionPool
 from .ports import HeaderCodec
 from .requests import ClientRequest, Refusal
@@ -35,6 +36,7 @@
     failure_domain: str
     front_address: str
     ready_address: str
+    peer_address: str
     shutdown_limit_ms: float
 
 
@@ -47,6 +49,7 @@
         knowledge: Knowledge,
         exchange_parts: ExchangeParts,
         pool: ConnectionPool,
+        peers: PeerExchange,
         now_ms: Callable[[], float],
         telemetry: Telemetry,
     ) -> None:
@@ -55,6 +58,7 @@
         self._exchange_parts = exchange_parts
         self._dispatcher: Dispatcher = exchange_parts.dispatcher
         self._pool = pool
+        self._peers = peers
         self._now_ms = now_ms
         self._telemetry = telemetry
         self._rng = random.Random()
@@ -79,10 +83,15 @@
             failure_domain=self._settings.failure_domain,
             address=self._settings.front_address,
         )
+        host, _, port = self._settings.peer_address.rpartition(":")
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._peers, local_addr=(host, int(port))
+        )
         async with asyncio.TaskGroup() as tasks:
             background = [
                 tasks.create_task(self._dispatcher.tick()),
                 tasks.create_task(self._keep_house()),
+                tasks.create_task(self._peers.run()),
             ]
             await stop.wait()
             on_draining()
@@ -174,6 +183,7 @@
         """Finish every request; new ones come until the balancer has noticed."""
         started_at_ms = self._now_ms()
         self._is_draining = True
+        self._peers.is_stopping = True
         self._telemetry.log(
             events.STOPPING,
             instance_id=self._settings.instance_id,
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -11,8 +11,8 @@
 from ..events import gateway as events
 from ..rollout.plan import EngineView
 from ..rollout.port import RolloutInputs
-from ..scheduling.choice import View
-from ..scheduling.loads import FleetLoads
+from ..scheduling.choice import MIN_SHARED_TOKENS, View
+from ..scheduling.loads import FleetLoads, Incarnation
 from ..scheduling.weights import WeightsView
 from ..telemetry import Telemetry
 
@@ -48,6 +48,13 @@
         self._telemetry = telemetry
         self._lost_at_ms: dict[str, float] = {}
         self._knows_upstreams = False
+        self._own_loading: dict[Incarnation, float] = {}
+        self.listen(lambda *_: None, lambda *_: None, lambda: None)
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force, 0 before there is one."""
+        return self.table.configuration.version if self.table else 0
 
     @property
     def is_complete(self) -> bool:
@@ -99,7 +106,7 @@
         self.directory.apply(changed, removed, revision, self._now_ms())
         self._log_changes(before)
 
-    def expire(self) -> set[tuple[str, int]]:
+    def expire(self) -> set[Incarnation]:
         """Drop upstreams that stayed missing; return the incarnations that live."""
         before = self._states()
         self.directory.expire(self._now_ms())
@@ -122,21 +129,83 @@
             self._lost_at_ms[prefix] = self._now_ms()
             self._telemetry.log(events.STORE_LOST, prefix=prefix, reason=reason)
 
+    def listen(
+        self,
+        on_cached: Callable[[Incarnation, tuple[str, str], int], None],
+        on_loaded: Callable[[Incarnation, str, int], None],
+        on_urgent: Callable[[], None],
+    ) -> None:
+        """Pass on what this instance finds out itself; ``on_urgent`` sends it now."""
+        self._tell_cached = on_cached
+        self._tell_loaded = on_loaded
+        self._tell_now = on_urgent
+
     def on_loading(self, upstream: Upstream, duration_ms: float) -> None:
-        """Give an engine that loads weights no new work for a while."""
-        load = self.loads.of(upstream.incarnation)
-        load.loading_until_ms = self._now_ms() + duration_ms
+        """Note that this instance has an engine load weights."""
+        until_ms = self._now_ms() + duration_ms
+        self._own_loading[upstream.incarnation] = until_ms
+        self.loads.of(upstream.incarnation).loading_until_ms = until_ms
+        self._tell_now()
+
+    def own_loading(self) -> dict[Incarnation, float]:
+        """Return the engines that load for this instance, with the time left."""
+        now_ms = self._now_ms()
+        self._own_loading = {
+            incarnation: until_ms
+            for incarnation, until_ms in self._own_loading.items()
+            if until_ms > now_ms
+        }
+        return {key: until - now_ms for key, until in self._own_loading.items()}
 
     def on_loaded(self, upstream: Upstream, model: str, version: int) -> None:
+        """Note the weights that this instance saw at an engine."""
+        incarnation = upstream.incarnation
+        self._own_loading.pop(incarnation, None)
+        self.on_peer_loaded(incarnation, model, version)
+        self._tell_loaded(incarnation, model, version)
+        self._tell_now()
+
+    def on_cached(
+        self, upstream: Upstream, key: tuple[str, str], n_tokens: int, capacity: int
+    ) -> None:
+        """Note a shared part that this instance had read at an engine."""
+        self.loads.of(upstream.incarnation).use_part(key, n_tokens, capacity)
+        if n_tokens >= MIN_SHARED_TOKENS:
+            self._tell_cached(upstream.incarnation, key, n_tokens)
+
+    def on_peer_loading(self, incarnation: Incarnation, left_ms: float) -> None:
+        """Note that a peer has an engine load weights."""
+        load = self.loads.of(incarnation)
+        load.loading_until_ms = self._now_ms() + left_ms
+
+    def on_peer_loaded(
+        self, incarnation: Incarnation, model: str, version: int
+    ) -> None:
         """Note the weights that an engine has; it takes work again."""
-        load = self.loads.of(upstream.incarnation)
-        load.loading_until_ms = 0.0
-        if self.weights.on_loaded(upstream.incarnation, model, version):
+        if self.weights.on_loaded(incarnation, model, version):
+            load = self.loads.of(incarnation)
+            load.loading_until_ms = 0.0
             load.forget_parts()
 
+    def on_peer_cached(
+        self, incarnation: Incarnation, key: tuple[str, str], n_tokens: int
+    ) -> None:
+        """Note a shared part that a peer had read at an engine."""
+        upstream = self.directory.get(incarnation[0])
+        if upstream is None or self.table is None:
+            return
+        service = self.table.configuration.services.get(upstream.service)
+        if service is not None and service.engine is not None:
+            capacity = service.engine.kv_capacity_tokens
+            self.loads.of(incarnation).use_part(key, n_tokens, capacity)
+
+    def wanted_versions(self) -> dict[str, int]:
+        """Return the newest version of each model's weights."""
+        return {name: w.version for name, w in self.weights.models().items()}
+
     def rollout_inputs(self) -> RolloutInputs:
         """Return what the rollout of weights is planned from."""
-        wanted = {name: w.version for name, w in self.weights.models().items()}
+        wanted = self.wanted_versions()
         now_ms = self._now_ms()
         engines: dict[str, list[EngineView]] = {model: [] for model in wanted}
         for upstream in self.directory.all():
@@ -152,7 +221,7 @@
         """Note a value that can't be read."""
         self._telemetry.log(events.UNDECODABLE, what=what, reason=reason)
 
-    def _states(self) -> dict[tuple[str, int], tuple[str, str]]:
+    def _states(self) -> dict[Incarnation, tuple[str, str]]:
         return {
             upstream.incarnation: (
                 upstream.service,
@@ -161,7 +230,7 @@
             for upstream in self.directory.all()
         }
 
-    def _log_changes(self, before: dict[tuple[str, int], tuple[str, str]]) -> None:
+    def _log_changes(self, before: dict[Incarnation, tuple[str, str]]) -> None:
         after = self._states()
         for incarnation in before.keys() | after.keys():
             if before.get(incarnation) == after.get(incarnation):
--- a/buckthornrock/platform/engine_control.py
+++ b/buckthornrock/platform/engine_control.py
@@ -42,9 +42,7 @@
         answer = _call(pool, "GET", upstream, "/report", None)
         return answer.bind(_decode_report)
 
-    def order(
-        order: Order, fencing: Fencing
-    ) -> Result[OrderAnswer, EngineUnanswered]:
+    def order(order: Order, fencing: Fencing) -> Result[OrderAnswer, EngineUnanswered]:
         body = {
             "op": "version",
             "model": order.model,
--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -170,5 +170,7 @@
         for token in value.split(b",")
     }
     return frozenset(
-        name for name in names if name and not name.startswith(_PREFIX) and name != b"host"
+        name
+        for name in names
+        if name and not name.startswith(_PREFIX) and name != b"host"
     )
--- a/buckthornrock/rollout/plan.py
+++ b/buckthornrock/rollout/plan.py
@@ -57,7 +57,9 @@
 ) -> list[Order]:
     """Return the orders to give now."""
     behind = [e for e in engines if e.loaded_version < wanted_version]
-    loading = {e.upstream.incarnation for e in behind if _is_loading(e, pending, now_ms)}
+    loading = {
+        e.upstream.incarnation for e in behind if _is_loading(e, pending, now_ms)
+    }
     n_free = wave_size(len(engines)) - len(loading)
     waiting = [e for e in behind if e.upstream.incarnation not in loading]
     waiting.sort(key=lambda e: (e.n_work, e.upstream.upstream_id))
--- /dev/null
+++ b/buckthornrock/wire/digests.py
@@ -0,0 +1,93 @@
+"""What gateway instances tell each other several times a second, as datagrams.
+
+A digest is complete in itself: a lost, late or repeated one does no harm.
+"""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from .errors import DigestUnreadable
+
+#: Fits a datagram with room to spare.
+MAX_DIGEST_BYTES = 60_000
+
+
+class UpstreamWork(msgspec.Struct, array_like=True):
+    """Work that the sender has at one incarnation of an upstream."""
+
+    upstream_id: str
+    started_ms: int
+    n_requests: int
+    n_prefill_tokens: int
+    n_urgent_prefill_tokens: int
+    n_memory_tokens: int
+
+
+class LoadingEngine(msgspec.Struct, array_like=True):
+    """An engine that loads weights for about ``left_ms`` more."""
+
+    upstream_id: str
+    started_ms: int
+    left_ms: float
+
+
+class LoadedWeights(msgspec.Struct, array_like=True):
+    """A version of a model's weights that was seen at an engine."""
+
+    upstream_id: str
+    started_ms: int
+    model: str
+    version: int
+
+
+class CachedPart(msgspec.Struct, array_like=True):
+    """A shared part that the sender has just had read at an engine."""
+
+    upstream_id: str
+    started_ms: int
+    salt: str
+    part_id: str
+    n_tokens: int
+
+
+class Peer(msgspec.Struct, array_like=True):
+    """An instance that the sender has heard of, and how long ago."""
+
+    instance_id: str
+    address: str
+    age_ms: float
+
+
+class Digest(msgspec.Struct, array_like=True):
+    """One instance's state, as far as others decide by it.
+
+    ``incarnation`` rises with each start of the instance and ``number`` with each
+    digest, so that an older one is recognised.
+    """
+
+    instance_id: str
+    address: str
+    incarnation: int
+    number: int
+    configuration_version: int
+    weights: dict[str, int]
+    works: list[UpstreamWork]
+    loading: list[LoadingEngine]
+    loaded: list[LoadedWeights]
+    cached: list[CachedPart]
+    leaving: list[tuple[str, int]]
+    peers: list[Peer]
+    is_stopping: bool = False
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Return the datagram of a digest."""
+    return msgspec.msgpack.encode(digest)
+
+
+def decode_digest(data: bytes) -> Result[Digest, DigestUnreadable]:
+    """Return the digest of a datagram."""
+    try:
+        return Ok(msgspec.msgpack.decode(data, type=Digest))
+    except msgspec.MsgspecError as error:
+        return Error(DigestUnreadable(str(error)))
--- a/buckthornrock/wire/errors.py
+++ b/buckthornrock/wire/errors.py
@@ -44,3 +44,11 @@
 
 
 PeerFailure = PeerNotReached | PeerUnreachable | PeerUnsupported | PeerFailed
+
+
+class DigestUnreadable(NamedTuple):
+    """A datagram holds no digest."""
+
+    reason: str
+
+    code = "digest-unreadable"
