--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -48,6 +48,22 @@
     ("request_id", "status", "failure", "configuration_version"),
     "The configuration in force does not allow a request.",
 )
+CLIENT_LEFT = Event(
+    2204,
+    "gateway.client_left",
+    "info",
+    (
+        "request_id",
+        "route",
+        "upstream_id",
+        "last_event_id",
+        "n_may_have_run",
+        "n_unexecuted",
+        "duration_ms",
+    ),
+    "A client closed its connection before its answer was complete; upstream_id is "
+    "empty if the request still waited for its first place.",
+)
 CONFIGURATION_IN_FORCE = Event(
     2210,
     "gateway.configuration_in_force",
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -70,6 +70,7 @@
         )
         self._n_may_have_run = 0
         self._n_unexecuted = 0
+        self._upstream_id = ""
         self._excluded: frozenset[str] = frozenset()
         self._server_failure: tuple[AnswerHead, bytes] | None = None
 
@@ -83,6 +84,9 @@
                 await self._attempt_until_answered()
         except TimeoutError:
             self._fail("deadline", "no answer before the deadline")
+        except asyncio.CancelledError:
+            self._log_left()
+            raise
 
     async def _attempt_until_answered(self) -> None:
         while True:
@@ -104,6 +108,7 @@
 
     async def _attempt(self, ticket: Ticket) -> Result[None, AttemptFailure]:
         upstream = ticket.placement.upstream
+        self._upstream_id = upstream.upstream_id
         taken = await self._parts.pool.take(upstream, self._left_ms())
         if taken.is_error():
             return taken
@@ -311,6 +316,20 @@
             ),
         )
 
+    def _log_left(self) -> None:
+        self._parts.telemetry.log(
+            events.CLIENT_LEFT,
+            request_id=self._admitted.request_id,
+            route=self._admitted.route.name,
+            upstream_id=self._upstream_id,
+            last_event_id=self._relay.last_event_id,
+            n_may_have_run=self._n_may_have_run,
+            n_unexecuted=self._n_unexecuted,
+            duration_ms=round(
+                self._now_ms() - self._admitted.request.received_at_ms, 1
+            ),
+        )
+
     def _log_attempt(self, ticket: Ticket, failure: AttemptFailure) -> None:
         self._parts.telemetry.log(
             events.ATTEMPT_FAILED,
--- a/buckthornrock/platform/engine_control.py
+++ b/buckthornrock/platform/engine_control.py
@@ -15,8 +15,8 @@
 )
 
 CALL_TIMEOUT_MS = 600.0
-#: Runs finish on the weights that they began on.
-MODE_FINISH_RUNS = "queue"
+#: Runs go on while the weights are loaded; few last until these are changed.
+MODE_RUNS_GO_ON = "in_place"
 _MISDIRECTED = 421
 
 
@@ -47,7 +47,7 @@
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "mode": MODE_FINISH_RUNS,
+            "mode": MODE_RUNS_GO_ON,
             "holder": fencing.holder,
             "fence": fencing.fence,
             # The number of orders that the engine must have accepted so far.
