--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -8,19 +8,17 @@
 from ..catalog.configuration import ClientAccount, Route, RouteKind
 from ..catalog.route_table import RouteTable
 from ..scheduling.choice import Demand
-from ..scheduling.prompt import PromptShape, parse_prompt
-from ..scheduling.weights import WeightsView
+from ..scheduling.prompt import parse_prompt
 from .requests import AdmittedRequest, ClientRequest, Refusal
 
 #: Text that stands for accounts which share cached parts with one another.
-SHARED_SALT = "shared"
+SHARED_WALL = "shared"
 
 
 class AdmissionInputs(NamedTuple):
     """What admission is decided from; ``table`` is None before any configuration."""
 
     table: RouteTable | None
-    weights: WeightsView
     rng: random.Random
 
 
@@ -45,17 +43,10 @@
     )
 
 
-def cache_salt(
-    account: ClientAccount | None, prompt: PromptShape, version: int | None
-) -> str:
-    """Return the text that keeps cached parts apart.
-
-    It holds the isolated account, the model and the version of its weights, so that
-    nothing cached crosses any of them.
-    """
+def cache_wall(account: ClientAccount | None) -> str:
+    """Return what separates an isolated account's cached parts from all others."""
     is_isolated = account is not None and account.is_isolated
-    wall = f"account={account.name}" if is_isolated else SHARED_SALT
-    return f"{wall}/{prompt.model}/{version or 0}"
+    return f"account={account.name}" if is_isolated else SHARED_WALL
 
 
 def _demand(
@@ -82,9 +73,8 @@
     rank = route.rank
     if account is not None and account.rank is not None:
         rank = account.rank
-    wanted = inputs.weights.wanted(prompt.model) if prompt else None
-    salt = cache_salt(account, prompt, wanted and wanted.version) if prompt else ""
-    return Ok(Demand(request.fields.request_id, route, rank, service, salt, prompt))
+    wall = cache_wall(account)
+    return Ok(Demand(request.fields.request_id, route, rank, service, wall, prompt))
 
 
 def _pick_service(route: Route, rng: random.Random) -> str:
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -9,10 +9,9 @@
 
 from ..catalog.configuration import RouteKind
 from ..events import gateway as events
-from ..scheduling.choice import MIN_SHARED_TOKENS
+from ..scheduling.prompt import cache_salt
 from ..scheduling.retry_budget import RetryBudget
 from ..telemetry import Telemetry
-from .admission import cache_salt
 from .dispatcher import Dispatcher, Ticket
 from .errors import (
     AttemptFailure,
@@ -177,28 +176,24 @@
             client_account=account.name if account else "",
             weights_version=version,
             priority_class=min(9, admitted.demand.rank) if prompt else None,
-            cache_salt=cache_salt(account, prompt, version) if prompt else "",
-            kv_source=self._kv_source(ticket),
+            cache_salt=self._salt(ticket),
+            kv_source=placement.kv_source,
             kv_target="",
             last_event_id=self._relay.last_event_id,
         )
 
-    def _kv_source(self, ticket: Ticket) -> str:
-        prompt = self._admitted.demand.prompt
-        if prompt is None:
-            return ""
-        n_shared = sum(part.n_tokens for part in prompt.shared)
-        if n_shared - ticket.placement.n_cached_tokens < MIN_SHARED_TOKENS:
+    def _salt(self, ticket: Ticket) -> str:
+        demand = self._admitted.demand
+        if demand.prompt is None:
             return ""
-        return ""
+        version = ticket.placement.weights_version
+        return cache_salt(demand.wall, demand.prompt.model, version)
 
     def _note_cached_parts(self, ticket: Ticket) -> None:
         demand = self._admitted.demand
         if demand.prompt is None or demand.service.engine is None:
             return
-        salt = cache_salt(
-            self._admitted.account, demand.prompt, ticket.placement.weights_version
-        )
+        salt = self._salt(ticket)
         for part in demand.prompt.shared:
             self._parts.knowledge.on_cached(
                 ticket.placement.upstream,
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -136,9 +136,7 @@
             self._on_broken(request, client, error)
 
     def _admit(self, request: ClientRequest) -> Result:
-        inputs = AdmissionInputs(
-            self._knowledge.table, self._knowledge.weights, self._rng
-        )
+        inputs = AdmissionInputs(self._knowledge.table, self._rng)
         admitted = admit(request, inputs)
         if admitted.is_ok():
             return Ok(admitted.ok)
--- a/buckthornrock/scheduling/prompt.py
+++ b/buckthornrock/scheduling/prompt.py
@@ -54,3 +54,12 @@
 def _part(text: str) -> PromptPart:
     part_id, _, n_tokens = text.strip().partition(":")
     return PromptPart(part_id, int(n_tokens))
+
+
+def cache_salt(wall: str, model: str, weights_version: int | None) -> str:
+    """Return the text that keeps cached parts apart.
+
+    Nothing cached crosses ``wall`` (an isolated client account), a model or a version
+    of its weights.
+    """
+    return f"{wall}/{model}/{weights_version or 0}"
