--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -8,6 +8,8 @@
 
 import pykka
 
+from ..events import gateway as events
+from ..gateway.configuration_exchange import ConfigurationExchange
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.exchange import ExchangeParts
 from ..gateway.gateway import Gateway, GatewaySettings
@@ -15,9 +17,9 @@
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
 from ..platform.engine_control import open_engine_control
-from ..platform.feeds import operator_listener, upstream_listener
+from ..platform.feeds import operator_listener, take_configuration, upstream_listener
 from ..platform.headers import open_header_codec
-from ..platform.settings import NodeSettings
+from ..platform.settings import NodeSettings, load_node_settings
 from ..platform.store_client import open_store
 from ..platform.upstream_entries import OPERATOR_PREFIX, UPSTREAMS_PREFIX
 from ..rollout.actor import RolloutActor
@@ -67,12 +69,29 @@
         knowledge=knowledge,
         telemetry=telemetry,
     )
+    configurations = ConfigurationExchange(
+        address=_peer_address(settings),
+        read=lambda: knowledge.encoded_configuration,
+        version=lambda: knowledge.configuration_version,
+        take=lambda encoded, source: take_configuration(knowledge, encoded, source),
+        telemetry=telemetry,
+    )
     gateway = Gateway(
-        _gateway_settings(settings), knowledge, parts, pool, peers, now_ms, telemetry
+        _gateway_settings(settings),
+        knowledge,
+        parts,
+        pool,
+        peers,
+        configurations,
+        now_ms,
+        telemetry,
     )
     rollout = _start_rollout(settings, store, knowledge, loop, telemetry)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: _read_settings_again(settings, peers, telemetry)
+    )
     await gateway.run(stop, on_draining=lambda: rollout.tell("stop"))
     # Followers wait in long polls; they hold nothing that must be given back.
     os._exit(0)
@@ -132,6 +151,17 @@
     )
 
 
+def _read_settings_again(
+    settings: NodeSettings, peers: PeerExchange, telemetry: Telemetry
+) -> None:
+    """Take over new seeds; addresses and limits hold until the next start."""
+    loaded = load_node_settings(settings.path)
+    outcome = "taken over" if loaded.is_ok() else loaded.error.reason
+    if loaded.is_ok():
+        peers.replace_seeds(_peer_settings(loaded.ok).seeds)
+    telemetry.log(events.SETTINGS_READ, instance_id=settings.node_name, outcome=outcome)
+
+
 def _peer_settings(settings: NodeSettings) -> PeerSettings:
     port = _peer_address(settings).rpartition(":")[2]
     seeds = tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds)
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -106,6 +106,20 @@
     ("prefix", "outage_ms"),
     "The store answers again.",
 )
+PEER_SILENT = Event(
+    2216,
+    "gateway.peer_silent",
+    "warning",
+    ("peer", "reason"),
+    "A peer with a newer configuration did not answer; it is asked again.",
+)
+SETTINGS_READ = Event(
+    2217,
+    "gateway.settings_read",
+    "info",
+    ("instance_id", "outcome"),
+    "The settings file was read again after a signal.",
+)
 STARTED = Event(
     2220,
     "gateway.started",
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -10,6 +10,7 @@
 from ..events import gateway as events
 from ..telemetry import Telemetry
 from .admission import AdmissionInputs, admit
+from .configuration_exchange import ConfigurationExchange
 from .dispatcher import Dispatcher
 from .exchange import Exchange, ExchangeParts
 from .front import FrontConnection, FrontParts
@@ -50,6 +51,7 @@
         exchange_parts: ExchangeParts,
         pool: ConnectionPool,
         peers: PeerExchange,
+        configurations: ConfigurationExchange,
         now_ms: Callable[[], float],
         telemetry: Telemetry,
     ) -> None:
@@ -59,6 +61,8 @@
         self._dispatcher: Dispatcher = exchange_parts.dispatcher
         self._pool = pool
         self._peers = peers
+        self._configurations = configurations
+        peers.on_newer_configuration = configurations.on_newer
         self._now_ms = now_ms
         self._telemetry = telemetry
         self._rng = random.Random()
@@ -92,6 +96,7 @@
                 tasks.create_task(self._dispatcher.tick()),
                 tasks.create_task(self._keep_house()),
                 tasks.create_task(self._peers.run()),
+                tasks.create_task(self._configurations.run()),
             ]
             await stop.wait()
             on_draining()
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -24,6 +24,8 @@
     ----------
     table : RouteTable or None
         The configuration in force; its version only rises.
+    encoded_configuration : bytes
+        The same as the operators wrote it, b"" before any.
     directory : UpstreamDirectory
         Live upstreams.
     weights : WeightsView
@@ -40,6 +42,7 @@
         telemetry: Telemetry,
     ) -> None:
         self.table: RouteTable | None = None
+        self.encoded_configuration = b""
         self.directory = UpstreamDirectory()
         self.weights = weights
         self.loads = FleetLoads()
@@ -72,10 +75,16 @@
             self.loads, self.weights, stores, self._failure_domain, self._now_ms()
         )
 
-    def on_configuration(self, configuration: Configuration, source: str) -> None:
-        """Put a configuration in force unless a newer one is."""
+    def on_configuration(
+        self, configuration: Configuration, encoded: bytes, source: str
+    ) -> None:
+        """Put a configuration in force unless a newer one is.
+
+        ``encoded`` is what peers are given that can't reach the store.
+        """
         if self.table and configuration.version <= self.table.configuration.version:
             return
+        self.encoded_configuration = encoded
         self.table = RouteTable(configuration)
         self._telemetry.log(
             events.CONFIGURATION_IN_FORCE,
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -72,6 +72,10 @@
         """Note the socket."""
         self._transport = transport
 
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Try other addresses first from now on."""
+        self._settings = self._settings._replace(seeds=seeds)
+
     def n_instances(self) -> int:
         """Return the number of live instances."""
         return self._view.n_instances(self._now_ms())
--- a/buckthornrock/platform/feeds.py
+++ b/buckthornrock/platform/feeds.py
@@ -53,6 +53,15 @@
     return _listener(knowledge, loop, prefix, on_snapshot, on_change)
 
 
+def take_configuration(knowledge: Knowledge, encoded: bytes, source: str) -> None:
+    """Put an encoded configuration in force if it is newer."""
+    configuration = decode_configuration(encoded)
+    if configuration.is_error():
+        knowledge.log_undecodable(CONFIGURATION_KEY, configuration.error.reason)
+        return
+    knowledge.on_configuration(configuration.ok, encoded, source)
+
+
 def _listener(
     knowledge: Knowledge,
     loop: asyncio.AbstractEventLoop,
@@ -77,11 +86,7 @@
 
 def _take_operator_entry(knowledge: Knowledge, entry: KvEntry) -> None:
     if entry.key == CONFIGURATION_KEY:
-        configuration = decode_configuration(entry.value)
-        if configuration.is_error():
-            knowledge.log_undecodable(entry.key, configuration.error.reason)
-            return
-        knowledge.on_configuration(configuration.ok, SOURCE)
+        take_configuration(knowledge, entry.value, SOURCE)
         return
     if entry.key.startswith(WEIGHTS_PREFIX):
         weights = decode_weights(entry.key, entry.value)
--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -70,6 +70,8 @@
     bounds: Bounds
     platform: Store
     zones: dict[str, str] = {}
+    #: Where the settings were read from.
+    path: str = ""
 
 
 def load_node_settings(path: str) -> Result[NodeSettings, SettingsUnreadable]:
@@ -79,6 +81,6 @@
     except (OSError, ValueError) as error:
         return Error(SettingsUnreadable(path, str(error)))
     try:
-        return Ok(msgspec.convert(document, NodeSettings))
+        return Ok(msgspec.convert({**document, "path": path}, NodeSettings))
     except msgspec.ValidationError as error:
         return Error(SettingsUnreadable(path, str(error)))
--- a/buckthornrock/platform/store_client.py
+++ b/buckthornrock/platform/store_client.py
@@ -31,7 +31,7 @@
 
 CALL_TIMEOUT_MS = 1_000.0
 #: Added to a watch's own waiting time before it is taken for broken.
-WATCH_MARGIN_MS = 1_000.0
+WATCH_MARGIN_MS = 500.0
 N_POOLED_CONNECTIONS = 4
 #: Time within which the outcome of a write without an answer is looked up.
 SETTLE_LIMIT_MS = 3_000.0
--- a/buckthornrock/store/follower.py
+++ b/buckthornrock/store/follower.py
@@ -11,8 +11,8 @@
 from .errors import HistoryGone
 from .kv_port import Change, Snapshot, StorePort
 
-#: Waiting time of one long poll.
-POLL_WAIT_MS = 5_000.0
+#: Waiting time of one long poll; bounds how late a silent connection is noticed.
+POLL_WAIT_MS = 1_000.0
 
 
 class Listener(NamedTuple):
