--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -9,14 +9,18 @@
     (
         "request_id",
         "route",
+        "rank",
         "upstream_id",
+        "waited_ms",
+        "first_event_ms",
         "estimate_ms",
         "n_cached_tokens",
         "weights_version",
         "n_attempts",
         "duration_ms",
     ),
-    "A request got an upstream's whole answer; estimate_ms and n_cached_tokens are "
+    "A request got an upstream's whole answer. waited_ms passed before it was handed "
+    "on, first_event_ms until its answer began; estimate_ms and n_cached_tokens are "
     "what the choice of the upstream rested on.",
 )
 NOT_SERVED = Event(
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -158,7 +158,7 @@
         self._is_wake_due = False
         for room in self._rooms.values():
             if len(room):
-                room.place_each(self._try_place)
+                room.place_each(self._try_place, self._view().now_ms)
 
     def _try_place(self, waiting: Waiting) -> bool:
         place = self._places.get(waiting.number)
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -10,6 +10,7 @@
 from ..catalog.configuration import RouteKind
 from ..events import gateway as events
 from ..scheduling.prompt import cache_salt
+from ..scheduling.reading import store_incarnation
 from ..scheduling.retry_budget import RetryBudget
 from ..telemetry import Telemetry
 from .dispatcher import Dispatcher, Ticket
@@ -39,6 +40,8 @@
 #: Part of the deadline that the answer's way to the client takes.
 ANSWER_MARGIN_MS = 20.0
 RETRY_AFTER_MS = 300.0
+#: Time after reading in which a store has taken the parts.
+KEEPING_MS = 300.0
 
 
 class ExchangeParts(NamedTuple):
@@ -70,6 +73,8 @@
         self._n_may_have_run = 0
         self._n_unexecuted = 0
         self._upstream_id = ""
+        self._waited_ms = 0.0
+        self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
         self._server_failure: tuple[AnswerHead, bytes] | None = None
 
@@ -94,6 +99,7 @@
                 self._refuse(placed.error)
                 return
             ticket = placed.ok
+            self._waited_ms = self._now_ms() - self._admitted.request.received_at_ms
             try:
                 outcome = await self._attempt(ticket)
             finally:
@@ -112,6 +118,7 @@
         if taken.is_error():
             return taken
         connection = taken.ok
+        self._note_readings(ticket)
         request = self._admitted.request
         headers = self._parts.codec.encode_request(
             request.headers, self._plan(ticket), len(request.body)
@@ -120,6 +127,7 @@
             connection.send(request.method, request.target, headers, request.body)
             async with asyncio.timeout(self._attempt_limit_s()):
                 head = await connection.read_head(self._admitted.request_id)
+            self._head_at_ms = self._now_ms()
             return await self._take_answer(ticket, connection, head)
         except ConnectionBrokenError as error:
             return Error(Interrupted(str(error)))
@@ -143,7 +151,6 @@
         if head.fields.is_encoded or not head.fields.is_signed:
             return Error(Interrupted("the answer is not the upstream's own"))
         if self._is_stream(head):
-            self._note_cached_parts(ticket)
             await self._relay.run(
                 connection, self._parts.codec.encode_answer(head.headers), ticket
             )
@@ -175,10 +182,10 @@
             remaining_ms=self._left_ms(),
             client_account=account.name if account else "",
             weights_version=version,
-            priority_class=min(9, admitted.demand.rank) if prompt else None,
+            priority_class=min(9, admitted.demand.urgency) if prompt else None,
             cache_salt=self._salt(ticket),
             kv_source=placement.kv_source,
-            kv_target="",
+            kv_target=placement.kv_target,
             last_event_id=self._relay.last_event_id,
         )
 
@@ -189,18 +196,26 @@
         version = ticket.placement.weights_version
         return cache_salt(demand.wall, demand.prompt.model, version)
 
-    def _note_cached_parts(self, ticket: Ticket) -> None:
-        demand = self._admitted.demand
-        if demand.prompt is None or demand.service.engine is None:
+    def _note_readings(self, ticket: Ticket) -> None:
+        """Tell where the prompt's shared parts will be from now on."""
+        prompt = self._admitted.demand.prompt
+        if prompt is None:
             return
-        salt = self._salt(ticket)
-        for part in demand.prompt.shared:
-            self._parts.knowledge.on_cached(
-                ticket.placement.upstream,
-                (salt, part.part_id),
-                part.n_tokens,
-                demand.service.engine.kv_capacity_tokens,
-            )
+        placement, salt = ticket.placement, self._salt(ticket)
+        places = [(placement.upstream.incarnation, placement.estimate_ms)]
+        if placement.kv_target:
+            stores = self._parts.knowledge.view().prompt_stores
+            ready_in_ms = placement.estimate_ms + KEEPING_MS
+            places += [
+                (store_incarnation(store), ready_in_ms)
+                for store in stores
+                if store.address == placement.kv_target
+            ]
+        for incarnation, ready_in_ms in places:
+            for part in prompt.shared:
+                self._parts.knowledge.on_reading(
+                    incarnation, (salt, part.part_id), part.n_tokens, ready_in_ms
+                )
 
     def _note_version(self, ticket: Ticket, head: AnswerHead) -> None:
         """Learn from a refusal which weights the upstream has by now."""
@@ -287,7 +302,12 @@
             events.SERVED,
             request_id=self._admitted.request_id,
             route=self._admitted.route.name,
+            rank=self._admitted.demand.rank,
             upstream_id=placement.upstream.upstream_id,
+            waited_ms=round(self._waited_ms, 1),
+            first_event_ms=round(
+                self._head_at_ms - self._admitted.request.received_at_ms, 1
+            ),
             estimate_ms=round(placement.estimate_ms, 1),
             n_cached_tokens=placement.n_cached_tokens,
             weights_version=placement.weights_version,
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -11,11 +11,16 @@
 from ..events import gateway as events
 from ..rollout.plan import EngineView
 from ..rollout.port import RolloutInputs
-from ..scheduling.choice import MIN_SHARED_TOKENS, View
+from ..scheduling.cached_parts import PartKey
+from ..scheduling.choice import View
 from ..scheduling.loads import FleetLoads, Incarnation
+from ..scheduling.reading import MIN_SHARED_TOKENS, store_incarnation
 from ..scheduling.weights import WeightsView
 from ..telemetry import Telemetry
 
+#: Share of an engine's or store's memory in which shared parts are taken to survive.
+CACHE_SHARE = 0.7
+
 
 class Knowledge:
     """Configuration in force, upstream directory, wanted weights and loads.
@@ -121,7 +126,8 @@
         self.directory.expire(self._now_ms())
         self._log_changes(before)
         incarnations = {upstream.incarnation for upstream in self.directory.all()}
-        self.loads.retain(incarnations)
+        stores = self.table.configuration.prompt_stores if self.table else ()
+        self.loads.retain(incarnations | {store_incarnation(s) for s in stores})
         return incarnations
 
     def on_store_heard(self, prefix: str) -> None:
@@ -140,12 +146,12 @@
 
     def listen(
         self,
-        on_cached: Callable[[Incarnation, tuple[str, str], int], None],
+        on_reading: Callable[[Incarnation, PartKey, int, float], None],
         on_loaded: Callable[[Incarnation, str, int], None],
         on_urgent: Callable[[], None],
     ) -> None:
         """Pass on what this instance finds out itself; ``on_urgent`` sends it now."""
-        self._tell_cached = on_cached
+        self._tell_reading = on_reading
         self._tell_loaded = on_loaded
         self._tell_now = on_urgent
 
@@ -174,13 +180,13 @@
         self._tell_loaded(incarnation, model, version)
         self._tell_now()
 
-    def on_cached(
-        self, upstream: Upstream, key: tuple[str, str], n_tokens: int, capacity: int
+    def on_reading(
+        self, incarnation: Incarnation, key: PartKey, n_tokens: int, ready_in_ms: float
     ) -> None:
-        """Note a shared part that this instance had read at an engine."""
-        self.loads.of(upstream.incarnation).use_part(key, n_tokens, capacity)
+        """Note a shared part that this instance has read at an engine or store."""
+        self._use_part(incarnation, key, n_tokens, ready_in_ms)
         if n_tokens >= MIN_SHARED_TOKENS:
-            self._tell_cached(upstream.incarnation, key, n_tokens)
+            self._tell_reading(incarnation, key, n_tokens, ready_in_ms)
 
     def on_peer_loading(self, incarnation: Incarnation, left_ms: float) -> None:
         """Note that a peer has an engine load weights."""
@@ -194,19 +200,13 @@
         if self.weights.on_loaded(incarnation, model, version):
             load = self.loads.of(incarnation)
             load.loading_until_ms = 0.0
-            load.forget_parts()
+            load.parts.clear()
 
-    def on_peer_cached(
-        self, incarnation: Incarnation, key: tuple[str, str], n_tokens: int
+    def on_peer_reading(
+        self, incarnation: Incarnation, key: PartKey, n_tokens: int, ready_in_ms: float
     ) -> None:
-        """Note a shared part that a peer had read at an engine."""
-        upstream = self.directory.get(incarnation[0])
-        if upstream is None or self.table is None:
-            return
-        service = self.table.configuration.services.get(upstream.service)
-        if service is not None and service.engine is not None:
-            capacity = service.engine.kv_capacity_tokens
-            self.loads.of(incarnation).use_part(key, n_tokens, capacity)
+        """Note a shared part that a peer has read at an engine or store."""
+        self._use_part(incarnation, key, n_tokens, ready_in_ms)
 
     def wanted_versions(self) -> dict[str, int]:
         """Return the newest version of each model's weights."""
@@ -230,6 +230,27 @@
         """Note a value that can't be read."""
         self._telemetry.log(events.UNDECODABLE, what=what, reason=reason)
 
+    def _use_part(
+        self, incarnation: Incarnation, key: PartKey, n_tokens: int, ready_in_ms: float
+    ) -> None:
+        limit = self._cache_limit(incarnation)
+        ready_at_ms = self._now_ms() + ready_in_ms
+        self.loads.of(incarnation).parts.use(key, n_tokens, ready_at_ms, limit)
+
+    def _cache_limit(self, incarnation: Incarnation) -> int:
+        """Return the tokens of shared parts that an engine or store can keep."""
+        if self.table is None:
+            return 0
+        configuration = self.table.configuration
+        for store in configuration.prompt_stores:
+            if store_incarnation(store) == incarnation:
+                return int(store.capacity_tokens * CACHE_SHARE)
+        upstream = self.directory.get(incarnation[0])
+        service = upstream and configuration.services.get(upstream.service)
+        if not service or service.engine is None:
+            return 0
+        return int(service.engine.kv_capacity_tokens * CACHE_SHARE)
+
     def _states(self) -> dict[Incarnation, tuple[str, str]]:
         return {
             upstream.incarnation: (
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -9,10 +9,10 @@
 from ..scheduling.loads import Work
 from ..telemetry import Telemetry
 from ..wire.digests import (
-    CachedPart,
     Digest,
     LoadedWeights,
     LoadingEngine,
+    PartReading,
     UpstreamWork,
     decode_digest,
     encode_digest,
@@ -64,9 +64,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._number = 0
         self._seeds_at_ms = 0.0
-        self._cached: deque[tuple[int, CachedPart]] = deque(maxlen=MAX_PENDING_NEWS)
+        self._readings: deque[tuple[int, PartReading]] = deque(maxlen=MAX_PENDING_NEWS)
         self._loaded: deque[tuple[int, LoadedWeights]] = deque(maxlen=MAX_PENDING_NEWS)
-        knowledge.listen(self._on_cached, self._on_loaded, self.send)
+        knowledge.listen(self._on_reading, self._on_loaded, self.send)
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Note the socket."""
@@ -135,10 +135,10 @@
         for loaded in digest.loaded:
             incarnation = (loaded.upstream_id, loaded.started_ms)
             knowledge.on_peer_loaded(incarnation, loaded.model, loaded.version)
-        for part in digest.cached:
+        for part in digest.readings:
             incarnation = (part.upstream_id, part.started_ms)
             key = (part.salt, part.part_id)
-            knowledge.on_peer_cached(incarnation, key, part.n_tokens)
+            knowledge.on_peer_reading(incarnation, key, part.n_tokens, part.ready_in_ms)
         if digest.configuration_version > knowledge.configuration_version:
             self.on_newer_configuration(digest.address, digest.configuration_version)
 
@@ -160,16 +160,20 @@
                 for incarnation, left_ms in self._knowledge.own_loading().items()
             ],
             loaded=_told(self._loaded),
-            cached=_told(self._cached),
-            leaving=[],
+            readings=_told(self._readings),
             peers=self._view.named(now_ms),
             is_stopping=self.is_stopping,
         )
 
-    def _on_cached(
-        self, incarnation: tuple[str, int], key: tuple[str, str], n_tokens: int
+    def _on_reading(
+        self,
+        incarnation: tuple[str, int],
+        key: tuple[str, str],
+        n_tokens: int,
+        ready_in_ms: float,
     ) -> None:
-        self._cached.append((N_TELLINGS, CachedPart(*incarnation, *key, n_tokens)))
+        reading = PartReading(*incarnation, *key, n_tokens, ready_in_ms)
+        self._readings.append((N_TELLINGS, reading))
 
     def _on_loaded(
         self, incarnation: tuple[str, int], model: str, version: int
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -3,17 +3,17 @@
 Pure: the caller gives the time.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import defaultdict
 from typing import NamedTuple
 
+from .cached_parts import CachedParts
+
 #: A peer's digest is used for this long after it was made.
 DIGEST_LIFETIME_MS = 1_000.0
 #: An upstream's word on its load is used for this long.
 REPORT_LIFETIME_MS = 400.0
 #: Failures count half after this time.
 FAILURE_HALF_LIFE_MS = 2_000.0
-#: Share of an engine's memory in which cached parts are assumed to survive.
-CACHE_SHARE = 0.6
 
 Incarnation = tuple[str, int]
 
@@ -61,8 +61,8 @@
         The upstream gets no new work before.
     loading_until_ms : float
         The engine loads weights and takes no new work until about then.
-    cached : OrderedDict
-        Parts assumed to be cached, with their tokens, least recently used first.
+    parts : CachedParts
+        Shared parts that are believed to be cached there.
     """
 
     def __init__(self) -> None:
@@ -70,8 +70,7 @@
         self.report: LoadReport | None = None
         self.blocked_until_ms = 0.0
         self.loading_until_ms = 0.0
-        self.cached: OrderedDict[tuple[str, str], int] = OrderedDict()
-        self.n_cached_tokens = 0
+        self.parts = CachedParts()
         self._failures = 0.0
         self._answers = 0.0
         self._counted_at_ms = 0.0
@@ -87,21 +86,6 @@
         self._decay(now_ms)
         return self._failures / (self._answers + 3.0)
 
-    def use_part(self, key: tuple[str, str], n_tokens: int, capacity: int) -> None:
-        """Note that a part is cached there from now on."""
-        if key in self.cached:
-            self.cached.move_to_end(key)
-            return
-        self.cached[key] = n_tokens
-        self.n_cached_tokens += n_tokens
-        while self.n_cached_tokens > capacity * CACHE_SHARE and len(self.cached) > 1:
-            self.n_cached_tokens -= self.cached.popitem(last=False)[1]
-
-    def forget_parts(self) -> None:
-        """Note that the upstream's cache is empty."""
-        self.cached.clear()
-        self.n_cached_tokens = 0
-
     def _decay(self, now_ms: float) -> None:
         passed_ms = max(0.0, now_ms - self._counted_at_ms)
         factor = 0.5 ** (passed_ms / FAILURE_HALF_LIFE_MS)
--- /dev/null
+++ b/buckthornrock/scheduling/reading.py
@@ -0,0 +1,162 @@
+"""How an engine would get at the parts of a prompt: cached, fetched or read; pure."""
+
+from typing import NamedTuple
+
+from ..catalog.configuration import EngineSpec, PromptStore
+from ..catalog.upstreams import Upstream
+from .loads import FleetLoads
+from .prompt import PromptShape, cache_salt
+from .weights import WeightsView
+
+#: Prompt tokens that an engine reads in a millisecond.
+PREFILL_TOKENS_PER_MS = 50.0
+#: Shared parts below this size have no home and are not fetched.
+MIN_SHARED_TOKENS = 512
+#: Time that fetching takes besides the transfer.
+FETCH_SETUP_MS = 4.0
+#: Factor on transfers between failure domains.
+FAR_FACTOR = 2.0
+#: Transfer rate of a prompt store's link against an engine's.
+STORE_LINK_SHARE = 0.15
+
+
+class Sharing(NamedTuple):
+    """A prompt with what decides which cached parts it may use."""
+
+    prompt: PromptShape
+    wall: str
+    engine: EngineSpec
+
+    @property
+    def is_worth_fetching(self) -> bool:
+        """Whether the shared parts are large enough to have a home."""
+        return sum(part.n_tokens for part in self.prompt.shared) >= MIN_SHARED_TOKENS
+
+
+class Holder(NamedTuple):
+    """Where leading shared parts of a prompt can be fetched."""
+
+    address: str
+    failure_domain: str
+    salt: str
+    n_tokens: int
+    link_mbps: float
+
+
+class Reading(NamedTuple):
+    """What is cached, what must be read, and where the rest is fetched."""
+
+    n_cached: int
+    n_to_read: int
+    fetch_ms: float
+    kv_source: str
+
+    @property
+    def duration_ms(self) -> float:
+        """Time until the prompt is in the engine's memory."""
+        return self.fetch_ms + self.n_to_read / PREFILL_TOKENS_PER_MS
+
+
+class CacheView(NamedTuple):
+    """What is known of caches and weights at a time."""
+
+    loads: FleetLoads
+    weights: WeightsView
+    prompt_stores: tuple[PromptStore, ...]
+    now_ms: float
+
+
+def n_leading_cached(sharing: Sharing, upstream: Upstream, view: CacheView) -> int:
+    """Return the tokens of leading shared parts that an engine has or is reading."""
+    version = view.weights.loaded(upstream, sharing.prompt.model)
+    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    parts = view.loads.of(upstream.incarnation).parts
+    n_cached = 0
+    for part in sharing.prompt.shared:
+        if not parts.holds((salt, part.part_id)):
+            break
+        n_cached += part.n_tokens
+    return n_cached
+
+
+def find_holders(
+    sharing: Sharing, upstreams: list[Upstream], view: CacheView
+) -> list[Holder]:
+    """Return engines and prompt stores from which shared parts can be fetched."""
+    if not sharing.is_worth_fetching:
+        return []
+    holders = [_engine_holder(sharing, upstream, view) for upstream in upstreams]
+    versions = {
+        view.weights.loaded(upstream, sharing.prompt.model) for upstream in upstreams
+    }
+    for store in view.prompt_stores:
+        holders += [_store_holder(sharing, store, v, view) for v in versions]
+    return [holder for holder in holders if holder.n_tokens >= MIN_SHARED_TOKENS]
+
+
+def plan_reading(
+    sharing: Sharing, upstream: Upstream, holders: list[Holder], view: CacheView
+) -> Reading:
+    """Return the fastest way for an engine to get at the prompt."""
+    n_prompt = sharing.prompt.n_prompt_tokens
+    n_cached = n_leading_cached(sharing, upstream, view)
+    best = Reading(n_cached, max(1, n_prompt - n_cached), 0.0, "")
+    version = view.weights.loaded(upstream, sharing.prompt.model)
+    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    for holder in holders:
+        is_other = holder.address != upstream.address and holder.salt == salt
+        n_fetched = holder.n_tokens - n_cached
+        if not is_other or n_fetched <= 0:
+            continue
+        fetch_ms = _fetch_ms(sharing, holder, n_fetched, upstream.failure_domain)
+        n_to_read = max(1, n_prompt - holder.n_tokens)
+        option = Reading(n_cached, n_to_read, fetch_ms, holder.address)
+        if option.duration_ms < best.duration_ms:
+            best = option
+    return best
+
+
+def store_incarnation(store: PromptStore) -> tuple[str, int]:
+    """Return the key under which a prompt store's parts are known."""
+    return f"prompt-store:{store.address}", 0
+
+
+def _engine_holder(sharing: Sharing, upstream: Upstream, view: CacheView) -> Holder:
+    load = view.loads.of(upstream.incarnation)
+    version = view.weights.loaded(upstream, sharing.prompt.model)
+    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    n_ready = 0
+    if view.now_ms >= load.loading_until_ms:
+        n_ready = _n_ready(sharing, salt, upstream.incarnation, view)
+    link_mbps = sharing.engine.link_mbps
+    return Holder(upstream.address, upstream.failure_domain, salt, n_ready, link_mbps)
+
+
+def _store_holder(
+    sharing: Sharing, store: PromptStore, version: int | None, view: CacheView
+) -> Holder:
+    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    n_ready = _n_ready(sharing, salt, store_incarnation(store), view)
+    link_mbps = sharing.engine.link_mbps * STORE_LINK_SHARE
+    return Holder(store.address, store.failure_domain, salt, n_ready, link_mbps)
+
+
+def _n_ready(
+    sharing: Sharing, salt: str, incarnation: tuple[str, int], view: CacheView
+) -> int:
+    parts = view.loads.of(incarnation).parts
+    n_ready = 0
+    for part in sharing.prompt.shared:
+        if not parts.is_ready((salt, part.part_id), view.now_ms):
+            break
+        n_ready += part.n_tokens
+    return n_ready
+
+
+def _fetch_ms(
+    sharing: Sharing, holder: Holder, n_tokens: int, failure_domain: str
+) -> float:
+    n_bits = n_tokens * sharing.engine.kv_bytes_per_token * 8
+    transfer_ms = n_bits / (holder.link_mbps * 1_000.0)
+    factor = 1.0 if holder.failure_domain == failure_domain else FAR_FACTOR
+    return FETCH_SETUP_MS + transfer_ms * factor
--- a/buckthornrock/scheduling/waiting.py
+++ b/buckthornrock/scheduling/waiting.py
@@ -5,16 +5,17 @@
 placed before its client gives up is refused when that becomes known.
 """
 
-import heapq
-from collections.abc import Callable, Iterator
+from collections import defaultdict
+from collections.abc import Callable
 from typing import NamedTuple
 
-from .choice import PREFILL_TOKENS_PER_MS, Demand
+from .choice import Demand
+from .reading import PREFILL_TOKENS_PER_MS
 
 #: Time of a client's deadline that must be left when a request is handed on.
 MIN_SERVICE_MS = 150.0
-#: Requests of one rank that are tried before the rank is taken to have no place.
-N_TRIES_PER_RANK = 6
+#: Requests of one urgency that are tried before there is taken to be no place.
+N_TRIES_PER_URGENCY = 6
 
 
 class Waiting(NamedTuple):
@@ -40,52 +41,46 @@
     """Requests that wait for a place at the upstreams of one service."""
 
     def __init__(self) -> None:
-        self._queue: list[tuple[int, float, int, Waiting]] = []
-        self._left: set[int] = set()
+        self._members: dict[int, Waiting] = {}
 
     def __len__(self) -> int:
-        return len(self._queue) - len(self._left)
+        return len(self._members)
 
     def join(self, waiting: Waiting) -> None:
         """Add a request."""
-        key = (waiting.demand.rank, waiting.give_up_at_ms, waiting.number)
-        heapq.heappush(self._queue, (*key, waiting))
+        self._members[waiting.number] = waiting
 
     def leave(self, number: int) -> None:
         """Take out a request whose client left or that was refused."""
-        if any(entry[3].number == number for entry in self._queue):
-            self._left.add(number)
+        self._members.pop(number, None)
 
-    def place_each(self, try_place: Callable[[Waiting], bool]) -> None:
+    def place_each(self, try_place: Callable[[Waiting], bool], now_ms: float) -> None:
         """Offer places in order; ``try_place`` returns whether one was taken."""
-        kept: list[tuple[int, float, int, Waiting]] = []
-        n_failed_by_rank: dict[int, int] = {}
-        while self._queue:
-            entry = heapq.heappop(self._queue)
-            rank, waiting = entry[0], entry[3]
-            if waiting.number in self._left:
-                self._left.discard(waiting.number)
-                continue
-            if n_failed_by_rank.get(rank, 0) >= N_TRIES_PER_RANK:
-                kept.append(entry)
+        n_failed: dict[int, int] = defaultdict(int)
+        for waiting in sorted(self._members.values(), key=lambda w: _order(w, now_ms)):
+            urgency = waiting.demand.urgency
+            if n_failed[urgency] >= N_TRIES_PER_URGENCY:
                 continue
             if try_place(waiting):
+                del self._members[waiting.number]
                 continue
-            n_failed_by_rank[rank] = n_failed_by_rank.get(rank, 0) + 1
-            kept.append(entry)
-        for entry in kept:
-            heapq.heappush(self._queue, entry)
+            n_failed[urgency] += 1
 
     def ahead_of(self, demand: Demand) -> Backlog:
-        """Return the work that waits at the demand's rank or before it."""
-        ahead = [w for w in self._members() if w.demand.rank <= demand.rank]
-        n_tokens = sum(_n_tokens(waiting.demand) for waiting in ahead)
-        return Backlog(len(ahead), n_tokens)
-
-    def _members(self) -> Iterator[Waiting]:
-        for *_, waiting in self._queue:
-            if waiting.number not in self._left:
-                yield waiting
+        """Return the work that waits and is at least as urgent as the demand."""
+        ahead = [
+            waiting
+            for waiting in self._members.values()
+            if waiting.demand.urgency <= demand.urgency
+        ]
+        return Backlog(len(ahead), sum(_n_tokens(w.demand) for w in ahead))
+
+
+def _order(waiting: Waiting, now_ms: float) -> tuple[int, bool, float]:
+    """Return the sort key: urgent first, then those that can still be on time."""
+    waited_ms = now_ms - waiting.joined_at_ms
+    is_late = waited_ms + MIN_SERVICE_MS > waiting.demand.route.objective_ms
+    return waiting.demand.urgency, is_late, waiting.give_up_at_ms
 
 
 def expected_wait_ms(
--- a/buckthornrock/store/follower.py
+++ b/buckthornrock/store/follower.py
@@ -12,7 +12,7 @@
 from .kv_port import Change, Snapshot, StorePort
 
 #: Waiting time of one long poll; bounds how late a silent connection is noticed.
-POLL_WAIT_MS = 1_000.0
+POLL_WAIT_MS = 2_000.0
 
 
 class Listener(NamedTuple):
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -40,14 +40,18 @@
     version: int
 
 
-class CachedPart(msgspec.Struct, array_like=True):
-    """A shared part that the sender has just had read at an engine."""
+class PartReading(msgspec.Struct, array_like=True):
+    """A shared part that the sender has read at an engine, or kept at a store.
+
+    It can be fetched from there in ``ready_in_ms``.
+    """
 
     upstream_id: str
     started_ms: int
     salt: str
     part_id: str
     n_tokens: int
+    ready_in_ms: float
 
 
 class Peer(msgspec.Struct, array_like=True):
@@ -74,8 +78,7 @@
     works: list[UpstreamWork]
     loading: list[LoadingEngine]
     loaded: list[LoadedWeights]
-    cached: list[CachedPart]
-    leaving: list[tuple[str, int]]
+    readings: list[PartReading]
     peers: list[Peer]
     is_stopping: bool = False
 
