Tell peers at once of prompts that take long to read; count attention in reading

Blurbs were sent to engines that another instance had just given a long prompt, up to 60 ms before its digest came (estimate 9 ms, seen 570). A failure that answers a resumed stream no longer raises.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -46,11 +46,7 @@
 
     def on_first_event(self) -> None:
         """Note that the prompt has been read."""
-        read = Work(
-            n_prefill_tokens=self._left.n_prefill_tokens,
-            n_urgent_prefill_tokens=self._left.n_urgent_prefill_tokens,
-        )
-        self._give_up(read)
+        self._give_up(Work(reading_ms=self._left.reading_ms))
 
     def release(self) -> None:
         """Note that the request is no longer at the upstream."""
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -40,6 +40,8 @@
 #: Part of the deadline that the answer's way to the client takes.
 ANSWER_MARGIN_MS = 20.0
 RETRY_AFTER_MS = 300.0
+#: Peers learn at once of a prompt that takes an engine this long to read.
+URGENT_READING_MS = 40.0
 #: Time after reading in which a store has taken the parts.
 KEEPING_MS = 300.0
 
@@ -119,6 +121,8 @@
             return taken
         connection = taken.ok
         self._note_readings(ticket)
+        if ticket.placement.work.reading_ms >= URGENT_READING_MS:
+            self._parts.knowledge.tell_peers_now()
         request = self._admitted.request
         headers = self._parts.codec.encode_request(
             request.headers, self._plan(ticket), len(request.body)
@@ -159,7 +163,9 @@
         body = await connection.read_body()
         is_failure = head.status >= 500
         self._count(ticket, is_failure)
-        if is_failure and self._admitted.route.kind is RouteKind.IDEMPOTENT:
+        if self._client.has_started:
+            return Error(Interrupted(f"status {head.status} for a resumed stream"))
+        if is_failure and self._admitted.route.is_repeatable:
             self._server_failure = (head, body)
             return Error(Interrupted(f"status {head.status}"))
         self._send_whole(head, body)
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -155,6 +155,10 @@
         self._tell_loaded = on_loaded
         self._tell_now = on_urgent
 
+    def tell_peers_now(self) -> None:
+        """Send what this instance knows without waiting for the next digest."""
+        self._tell_now()
+
     def on_loading(self, upstream: Upstream, duration_ms: float) -> None:
         """Note that this instance has an engine load weights."""
         until_ms = self._now_ms() + duration_ms
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -119,10 +119,7 @@
         knowledge = self._knowledge
         works = {
             (work.upstream_id, work.started_ms): Work(
-                work.n_requests,
-                work.n_prefill_tokens,
-                work.n_urgent_prefill_tokens,
-                work.n_memory_tokens,
+                work.n_requests, work.reading_ms, work.n_memory_tokens
             )
             for work in digest.works
         }
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -15,7 +15,6 @@
 from .loads import FleetLoads, Incarnation, UpstreamLoad, Work
 from .prompt import PromptShape
 from .reading import (
-    PREFILL_TOKENS_PER_MS,
     CacheView,
     Holder,
     Sharing,
@@ -25,8 +24,6 @@
 )
 from .weights import WeightsView
 
-#: Tokens that an engine reads between two steps of the requests it runs.
-PREFILL_CHUNK_TOKENS = 4_096
 #: Time of a step that each running request adds.
 STEP_MS_PER_REQUEST = 0.1
 #: Cost of another failure domain.
@@ -35,8 +32,12 @@
 AWAY_FROM_HOME_MS = 25.0
 #: What a failure of an upstream is taken to cost.
 FAILURE_COST_MS = 3_000.0
-#: Cost of weights that were replaced a while ago.
-OLD_WEIGHTS_MS = 250.0
+#: Cost of weights that were replaced a while ago, as a share of the objective.
+OLD_WEIGHTS_SHARE = 0.5
+#: Share of the objective that an estimate may take for an answer on time.
+ON_TIME_SHARE = 0.8
+#: Cost of an answer that will be late, as a share of the objective.
+LATE_SHARE = 1.0
 #: Replaced weights are as good as new ones for this time.
 OLD_WEIGHTS_FREE_MS = 1_400.0
 #: Reading that may be queued at an engine when a request is handed on.
@@ -197,8 +198,7 @@
 ) -> Placement | None:
     prompt = demand.prompt
     reading = plan_reading(prompted.sharing, upstream, prompted.holders, view.caches)
-    queued_ms = _tokens_ahead(demand, total) / PREFILL_TOKENS_PER_MS
-    if total.n_requests >= upstream.n_slots or queued_ms > MAX_QUEUED_READING_MS:
+    if total.n_requests >= upstream.n_slots or total.reading_ms > MAX_QUEUED_READING_MS:
         return None
     n_memory = prompt.n_total_tokens - reading.n_cached
     if not _fits(demand, total, n_memory):
@@ -206,19 +206,22 @@
     lag_ms = view.weights.lag_ms(upstream, prompt.model, view.now_ms)
     is_away = bool(prompted.home_ranks.get(upstream.incarnation))
     estimate_ms = (
-        queued_ms
+        total.reading_ms
         + reading.duration_ms
         + total.n_requests * STEP_MS_PER_REQUEST
         + load.failure_rate(view.now_ms) * FAILURE_COST_MS
         + _distance_ms(upstream, view)
         + (AWAY_FROM_HOME_MS if is_away else 0.0)
-        + (OLD_WEIGHTS_MS if lag_ms > OLD_WEIGHTS_FREE_MS else 0.0)
     )
-    n_urgent = reading.n_to_read if demand.is_urgent else 0
+    objective_ms = demand.route.objective_ms
+    if lag_ms > OLD_WEIGHTS_FREE_MS:
+        estimate_ms += objective_ms * OLD_WEIGHTS_SHARE
+    if estimate_ms > objective_ms * ON_TIME_SHARE:
+        estimate_ms += objective_ms * LATE_SHARE
     return Placement(
         upstream,
         estimate_ms,
-        Work(1, reading.n_to_read, n_urgent, n_memory),
+        Work(1, reading.reading_ms, n_memory),
         view.weights.loaded(upstream, prompt.model),
         reading.n_cached,
         reading.kv_source,
@@ -246,14 +249,6 @@
     return "" if is_kept or is_blocked else store.address
 
 
-def _tokens_ahead(demand: Demand, total: Work) -> int:
-    """Return the tokens that are read before the demand's; urgent ones go first."""
-    if not demand.is_urgent:
-        return total.n_prefill_tokens
-    n_others = total.n_prefill_tokens - total.n_urgent_prefill_tokens
-    return total.n_urgent_prefill_tokens + min(n_others, PREFILL_CHUNK_TOKENS)
-
-
 def _distance_ms(upstream: Upstream, view: View) -> float:
     is_near = upstream.failure_domain == view.failure_domain
     return 0.0 if is_near else CROSS_DOMAIN_MS
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -21,13 +21,12 @@
 class Work(NamedTuple):
     """Work of one request or of several.
 
-    ``n_urgent_prefill_tokens`` is the part of ``n_prefill_tokens`` that belongs to
-    the most urgent rank; prefill counts until the first event arrives.
+    ``reading_ms`` is the time that reading the prompts takes; it counts until the
+    first event arrives.
     """
 
     n_requests: int = 0
-    n_prefill_tokens: int = 0
-    n_urgent_prefill_tokens: int = 0
+    reading_ms: float = 0.0
     n_memory_tokens: int = 0
 
     def plus(self, other: "Work") -> "Work":
--- a/buckthornrock/scheduling/reading.py
+++ b/buckthornrock/scheduling/reading.py
@@ -10,6 +10,8 @@
 
 #: Prompt tokens that an engine reads in a millisecond.
 PREFILL_TOKENS_PER_MS = 50.0
+#: Time that attention takes for a million pairs of tokens.
+READING_MS_PER_MILLION_PAIRS = 0.3
 #: Shared parts below this size have no home and are not fetched.
 MIN_SHARED_TOKENS = 512
 #: Time that fetching takes besides the transfer.
@@ -47,14 +49,20 @@
     """What is cached, what must be read, and where the rest is fetched."""
 
     n_cached: int
+    n_fetched: int
     n_to_read: int
     fetch_ms: float
     kv_source: str
 
+    @property
+    def reading_ms(self) -> float:
+        """Time for which the engine reads."""
+        return reading_ms(self.n_to_read, self.n_cached + self.n_fetched)
+
     @property
     def duration_ms(self) -> float:
         """Time until the prompt is in the engine's memory."""
-        return self.fetch_ms + self.n_to_read / PREFILL_TOKENS_PER_MS
+        return self.fetch_ms + self.reading_ms
 
 
 class CacheView(NamedTuple):
@@ -66,6 +74,15 @@
     now_ms: float
 
 
+def reading_ms(n_to_read: int, n_before: int) -> float:
+    """Return how long an engine reads tokens that follow ``n_before`` others."""
+    n_million_pairs = n_to_read * (n_before + n_to_read / 2.0) / 1e6
+    return (
+        n_to_read / PREFILL_TOKENS_PER_MS
+        + n_million_pairs * READING_MS_PER_MILLION_PAIRS
+    )
+
+
 def n_leading_cached(sharing: Sharing, upstream: Upstream, view: CacheView) -> int:
     """Return the tokens of leading shared parts that an engine has or is reading."""
     version = view.weights.loaded(upstream, sharing.prompt.model)
@@ -100,7 +117,7 @@
     """Return the fastest way for an engine to get at the prompt."""
     n_prompt = sharing.prompt.n_prompt_tokens
     n_cached = n_leading_cached(sharing, upstream, view)
-    best = Reading(n_cached, max(1, n_prompt - n_cached), 0.0, "")
+    best = Reading(n_cached, 0, max(1, n_prompt - n_cached), 0.0, "")
     version = view.weights.loaded(upstream, sharing.prompt.model)
     salt = cache_salt(sharing.wall, sharing.prompt.model, version)
     for holder in holders:
@@ -110,7 +127,7 @@
             continue
         fetch_ms = _fetch_ms(sharing, holder, n_fetched, upstream.failure_domain)
         n_to_read = max(1, n_prompt - holder.n_tokens)
-        option = Reading(n_cached, n_to_read, fetch_ms, holder.address)
+        option = Reading(n_cached, n_fetched, n_to_read, fetch_ms, holder.address)
         if option.duration_ms < best.duration_ms:
             best = option
     return best
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -18,8 +18,7 @@
     upstream_id: str
     started_ms: int
     n_requests: int
-    n_prefill_tokens: int
-    n_urgent_prefill_tokens: int
+    reading_ms: float
     n_memory_tokens: int
 
 
