--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -55,9 +55,7 @@
     pool = ConnectionPool(codec, now_ms)
     peers = PeerExchange(_peer_settings(settings), knowledge, now_ms, telemetry)
     n_instances = peers.n_instances
-    dispatcher = Dispatcher(
-        knowledge.directory, knowledge.loads, knowledge.view, n_instances
-    )
+    dispatcher = Dispatcher(knowledge.directory, knowledge.loads, knowledge.view)
     parts = ExchangeParts(
         dispatcher=dispatcher,
         pool=pool,
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -14,7 +14,6 @@
     MIN_SERVICE_MS,
     Waiting,
     WaitingRoom,
-    expected_wait_ms,
     is_hopeless,
 )
 from .requests import AdmittedRequest, Refusal
@@ -68,14 +67,12 @@
         directory: UpstreamDirectory,
         loads: FleetLoads,
         view: Callable[[], View],
-        n_instances: Callable[[], int],
     ) -> None:
         self.loads = loads
         self._directory = directory
         self._view = view
-        self._n_instances = n_instances
         self._rooms: dict[str, WaitingRoom] = defaultdict(WaitingRoom)
-        self._places: dict[int, asyncio.Future[Ticket]] = {}
+        self._places: dict[int, asyncio.Future[Ticket | Refusal]] = {}
         self._excluded: dict[int, frozenset[str]] = {}
         self._numbers = itertools.count()
         self._is_wake_due = False
@@ -88,15 +85,14 @@
         room = self._rooms[demand.service.name]
         now_ms = self._view().now_ms
         waiting = Waiting(next(self._numbers), demand, now_ms, admitted.ends_at_ms)
-        backlog = room.ahead_of(demand)
-        if not backlog.n_requests:
+        if not room.has_ahead_of(demand):
             placement = self._choose(demand, excluded)
             if isinstance(placement, Placement):
+                room.on_placed(demand, now_ms)
                 return Ok(self._ticket(placement))
             if not placement.n_usable:
                 return Error(_refusal("no upstream is in service", 500.0))
-        n_upstreams = len(self._directory.usable(demand.service.name))
-        wait_ms = expected_wait_ms(demand, backlog, n_upstreams, self._n_instances())
+        wait_ms = room.expected_wait_ms(waiting, now_ms)
         if is_hopeless(waiting, wait_ms, now_ms):
             return Error(_refusal("no place before the deadline", wait_ms))
         return await self._wait(waiting, excluded, room)
@@ -128,6 +124,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000.0)
             self.wake_soon()
+            self._refuse_hopeless()
 
     async def _wait(
         self, waiting: Waiting, excluded: frozenset[str], room: WaitingRoom
@@ -140,7 +137,10 @@
         ticket = None
         try:
             async with asyncio.timeout(max(0.0, limit_ms) / 1000.0):
-                ticket = await place
+                found = await place
+            if isinstance(found, Refusal):
+                return Error(found)
+            ticket = found
             return Ok(ticket)
         except TimeoutError:
             return Error(_refusal("no place came free in time", MIN_RETRY_AFTER_MS))
@@ -156,6 +156,19 @@
             if len(room):
                 room.place_each(self._try_place, self._view().now_ms)
 
+    def _refuse_hopeless(self) -> None:
+        """Tell requests at once that can't be placed in time any more."""
+        now_ms = self._view().now_ms
+        for room in self._rooms.values():
+            if not len(room):
+                continue
+            for waiting, wait_ms in room.hopeless(now_ms):
+                place = self._places.get(waiting.number)
+                if place is not None and not place.done():
+                    room.leave(waiting.number)
+                    reason = "no place before the deadline any more"
+                    place.set_result(_refusal(reason, wait_ms))
+
     def _try_place(self, waiting: Waiting) -> bool:
         place = self._places.get(waiting.number)
         if place is None or place.done():
@@ -175,9 +188,9 @@
         return Ticket(placement, self.loads, self.wake_soon)
 
 
-def _release_unused(place: asyncio.Future[Ticket]) -> None:
+def _release_unused(place: asyncio.Future[Ticket | Refusal]) -> None:
     """Give back a place that was found just as its client left."""
-    if place.done() and not place.cancelled():
+    if place.done() and not place.cancelled() and isinstance(place.result(), Ticket):
         place.result().release()
 
 
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -188,7 +188,7 @@
             remaining_ms=self._left_ms(),
             client_account=account.name if account else "",
             weights_version=version,
-            priority_class=min(9, admitted.demand.urgency) if prompt else None,
+            priority_class=admitted.demand.priority_class if prompt else None,
             cache_salt=self._salt(ticket),
             kv_source=placement.kv_source,
             kv_target=placement.kv_target,
@@ -273,16 +273,16 @@
 
     def _fail(self, code: str, reason: str) -> None:
         """End without an upstream's answer, saying no more than is known."""
-        if self._client.has_started:
-            self._log_refused(0, code)
-            self._client.break_off()
-            return
         if self._n_may_have_run == 0 and code != "deadline":
             self._refuse(Refusal(503, code, reason, RETRY_AFTER_MS))
             return
         self._refuse(Refusal(504 if code == "deadline" else 502, code, reason))
 
     def _refuse(self, refusal: Refusal) -> None:
+        if self._client.has_started:
+            self._log_refused(0, refusal.code)
+            self._client.break_off()
+            return
         if self._n_may_have_run and refusal.status == 503:
             refusal = Refusal(502, refusal.code, refusal.reason)
         self._log_refused(refusal.status, refusal.code)
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -42,6 +42,10 @@
 OLD_WEIGHTS_FREE_MS = 1_400.0
 #: Reading that may be queued at an engine when a request is handed on.
 MAX_QUEUED_READING_MS = 350.0
+#: An engine that reads this long delays urgent requests noticeably.
+LONG_READING_MS = 60.0
+#: Share of the engines that may read long prompts at the same time.
+MAX_READING_SHARE = 0.6
 #: Requests per slot that a plain service may be given.
 MAX_PLACES_PER_SLOT = 1.0
 #: Shares of an engine's memory that running requests may fill; the rest is kept for
@@ -50,6 +54,8 @@
 URGENT_MEMORY_SHARE = 0.97
 #: Ranks of routes that are told apart within a client account's rank.
 N_ROUTE_RANKS = 3
+#: Priority classes that engines know, 0 first.
+N_PRIORITY_CLASSES = 10
 
 
 class Demand(NamedTuple):
@@ -70,6 +76,12 @@
         """Order among all requests: the rank, and within it the route's rank."""
         return self.rank * N_ROUTE_RANKS + min(N_ROUTE_RANKS - 1, self.route.rank)
 
+    @property
+    def priority_class(self) -> int:
+        """Order at the engine: short prompts of urgent routes delay nobody there."""
+        route_rank = min(N_ROUTE_RANKS - 1, self.route.rank)
+        return min(N_PRIORITY_CLASSES - 1, route_rank * N_ROUTE_RANKS + self.rank)
+
     @property
     def is_urgent(self) -> bool:
         """Whether the request belongs to a most urgent route."""
@@ -133,6 +145,8 @@
     """Return the best placement among upstreams with a free place."""
     usable = [u for u in upstreams if _may_serve(demand, u, view)]
     prompted = _prompted(demand, usable, view)
+    if prompted is not None and _must_leave_room(demand, usable, view):
+        return NoPlace(len(usable))
     options = [_option(demand, prompted, u, view) for u in usable]
     free = [option for option in options if option is not None]
     if not free:
@@ -141,6 +155,17 @@
     return best._replace(kv_target=_kv_target(prompted, view))
 
 
+def _must_leave_room(demand: Demand, upstreams: list[Upstream], view: View) -> bool:
+    """Return whether the engines that read nothing long are kept for urgent routes."""
+    if demand.is_urgent:
+        return False
+    n_reading = sum(
+        view.loads.total(u.incarnation, view.now_ms).reading_ms > LONG_READING_MS
+        for u in upstreams
+    )
+    return n_reading >= max(1.0, len(upstreams) * MAX_READING_SHARE)
+
+
 def _may_serve(demand: Demand, upstream: Upstream, view: View) -> bool:
     if demand.prompt is None:
         return True
--- a/buckthornrock/scheduling/waiting.py
+++ b/buckthornrock/scheduling/waiting.py
@@ -5,17 +5,19 @@
 placed before its client gives up is refused when that becomes known.
 """
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
 from .choice import Demand
-from .reading import PREFILL_TOKENS_PER_MS
 
 #: Time of a client's deadline that must be left when a request is handed on.
 MIN_SERVICE_MS = 150.0
 #: Requests of one urgency that are tried before there is taken to be no place.
 N_TRIES_PER_URGENCY = 6
+#: Time over which the rate of handing on is measured, and the requests it takes.
+DRAIN_WINDOW_MS = 2_000.0
+MIN_PLACED = 3
 
 
 class Waiting(NamedTuple):
@@ -30,11 +32,23 @@
     give_up_at_ms: float
 
 
-class Backlog(NamedTuple):
-    """Work that waits here before a request."""
+class DrainRate:
+    """Prompt tokens or plain requests that were handed on lately, per millisecond."""
 
-    n_requests: int
-    n_tokens: int
+    def __init__(self) -> None:
+        self._placed: deque[tuple[float, int]] = deque()
+
+    def add(self, n_units: int, now_ms: float) -> None:
+        """Count a request that was handed on."""
+        self._placed.append((now_ms, n_units))
+
+    def per_ms(self, now_ms: float) -> float | None:
+        """Return the rate, or None while too little was handed on to tell."""
+        while self._placed and self._placed[0][0] < now_ms - DRAIN_WINDOW_MS:
+            self._placed.popleft()
+        if len(self._placed) < MIN_PLACED:
+            return None
+        return sum(n_units for _, n_units in self._placed) / DRAIN_WINDOW_MS
 
 
 class WaitingRoom:
@@ -42,6 +56,7 @@
 
     def __init__(self) -> None:
         self._members: dict[int, Waiting] = {}
+        self._rates: dict[int, DrainRate] = defaultdict(DrainRate)
 
     def __len__(self) -> int:
         return len(self._members)
@@ -54,26 +69,69 @@
         """Take out a request whose client left or that was refused."""
         self._members.pop(number, None)
 
+    def on_placed(self, demand: Demand, now_ms: float) -> None:
+        """Count a request that was handed on, whether it waited or not."""
+        self._rates[demand.urgency].add(_n_units(demand), now_ms)
+
+    def has_ahead_of(self, demand: Demand) -> bool:
+        """Return whether a request waits that is at least as urgent."""
+        return any(
+            waiting.demand.urgency <= demand.urgency
+            for waiting in self._members.values()
+        )
+
     def place_each(self, try_place: Callable[[Waiting], bool], now_ms: float) -> None:
         """Offer places in order; ``try_place`` returns whether one was taken."""
         n_failed: dict[int, int] = defaultdict(int)
-        for waiting in sorted(self._members.values(), key=lambda w: _order(w, now_ms)):
+        for waiting in self._in_order(now_ms):
             urgency = waiting.demand.urgency
             if n_failed[urgency] >= N_TRIES_PER_URGENCY:
                 continue
             if try_place(waiting):
                 del self._members[waiting.number]
+                self.on_placed(waiting.demand, now_ms)
                 continue
             n_failed[urgency] += 1
 
-    def ahead_of(self, demand: Demand) -> Backlog:
-        """Return the work that waits and is at least as urgent as the demand."""
-        ahead = [
-            waiting
-            for waiting in self._members.values()
-            if waiting.demand.urgency <= demand.urgency
-        ]
-        return Backlog(len(ahead), sum(_n_tokens(w.demand) for w in ahead))
+    def expected_wait_ms(self, waiting: Waiting, now_ms: float) -> float:
+        """Return how long a request waits behind others of its urgency.
+
+        Requests that are more urgent hardly wait, so they aren't counted; what they
+        take shows in the rate at which this urgency is handed on.
+        """
+        rate = self._rates[waiting.demand.urgency].per_ms(now_ms)
+        if not rate:
+            return 0.0
+        key = _order(waiting, now_ms)
+        n_ahead = sum(
+            _n_units(other.demand)
+            for other in self._members.values()
+            if other.demand.urgency == waiting.demand.urgency
+            and _order(other, now_ms) < key
+        )
+        return n_ahead / rate
+
+    def hopeless(self, now_ms: float) -> list[tuple[Waiting, float]]:
+        """Return the requests that won't be placed in time, with their wait."""
+        found: list[tuple[Waiting, float]] = []
+        n_ahead: dict[int, int] = defaultdict(int)
+        for waiting in self._in_order(now_ms):
+            urgency = waiting.demand.urgency
+            rate = self._rates[urgency].per_ms(now_ms)
+            wait_ms = n_ahead[urgency] / rate if rate else 0.0
+            if is_hopeless(waiting, wait_ms, now_ms):
+                found.append((waiting, wait_ms))
+                continue
+            n_ahead[urgency] += _n_units(waiting.demand)
+        return found
+
+    def _in_order(self, now_ms: float) -> list[Waiting]:
+        return sorted(self._members.values(), key=lambda w: _order(w, now_ms))
+
+
+def is_hopeless(waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
+    """Return whether a request can't be placed before its client gives up."""
+    return now_ms + wait_ms + MIN_SERVICE_MS > waiting.give_up_at_ms
 
 
 def _order(waiting: Waiting, now_ms: float) -> tuple[int, bool, float]:
@@ -83,24 +141,6 @@
     return waiting.demand.urgency, is_late, waiting.give_up_at_ms
 
 
-def expected_wait_ms(
-    demand: Demand, backlog: Backlog, n_upstreams: int, n_instances: int
-) -> float:
-    """Return how long a request will wait behind ``backlog``.
-
-    Each instance is taken to get its equal share of the upstreams.
-    """
-    share = max(1, n_upstreams) / max(1, n_instances)
-    if demand.prompt is not None:
-        return backlog.n_tokens / PREFILL_TOKENS_PER_MS / share
-    return backlog.n_requests * demand.route.objective_ms * 0.5 / share
-
-
-def is_hopeless(waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
-    """Return whether a request can't be placed before its client gives up."""
-    return now_ms + wait_ms + MIN_SERVICE_MS > waiting.give_up_at_ms
-
-
-def _n_tokens(demand: Demand) -> int:
-    """Return the prompt's own tokens; shared parts are mostly read already."""
-    return demand.prompt.parts[-1].n_tokens if demand.prompt else 0
+def _n_units(demand: Demand) -> int:
+    """Return the size of a request: its prompt's tokens, or 1 for a plain one."""
+    return demand.prompt.n_prompt_tokens if demand.prompt else 1
