Test the gateway, the decisions, the rollout and the adapter without the bench

Found by them: a head over the limit that arrives at once was served (now 431), a refused connection went on reading, and a prompt's holder lost against its home. The platform's names are held to the adapter by a test and an import contract.

--- a/buckthornrock/commands/serve.py
+++ b/buckthornrock/commands/serve.py
@@ -9,9 +9,8 @@
 import click
 
 from ..compose import start_instance
-from ..compose.gateway import run_gateway
+from ..compose.gateway import platform_settings_path, run_on_platform
 from ..conf import load_settings
-from ..platform.settings import PATH_VARIABLE, load_node_settings
 from .check import print_problems
 
 EXIT_CLEAN = 0
@@ -53,14 +52,12 @@
 
 
 def _serve_on_platform() -> None:
-    path = os.environ.get(PATH_VARIABLE)
+    path = platform_settings_path()
     if not path:
-        raise click.UsageError(f"no SETTINGS_PATH given, and {PATH_VARIABLE} not set")
-    settings = load_node_settings(path)
-    if settings.is_error():
-        click.echo(f"{settings.error.path}: {settings.error.reason}", err=True)
-        sys.exit(1)
-    run_gateway(settings.ok, sys.stdout)
+        raise click.UsageError("no SETTINGS_PATH given, and no platform's settings")
+    failure = run_on_platform(path, sys.stdout)
+    click.echo(f"{failure.path}: {failure.reason}", err=True)
+    sys.exit(1)
 
 
 def _exit(n_cut: int) -> None:
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -19,7 +19,12 @@
 from ..platform.engine_control import open_engine_control
 from ..platform.feeds import operator_listener, take_configuration, upstream_listener
 from ..platform.headers import open_header_codec
-from ..platform.settings import NodeSettings, load_node_settings
+from ..platform.settings import (
+    PATH_VARIABLE,
+    NodeSettings,
+    SettingsUnreadable,
+    load_node_settings,
+)
 from ..platform.store_client import open_store
 from ..platform.upstream_entries import OPERATOR_PREFIX, UPSTREAMS_PREFIX
 from ..rollout.actor import RolloutActor
@@ -36,10 +41,22 @@
 WEIGHTS_MARGIN_MS = 1_500.0
 
 
-def run_gateway(settings: NodeSettings, log_stream: IO[str]) -> None:
-    """Serve until SIGTERM; then finish every request and return."""
+def platform_settings_path() -> str:
+    """Return where the platform's settings file is, "" if it names none."""
+    return os.environ.get(PATH_VARIABLE, "")
+
+
+def run_on_platform(path: str, log_stream: IO[str]) -> SettingsUnreadable:
+    """Serve until SIGTERM, finish every request and end the process.
+
+    Returns only if the settings can't be read.
+    """
+    settings = load_node_settings(path)
+    if settings.is_error():
+        return settings.error
     telemetry = Telemetry(open_log(log_stream), open_metrics("", 0, ""))
-    asyncio.run(_run(settings, telemetry))
+    asyncio.run(_run(settings.ok, telemetry))
+    raise AssertionError("the gateway ends the process")
 
 
 async def _run(settings: NodeSettings, telemetry: Telemetry) -> None:
--- a/buckthornrock/gateway/front.py
+++ b/buckthornrock/gateway/front.py
@@ -69,6 +69,7 @@
         self._body: list[bytes] = []
         self._n_body_bytes = 0
         self._has_partial_head = False
+        self._is_rejected = False
         self._request_id = b""
 
     @property
@@ -101,6 +102,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes of a request."""
+        if self._is_rejected:
+            return
         self._h11.receive_data(data)
         if self._task is None:
             self._advance()
@@ -165,7 +168,7 @@
         """Read on until a whole request is there or more bytes are needed."""
         self._stop_waiting()
         try:
-            while self._task is None:
+            while self._task is None and not self._is_rejected:
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA:
                     self._wait_for_rest()
@@ -182,6 +185,9 @@
             self._head = event
             self._head_at_ms = self._parts.now_ms()
             self._body, self._n_body_bytes = [], 0
+            if _head_size(event) > self._parts.limits().max_header_bytes:
+                self._reject_malformed(431, "head is too large")
+                return
             if self._h11.they_are_waiting_for_100_continue:
                 self._transport.write(
                     self._h11.send(h11.InformationalResponse(status_code=100))
@@ -255,6 +261,8 @@
         self._reject_malformed(408, "the request did not arrive in time")
 
     def _reject_malformed(self, status: int, reason: str) -> None:
+        """Answer a request that is none, and read no further on the connection."""
+        self._is_rejected = True
         if self._h11.our_state is h11.SEND_RESPONSE or self._h11.our_state is h11.IDLE:
             status = status if status in REASONS else 400
             head = [
@@ -269,3 +277,9 @@
                 )
             )
         self._transport.close()
+
+
+def _head_size(request: h11.Request) -> int:
+    """Return the bytes of a request's head."""
+    size = len(request.method) + len(request.target)
+    return size + sum(len(name) + len(value) + 4 for name, value in request.headers)
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -15,6 +15,7 @@
 from .loads import FleetLoads, Incarnation, UpstreamLoad, Work
 from .prompt import PromptShape
 from .reading import (
+    MIN_SHARED_TOKENS,
     CacheView,
     Holder,
     Sharing,
@@ -28,7 +29,7 @@
 STEP_MS_PER_REQUEST = 0.1
 #: Cost of another failure domain.
 CROSS_DOMAIN_MS = 2.0
-#: Cost of an upstream that is not among the homes of the shared part.
+#: Cost of an upstream that neither has a shared part nor is its home.
 AWAY_FROM_HOME_MS = 25.0
 #: What a failure of an upstream is taken to cost.
 FAILURE_COST_MS = 3_000.0
@@ -229,7 +230,8 @@
     if not _fits(demand, total, n_memory):
         return None
     lag_ms = view.weights.lag_ms(upstream, prompt.model, view.now_ms)
-    is_away = bool(prompted.home_ranks.get(upstream.incarnation))
+    is_home = not prompted.home_ranks.get(upstream.incarnation)
+    is_away = not is_home and reading.n_cached < MIN_SHARED_TOKENS
     estimate_ms = (
         total.reading_ms
         + reading.duration_ms
--- /dev/null
+++ b/tests/catalog/test_upstreams.py
@@ -0,0 +1,112 @@
+"""The directory of upstreams against a model of the store, through outages."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from buckthornrock.catalog.upstreams import (
+    RETURN_GRACE_MS,
+    Upstream,
+    UpstreamDirectory,
+)
+
+IDS = st.sampled_from(["u1", "u2", "u3"])
+
+
+def upstream(upstream_id, started_ms=1, is_draining=False):
+    return Upstream(upstream_id, "s", "h:1", "a", is_draining, started_ms, 8, {})
+
+
+class DirectoryMachine(RuleBasedStateMachine):
+    """Entries come, drain, lapse in outages and come back or stay away."""
+
+    def __init__(self):
+        super().__init__()
+        self.directory = UpstreamDirectory()
+        self.now_ms = 10_000.0
+        self.stored = {}
+        self.is_down = False
+        self.back_at_ms = None
+        self.revision = 0
+
+    def _changed(self, changed=(), removed=()):
+        self.revision += 1
+        if not self.is_down:
+            self.directory.apply(changed, removed, self.revision, self.now_ms)
+
+    @rule(upstream_id=IDS, is_draining=st.booleans())
+    def write(self, upstream_id, is_draining):
+        if self.is_down:
+            return
+        self.stored[upstream_id] = upstream(upstream_id, self.revision, is_draining)
+        self._changed([self.stored[upstream_id]])
+
+    @rule(upstream_id=IDS)
+    def remove(self, upstream_id):
+        if self.is_down or upstream_id not in self.stored:
+            return
+        del self.stored[upstream_id]
+        self._changed(removed=[upstream_id])
+
+    @rule()
+    def outage_begins(self):
+        self.is_down = True
+        self.directory.on_store_lost()
+
+    @rule(lapsed=st.sets(IDS))
+    def outage_ends(self, lapsed):
+        if not self.is_down:
+            return
+        self.is_down = False
+        self.back_at_ms = self.now_ms
+        self.stored = {k: v for k, v in self.stored.items() if k not in lapsed}
+        self.directory.replace(self.stored.values(), self.revision, self.now_ms)
+
+    @rule(duration_ms=st.sampled_from([1.0, 500.0, RETURN_GRACE_MS + 1.0]))
+    def wait(self, duration_ms):
+        self.now_ms += duration_ms
+        self.directory.expire(self.now_ms)
+
+    @invariant()
+    def what_is_stored_is_known(self):
+        if self.is_down:
+            return
+        for upstream_id, entry in self.stored.items():
+            assert self.directory.get(upstream_id) == entry
+
+    @invariant()
+    def what_drains_gets_nothing(self):
+        usable = self.directory.usable("s")
+        assert not any(entry.is_draining for entry in usable)
+
+    @invariant()
+    def what_is_gone_goes_once_the_grace_has_passed(self):
+        if self.is_down:
+            return
+        extra = {u.upstream_id for u in self.directory.all()} - set(self.stored)
+        if not extra:
+            return
+        assert self.back_at_ms is not None
+        # A removal in the last moment of the grace is kept for the grace again.
+        assert self.now_ms - self.back_at_ms <= 2 * RETURN_GRACE_MS + 1.0
+
+
+DirectoryMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=30, derandomize=True, deadline=None
+)
+TestDirectory = DirectoryMachine.TestCase
+
+
+def test_outage_drops_nothing():
+    directory = UpstreamDirectory()
+    directory.replace([upstream("u1")], 1, 0.0)
+    directory.on_store_lost()
+    directory.expire(60_000.0)
+    assert directory.get("u1") is not None
+
+
+def test_new_start_under_the_same_id_is_another_incarnation():
+    directory = UpstreamDirectory()
+    directory.replace([upstream("u1", 1)], 1, 0.0)
+    directory.apply([upstream("u1", 2)], [], 2, 1.0)
+    assert directory.get("u1").incarnation == ("u1", 2)
--- /dev/null
+++ b/tests/gateway/test_front.py
@@ -0,0 +1,169 @@
+"""Clients that are slow, large, malformed or many; keys, routes and shutdown."""
+
+import asyncio
+
+import pytest
+
+from buckthornrock.catalog.configuration import ClientLimits
+from tests.gateway.test_answers import BODY, whole
+from tests.gateway.world import (
+    KEY,
+    ScriptedUpstream,
+    ask,
+    connect,
+    read_reply,
+    request,
+    run,
+    start_world,
+)
+
+SMALL = ClientLimits(1_024, 2_048, 200.0, 400.0)
+N_SLOW_CLIENTS = 60
+
+
+def test_half_sent_heads_hold_nothing():
+    async def main():
+        world = await start_world(ScriptedUpstream(whole))
+        slow = [await connect(world.front) for _ in range(N_SLOW_CLIENTS)]
+        for _, writer in slow:
+            writer.write(b"GET /read/1 HTTP/1.1\r\nHost: shop")
+        reply = await ask(world.front, request("/read/1"))
+        assert reply.body == BODY
+        assert not any(reader.at_eof() for reader, _ in slow)
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("message", "status"),
+    [
+        (request("/read/1", extra=b"X-Long: " + b"x" * 2_000 + b"\r\n"), 431),
+        (b"GET /read/1 HTTP/1.1\r\nX-Long: " + b"x" * 2_000, 431),
+        (request("/book/1", method=b"POST", extra=b"Content-Length: 3000\r\n"), 413),
+        (b"GET /read/1 HTTP/1.1\r\nHost: a\r\nBad\x00Name: 1\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /read/1 HTTP/1.1\r\nHost: shop", 408),
+        (request("/book/1", method=b"POST", extra=b"Content-Length: 5\r\n"), 408),
+    ],
+)
+def test_request_beyond_the_limits_is_refused(message, status):
+    async def main():
+        upstream = ScriptedUpstream(whole)
+        world = await start_world(upstream, limits=SMALL)
+        reader, writer = await connect(world.front)
+        writer.write(message)
+        if status == 413:
+            writer.write(b"x" * 3_000)
+        reply = await read_reply(reader)
+        assert reply.status == status
+        assert not upstream.arrivals
+
+    run(main)
+
+
+def test_idle_connection_is_closed():
+    async def main():
+        world = await start_world(ScriptedUpstream(whole), limits=SMALL)
+        reader, _ = await connect(world.front)
+        assert await reader.read() == b""
+
+    run(main)
+
+
+def test_connection_serves_many_requests_in_order():
+    async def main():
+        world = await start_world(ScriptedUpstream(whole))
+        reader, writer = await connect(world.front)
+        writer.write(request("/read/1", b"r1") + request("/read/2", b"r2"))
+        for expected in (b"r1", b"r2"):
+            reply = await read_reply(reader)
+            assert reply.headers[b"x-buckthornrock-request-id"] == expected
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/1", KEY, 200),
+        ("/read/1", "unknown", 401),
+        ("/open/1", "unknown", 200),
+        ("/nowhere/1", KEY, 404),
+    ],
+)
+def test_configuration_decides_who_may_ask_for_what(path, key, status):
+    async def main():
+        world = await start_world(ScriptedUpstream(whole))
+        message = request(path).replace(KEY.encode(), key.encode())
+        assert (await ask(world.front, message)).status == status
+
+    run(main)
+
+
+def test_body_is_passed_on_unchanged():
+    async def main():
+        upstream = ScriptedUpstream(whole)
+        world = await start_world(upstream)
+        extra = b"Transfer-Encoding: chunked\r\n"
+        message = request("/book/1?a=%20b", method=b"POST", extra=extra)
+        await ask(world.front, message + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        arrival = upstream.arrivals[0]
+        assert arrival.body == b"abcde"
+        assert arrival.head.startswith(b"POST /book/1?a=%20b HTTP/1.1\r\n")
+
+    run(main)
+
+
+def test_two_lengths_are_no_request():
+    async def main():
+        upstream = ScriptedUpstream(whole)
+        world = await start_world(upstream)
+        extra = b"Content-Length: 3\r\nContent-Length: 4\r\n"
+        message = request("/book/1", method=b"POST", extra=extra) + b"abcd"
+        assert (await ask(world.front, message)).status == 400
+        assert not upstream.arrivals
+
+    run(main)
+
+
+def test_shutdown_finishes_what_is_open():
+    async def main():
+        release = asyncio.Event()
+
+        async def held(arrival):
+            await release.wait()
+            await whole(arrival)
+
+        upstream = ScriptedUpstream(held)
+        world = await start_world(upstream)
+        reader, writer = await connect(world.front)
+        writer.write(request("/book/1"))
+        while not upstream.arrivals:
+            await asyncio.sleep(0.01)
+        world.stop.set()
+        await asyncio.sleep(0)
+        while (
+            await ask(world.ready, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        ).status != 503:
+            await asyncio.sleep(0.01)
+        late = asyncio.create_task(ask(world.front, request("/read/1", b"r2")))
+        release.set()
+        reply = await read_reply(reader)
+        assert reply.body == BODY
+        assert reply.headers[b"connection"] == b"close"
+        assert (await late).status == 200
+        await world.task
+
+    run(main)
+
+
+def test_instance_without_configuration_promises_that_nothing_ran():
+    async def main():
+        world = await start_world(ScriptedUpstream(whole))
+        world.knowledge.table = None
+        reply = await ask(world.front, request("/book/1"))
+        assert reply.status == 503
+        ready = await ask(world.ready, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert ready.status == 503
+
+    run(main)
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,305 @@
+"""A gateway before scripted upstreams, all in one event loop on loopback."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from buckthornrock.catalog.configuration import (
+    ClientAccount,
+    ClientLimits,
+    Configuration,
+    EngineSpec,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from buckthornrock.catalog.upstreams import Upstream
+from buckthornrock.gateway.configuration_exchange import ConfigurationExchange
+from buckthornrock.gateway.dispatcher import Dispatcher
+from buckthornrock.gateway.exchange import ExchangeParts
+from buckthornrock.gateway.gateway import Gateway, GatewaySettings
+from buckthornrock.gateway.knowledge import Knowledge
+from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.gateway.pool import ConnectionPool
+from buckthornrock.platform.headers import open_header_codec
+from buckthornrock.scheduling.retry_budget import RetryBudget
+from buckthornrock.scheduling.weights import WeightsView
+from buckthornrock.telemetry import Telemetry, open_log, open_metrics
+
+HOST = "shop.example"
+KEY = "secret-key"
+ID = b"X-Buckthornrock-Request-Id"
+STAMP = b"X-Buckthornrock-Server-Stamp: s1\r\n"
+TIMEOUT_S = 20.0
+
+Script = Callable[["Arrival"], Awaitable[None]]
+
+
+def route(kind: RouteKind, name: str, **changes) -> Route:
+    base = Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        kind=kind,
+        shares=(ServiceShare("engines" if kind is RouteKind.STREAM else "till", 1.0),),
+        timeout_ms=5_000.0,
+        objective_ms=1_000.0,
+        rank=0,
+        n_attempts=2,
+        is_public=False,
+        is_resumable=False,
+        max_pause_ms=400.0,
+    )
+    return base._replace(**changes)
+
+
+ROUTES = (
+    route(RouteKind.IDEMPOTENT, "read"),
+    route(RouteKind.NON_IDEMPOTENT, "book", n_attempts=1),
+    route(RouteKind.STREAM, "long", n_attempts=1),
+    route(RouteKind.STREAM, "note", is_resumable=True, n_attempts=3),
+    route(RouteKind.IDEMPOTENT, "open", is_public=True),
+)
+
+
+def configuration(version: int = 1, **changes) -> Configuration:
+    base = Configuration(
+        version=version,
+        routes=ROUTES,
+        services={
+            "till": Service("till", 100, None),
+            "engines": Service("engines", 100, EngineSpec(32, 100_000, 35_000, 5e5)),
+        },
+        prompt_stores=(),
+        accounts={KEY: ClientAccount("shop", None, False)},
+        requires_keys=True,
+        limits=ClientLimits(),
+    )
+    return base._replace(**changes)
+
+
+class Arrival(NamedTuple):
+    """A request as an upstream read it."""
+
+    head: bytes
+    body: bytes
+    writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader
+
+    @property
+    def request_id(self) -> bytes:
+        return self.header(ID)
+
+    def header(self, name: bytes) -> bytes:
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b": ")
+            if key.lower() == name.lower():
+                return value
+        return b""
+
+    async def send(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+
+def answer(request_id: bytes, body: bytes, status: bytes = b"200 OK") -> bytes:
+    return (
+        b"HTTP/1.1 %s\r\n%s: %s\r\n" % (status, ID, request_id)
+        + STAMP
+        + b"Content-Length: %d\r\n\r\n" % len(body)
+        + body
+    )
+
+
+class ScriptedUpstream:
+    """Answers the n-th request by the n-th script, later ones by the last."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = scripts
+        self.arrivals: list[Arrival] = []
+        self.n_closed_by_peer = 0
+        self.address = ""
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                arrival = Arrival(head, b"", writer, reader)
+                n_body_bytes = int(arrival.header(b"content-length") or 0)
+                body = await reader.readexactly(n_body_bytes)
+                arrival = arrival._replace(body=body)
+                self.arrivals.append(arrival)
+                n_before = len(self.arrivals) - 1
+                script = self.scripts[min(n_before, len(self.scripts) - 1)]
+                await script(arrival)
+                if writer.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.n_closed_by_peer += 1
+        finally:
+            writer.close()
+
+
+class World(NamedTuple):
+    """A running gateway and what it was given."""
+
+    gateway: Gateway
+    knowledge: Knowledge
+    front: str
+    ready: str
+    stop: asyncio.Event
+    task: asyncio.Task
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def start_world(
+    *upstreams: ScriptedUpstream, budget: float = 50.0, **changes
+) -> World:
+    telemetry = Telemetry(open_log(None), open_metrics("", 0, ""))
+    knowledge = Knowledge("a", WeightsView(20_000.0), now_ms, telemetry)
+    knowledge.on_configuration(configuration(**changes), b"", "test")
+    entries = []
+    for number, upstream in enumerate(upstreams):
+        await upstream.start()
+        for service in ("till", "engines"):
+            entries.append(
+                Upstream(
+                    upstream_id=f"{service}-{number}",
+                    service=service,
+                    address=upstream.address,
+                    failure_domain="a",
+                    is_draining=False,
+                    started_ms=1,
+                    n_slots=8,
+                    weights_versions={"m": 1},
+                )
+            )
+    knowledge.replace_upstreams(entries, 1)
+    codec = open_header_codec()
+    pool = ConnectionPool(codec, now_ms)
+    dispatcher = Dispatcher(knowledge.directory, knowledge.loads, knowledge.view)
+    front, ready, peer = (f"127.0.0.1:{free_port()}" for _ in range(3))
+    peers = PeerExchange(PeerSettings("i1", peer, (), 1), knowledge, now_ms, telemetry)
+    parts = ExchangeParts(
+        dispatcher=dispatcher,
+        pool=pool,
+        codec=codec,
+        budget=RetryBudget(0.0, budget, 10_000.0),
+        n_instances=lambda: 1,
+        knowledge=knowledge,
+        telemetry=telemetry,
+    )
+    configurations = ConfigurationExchange(
+        peer, lambda: b"", lambda: 1, lambda *_: None, telemetry
+    )
+    settings = GatewaySettings("i1", "a", front, ready, peer, 8_000.0)
+    gateway = Gateway(
+        settings, knowledge, parts, pool, peers, configurations, now_ms, telemetry
+    )
+    stop = asyncio.Event()
+    task = asyncio.create_task(gateway.run(stop))
+    await _wait_until_listening(ready)
+    return World(gateway, knowledge, front, ready, stop, task)
+
+
+async def _wait_until_listening(address: str) -> None:
+    while True:
+        try:
+            _, writer = await connect(address)
+        except OSError:
+            await asyncio.sleep(0.01)
+            continue
+        writer.close()
+        return
+
+
+async def connect(address: str):
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def request(
+    path: str, request_id: bytes = b"r1", method: bytes = b"GET", extra: bytes = b""
+) -> bytes:
+    prompt = b""
+    if path.startswith(("/long", "/note")):
+        prompt = (
+            b"X-Buckthornrock-Model: m\r\n"
+            b"X-Buckthornrock-Token-Count: 100,20\r\n"
+            b"X-Buckthornrock-Prefix-Hash: aa:60,bb:40\r\n"
+        )
+    return (
+        b"%s %s HTTP/1.1\r\nHost: %s\r\n" % (method, path.encode(), HOST.encode())
+        + b"Authorization: Bearer %s\r\n%s: %s\r\n" % (KEY.encode(), ID, request_id)
+        + prompt
+        + extra
+        + b"\r\n"
+    )
+
+
+class Reply(NamedTuple):
+    """What a client got; ``is_whole`` says whether it looks complete."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_whole: bool
+
+
+async def ask(address: str, message: bytes) -> Reply:
+    reader, writer = await connect(address)
+    writer.write(message)
+    try:
+        return await read_reply(reader)
+    finally:
+        writer.close()
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    status = int(lines[0].split()[1])
+    headers = {}
+    for line in lines[1:-2]:
+        name, _, value = line.partition(b": ")
+        headers[name.lower()] = value
+    if b"content-length" in headers:
+        body = await reader.readexactly(int(headers[b"content-length"]))
+        return Reply(status, headers, body, True)
+    body = b""
+    try:
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            chunk = await reader.readexactly(size + 2)
+            if size == 0:
+                return Reply(status, headers, body, True)
+            body += chunk[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(status, headers, body, False)
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    """Run a test's coroutine; the limit only ends a test that hangs."""
+
+    async def limited() -> None:
+        async with asyncio.timeout(TIMEOUT_S):
+            await main()
+
+    asyncio.run(limited())
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,21 @@
+"""The platform's names stand in its adapter only."""
+
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parents[2] / "buckthornrock"
+NAMES = re.compile(
+    r"(?i:x-buckthornrock)|op/config|op/version|servers/|kv-(key|range|watch|txn|lease|keep)"
+    r"|BUCKTHORNROCK_NODE_FILE|\b[Tt]enants?\b|readyAddr|pathPrefix|routeKind|apiKeys"
+)
+
+
+def test_the_platforms_names_stand_nowhere_else():
+    found = [
+        f"{path.relative_to(PACKAGE)}:{number}: {line.strip()}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if "platform" not in path.parent.name
+        for number, line in enumerate(path.read_text().split("\n"), 1)
+        if NAMES.search(line)
+    ]
+    assert found == []
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,201 @@
+"""What the platform says is decoded into the product's types, or refused."""
+
+import msgspec
+import pytest
+
+from buckthornrock.catalog.configuration import RouteKind
+from buckthornrock.gateway.ports import SendPlan
+from buckthornrock.platform.configuration import decode_configuration
+from buckthornrock.platform.headers import (
+    decode_answer,
+    decode_request,
+    encode_answer,
+    encode_request,
+)
+from buckthornrock.platform.settings import load_node_settings
+from buckthornrock.platform.upstream_entries import decode_upstream, decode_weights
+from tests.scheduling.world import engine
+
+ENTRY = {
+    "service": "s",
+    "addr": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "born": 1_700_000_000_000,
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "sequence": 4,
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1", "host": "h", "pathPrefix": "/a/", "routeKind": "streaming",
+            "timeoutMs": 12000, "sloMs": 1500, "priority": 2, "attempts": 1,
+            "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "sticky": True, "resumable": True, "gapSloMs": 400, "new": 1,
+        },
+        {"name": "r2", "host": "h", "pathPrefix": "/b/", "routeKind": "unheard",
+         "timeoutMs": 800, "service": "t"},
+    ],
+    "services": [
+        {"name": "s", "maxConns": 230,
+         "engine": {"slots": 32, "kvCapacity": 9, "kvBytes": 8, "linkMbps": 1.5}},
+        {"name": "t", "maxConns": 100},
+        {"name": "k", "kvStoreAddr": "10.9.0.1:1", "zone": "b", "kvCapacity": 5},
+    ],
+    "limits": {"maxHeaderBytes": 1, "maxBodyBytes": 2, "headerTimeoutMs": 3,
+               "idleTimeoutMs": 4},
+    "tenants": [{"name": "one", "apiKeys": ["k1", "k2"], "priority": 0,
+                 "isolated": True}],
+}  # fmt: skip
+
+
+def test_configuration_is_decoded():
+    configuration = decode_configuration(msgspec.json.encode(DOCUMENT)).ok
+    first, second = configuration.routes
+    assert (first.kind, first.is_resumable) == (RouteKind.STREAM, True)
+    assert [share.weight for share in first.shares] == [90, 10]
+    # A kind that is not known is repeated least of all.
+    assert second.kind is RouteKind.NON_IDEMPOTENT
+    assert (second.n_attempts, second.objective_ms) == (1, 800)
+    assert set(configuration.services) == {"s", "t"}
+    assert configuration.prompt_stores[0].capacity_tokens == 5
+    assert configuration.accounts["k2"].is_isolated
+    assert configuration.limits.idle_timeout_ms == 4
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b'{"version": "7"}'])
+def test_unreadable_configuration_is_refused(value):
+    assert decode_configuration(value).is_error()
+
+
+def test_entry_of_an_upstream_is_decoded():
+    upstream = decode_upstream("servers/i-1", msgspec.json.encode(ENTRY)).ok
+    assert upstream.incarnation == ("i-1", 1_700_000_000_000)
+    assert upstream.weights_versions == {"m": 3}
+    assert not upstream.is_draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"addr": "nowhere"},
+        {"addr": ":80"},
+        {"addr": 5},
+        {"zone": 1},
+        {"slots": "8"},
+        {"state": "odd"},
+        {"born": None},
+        {"born": 1.5},
+        {"born": True},
+        {"born": "1"},
+        {"models": [{"name": "m"}]},
+    ],
+    ids=str,
+)
+def test_strangers_entry_names_no_upstream(change):
+    value = msgspec.json.encode({**ENTRY, **change})
+    assert decode_upstream("servers/i-1", value).is_error()
+
+
+@pytest.mark.parametrize("field", ["service", "addr", "zone", "slots", "state", "born"])
+def test_entry_without_a_field_names_no_upstream(field):
+    entry = {key: value for key, value in ENTRY.items() if key != field}
+    value = msgspec.json.encode(entry)
+    assert decode_upstream("servers/i-1", value).is_error()
+
+
+@pytest.mark.parametrize("value", [b"\xff\xfe", b"{", b"", b'"ready"'])
+def test_unreadable_bytes_name_no_upstream(value):
+    assert decode_upstream("servers/i-1", value).is_error()
+    assert decode_weights("op/version/m", value).is_error()
+
+
+PLAN = SendPlan(engine(1), 1_234.5, "one", 2, 3, "salt", "", "", "")
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"x-buckthornrock-tenant",
+        b"X-Buckthornrock-Cache-Salt",
+        b"x-buckthornrock-hold",
+        b"x-buckthornrock-pin-ms",
+        b"x-buckthornrock-kv-backup",
+        b"x-buckthornrock-kv-source",
+        b"x-buckthornrock-kv-target",
+        b"x-buckthornrock-expect-instance",
+        b"x-buckthornrock-expect-version",
+        b"x-buckthornrock-priority-class",
+        b"x-buckthornrock-deadline-ms",
+        b"Kv-From",
+        b"Authorization",
+        b"Connection",
+        b"Transfer-Encoding",
+        b"Keep-Alive",
+        b"Upgrade",
+        b"Expect",
+    ],
+)
+def test_clients_value_of_a_system_header_never_reaches_an_upstream(name):
+    sent = encode_request([(name, b"forged")], PLAN, 0)
+    assert b"forged" not in [value for _, value in sent]
+
+
+def test_other_headers_reach_the_upstream_unchanged():
+    headers = [(b"host", b"h"), (b"x-other", b"1"), (b"x-other", b"2")]
+    sent = encode_request(headers, PLAN, 0)
+    assert [pair for pair in sent if pair in headers] == headers
+
+
+def test_headers_named_by_the_connection_go_but_never_the_requests_own():
+    headers = [
+        (b"connection", b"X-Hop, X-Buckthornrock-Model, close"),
+        (b"x-hop", b"1"),
+        (b"x-buckthornrock-model", b"m"),
+    ]
+    names = [name for name, _ in encode_request(headers, PLAN, 0)]
+    assert b"x-hop" not in names
+    assert b"x-buckthornrock-model" in names
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, [(b"x-buckthornrock-server-stamp", b"s")], (True, False)),
+        (503, [(b"x-buckthornrock-not-executed", b"1")], (False, True)),
+        (503, [], (False, False)),
+        (421, [], (False, True)),
+    ],
+)
+def test_answers_say_whether_the_request_ran(status, headers, expected):
+    fields = decode_answer(status, headers)
+    assert (fields.is_signed, fields.is_not_executed) == expected
+
+
+@pytest.mark.parametrize(
+    ("text", "load"), [(b"3,0,8", (3, 0, 8)), (b"3,0", None), (b"a,b,c", None)]
+)
+def test_load_of_an_upstream(text, load):
+    assert decode_answer(200, [(b"x-buckthornrock-instance-load", text)]).load == load
+
+
+def test_answer_keeps_what_is_the_upstreams():
+    headers = [(b"connection", b"close"), (b"x-a", b"1"), (b"content-length", b"3")]
+    assert encode_answer(headers) == [(b"x-a", b"1")]
+
+
+@pytest.mark.parametrize(("text", "expected"), [(b"1500", 1500.0), (b"soon", None)])
+def test_deadline_of_a_client(text, expected):
+    fields = decode_request([(b"X-Buckthornrock-Deadline-Ms", text)])
+    assert fields.deadline_ms == expected
+
+
+@pytest.mark.parametrize("text", ["", "nodeName = 1", "= nonsense"])
+def test_unreadable_settings_are_refused_with_a_reason(tmp_path, text):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    assert load_node_settings(str(path)).error.reason
+    assert load_node_settings(str(path / "missing")).is_error()
--- /dev/null
+++ b/tests/rollout/test_holder.py
@@ -0,0 +1,165 @@
+"""One holder at a time, whatever the store and the clocks do."""
+
+from expression import Error, Ok
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from buckthornrock.rollout.holder import DutyHolder
+from buckthornrock.store.errors import KvUnavailable, LeaseGone
+from buckthornrock.store.kv_port import (
+    CommitConflict,
+    CommitDone,
+    CommitUnknown,
+    KvEntry,
+    LeaseGrant,
+    Put,
+    StorePort,
+)
+
+TTL_MS = 3_000.0
+HANDOVER_MS = 3_000.0
+NAMES = ("i1", "i2", "i3")
+
+
+class ModelStore:
+    """The store's keys and leases under a clock of the test."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self.entries = {}
+        self.leases = {}
+        self.revision = 0
+        self.is_down = False
+        self.loses_answers = False
+
+    def expire(self):
+        for lease_id, ends_ms in list(self.leases.items()):
+            if self.now_ms >= ends_ms:
+                self.end(lease_id)
+
+    def end(self, lease_id):
+        self.leases.pop(lease_id, None)
+        self.entries = {
+            key: entry
+            for key, entry in self.entries.items()
+            if entry.lease_id != lease_id
+        }
+
+    def port(self):
+        return StorePort(
+            get=self.get,
+            snapshot=None,
+            poll=None,
+            commit=self.commit,
+            grant_lease=self.grant,
+            keep_alive=self.keep,
+            revoke_lease=self.revoke,
+        )
+
+    def get(self, key):
+        if self.is_down:
+            return Error(KvUnavailable("down"))
+        self.expire()
+        return Ok(self.entries.get(key))
+
+    def grant(self, ttl_s):
+        if self.is_down:
+            return Error(KvUnavailable("down"))
+        self.revision += 1
+        self.leases[self.revision] = self.now_ms + ttl_s * 1000.0
+        return Ok(LeaseGrant(self.revision, ttl_s))
+
+    def keep(self, lease_id):
+        if self.is_down:
+            return Error(KvUnavailable("down"))
+        self.expire()
+        if lease_id not in self.leases:
+            return Error(LeaseGone(lease_id))
+        self.leases[lease_id] = self.now_ms + TTL_MS
+        if self.loses_answers:
+            return Error(KvUnavailable("lost"))
+        return Ok(TTL_MS / 1000.0)
+
+    def revoke(self, lease_id):
+        if not self.is_down:
+            self.end(lease_id)
+        return Ok(None)
+
+    def commit(self, transaction):
+        if self.is_down:
+            return CommitUnknown("down")
+        self.expire()
+        for compare in transaction.compares:
+            entry = self.entries.get(compare.key)
+            if (entry.mod_revision if entry else 0) != compare.mod_revision:
+                return CommitConflict(())
+        self.revision += 1
+        for put in transaction.writes:
+            assert isinstance(put, Put)
+            self.entries[put.key] = KvEntry(
+                put.key, b"0" * 16 + put.value, self.revision, put.lease_id, b""
+            )
+        if self.loses_answers:
+            return CommitUnknown("lost")
+        return CommitDone(self.revision)
+
+
+class HolderMachine(RuleBasedStateMachine):
+    """Three instances step, freeze and restart; the store fails and loses answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = ModelStore()
+        self.holders = {name: self.new_holder(name) for name in NAMES}
+        self.acts = []
+
+    def new_holder(self, name):
+        return DutyHolder(
+            self.store.port(), name, TTL_MS, HANDOVER_MS, lambda: self.store.now_ms
+        )
+
+    @rule(name=st.sampled_from(NAMES))
+    def step(self, name):
+        self.holders[name].step()
+
+    @rule(name=st.sampled_from(NAMES))
+    def act(self, name):
+        holder = self.holders[name]
+        if holder.may_act():
+            self.acts.append((self.store.now_ms, name, holder.fence))
+
+    @rule(duration_ms=st.sampled_from([100.0, 700.0, 2_900.0, 6_000.0]))
+    def wait(self, duration_ms):
+        self.store.now_ms += duration_ms
+
+    @rule(is_down=st.booleans(), loses_answers=st.booleans())
+    def disturb(self, is_down, loses_answers):
+        self.store.is_down = is_down
+        self.store.loses_answers = loses_answers
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        self.holders[name] = self.new_holder(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def stop(self, name):
+        self.holders[name].give_back()
+
+    @invariant()
+    def one_may_act(self):
+        assert sum(holder.may_act() for holder in self.holders.values()) <= 1
+
+    @invariant()
+    def fences_rise_and_holders_keep_their_distance(self):
+        for before, after in zip(self.acts, self.acts[1:], strict=False):
+            assert after[2] >= before[2]
+            if after[1] != before[1]:
+                assert after[2] > before[2]
+                assert after[0] - before[0] >= HANDOVER_MS
+
+
+HolderMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestHolder = HolderMachine.TestCase
--- /dev/null
+++ b/tests/scheduling/test_choice.py
@@ -0,0 +1,182 @@
+"""Placement: what is cached, queued, loading, far, old or full decides."""
+
+import pytest
+
+from buckthornrock.scheduling.choice import NoPlace, Placement, choose
+from buckthornrock.scheduling.loads import FleetLoads, LoadReport, Work
+from buckthornrock.scheduling.reading import store_incarnation
+from buckthornrock.scheduling.weights import WeightsView
+from tests.scheduling.world import (
+    CAPACITY,
+    STORE,
+    engine,
+    long,
+    plain,
+    short,
+    view,
+)
+
+SALT = "shared/m/1"
+
+
+def holding(upstream, loads=None, salt=SALT, ready_at_ms=0.0):
+    loads = loads or FleetLoads()
+    parts = loads.of(upstream.incarnation).parts
+    parts.use((salt, "contract"), 13_300, ready_at_ms, CAPACITY)
+    return loads
+
+
+def test_equal_prompts_have_one_home_whoever_chooses():
+    engines = [engine(n) for n in range(9)]
+    orders = (engines, engines[::-1])
+    chosen = {choose(long(), order, view()).upstream.upstream_id for order in orders}
+    assert len(chosen) == 1
+    prompts = [long(f"c{n}") for n in range(60)]
+    homes = {choose(p, engines, view()).upstream.upstream_id for p in prompts}
+    assert len(homes) > 6
+
+
+def test_engine_that_has_the_prompt_is_chosen():
+    engines = [engine(n) for n in range(9)]
+    for holder in engines:
+        placement = choose(long(), engines, view(loads=holding(holder)))
+        assert placement.upstream == holder
+        assert placement.n_cached_tokens == 13_300
+
+
+def test_busy_holder_lends_the_prompt_to_another_engine():
+    engines = [engine(n) for n in range(3)]
+    loads = holding(engines[0])
+    loads.of(engines[0].incarnation).own = Work(3, 300.0, 9_000)
+    placement = choose(long(), engines, view(loads=loads))
+    assert placement.upstream != engines[0]
+    assert placement.kv_source == engines[0].address
+
+
+@pytest.mark.parametrize(
+    ("salt", "ready_at_ms"),
+    [("account=x/m/1", 0.0), ("shared/m/0", 0.0), ("shared/other/1", 0.0), (SALT, 9.0)],
+    ids=["another account", "other weights", "another model", "not read yet"],
+)
+def test_only_the_same_prompt_that_has_been_read_is_lent(salt, ready_at_ms):
+    engines = [engine(n) for n in range(2)]
+    loads = holding(engines[0], salt=salt, ready_at_ms=ready_at_ms)
+    loads.of(engines[0].incarnation).blocked_until_ms = 1e9
+    placement = choose(long(), engines, view(loads=loads))
+    assert placement.kv_source == ""
+
+
+def test_engine_on_other_weights_lends_nothing():
+    new, old = engine(0, version=2), engine(1, version=1)
+    loads = holding(old, salt="shared/m/1")
+    loads.of(old.incarnation).blocked_until_ms = 1e9
+    placement = choose(long(), [new, old], view(loads=loads))
+    assert (placement.upstream, placement.kv_source) == (new, "")
+    assert placement.weights_version == 2
+
+
+def test_prompt_store_keeps_what_it_lacks_and_lends_what_it_has():
+    engines = [engine(0)]
+    loads = FleetLoads()
+    first = choose(long(), engines, view(stores=(STORE,), loads=loads))
+    assert (first.kv_target, first.kv_source) == (STORE.address, "")
+    parts = loads.of(store_incarnation(STORE)).parts
+    parts.use((SALT, "contract"), 13_300, 0.0, STORE.capacity_tokens)
+    second = choose(long(), engines, view(stores=(STORE,), loads=loads))
+    assert (second.kv_target, second.kv_source) == ("", STORE.address)
+
+
+def test_short_prompt_avoids_an_engine_that_reads_a_long_one():
+    engines = [engine(n) for n in range(2)]
+    loads = FleetLoads()
+    loads.of(engines[0].incarnation).own = Work(1, 240.0, 17_000)
+    assert choose(short(), engines, view(loads=loads)).upstream == engines[1]
+    loads.on_digest("peer", {engines[1].incarnation: Work(1, 340.0, 17_000)}, 0.0)
+    assert choose(short(), engines, view(loads=loads)).upstream == engines[0]
+
+
+def test_long_prompts_leave_engines_for_urgent_routes():
+    engines = [engine(n) for n in range(5)]
+    loads = FleetLoads()
+    for busy in engines[:3]:
+        loads.of(busy.incarnation).own = Work(1, 240.0, 17_000)
+    assert isinstance(choose(long(), engines, view(loads=loads)), NoPlace)
+    assert isinstance(choose(short(), engines, view(loads=loads)), Placement)
+
+
+@pytest.mark.parametrize(
+    ("own", "is_placed"),
+    [
+        (Work(), True),
+        (Work(32, 0.0, 10_000), False),
+        (Work(1, 351.0, 10_000), False),
+        (Work(8, 0.0, int(CAPACITY * 0.8)), False),
+    ],
+    ids=["idle", "no slot", "much to read", "no memory"],
+)
+def test_long_prompt_waits_where_it_could_not_begin(own, is_placed):
+    loads = FleetLoads()
+    loads.of(engine(0).incarnation).own = own
+    placement = choose(long(), [engine(0)], view(loads=loads))
+    assert isinstance(placement, Placement) == is_placed
+
+
+def test_prompt_larger_than_all_memory_share_is_taken_by_an_empty_engine():
+    placement = choose(long(n_own=CAPACITY), [engine(0)], view())
+    assert isinstance(placement, Placement)
+
+
+@pytest.mark.parametrize("field", ["blocked_until_ms", "loading_until_ms"])
+def test_engine_that_takes_nothing_is_not_chosen(field):
+    loads = FleetLoads()
+    setattr(loads.of(engine(0).incarnation), field, 10.0)
+    assert isinstance(choose(short(), [engine(0)], view(loads=loads)), NoPlace)
+    assert isinstance(choose(short(), [engine(0)], view(10.0, loads=loads)), Placement)
+
+
+@pytest.mark.parametrize(
+    ("lag_ms", "chosen"),
+    [(0.0, "e1"), (1_000.0, "e1"), (2_000.0, "e0"), (20_000.0, "e0"), (30_000.0, "e0")],
+)
+def test_replaced_weights_lose_their_appeal_and_then_their_use(lag_ms, chosen):
+    new, old = engine(0, version=2), engine(1, version=1)
+    weights = WeightsView(20_000.0)
+    weights.on_wanted("m", 2, 0.0)
+    loads = FleetLoads()
+    loads.of(new.incarnation).own = Work(1, 50.0, 1_000)
+    state = view(lag_ms, weights=weights, loads=loads)
+    assert choose(short(), [new, old], state).upstream.upstream_id == chosen
+
+
+def test_no_request_begins_on_weights_that_were_replaced_too_long_ago():
+    weights = WeightsView(20_000.0)
+    weights.on_wanted("m", 2, 0.0)
+    state = view(20_000.0, weights=weights)
+    assert choose(short(), [engine(0, version=1)], state) == NoPlace(0)
+
+
+def test_plain_requests_go_where_most_slots_are_free():
+    upstreams = [engine(n, n_slots=6) for n in range(3)]
+    loads = FleetLoads()
+    loads.of(upstreams[0].incarnation).own = Work(4)
+    loads.of(upstreams[1].incarnation).report = LoadReport(5, 0, 6, 0.0)
+    assert choose(plain(), upstreams, view(loads=loads)).upstream == upstreams[2]
+
+
+def test_failing_upstream_is_avoided_and_forgiven():
+    upstreams = [engine(n) for n in range(2)]
+    loads = FleetLoads()
+    for _ in range(6):
+        loads.of(upstreams[0].incarnation).on_outcome(True, 0.0)
+        loads.of(upstreams[1].incarnation).on_outcome(False, 0.0)
+    for _ in range(3):
+        placement = choose(short(), upstreams, view(1.0, loads=loads))
+        assert placement.upstream == upstreams[1]
+    assert loads.of(upstreams[0].incarnation).failure_rate(30_000.0) < 0.01
+
+
+def test_peers_digests_lapse():
+    loads = FleetLoads()
+    loads.on_digest("peer", {engine(0).incarnation: Work(9, 1.0, 1)}, 0.0)
+    assert loads.total(engine(0).incarnation, 500.0).n_requests == 9
+    assert loads.total(engine(0).incarnation, 2_000.0).n_requests == 0
--- /dev/null
+++ b/tests/scheduling/test_waiting.py
@@ -0,0 +1,127 @@
+"""Order, refusal and budgets of requests that wait."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from buckthornrock.scheduling.cached_parts import CachedParts
+from buckthornrock.scheduling.prompt import parse_prompt
+from buckthornrock.scheduling.retry_budget import SAFETY_SHARE, RetryBudget
+from buckthornrock.scheduling.waiting import Waiting, WaitingRoom
+from buckthornrock.scheduling.weights import WeightsView
+from tests.scheduling.world import engine, long, short
+
+
+def offered(room, now_ms=0.0):
+    order = []
+
+    def refuse(waiting):
+        order.append(waiting.number)
+        return False
+
+    room.place_each(refuse, now_ms)
+    return order
+
+
+@pytest.mark.parametrize(
+    ("members", "expected"),
+    [
+        ([(long(), 0.0, 9e3), (short(), 0.0, 9e3)], [1, 0]),
+        ([(short(rank=1), 0.0, 9e3), (long(rank=0), 0.0, 9e3)], [1, 0]),
+        ([(short(), -600.0, 5e3), (short(), 0.0, 9e3)], [1, 0]),
+        ([(short(), 0.0, 9e3), (short(), 0.0, 5e3)], [1, 0]),
+    ],
+    ids=["urgent route", "account's rank", "still on time", "less time left"],
+)
+def test_places_are_offered_in_order(members, expected):
+    room = WaitingRoom()
+    for number, (demand, joined_at_ms, give_up_at_ms) in enumerate(members):
+        room.join(Waiting(number, demand, joined_at_ms, give_up_at_ms))
+    assert offered(room) == expected
+
+
+def test_flood_of_long_prompts_is_refused_early_and_in_part():
+    """Load: 40 long prompts arrive at once, one is handed on every 200 ms."""
+    room = WaitingRoom()
+    for step in range(10):
+        room.on_placed(long(), step * 200.0)
+    now_ms = 2_000.0
+    for number in range(40):
+        room.join(Waiting(number, long(), now_ms, now_ms + 4_000.0))
+    hopeless = {waiting.number for waiting, _ in room.hopeless(now_ms)}
+    # 4 s of waiting hold 20 places of 200 ms, the last too late to be served.
+    assert 15 <= 40 - len(hopeless) <= 21
+    assert 0 not in hopeless
+
+
+def test_urgent_requests_wait_behind_urgent_ones_only():
+    room = WaitingRoom()
+    room.join(Waiting(0, long(), 0.0, 9e3))
+    assert not room.has_ahead_of(short())
+    room.join(Waiting(1, short(), 0.0, 9e3))
+    assert room.has_ahead_of(short())
+    room.leave(1)
+    assert not room.has_ahead_of(short())
+
+
+@given(
+    events=st.lists(
+        st.tuples(st.booleans(), st.integers(0, 3_000)), min_size=1, max_size=80
+    )
+)
+@settings(derandomize=True, deadline=None)
+def test_budget_holds_over_all_instances_in_every_window(events):
+    n_instances, ratio, allowance, window_ms = 4, 0.2, 8.0, 10_000.0
+    budgets = [RetryBudget(ratio, allowance, window_ms) for _ in range(n_instances)]
+    now_ms, requests, repeats = 0.0, [], []
+    for number, (is_request, pause_ms) in enumerate(events):
+        now_ms += pause_ms
+        budget = budgets[number % n_instances]
+        if is_request:
+            budget.on_request("s", now_ms)
+            requests.append(now_ms)
+        elif budget.take("s", n_instances, now_ms):
+            repeats.append(now_ms)
+        recent = [t for t in repeats if t > now_ms - window_ms]
+        base = [t for t in requests if t > now_ms - window_ms]
+        assert len(recent) <= (ratio * len(base) + allowance) * SAFETY_SHARE + 1e-9
+
+
+@pytest.mark.parametrize(
+    ("versions", "wanted"), [([1, 3, 2], 3), ([5], 5), ([2, 2], 2)]
+)
+def test_wanted_weights_only_rise(versions, wanted):
+    weights = WeightsView(1_000.0)
+    for version in versions:
+        weights.on_wanted("m", version, 0.0)
+    assert weights.wanted("m").version == wanted
+
+
+def test_seen_weights_go_before_listed_ones():
+    weights = WeightsView(1_000.0)
+    assert weights.loaded(engine(0, version=1), "m") == 1
+    weights.on_loaded(engine(0).incarnation, "m", 2)
+    assert weights.loaded(engine(0, version=1), "m") == 2
+    assert weights.loaded(engine(0, version=3), "m") == 3
+    assert weights.loaded(engine(0), "other") is None
+
+
+def test_least_recently_used_parts_are_dropped():
+    parts = CachedParts()
+    for name in ("a", "b", "a", "c"):
+        parts.use(("s", name), 40, 0.0, 100)
+    assert [parts.holds(("s", name)) for name in "abc"] == [True, False, True]
+
+
+@pytest.mark.parametrize(
+    ("counts", "parts", "is_valid"),
+    [
+        ("100,20", "aa:60,bb:40", True),
+        ("100", "aa:60", False),
+        ("x,20", "aa:60", False),
+        ("100,20", "aa:", False),
+        ("100,20", "", True),
+    ],
+)
+def test_prompts_are_parsed_or_refused(counts, parts, is_valid):
+    assert parse_prompt("m", counts, parts).is_ok() == is_valid
