Write the log without blocking; serve metrics as text

A reader of the log that stops would have stopped the event loop. Lines wait in a bounded queue, info is left out first and counted. Metrics are served as text at the port that the deploy file names.

--- a/buckthornrock/commands/serve.py
+++ b/buckthornrock/commands/serve.py
@@ -19,7 +19,8 @@
 
 @click.command()
 @click.argument("settings_path", required=False)
-def serve(settings_path: str | None) -> None:
+@click.option("--metrics-port", default=0, help="Port of metrics on the platform.")
+def serve(settings_path: str | None, metrics_port: int) -> None:
     """Run one instance with the settings file SETTINGS_PATH.
 
     Without a path, the instance runs on the platform whose settings file is named in
@@ -29,7 +30,7 @@
     with 0. A second signal ends it at once. Exits with 1 if requests were cut.
     """
     if settings_path is None:
-        _serve_on_platform()
+        _serve_on_platform(metrics_port)
         return
     settings = load_settings(settings_path)
     if settings.is_error():
@@ -51,11 +52,11 @@
     _exit(instance.stop())
 
 
-def _serve_on_platform() -> None:
+def _serve_on_platform(metrics_port: int) -> None:
     path = platform_settings_path()
     if not path:
         raise click.UsageError("no SETTINGS_PATH given, and no platform's settings")
-    failure = run_on_platform(path, sys.stdout)
+    failure = run_on_platform(path, sys.stdout, metrics_port)
     click.echo(f"{failure.path}: {failure.reason}", err=True)
     sys.exit(1)
 
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -35,10 +35,14 @@
 from ..scheduling.weights import WeightsView
 from ..store.follower import Listener, PrefixFollower
 from ..store.kv_port import StorePort
-from ..telemetry import Telemetry, open_log, open_metrics
+from ..telemetry import Telemetry, open_log
+from ..telemetry.exposition import open_exposition
+from ..telemetry.log_writer import LogWriter
 
 #: Replaced weights are given up this long before the platform's bound.
 WEIGHTS_MARGIN_MS = 1_500.0
+#: Time at the end for lines that are not written yet.
+LOG_FLUSH_LIMIT_S = 0.3
 
 
 def platform_settings_path() -> str:
@@ -46,20 +50,32 @@
     return os.environ.get(PATH_VARIABLE, "")
 
 
-def run_on_platform(path: str, log_stream: IO[str]) -> SettingsUnreadable:
+def run_on_platform(
+    path: str, log_stream: IO[str], metrics_port: int = 0
+) -> SettingsUnreadable:
     """Serve until SIGTERM, finish every request and end the process.
 
-    Returns only if the settings can't be read.
+    Returns only if the settings can't be read. ``metrics_port`` 0 serves no metrics.
     """
     settings = load_node_settings(path)
     if settings.is_error():
         return settings.error
-    telemetry = Telemetry(open_log(log_stream), open_metrics("", 0, ""))
-    asyncio.run(_run(settings.ok, telemetry))
-    raise AssertionError("the gateway ends the process")
+    exposition = open_exposition()
+    writer = LogWriter(log_stream)
+    telemetry = Telemetry(open_log(writer), exposition.metrics)
+    metrics_address = f"{settings.ok.ip}:{metrics_port}" if metrics_port else ""
+    asyncio.run(_run(settings.ok, telemetry, metrics_address, exposition.render))
+    writer.close(LOG_FLUSH_LIMIT_S)
+    # Followers wait in long polls; they hold nothing that must be given back.
+    os._exit(0)
 
 
-async def _run(settings: NodeSettings, telemetry: Telemetry) -> None:
+async def _run(
+    settings: NodeSettings,
+    telemetry: Telemetry,
+    metrics_address: str,
+    render_metrics: Callable[[], str],
+) -> None:
     now_ms = system_clock().now_ms
     bounds = settings.bounds
     loop = asyncio.get_running_loop()
@@ -92,7 +108,7 @@
         telemetry=telemetry,
     )
     gateway = Gateway(
-        _gateway_settings(settings),
+        _gateway_settings(settings)._replace(metrics_address=metrics_address),
         knowledge,
         parts,
         pool,
@@ -100,6 +116,7 @@
         configurations,
         now_ms,
         telemetry,
+        render_metrics,
     )
     rollout = _start_rollout(settings, store, knowledge, loop, telemetry)
     stop = asyncio.Event()
@@ -108,8 +125,6 @@
         signal.SIGHUP, lambda: _read_settings_again(settings, peers, telemetry)
     )
     await gateway.run(stop, on_draining=lambda: rollout.tell("stop"))
-    # Followers wait in long polls; they hold nothing that must be given back.
-    os._exit(0)
 
 
 def _follow(
--- a/buckthornrock/events/lifecycle.py
+++ b/buckthornrock/events/lifecycle.py
@@ -30,3 +30,10 @@
     ("actor", "error_type", "reason"),
     "A periodic step raised; it runs again at its next time.",
 )
+LINES_LEFT_OUT = Event(
+    1004,
+    "lifecycle.log_lines_left_out",
+    "warning",
+    ("n_lines",),
+    "The reader of the log was too slow; lines of level info are left out first.",
+)
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -13,6 +13,12 @@
 from ..scheduling.reading import store_incarnation
 from ..scheduling.retry_budget import RetryBudget
 from ..telemetry import Telemetry
+from ..telemetry.metrics import (
+    GATEWAY_ATTEMPTS_FAILED,
+    GATEWAY_FIRST_EVENT_MS,
+    GATEWAY_REQUESTS,
+    GATEWAY_WAITED_MS,
+)
 from .dispatcher import Dispatcher, Ticket
 from .errors import (
     AttemptFailure,
@@ -302,8 +308,19 @@
     def _now_ms(self) -> float:
         return self._parts.knowledge.view().now_ms
 
+    def _count_outcome(self, outcome: str) -> None:
+        kind = self._admitted.route.kind.value
+        metrics = self._parts.telemetry.metrics
+        metrics.incr(GATEWAY_REQUESTS, label=f"{kind}.{outcome}")
+        metrics.timing(GATEWAY_WAITED_MS, self._waited_ms, label=kind)
+        if outcome == "served":
+            received_at_ms = self._admitted.request.received_at_ms
+            first_event_ms = self._head_at_ms - received_at_ms
+            metrics.timing(GATEWAY_FIRST_EVENT_MS, first_event_ms, label=kind)
+
     def _log_served(self, ticket: Ticket) -> None:
         placement = ticket.placement
+        self._count_outcome("served")
         self._parts.telemetry.log(
             events.SERVED,
             request_id=self._admitted.request_id,
@@ -324,6 +341,7 @@
         )
 
     def _log_refused(self, status: int, code: str) -> None:
+        self._count_outcome(code)
         self._parts.telemetry.log(
             events.NOT_SERVED,
             request_id=self._admitted.request_id,
@@ -338,6 +356,7 @@
         )
 
     def _log_left(self) -> None:
+        self._count_outcome("client-left")
         self._parts.telemetry.log(
             events.CLIENT_LEFT,
             request_id=self._admitted.request_id,
@@ -352,10 +371,14 @@
         )
 
     def _log_attempt(self, ticket: Ticket, failure: AttemptFailure) -> None:
+        upstream_id = ticket.placement.upstream.upstream_id
+        self._parts.telemetry.metrics.incr(
+            GATEWAY_ATTEMPTS_FAILED, label=f"{upstream_id}.{failure.code}"
+        )
         self._parts.telemetry.log(
             events.ATTEMPT_FAILED,
             request_id=self._admitted.request_id,
-            upstream_id=ticket.placement.upstream.upstream_id,
+            upstream_id=upstream_id,
             failure=failure.code,
             reason=str(failure[0]),
             weights_version=ticket.placement.weights_version,
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -9,6 +9,7 @@
 
 from ..events import gateway as events
 from ..telemetry import Telemetry
+from ..telemetry.metrics import GATEWAY_CONNECTIONS, GATEWAY_WAITING, MEMBERS_LIVE
 from .admission import AdmissionInputs, admit
 from .configuration_exchange import ConfigurationExchange
 from .dispatcher import Dispatcher
@@ -39,6 +40,7 @@
     ready_address: str
     peer_address: str
     shutdown_limit_ms: float
+    metrics_address: str = ""
 
 
 class Gateway:
@@ -54,7 +56,9 @@
         configurations: ConfigurationExchange,
         now_ms: Callable[[], float],
         telemetry: Telemetry,
+        render_metrics: Callable[[], str] = lambda: "",
     ) -> None:
+        self._render_metrics = render_metrics
         self._settings = settings
         self._knowledge = knowledge
         self._exchange_parts = exchange_parts
@@ -81,6 +85,10 @@
         ready = await self._listen(
             self._settings.ready_address, self._serve_ready, codec, set()
         )
+        if self._settings.metrics_address:
+            await self._listen(
+                self._settings.metrics_address, self._serve_metrics, codec, set()
+            )
         self._telemetry.log(
             events.STARTED,
             instance_id=self._settings.instance_id,
@@ -177,6 +185,16 @@
             return
         client.refuse(Refusal(503, "not-ready", "draining or without configuration"))
 
+    async def _serve_metrics(
+        self, request: ClientRequest, client: FrontConnection
+    ) -> None:
+        metrics = self._telemetry.metrics
+        metrics.gauge(GATEWAY_WAITING, self._dispatcher.n_waiting())
+        metrics.gauge(GATEWAY_CONNECTIONS, len(self._connections))
+        metrics.gauge(MEMBERS_LIVE, self._peers.n_instances())
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        client.send_whole(200, headers, self._render_metrics().encode())
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_MS / 1000.0)
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -28,6 +28,12 @@
 WIRE_BYTES = "wire_bytes"
 WIRE_FRAMES_DROPPED = "wire_frames_dropped"
 MEMBERS_LIVE = "members_live"
+GATEWAY_REQUESTS = "gateway_requests"
+GATEWAY_FIRST_EVENT_MS = "gateway_first_event_ms"
+GATEWAY_WAITED_MS = "gateway_waited_ms"
+GATEWAY_ATTEMPTS_FAILED = "gateway_attempts_failed"
+GATEWAY_WAITING = "gateway_waiting"
+GATEWAY_CONNECTIONS = "gateway_connections"
 
 #: Metric name -> (kind, meaning).
 CATALOGUE: dict[str, tuple[str, str]] = {
@@ -53,6 +59,12 @@
     DEFERRED_FINISHED: ("counter", "deferred jobs that ended, by state"),
     WIRE_BYTES: ("counter", "bytes of frames between instances, by direction"),
     WIRE_FRAMES_DROPPED: ("counter", "frames that were dropped, by reason"),
+    GATEWAY_REQUESTS: ("counter", "requests at the gateway, by kind and outcome"),
+    GATEWAY_FIRST_EVENT_MS: ("timing", "time to an answer's first bytes, by kind"),
+    GATEWAY_WAITED_MS: ("timing", "time before a request was handed on, by kind"),
+    GATEWAY_ATTEMPTS_FAILED: ("counter", "failed attempts, by upstream and failure"),
+    GATEWAY_WAITING: ("gauge", "requests that wait for a place"),
+    GATEWAY_CONNECTIONS: ("gauge", "open connections of clients"),
     MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
 }
 
--- /dev/null
+++ b/tests/telemetry/test_exposition.py
@@ -0,0 +1,34 @@
+"""Metrics as text: cumulative buckets, bounded series, known names only."""
+
+import pytest
+
+from buckthornrock.telemetry.exposition import MAX_LABELS, OTHER_LABEL, open_exposition
+from buckthornrock.telemetry.metrics import GATEWAY_REQUESTS, GATEWAY_WAITED_MS
+
+
+def test_counters_and_histograms_are_rendered():
+    exposition = open_exposition()
+    exposition.metrics.incr(GATEWAY_REQUESTS, label="stream.served")
+    exposition.metrics.incr(GATEWAY_REQUESTS, 2, label="stream.served")
+    for value_ms in (0.5, 1.0, 30.0, 99_999.0):
+        exposition.metrics.timing(GATEWAY_WAITED_MS, value_ms, label="stream")
+    text = exposition.render()
+    assert 'buckthornrock_gateway_requests{label="stream.served"} 3' in text
+    name = "buckthornrock_gateway_waited_ms"
+    assert f'{name}_bucket{{label="stream",le="1"}} 2' in text
+    assert f'{name}_bucket{{label="stream",le="50"}} 3' in text
+    assert f'{name}_bucket{{label="stream",le="+Inf"}} 4' in text
+    assert f'{name}_count{{label="stream"}} 4' in text
+
+
+def test_series_are_bounded():
+    exposition = open_exposition()
+    for number in range(MAX_LABELS + 50):
+        exposition.metrics.incr(GATEWAY_REQUESTS, label=f"l{number}")
+    text = exposition.render()
+    assert f'{{label="{OTHER_LABEL}"}} 50' in text
+
+
+def test_unknown_names_are_programming_errors():
+    with pytest.raises(KeyError):
+        open_exposition().metrics.incr("unknown")
--- /dev/null
+++ b/tests/telemetry/test_log_writer.py
@@ -0,0 +1,63 @@
+"""The log never blocks its writers, and says what it left out."""
+
+import threading
+
+from buckthornrock.telemetry.log_writer import LogWriter
+
+INFO = '{"level":"info"}\n'
+WARNING = '{"level":"warning"}\n'
+
+
+class StoppedReader:
+    """A destination that takes nothing until it is released."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.lines = []
+
+    def write(self, line):
+        self.released.wait()
+        self.lines.append(line)
+
+    def flush(self):
+        pass
+
+
+def test_stopped_reader_blocks_nobody_and_failures_are_kept_longest():
+    stream = StoppedReader()
+    writer = LogWriter(stream, max_waiting=100)
+    for _ in range(1_000):
+        writer.write(INFO)
+    for _ in range(30):
+        writer.write(WARNING)
+    stream.released.set()
+    writer.close(10.0)
+    assert stream.lines.count(WARNING) == 30
+    n_info = stream.lines.count(INFO)
+    assert 40 <= n_info <= 60
+    summaries = [line for line in stream.lines if "log_lines_left_out" in line]
+    assert summaries and f'"n_lines":{1_000 - n_info}' in summaries[0]
+
+
+def test_lines_keep_their_order():
+    stream = StoppedReader()
+    stream.released.set()
+    writer = LogWriter(stream)
+    for number in range(50):
+        writer.write(f"{number}\n")
+    writer.close(10.0)
+    assert stream.lines == [f"{number}\n" for number in range(50)]
+
+
+def test_destination_that_is_gone_ends_nothing():
+    class Gone:
+        def write(self, line):
+            raise BrokenPipeError
+
+        def flush(self):
+            raise BrokenPipeError
+
+    writer = LogWriter(Gone())
+    writer.write(WARNING)
+    writer.close(10.0)
+    assert writer.n_left_out >= 1
