Take upstreams and the age of weights from peers too; supervise the loops

An instance that starts while the store is down knew no upstreams, and took weights that were replaced long ago for fresh ones. A failure in a loop ended the process.

--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -64,6 +64,13 @@
         for upstream in found.values():
             self._put(upstream)
 
+    def copy(self, upstreams: Iterable[Upstream], revision: int) -> None:
+        """Take over what a peer knows at a later revision; nothing is confirmed."""
+        if revision <= self.revision:
+            return
+        self.revision = revision
+        self._upstreams = {upstream.upstream_id: upstream for upstream in upstreams}
+
     def apply(
         self,
         changed: Iterable[Upstream],
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -9,15 +9,16 @@
 import pykka
 
 from ..events import gateway as events
-from ..gateway.configuration_exchange import ConfigurationExchange
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.exchange import ExchangeParts
 from ..gateway.gateway import Gateway, GatewaySettings
 from ..gateway.knowledge import Knowledge
+from ..gateway.knowledge_exchange import KnowledgeExchange
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
+from ..platform.configuration import decode_configuration
 from ..platform.engine_control import open_engine_control
-from ..platform.feeds import operator_listener, take_configuration, upstream_listener
+from ..platform.feeds import operator_listener, upstream_listener
 from ..platform.headers import open_header_codec
 from ..platform.settings import (
     PATH_VARIABLE,
@@ -100,12 +101,8 @@
         knowledge=knowledge,
         telemetry=telemetry,
     )
-    configurations = ConfigurationExchange(
-        address=_peer_address(settings),
-        read=lambda: knowledge.encoded_configuration,
-        version=lambda: knowledge.configuration_version,
-        take=lambda encoded, source: take_configuration(knowledge, encoded, source),
-        telemetry=telemetry,
+    exchange = KnowledgeExchange(
+        _peer_address(settings), knowledge, decode_configuration, telemetry
     )
     gateway = Gateway(
         _gateway_settings(settings)._replace(metrics_address=metrics_address),
@@ -113,7 +110,7 @@
         parts,
         pool,
         peers,
-        configurations,
+        exchange,
         now_ms,
         telemetry,
         render_metrics,
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -2,20 +2,21 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
 from ..events import gateway as events
+from ..events import lifecycle as lifecycle_events
 from ..telemetry import Telemetry
 from ..telemetry.metrics import GATEWAY_CONNECTIONS, GATEWAY_WAITING, MEMBERS_LIVE
 from .admission import AdmissionInputs, admit
-from .configuration_exchange import ConfigurationExchange
 from .dispatcher import Dispatcher
 from .exchange import Exchange, ExchangeParts
 from .front import FrontConnection, FrontParts
 from .knowledge import Knowledge
+from .knowledge_exchange import KnowledgeExchange
 from .peers import PeerExchange
 from .pool import ConnectionPool
 from .ports import HeaderCodec
@@ -29,6 +30,10 @@
 KILL_MARGIN_MS = 600.0
 #: Pause between two looks at the requests that are still open.
 DRAIN_POLL_MS = 50.0
+#: Time for last bytes to leave before the process ends.
+LINGER_MS = 100.0
+#: Pause before a loop that failed is run again.
+RESTART_PAUSE_MS = 200.0
 
 
 class GatewaySettings(NamedTuple):
@@ -53,7 +58,7 @@
         exchange_parts: ExchangeParts,
         pool: ConnectionPool,
         peers: PeerExchange,
-        configurations: ConfigurationExchange,
+        exchange: KnowledgeExchange,
         now_ms: Callable[[], float],
         telemetry: Telemetry,
         render_metrics: Callable[[], str] = lambda: "",
@@ -65,8 +70,8 @@
         self._dispatcher: Dispatcher = exchange_parts.dispatcher
         self._pool = pool
         self._peers = peers
-        self._configurations = configurations
-        peers.on_newer_configuration = configurations.on_newer
+        self._exchange = exchange
+        peers.on_peer_ahead = exchange.on_peer_ahead
         self._now_ms = now_ms
         self._telemetry = telemetry
         self._rng = random.Random()
@@ -101,10 +106,13 @@
         )
         async with asyncio.TaskGroup() as tasks:
             background = [
-                tasks.create_task(self._dispatcher.tick()),
-                tasks.create_task(self._keep_house()),
-                tasks.create_task(self._peers.run()),
-                tasks.create_task(self._configurations.run()),
+                tasks.create_task(self._supervise(loop))
+                for loop in (
+                    self._dispatcher.tick,
+                    self._keep_house,
+                    self._peers.run,
+                    self._exchange.run,
+                )
             ]
             await stop.wait()
             on_draining()
@@ -114,6 +122,20 @@
         front.close()
         ready.close()
 
+    async def _supervise(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop for ever; a failure in it is logged and does not end it."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._telemetry.log(
+                    lifecycle_events.STEP_FAILED,
+                    actor=run.__qualname__,
+                    error_type=type(error).__name__,
+                    reason=str(error),
+                )
+            await asyncio.sleep(RESTART_PAUSE_MS / 1000.0)
+
     async def _listen(
         self,
         address: str,
@@ -223,6 +245,7 @@
         )
         for connection in list(self._connections):
             connection.close_idle()
+        await asyncio.sleep(LINGER_MS / 1000.0)
 
     def _n_busy(self) -> int:
         return sum(connection.is_busy for connection in self._connections)
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -64,6 +64,16 @@
         """Version of the configuration in force, 0 before there is one."""
         return self.table.configuration.version if self.table else 0
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which upstreams are known; 0 before any."""
+        return self.directory.revision
+
+    @property
+    def needs_upstreams(self) -> bool:
+        """Whether upstreams can't be had from the store at present."""
+        return not self._knows_upstreams or bool(self._lost_at_ms)
+
     @property
     def is_complete(self) -> bool:
         """Whether requests can be served."""
@@ -98,9 +108,11 @@
             n_routes=len(configuration.routes),
         )
 
-    def on_weights(self, model: str, version: int, source: str) -> None:
-        """Take over a wanted version of a model's weights."""
-        if self.weights.on_wanted(model, version, self._now_ms()):
+    def on_weights(
+        self, model: str, version: int, source: str, age_ms: float = 0.0
+    ) -> None:
+        """Take over a version of weights that has been wanted for ``age_ms``."""
+        if self.weights.on_wanted(model, version, self._now_ms() - age_ms):
             self._telemetry.log(
                 events.WEIGHTS_WANTED, model=model, version=version, source=source
             )
@@ -112,6 +124,13 @@
         self._knows_upstreams = True
         self._log_changes(before)
 
+    def copy_upstreams(self, upstreams: Iterable[Upstream], revision: int) -> None:
+        """Take over a peer's reading while the store can't be reached."""
+        before = self._states()
+        self.directory.copy(upstreams, revision)
+        self._knows_upstreams = True
+        self._log_changes(before)
+
     def change_upstreams(
         self, changed: Iterable[Upstream], removed: Iterable[str], revision: int
     ) -> None:
@@ -212,6 +231,14 @@
         """Note a shared part that a peer has read at an engine or store."""
         self._use_part(incarnation, key, n_tokens, ready_in_ms)
 
+    def wanted_ages(self) -> dict[str, tuple[int, float]]:
+        """Return each model's newest version, and how long it has been wanted."""
+        now_ms = self._now_ms()
+        return {
+            name: (wanted.version, now_ms - wanted.known_at_ms)
+            for name, wanted in self.weights.models().items()
+        }
+
     def wanted_versions(self) -> dict[str, int]:
         """Return the newest version of each model's weights."""
         return {name: w.version for name, w in self.weights.models().items()}
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -18,6 +18,7 @@
     encode_digest,
 )
 from .knowledge import Knowledge
+from .knowledge_exchange import PeerState
 from .peer_view import PeerView
 
 DIGEST_PERIOD_MS = 60.0
@@ -43,8 +44,8 @@
 
     Attributes
     ----------
-    on_newer_configuration : callable
-        Called with the address of a peer that has a newer configuration.
+    on_peer_ahead : callable
+        Called with how far a peer's knowledge goes.
     """
 
     def __init__(
@@ -54,7 +55,7 @@
         now_ms: Callable[[], float],
         telemetry: Telemetry,
     ) -> None:
-        self.on_newer_configuration: Callable[[str, int], None] = lambda *_: None
+        self.on_peer_ahead: Callable[[PeerState], None] = lambda _: None
         self.is_stopping = False
         self._settings = settings
         self._knowledge = knowledge
@@ -124,8 +125,8 @@
             for work in digest.works
         }
         knowledge.loads.on_digest(digest.instance_id, works, self._now_ms())
-        for model, version in digest.weights.items():
-            knowledge.on_weights(model, version, digest.instance_id)
+        for model, (version, age_ms) in digest.weights.items():
+            knowledge.on_weights(model, version, digest.instance_id, age_ms)
         for engine in digest.loading:
             incarnation = (engine.upstream_id, engine.started_ms)
             knowledge.on_peer_loading(incarnation, engine.left_ms)
@@ -136,8 +137,9 @@
             incarnation = (part.upstream_id, part.started_ms)
             key = (part.salt, part.part_id)
             knowledge.on_peer_reading(incarnation, key, part.n_tokens, part.ready_in_ms)
-        if digest.configuration_version > knowledge.configuration_version:
-            self.on_newer_configuration(digest.address, digest.configuration_version)
+        self.on_peer_ahead(
+            PeerState(digest.address, digest.configuration_version, digest.revision)
+        )
 
     def _digest(self, now_ms: float) -> Digest:
         self._number += 1
@@ -147,7 +149,8 @@
             incarnation=self._settings.incarnation,
             number=self._number,
             configuration_version=self._knowledge.configuration_version,
-            weights=self._knowledge.wanted_versions(),
+            revision=self._knowledge.revision,
+            weights=self._knowledge.wanted_ages(),
             works=[
                 UpstreamWork(*incarnation, *work)
                 for incarnation, work in self._knowledge.loads.digest().items()
--- a/buckthornrock/gateway/ports.py
+++ b/buckthornrock/gateway/ports.py
@@ -3,9 +3,15 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from expression import Result
+
+from ..catalog.configuration import Configuration
 from ..catalog.upstreams import Upstream
+from ..errors import Failure
 
 Headers = list[tuple[bytes, bytes]]
+#: Decodes a configuration as the operators wrote it.
+ConfigurationDecoder = Callable[[bytes], Result[Configuration, Failure]]
 
 
 class RequestFields(NamedTuple):
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -6,7 +6,7 @@
 
 
 class WantedWeights(NamedTuple):
-    """The newest version of a model, and when this instance learnt of it."""
+    """The newest version of a model, and since when it is known to be wanted."""
 
     version: int
     known_at_ms: float
@@ -26,13 +26,19 @@
         self._wanted: dict[str, WantedWeights] = {}
         self._learnt: dict[tuple[tuple[str, int], str], int] = {}
 
-    def on_wanted(self, model: str, version: int, now_ms: float) -> bool:
-        """Take over a wanted version; versions only rise. Return whether it did."""
+    def on_wanted(self, model: str, version: int, since_ms: float) -> bool:
+        """Take over a wanted version; versions only rise. Return whether it did.
+
+        Of two times for one version the earlier counts: a peer may have known it
+        before this instance started.
+        """
         known = self._wanted.get(model)
-        if known is not None and known.version >= version:
+        if known is not None and known.version > version:
             return False
-        self._wanted[model] = WantedWeights(version, now_ms)
-        return True
+        if known is not None and known.version == version:
+            since_ms = min(since_ms, known.known_at_ms)
+        self._wanted[model] = WantedWeights(version, since_ms)
+        return known is None or known.version < version
 
     def on_loaded(self, incarnation: tuple[str, int], model: str, version: int) -> bool:
         """Note a version seen at an upstream; return whether it is news."""
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -65,7 +65,9 @@
     """One instance's state, as far as others decide by it.
 
     ``incarnation`` rises with each start of the instance and ``number`` with each
-    digest, so that an older one is recognised.
+    digest, so that an older one is recognised. ``revision`` is that of the store up to
+    which upstreams are known; ``weights`` holds each model's wanted version and for
+    how long it has been wanted.
     """
 
     instance_id: str
@@ -73,7 +75,8 @@
     incarnation: int
     number: int
     configuration_version: int
-    weights: dict[str, int]
+    revision: int
+    weights: dict[str, tuple[int, float]]
     works: list[UpstreamWork]
     loading: list[LoadingEngine]
     loaded: list[LoadedWeights]
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -16,13 +16,14 @@
     ServiceShare,
 )
 from buckthornrock.catalog.upstreams import Upstream
-from buckthornrock.gateway.configuration_exchange import ConfigurationExchange
 from buckthornrock.gateway.dispatcher import Dispatcher
 from buckthornrock.gateway.exchange import ExchangeParts
 from buckthornrock.gateway.gateway import Gateway, GatewaySettings
 from buckthornrock.gateway.knowledge import Knowledge
+from buckthornrock.gateway.knowledge_exchange import KnowledgeExchange
 from buckthornrock.gateway.peers import PeerExchange, PeerSettings
 from buckthornrock.gateway.pool import ConnectionPool
+from buckthornrock.platform.configuration import decode_configuration
 from buckthornrock.platform.headers import open_header_codec
 from buckthornrock.scheduling.retry_budget import RetryBudget
 from buckthornrock.scheduling.weights import WeightsView
@@ -206,12 +207,10 @@
         knowledge=knowledge,
         telemetry=telemetry,
     )
-    configurations = ConfigurationExchange(
-        peer, lambda: b"", lambda: 1, lambda *_: None, telemetry
-    )
+    exchange = KnowledgeExchange(peer, knowledge, decode_configuration, telemetry)
     settings = GatewaySettings("i1", "a", front, ready, peer, 8_000.0)
     gateway = Gateway(
-        settings, knowledge, parts, pool, peers, configurations, now_ms, telemetry
+        settings, knowledge, parts, pool, peers, exchange, now_ms, telemetry
     )
     stop = asyncio.Event()
     task = asyncio.create_task(gateway.run(stop))
