End a shutdown though clients go on asking; let eliot find that the log takes text

It now closes its listener 2.7 s after it is not ready, when the balancer has noticed, and ends with its last request; the new test fails before. The log writer was taken for a binary file, so that nothing was written since it came in; a test goes through eliot now.

--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -24,8 +24,8 @@
 
 LISTEN_BACKLOG = 1_024
 HOUSEKEEPING_PERIOD_MS = 500.0
-#: New connections still arrive for this long after the instance is not ready.
-ROTATION_LAG_MS = 3_200.0
+#: New connections are taken for this long after the instance is not ready.
+ROTATION_LAG_MS = 2_700.0
 #: Left of the time for shutdown when requests that are still open are cut.
 KILL_MARGIN_MS = 600.0
 #: Pause between two looks at the requests that are still open.
@@ -116,10 +116,9 @@
             ]
             await stop.wait()
             on_draining()
-            await self._drain()
+            await self._drain(front)
             for task in background:
                 task.cancel()
-        front.close()
         ready.close()
 
     async def _supervise(self, run: Callable[[], Awaitable[None]]) -> None:
@@ -222,7 +221,7 @@
             await asyncio.sleep(HOUSEKEEPING_PERIOD_MS / 1000.0)
             self._pool.retain(self._knowledge.expire())
 
-    async def _drain(self) -> None:
+    async def _drain(self, front: asyncio.Server) -> None:
         """Finish every request; new ones come until the balancer has noticed."""
         started_at_ms = self._now_ms()
         self._is_draining = True
@@ -232,10 +231,13 @@
             instance_id=self._settings.instance_id,
             n_open_requests=self._n_busy(),
         )
+        await asyncio.sleep(ROTATION_LAG_MS / 1000.0)
+        # What is taken from here on could not be finished in time.
+        front.close()
         cut_at_ms = started_at_ms + self._settings.shutdown_limit_ms - KILL_MARGIN_MS
         while self._now_ms() < cut_at_ms:
-            is_unseen = self._now_ms() - started_at_ms >= ROTATION_LAG_MS
-            if is_unseen and not self._n_busy():
+            self._close_idle()
+            if not self._connections:
                 break
             await asyncio.sleep(DRAIN_POLL_MS / 1000.0)
         self._telemetry.log(
@@ -243,9 +245,11 @@
             instance_id=self._settings.instance_id,
             n_cut_requests=self._n_busy(),
         )
+        await asyncio.sleep(LINGER_MS / 1000.0)
+
+    def _close_idle(self) -> None:
         for connection in list(self._connections):
             connection.close_idle()
-        await asyncio.sleep(LINGER_MS / 1000.0)
 
     def _n_busy(self) -> int:
         return sum(connection.is_busy for connection in self._connections)
--- a/buckthornrock/telemetry/log_writer.py
+++ b/buckthornrock/telemetry/log_writer.py
@@ -43,7 +43,15 @@
         return self._n_left_out
 
     def write(self, line: str) -> None:
-        """Queue a line, or count it as left out."""
+        """Queue a line, or count it as left out.
+
+        Raises
+        ------
+        TypeError
+            If ``line`` is not text; eliot finds out by this what a file takes.
+        """
+        if not isinstance(line, str):
+            raise TypeError("the log takes text")
         is_crowded = self._lines.qsize() > self._half
         if is_crowded and _INFO_MARK in line:
             self._leave_out()
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -157,6 +157,36 @@
     run(main)
 
 
+def test_clients_that_go_on_asking_are_not_cut_at_the_end():
+    n_clients = 4
+
+    async def slow(arrival):
+        await asyncio.sleep(0.2)
+        await whole(arrival)
+
+    async def main():
+        world = await start_world(ScriptedUpstream(slow))
+
+        async def ask_on(number):
+            await asyncio.sleep(0.05 * number)
+            while True:
+                try:
+                    reader, writer = await connect(world.front)
+                except OSError:
+                    return
+                writer.write(request("/read/1"))
+                # A connection that was taken gets its answer, also at the end.
+                assert (await read_reply(reader)).body == BODY
+
+        clients = [asyncio.create_task(ask_on(n)) for n in range(n_clients)]
+        world.stop.set()
+        await asyncio.gather(world.task, *clients)
+        stopped = dict(world.logged)["gateway.stopped"]
+        assert stopped["n_cut_requests"] == 0
+
+    run(main)
+
+
 def test_instance_without_configuration_promises_that_nothing_ran():
     async def main():
         world = await start_world(ScriptedUpstream(whole))
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -27,7 +27,7 @@
 from buckthornrock.platform.headers import open_header_codec
 from buckthornrock.scheduling.retry_budget import RetryBudget
 from buckthornrock.scheduling.weights import WeightsView
-from buckthornrock.telemetry import Telemetry, open_log, open_metrics
+from buckthornrock.telemetry import Telemetry, open_metrics
 
 HOST = "shop.example"
 KEY = "secret-key"
@@ -156,6 +156,7 @@
     ready: str
     stop: asyncio.Event
     task: asyncio.Task
+    logged: list[tuple[str, dict]]
 
 
 def now_ms() -> float:
@@ -173,7 +174,12 @@
 async def start_world(
     *upstreams: ScriptedUpstream, budget: float = 50.0, **changes
 ) -> World:
-    telemetry = Telemetry(open_log(None), open_metrics("", 0, ""))
+    logged: list[tuple[str, dict]] = []
+
+    def log(event, **fields):
+        logged.append((event.name, fields))
+
+    telemetry = Telemetry(log, open_metrics("", 0, ""))
     knowledge = Knowledge("a", WeightsView(20_000.0), now_ms, telemetry)
     knowledge.on_configuration(configuration(**changes), b"", "test")
     entries = []
@@ -215,7 +221,7 @@
     stop = asyncio.Event()
     task = asyncio.create_task(gateway.run(stop))
     await _wait_until_listening(ready)
-    return World(gateway, knowledge, front, ready, stop, task)
+    return World(gateway, knowledge, front, ready, stop, task, logged)
 
 
 async def _wait_until_listening(address: str) -> None:
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -2,6 +2,8 @@
 
 import threading
 
+from buckthornrock.events import gateway as events
+from buckthornrock.telemetry import open_log
 from buckthornrock.telemetry.log_writer import LogWriter
 
 INFO = '{"level":"info"}\n'
@@ -39,6 +41,16 @@
     assert summaries and f'"n_lines":{1_000 - n_info}' in summaries[0]
 
 
+def test_events_reach_the_destination():
+    stream = StoppedReader()
+    stream.released.set()
+    writer = LogWriter(stream)
+    open_log(writer)(events.STOPPED, instance_id="i1", n_cut_requests=0)
+    writer.close(10.0)
+    assert '"instance_id":"i1"' in stream.lines[0]
+    assert isinstance(stream.lines[0], str)
+
+
 def test_lines_keep_their_order():
     stream = StoppedReader()
     stream.released.set()
