--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from ..catalog.configuration import RouteKind
 from ..events import gateway as events
+from ..scheduling.loads import UpstreamLoad
 from ..scheduling.prompt import cache_salt
 from ..scheduling.reading import store_incarnation
 from ..scheduling.retry_budget import RetryBudget
@@ -39,10 +40,12 @@
 MAX_UNEXECUTED = 4
 #: An upstream that refused a request gets no new one for this time.
 BLOCK_AFTER_REFUSAL_MS = 120.0
-#: An upstream that can't be reached gets no new request for this time.
-BLOCK_AFTER_UNREACHED_MS = 500.0
+#: An upstream that gave no answer in time gets no new one for this time.
+BLOCK_AFTER_SILENCE_MS = 300.0
 #: Share of the time left that a repeatable request waits for its first upstream.
 FIRST_ATTEMPT_SHARE = 0.5
+#: Objectives of the route that it waits for at most.
+FIRST_ATTEMPT_OBJECTIVES = 2.5
 #: Part of the deadline that the answer's way to the client takes.
 ANSWER_MARGIN_MS = 20.0
 RETRY_AFTER_MS = 300.0
@@ -125,6 +128,7 @@
         taken = await self._parts.pool.take(upstream, self._left_ms())
         if taken.is_error():
             return taken
+        self._load(ticket).on_reached()
         connection = taken.ok
         self._note_readings(ticket)
         if ticket.placement.work.reading_ms >= URGENT_READING_MS:
@@ -144,6 +148,7 @@
         except h11.LocalProtocolError as error:
             return Error(NotReached(str(error)))
         except TimeoutError:
+            self._parts.dispatcher.block(upstream, BLOCK_AFTER_SILENCE_MS)
             return Error(Interrupted("no answer from the upstream"))
         finally:
             self._parts.pool.give_back(upstream, connection)
@@ -245,7 +250,7 @@
         self._excluded |= {upstream.upstream_id}
         if isinstance(failure, NotReached):
             self._n_unexecuted += 1
-            self._parts.dispatcher.block(upstream, BLOCK_AFTER_UNREACHED_MS)
+            self._load(ticket).on_unreached(now_ms)
             return self._n_unexecuted < MAX_UNEXECUTED
         if isinstance(failure, NotExecuted):
             self._n_unexecuted += 1
@@ -264,8 +269,10 @@
         return self._parts.budget.take(service, self._parts.n_instances(), now_ms)
 
     def _count(self, ticket: Ticket, is_failure: bool) -> None:
-        load = self._parts.dispatcher.loads.of(ticket.placement.upstream.incarnation)
-        load.on_outcome(is_failure, self._now_ms())
+        self._load(ticket).on_outcome(is_failure, self._now_ms())
+
+    def _load(self, ticket: Ticket) -> UpstreamLoad:
+        return self._parts.dispatcher.loads.of(ticket.placement.upstream.incarnation)
 
     def _give_up(self, failure: AttemptFailure) -> None:
         if self._client.has_started:
@@ -299,7 +306,8 @@
         left_ms = self._left_ms()
         has_more = self._n_may_have_run + 1 < self._admitted.route.n_attempts
         if self._admitted.route.is_repeatable and has_more:
-            left_ms *= FIRST_ATTEMPT_SHARE
+            patience_ms = self._admitted.route.objective_ms * FIRST_ATTEMPT_OBJECTIVES
+            left_ms = min(left_ms * FIRST_ATTEMPT_SHARE, patience_ms)
         return max(0.0, left_ms) / 1000.0
 
     def _left_ms(self) -> float:
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -12,7 +12,7 @@
 from .sockets import tune
 from .upstream_connection import UpstreamConnection
 
-CONNECT_TIMEOUT_MS = 600.0
+CONNECT_TIMEOUT_MS = 250.0
 #: Idle time after which a connection is not used if the upstream said nothing.
 DEFAULT_IDLE_LIMIT_MS = 3_000.0
 #: A connection is not used any more this long before the upstream closes it.
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -6,6 +6,7 @@
 know nothing of each other send equal prompts to the same engine.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -43,10 +44,11 @@
 OLD_WEIGHTS_FREE_MS = 1_400.0
 #: Reading that may be queued at an engine when a request is handed on.
 MAX_QUEUED_READING_MS = 350.0
-#: An engine that reads this long delays urgent requests noticeably.
-LONG_READING_MS = 60.0
-#: Share of the engines that may read long prompts at the same time.
-MAX_READING_SHARE = 0.6
+#: Share of the engines that read long prompts.
+LONG_PROMPT_SHARE = 0.6
+LONG_PROMPT_KEY = b"long prompts"
+#: Cost to an urgent request of an engine that reads long prompts.
+SLOW_ENGINE_MS = 80.0
 #: Requests per slot that a plain service may be given.
 MAX_PLACES_PER_SLOT = 1.0
 #: Shares of an engine's memory that running requests may fill; the rest is kept for
@@ -132,12 +134,25 @@
     code = "no-place"
 
 
+def _long_prompt_engines(upstreams: list[Upstream]) -> list[Upstream]:
+    """Return the engines that read long prompts; the others answer without pauses.
+
+    While an engine reads a long prompt, everything that it answers slows down. All
+    instances leave the same engines out.
+    """
+    n_long = math.ceil(len(upstreams) * LONG_PROMPT_SHARE)
+    by_id = {upstream.upstream_id: upstream for upstream in upstreams}
+    ranked = rendezvous.rank(LONG_PROMPT_KEY, list(by_id))
+    return [by_id[upstream_id] for upstream_id in ranked[:n_long]]
+
+
 class _Prompted(NamedTuple):
     """A demand's prompt with its homes and holders."""
 
     sharing: Sharing
     home_ranks: dict[Incarnation, int]
     holders: list[Holder]
+    slow: frozenset[Incarnation] = frozenset()
 
 
 def choose(
@@ -145,9 +160,9 @@
 ) -> Placement | NoPlace:
     """Return the best placement among upstreams with a free place."""
     usable = [u for u in upstreams if _may_serve(demand, u, view)]
+    if demand.prompt is not None and not demand.is_urgent:
+        usable = _long_prompt_engines(usable)
     prompted = _prompted(demand, usable, view)
-    if prompted is not None and _must_leave_room(demand, usable, view):
-        return NoPlace(len(usable))
     options = [_option(demand, prompted, u, view) for u in usable]
     free = [option for option in options if option is not None]
     if not free:
@@ -156,17 +171,6 @@
     return best._replace(kv_target=_kv_target(prompted, view))
 
 
-def _must_leave_room(demand: Demand, upstreams: list[Upstream], view: View) -> bool:
-    """Return whether the engines that read nothing long are kept for urgent routes."""
-    if demand.is_urgent:
-        return False
-    n_reading = sum(
-        view.loads.total(u.incarnation, view.now_ms).reading_ms > LONG_READING_MS
-        for u in upstreams
-    )
-    return n_reading >= max(1.0, len(upstreams) * MAX_READING_SHARE)
-
-
 def _may_serve(demand: Demand, upstream: Upstream, view: View) -> bool:
     if demand.prompt is None:
         return True
@@ -179,6 +183,9 @@
     if demand.prompt is None or demand.service.engine is None:
         return None
     sharing = Sharing(demand.prompt, demand.wall, demand.service.engine)
+    if demand.is_urgent:
+        slow = frozenset(u.incarnation for u in _long_prompt_engines(upstreams))
+        return _Prompted(sharing, {}, [], slow)
     if not sharing.is_worth_fetching:
         return _Prompted(sharing, {}, [])
     key = f"{demand.wall}/{demand.prompt.shared[-1].part_id}"
@@ -239,6 +246,7 @@
         + load.failure_rate(view.now_ms) * FAILURE_COST_MS
         + _distance_ms(upstream, view)
         + (AWAY_FROM_HOME_MS if is_away else 0.0)
+        + (SLOW_ENGINE_MS if upstream.incarnation in prompted.slow else 0.0)
     )
     objective_ms = demand.route.objective_ms
     if lag_ms > OLD_WEIGHTS_FREE_MS:
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -12,6 +12,9 @@
 DIGEST_LIFETIME_MS = 1_000.0
 #: An upstream's word on its load is used for this long.
 REPORT_LIFETIME_MS = 400.0
+#: An upstream that can't be reached gets no new work for this time at first.
+UNREACHED_BLOCK_MS = 500.0
+N_DOUBLINGS = 3
 #: Failures count half after this time.
 FAILURE_HALF_LIFE_MS = 2_000.0
 
@@ -70,10 +73,21 @@
         self.blocked_until_ms = 0.0
         self.loading_until_ms = 0.0
         self.parts = CachedParts()
+        self._n_unreached = 0
         self._failures = 0.0
         self._answers = 0.0
         self._counted_at_ms = 0.0
 
+    def on_unreached(self, now_ms: float) -> None:
+        """Give no new work for a time that doubles while it can't be reached."""
+        factor = 2.0 ** min(self._n_unreached, N_DOUBLINGS)
+        self._n_unreached += 1
+        self.blocked_until_ms = now_ms + UNREACHED_BLOCK_MS * factor
+
+    def on_reached(self) -> None:
+        """Note that a connection could be made."""
+        self._n_unreached = 0
+
     def on_outcome(self, is_failure: bool, now_ms: float) -> None:
         """Count an answer, or its failure, towards the failure rate."""
         self._decay(now_ms)
