--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -45,8 +45,12 @@
 #: Reading that may be queued at an engine when a request is handed on.
 MAX_QUEUED_READING_MS = 350.0
 #: Share of the engines that read long prompts.
-LONG_PROMPT_SHARE = 0.6
+LONG_PROMPT_SHARE = 0.5
 LONG_PROMPT_KEY = b"long prompts"
+#: An engine that reads this long delays urgent requests noticeably.
+LONG_READING_MS = 60.0
+#: Cost to a long prompt of an engine that is kept for others.
+OTHER_ENGINE_MS = 150.0
 #: Cost to an urgent request of an engine that reads long prompts.
 SLOW_ENGINE_MS = 80.0
 #: Requests per slot that a plain service may be given.
@@ -160,17 +164,48 @@
 ) -> Placement | NoPlace:
     """Return the best placement among upstreams with a free place."""
     usable = [u for u in upstreams if _may_serve(demand, u, view)]
-    if demand.prompt is not None and not demand.is_urgent:
-        usable = _long_prompt_engines(usable)
     prompted = _prompted(demand, usable, view)
-    options = [_option(demand, prompted, u, view) for u in usable]
+    if prompted is not None and not demand.is_urgent:
+        return _choose_for_long(demand, prompted, usable, view)
+    return _best(demand, prompted, usable, view) or NoPlace(len(usable))
+
+
+def _choose_for_long(
+    demand: Demand, prompted: _Prompted, usable: list[Upstream], view: View
+) -> Placement | NoPlace:
+    """Keep long prompts to some of the engines, strictly while these are full."""
+    engines = _long_prompt_engines(usable)
+    best = _best(demand, prompted, engines, view)
+    if best is None:
+        return NoPlace(len(engines))
+    ids = {upstream.upstream_id for upstream in engines}
+    others = [upstream for upstream in usable if upstream.upstream_id not in ids]
+    if any(_reading_ms(upstream, view) > LONG_READING_MS for upstream in others):
+        return best
+    other = _best(demand, prompted, others, view)
+    if other is None or other.estimate_ms + OTHER_ENGINE_MS > best.estimate_ms:
+        return best
+    return other
+
+
+def _best(
+    demand: Demand,
+    prompted: _Prompted | None,
+    upstreams: list[Upstream],
+    view: View,
+) -> Placement | None:
+    options = [_option(demand, prompted, u, view) for u in upstreams]
     free = [option for option in options if option is not None]
     if not free:
-        return NoPlace(len(usable))
+        return None
     best = min(free, key=lambda option: option.estimate_ms)
     return best._replace(kv_target=_kv_target(prompted, view))
 
 
+def _reading_ms(upstream: Upstream, view: View) -> float:
+    return view.loads.total(upstream.incarnation, view.now_ms).reading_ms
+
+
 def _may_serve(demand: Demand, upstream: Upstream, view: View) -> bool:
     if demand.prompt is None:
         return True
@@ -189,7 +224,7 @@
     if not sharing.is_worth_fetching:
         return _Prompted(sharing, {}, [])
     key = f"{demand.wall}/{demand.prompt.shared[-1].part_id}"
-    by_id = {u.upstream_id: u.incarnation for u in upstreams}
+    by_id = {u.upstream_id: u.incarnation for u in _long_prompt_engines(upstreams)}
     ranked = rendezvous.rank(key.encode(), list(by_id))
     home_ranks = {by_id[id_]: home_rank for home_rank, id_ in enumerate(ranked)}
     return _Prompted(sharing, home_ranks, find_holders(sharing, upstreams, view.caches))
@@ -237,7 +272,8 @@
     if not _fits(demand, total, n_memory):
         return None
     lag_ms = view.weights.lag_ms(upstream, prompt.model, view.now_ms)
-    is_home = not prompted.home_ranks.get(upstream.incarnation)
+    home_ranks = prompted.home_ranks
+    is_home = not home_ranks or home_ranks.get(upstream.incarnation) == 0
     is_away = not is_home and reading.n_cached < MIN_SHARED_TOKENS
     estimate_ms = (
         total.reading_ms
