--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -164,22 +164,30 @@
 ) -> Placement | NoPlace:
     """Return the best placement among upstreams with a free place."""
     usable = [u for u in upstreams if _may_serve(demand, u, view)]
-    prompted = _prompted(demand, usable, view)
+    open_ = [u for u in usable if _takes_work(u, view)]
+    prompted = _prompted(demand, open_, view)
     if prompted is not None and not demand.is_urgent:
-        return _choose_for_long(demand, prompted, usable, view)
-    return _best(demand, prompted, usable, view) or NoPlace(len(usable))
+        best = _best_for_long(demand, prompted, open_, view)
+    else:
+        best = _best(demand, prompted, open_, view)
+    return best or NoPlace(len(usable))
 
 
-def _choose_for_long(
-    demand: Demand, prompted: _Prompted, usable: list[Upstream], view: View
-) -> Placement | NoPlace:
+def _takes_work(upstream: Upstream, view: View) -> bool:
+    load = view.loads.of(upstream.incarnation)
+    return view.now_ms >= max(load.blocked_until_ms, load.loading_until_ms)
+
+
+def _best_for_long(
+    demand: Demand, prompted: _Prompted, upstreams: list[Upstream], view: View
+) -> Placement | None:
     """Keep long prompts to some of the engines, strictly while these are full."""
-    engines = _long_prompt_engines(usable)
+    engines = _long_prompt_engines(upstreams)
     best = _best(demand, prompted, engines, view)
     if best is None:
-        return NoPlace(len(engines))
+        return None
     ids = {upstream.upstream_id for upstream in engines}
-    others = [upstream for upstream in usable if upstream.upstream_id not in ids]
+    others = [upstream for upstream in upstreams if upstream.upstream_id not in ids]
     if any(_reading_ms(upstream, view) > LONG_READING_MS for upstream in others):
         return best
     other = _best(demand, prompted, others, view)
@@ -227,15 +235,14 @@
     by_id = {u.upstream_id: u.incarnation for u in _long_prompt_engines(upstreams)}
     ranked = rendezvous.rank(key.encode(), list(by_id))
     home_ranks = {by_id[id_]: home_rank for home_rank, id_ in enumerate(ranked)}
-    return _Prompted(sharing, home_ranks, find_holders(sharing, upstreams, view.caches))
+    holders = find_holders(sharing, upstreams, view.caches)
+    return _Prompted(sharing, home_ranks, holders)
 
 
 def _option(
     demand: Demand, prompted: _Prompted | None, upstream: Upstream, view: View
 ) -> Placement | None:
     load = view.loads.of(upstream.incarnation)
-    if view.now_ms < max(load.blocked_until_ms, load.loading_until_ms):
-        return None
     total = view.loads.total(upstream.incarnation, view.now_ms)
     if prompted is None:
         return _plain_option(demand, upstream, load, total, view)
