--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,158 @@
+"""What instances tell each other, and take from each other while the store is away."""
+
+import asyncio
+import time
+
+import msgspec
+import pytest
+
+from buckthornrock.catalog.upstreams import Upstream
+from buckthornrock.gateway.knowledge import Knowledge
+from buckthornrock.gateway.knowledge_exchange import KnowledgeExchange, PeerState
+from buckthornrock.gateway.peer_view import LIFETIME_MS, MEMORY_MS, PeerView
+from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.platform.configuration import decode_configuration
+from buckthornrock.scheduling.loads import Work
+from buckthornrock.scheduling.weights import WeightsView
+from buckthornrock.telemetry import Telemetry, open_log, open_metrics
+from buckthornrock.wire.digests import Digest, decode_digest, encode_digest
+from tests.gateway.world import free_port, now_ms, run
+from tests.platform.test_decoding import DOCUMENT
+
+TELEMETRY = Telemetry(open_log(None), open_metrics("", 0, ""))
+UPSTREAM = Upstream("u1", "s", "10.0.0.1:80", "a", False, 5, 8, {"m": 1})
+
+
+def digest(instance_id="i2", incarnation=1, number=1, **changes):
+    fields = {
+        "address": "10.0.0.2:1", "configuration_version": 0, "revision": 0,
+        "weights": {}, "works": [], "loading": [], "loaded": [], "readings": [],
+        "peers": [],
+    }  # fmt: skip
+    return Digest(
+        instance_id, incarnation=incarnation, number=number, **fields | changes
+    )
+
+
+def knowledge(version=0):
+    known = Knowledge("a", WeightsView(20_000.0), now_ms, TELEMETRY)
+    if version:
+        encoded = msgspec.json.encode({**DOCUMENT, "version": version})
+        known.on_configuration(decode_configuration(encoded).ok, encoded, "test")
+    return known
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "is_accepted"),
+    [((1, 5), (1, 6), True), ((1, 5), (1, 5), False), ((1, 5), (1, 4), False),
+     ((1, 5), (2, 1), True), ((2, 1), (1, 9), False)],
+)  # fmt: skip
+def test_only_newer_digests_count(first, second, is_accepted):
+    view = PeerView("i1")
+    assert view.accept(digest("i2", *first), 0.0)
+    assert view.accept(digest("i2", *second), 1.0) == is_accepted
+
+
+def test_own_digest_is_no_peers():
+    assert not PeerView("i1").accept(digest("i1"), 0.0)
+
+
+def test_silent_and_stopping_instances_are_not_counted():
+    view = PeerView("i1")
+    view.accept(digest("i2"), 0.0)
+    view.accept(digest("i3"), 0.0)
+    assert view.n_instances(1.0) == 3
+    view.accept(digest("i3", number=2, is_stopping=True), 2.0)
+    assert set(view.live(2.0)) == {"i2"}
+    assert view.n_instances(LIFETIME_MS + 1.0) == 1
+    assert view.addresses(MEMORY_MS + 3.0) == set()
+
+
+def test_instances_are_learnt_from_others_but_count_once_heard():
+    view, other = PeerView("i1"), PeerView("i2")
+    other.accept(digest("i3", address="10.0.0.3:1"), 0.0)
+    view.accept(digest("i2", peers=other.named(1.0)), 1.0)
+    assert "10.0.0.3:1" in view.addresses(1.0)
+    assert view.n_instances(1.0) == 2
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"\x91\x01", encode_digest(digest())[:-4]]
+)
+def test_unreadable_datagrams_are_refused(data):
+    assert decode_digest(data).is_error()
+
+
+def test_news_of_one_instance_reach_the_other():
+    async def main():
+        loop = asyncio.get_running_loop()
+        sides = []
+        addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+        for number, address in enumerate(addresses):
+            known = knowledge(version=1)
+            known.replace_upstreams([UPSTREAM], 1)
+            settings = PeerSettings(f"i{number}", address, (addresses[0],), 1)
+            peers = PeerExchange(settings, known, now_ms, TELEMETRY)
+            host, _, port = address.rpartition(":")
+            await loop.create_datagram_endpoint(
+                lambda peers=peers: peers, local_addr=(host, int(port))
+            )
+            sides.append((known, peers, asyncio.create_task(peers.run())))
+        (one, _, _), (two, peers_two, _) = sides
+        one.loads.of(UPSTREAM.incarnation).own = Work(2, 120.0, 5_000)
+        one.on_weights("m", 2, "test", age_ms=9_000.0)
+        one.on_loading(UPSTREAM, 5_000.0)
+        one.on_reading(UPSTREAM.incarnation, ("salt", "part"), 900, 0.0)
+        load = two.loads.of(UPSTREAM.incarnation)
+        while not (
+            two.loads.total(UPSTREAM.incarnation, now_ms()).n_requests == 2
+            and load.loading_until_ms > now_ms()
+            and load.parts.holds(("salt", "part"))
+        ):
+            await asyncio.sleep(0.01)
+        wanted = two.weights.wanted("m")
+        assert wanted.version == 2
+        assert now_ms() - wanted.known_at_ms >= 9_000.0
+        one.on_loaded(UPSTREAM, "m", 2)
+        while two.weights.loaded(UPSTREAM, "m") != 2:
+            await asyncio.sleep(0.01)
+        assert load.loading_until_ms == 0.0
+        assert peers_two.n_instances() == 2
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("mine", "theirs", "expected"), [(0, 7, 7), (3, 7, 7), (9, 7, 9)]
+)
+def test_newer_configuration_is_taken_from_a_peer(mine, theirs, expected):
+    async def main():
+        ahead, behind = knowledge(version=theirs), knowledge(version=mine)
+        ahead.replace_upstreams([UPSTREAM], 40)
+        address = f"127.0.0.1:{free_port()}"
+        serving = KnowledgeExchange(address, ahead, decode_configuration, TELEMETRY)
+        task = asyncio.create_task(serving.run())
+        asking = KnowledgeExchange("", behind, decode_configuration, TELEMETRY)
+        give_up_at_s = time.monotonic() + 10.0
+        while not behind.is_complete and time.monotonic() < give_up_at_s:
+            asking.on_peer_ahead(PeerState(address, theirs, 40))
+            await asyncio.sleep(0.05)
+        assert behind.configuration_version == expected
+        assert behind.directory.get("u1") == UPSTREAM
+        task.cancel()
+
+    run(main)
+
+
+def test_upstreams_are_not_taken_from_peers_while_the_store_answers():
+    async def main():
+        behind = knowledge(version=7)
+        behind.replace_upstreams([], 1)
+        asking = KnowledgeExchange("", behind, decode_configuration, TELEMETRY)
+        asking.on_peer_ahead(PeerState("127.0.0.1:1", 7, 40))
+        assert asking._asking is None
+        behind.on_store_lost("p/", "gone")
+        asking.on_peer_ahead(PeerState("127.0.0.1:1", 7, 40))
+        assert asking._asking is not None
+
+    run(main)
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,176 @@
+"""The client of the store against a stand-in that speaks the published protocol."""
+
+import threading
+import time
+
+import pytest
+
+from buckthornrock.platform.store_client import open_store, payload
+from buckthornrock.store.follower import Listener, PrefixFollower
+from buckthornrock.store.kv_port import (
+    CommitConflict,
+    CommitDone,
+    CommitNotDone,
+    Compare,
+    Delete,
+    Put,
+    Transaction,
+)
+from buckthornrock.telemetry import Telemetry, open_log, open_metrics
+from tests.platform.store_server import StoreServer
+
+TELEMETRY = Telemetry(open_log(None), open_metrics("", 0, ""))
+
+
+@pytest.fixture
+def server():
+    server = StoreServer()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def store(server):
+    return open_store(server.address, TELEMETRY, lambda: time.monotonic() * 1000.0)
+
+
+def test_written_keys_are_read_back(store):
+    outcome = store.commit(Transaction((Compare("a", 0),), (Put("a", b"1"),)))
+    assert isinstance(outcome, CommitDone)
+    entry = store.get("a").ok
+    assert (payload(entry), entry.mod_revision) == (b"1", outcome.revision)
+    assert store.get("b").ok is None
+
+
+def test_failed_condition_shows_what_is_there(store, server):
+    server.write("a", b"x" * 20)
+    outcome = store.commit(Transaction((Compare("a", 0),), (Put("a", b"1"),)))
+    assert isinstance(outcome, CommitConflict)
+    assert [entry.key for entry in outcome.entries] == ["a"]
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_refused_write_was_not_done(store, server, status):
+    server.faults = [status]
+    outcome = store.commit(Transaction((Compare("a", 0),), (Put("a", b"1"),)))
+    assert isinstance(outcome, CommitNotDone)
+    assert store.get("a").ok is None
+
+
+def test_write_whose_answer_was_lost_is_found(store, server):
+    server.faults = ["lose"]
+    outcome = store.commit(Transaction((Compare("a", 0),), (Put("a", b"1"),)))
+    assert isinstance(outcome, CommitDone)
+    assert outcome.revision == server.items["a"]["rev"]
+
+
+def test_write_under_a_lease_that_ended_is_not_done(store):
+    lease = store.grant_lease(3.0).ok
+    store.revoke_lease(lease.lease_id)
+    put = Put("a", b"1", lease.lease_id)
+    assert isinstance(store.commit(Transaction((), (put,))), CommitNotDone)
+    assert store.keep_alive(lease.lease_id).error.code == "lease-gone"
+
+
+def test_keys_go_with_their_lease(store):
+    lease = store.grant_lease(3.0).ok
+    store.commit(Transaction((), (Put("a", b"1", lease.lease_id), Put("b", b"2"))))
+    assert store.keep_alive(lease.lease_id).ok == 3.0
+    store.revoke_lease(lease.lease_id)
+    assert store.get("a").ok is None
+    assert store.get("b").ok is not None
+
+
+def test_keys_are_removed(store, server):
+    server.write("a", b"x")
+    store.commit(Transaction((), (Delete("a"),)))
+    assert store.get("a").ok is None
+
+
+def test_snapshot_reads_every_page(store, server):
+    for number in range(10):
+        server.write(f"p/{number}", b"x")
+    server.write("q/0", b"x")
+    snapshot = store.snapshot("p/").ok
+    assert [entry.key for entry in snapshot.entries] == [f"p/{n}" for n in range(10)]
+
+
+def test_store_that_is_gone_is_unavailable(server):
+    store = open_store("127.0.0.1:1", TELEMETRY, lambda: time.monotonic() * 1000.0)
+    assert store.get("a").error.code == "kv-unavailable"
+    assert store.snapshot("a").error.code == "kv-unavailable"
+    outcome = store.commit(Transaction((), (Put("a", b"1"),)))
+    assert isinstance(outcome, CommitNotDone)
+
+
+class Recorder:
+    """Keeps the keys as a follower reports them."""
+
+    def __init__(self):
+        self.keys = {}
+        self.n_lost = 0
+        self.n_snapshots = 0
+        self.heard = threading.Condition()
+
+    def listener(self):
+        return Listener(self.on_snapshot, self.on_change, self.on_lost)
+
+    def on_snapshot(self, snapshot):
+        with self.heard:
+            self.n_snapshots += 1
+            self.keys = {entry.key: entry.value for entry in snapshot.entries}
+            self.heard.notify_all()
+
+    def on_change(self, change):
+        with self.heard:
+            self.keys.update({entry.key: entry.value for entry in change.entries})
+            for key in change.deleted:
+                self.keys.pop(key, None)
+            self.heard.notify_all()
+
+    def on_lost(self, reason):
+        with self.heard:
+            self.n_lost += 1
+            self.heard.notify_all()
+
+    def wait(self, condition):
+        with self.heard:
+            assert self.heard.wait_for(condition, timeout=30.0)
+
+
+def test_follower_sees_every_change_through_faults(server, store):
+    server.write("p/a", b"1")
+    recorder = Recorder()
+    follower = PrefixFollower.start(store, "p/", recorder.listener())
+    try:
+        recorder.wait(lambda: recorder.keys == {"p/a": b"1"})
+        server.write("p/b", b"2")
+        server.write("q/c", b"3")
+        server.delete("p/a")
+        recorder.wait(lambda: recorder.keys == {"p/b": b"2"})
+        server.faults = [503, "lose", 429]
+        server.write("p/d", b"4")
+        recorder.wait(lambda: recorder.keys == {"p/b": b"2", "p/d": b"4"})
+        recorder.wait(lambda: recorder.n_lost >= 1)
+    finally:
+        follower.stop(block=False)
+
+
+def test_follower_reads_again_when_history_is_gone(server, store):
+    recorder = Recorder()
+    server.write("p/a", b"1")
+    follower = PrefixFollower.start(store, "p/", recorder.listener())
+    try:
+        recorder.wait(lambda: recorder.n_snapshots == 1)
+        with server.changed:
+            server.revision += 1
+            server.put("p/b", b"2")
+            del server.items["p/a"]
+            server.revision += 1
+            server.compacted = server.revision
+            server.history.clear()
+            server.changed.notify_all()
+        recorder.wait(lambda: recorder.keys == {"p/b": b"2"})
+        assert recorder.n_snapshots == 2
+    finally:
+        follower.stop(block=False)
