--- a/tests/catalog/test_upstreams.py
+++ b/tests/catalog/test_upstreams.py
@@ -27,6 +27,7 @@
         self.stored = {}
         self.is_down = False
         self.back_at_ms = None
+        self.frozen = set()
         self.revision = 0
 
     def _changed(self, changed=(), removed=()):
@@ -50,7 +51,10 @@
 
     @rule()
     def outage_begins(self):
+        if self.is_down:
+            return
         self.is_down = True
+        self.frozen = {u.upstream_id for u in self.directory.all()}
         self.directory.on_store_lost()
 
     @rule(lapsed=st.sets(IDS))
@@ -74,6 +78,11 @@
         for upstream_id, entry in self.stored.items():
             assert self.directory.get(upstream_id) == entry
 
+    @invariant()
+    def outage_drops_nothing(self):
+        if self.is_down:
+            assert {u.upstream_id for u in self.directory.all()} == self.frozen
+
     @invariant()
     def what_drains_gets_nothing(self):
         usable = self.directory.usable("s")
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -175,6 +175,22 @@
     run(main)
 
 
+def test_request_that_may_have_run_is_never_refused_as_not_run():
+    async def main():
+        worlds = []
+
+        async def leave_and_close(arrival):
+            ids = [u.upstream_id for u in worlds[0].knowledge.directory.all()]
+            worlds[0].knowledge.change_upstreams([], ids, 2)
+            arrival.writer.close()
+
+        worlds.append(await start_world(ScriptedUpstream(leave_and_close)))
+        reply = await ask(worlds[0].front, request("/read/1"))
+        assert reply.status == 502
+
+    run(main)
+
+
 def test_spent_budget_stops_repeats():
     async def main():
         upstreams = [ScriptedUpstream(refused) for _ in range(3)]
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -86,6 +86,21 @@
     run(main)
 
 
+def test_events_that_the_client_has_are_not_sent_again():
+    async def from_the_start(arrival):
+        head = b"HTTP/1.1 200 OK\r\n%s: %s\r\n" % (ID, arrival.request_id) + STAMP
+        await arrival.send(head + b"Content-Length: %d\r\n\r\n" % len(EVENTS))
+        await arrival.send(EVENTS)
+
+    async def main():
+        upstream = ScriptedUpstream(stream(3, is_ended=False), from_the_start)
+        world = await start_world(upstream)
+        reply = await ask(world.front, request("/note/1"))
+        assert (reply.body, reply.is_whole) == (EVENTS, True)
+
+    run(main)
+
+
 @pytest.mark.parametrize("until", [1, 4])
 def test_stream_that_may_not_be_resumed_never_looks_complete(until):
     async def main():
