--- a/tests/catalog/test_upstreams.py
+++ b/tests/catalog/test_upstreams.py
@@ -119,3 +119,16 @@
     directory.replace([upstream("u1", 1)], 1, 0.0)
     directory.apply([upstream("u1", 2)], [], 2, 1.0)
     assert directory.get("u1").incarnation == ("u1", 2)
+
+
+def test_entry_that_is_missing_is_kept_through_a_second_outage():
+    directory = UpstreamDirectory()
+    directory.replace([upstream("u1")], 1, 0.0)
+    directory.on_store_lost()
+    directory.replace([], 2, 5_000.0)
+    directory.on_store_lost()
+    directory.expire(5_000.0 + RETURN_GRACE_MS + 1.0)
+    assert directory.get("u1") is not None
+    directory.apply([], [], 3, 9_000.0)
+    directory.expire(9_000.0)
+    assert directory.get("u1") is None
--- a/tests/rollout/test_holder.py
+++ b/tests/rollout/test_holder.py
@@ -180,3 +180,15 @@
     max_examples=150, stateful_step_count=15, derandomize=True, deadline=None
 )
 TestHolder = HolderMachine.TestCase
+
+
+def test_renewal_that_is_answered_after_the_lapse_revives_nothing():
+    store = ModelStore()
+    port = store.port()
+    holder = DutyHolder(port, "i1", TTL_MS, HANDOVER_MS, lambda: store.now_ms)
+    holder.step()
+    assert holder.may_act()
+    store.now_ms += TTL_MS * 0.5
+    store.delay_ms = TTL_MS * 0.6
+    holder.step()
+    assert not holder.holds()
