Log what each refusal and retry rested on; explain a request from log files

Cause: the line on a request that was not served named neither the reason nor its inputs, and nothing said why an attempt was or wasn't followed by another; the on-call had to join the logs of several instances by hand.

A refusal's line now has the reason, the upstreams in use, the requests that waited, the expected wait, Retry-After, the age of the oldest digest and the configuration's version; a failed attempt's has the decision.

--- a/buckthornrock/admission/window.py
+++ b/buckthornrock/admission/window.py
@@ -118,7 +118,9 @@
         self.own_ms = 0.0
         self._first: tuple[float, float] | None = None
 
-    def observe(self, tokens_before: float, tokens_after: float, delay_ms: float) -> None:
+    def observe(
+        self, tokens_before: float, tokens_after: float, delay_ms: float
+    ) -> None:
         """Take in one step of the window and the mean delay that was seen before it."""
         if tokens_after >= tokens_before:
             self._first = None
@@ -177,9 +179,7 @@
         # it, and a base that followed would let queue and base push each other up.
         self._base_ms = min(self._base_ms, *delays_ms)
         mean_ms = sum(delays_ms) / len(delays_ms)
-        sample = WindowSample(
-            mean_ms, self._base_ms, self._own_delay.own_ms, self._use
-        )
+        sample = WindowSample(mean_ms, self._base_ms, self._own_delay.own_ms, self._use)
         tokens = self._controller(self.tokens_per_engine, sample)
         bounded = min(MAX_WINDOW_TOKENS, max(MIN_WINDOW_TOKENS, tokens))
         self._own_delay.observe(self.tokens_per_engine, bounded, mean_ms)
--- a/buckthornrock/commands/instances_http.py
+++ b/buckthornrock/commands/instances_http.py
@@ -18,20 +18,20 @@
     unreachable: tuple[str, ...]
 
 
-def operator_options(command: Callable) -> Callable:
+def operator_options(command: Callable, is_required: bool = True) -> Callable:
     """Add the options that say where the instances are and how to get in."""
     command = click.option(
         "--operator",
         "addresses",
         multiple=True,
-        required=True,
+        required=is_required,
         metavar="IP:PORT",
         help="An instance's operator port; may be given several times.",
     )(command)
     return click.option(
         "--key",
         envvar="BUCKTHORNROCK_OPERATOR_KEY",
-        required=True,
+        required=is_required,
         help="The operator's key; also read from BUCKTHORNROCK_OPERATOR_KEY.",
     )(command)
 
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -99,6 +99,7 @@
         ),
         n_instances=n_instances,
         knowledge=knowledge,
+        now_ms=now_ms,
         telemetry=telemetry,
     )
     exchange = KnowledgeExchange(
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -17,11 +17,13 @@
         "n_cached_tokens",
         "weights_version",
         "n_attempts",
+        "digests_age_ms",
+        "configuration_version",
         "duration_ms",
     ),
     "A request got an upstream's whole answer. waited_ms passed before it was handed "
-    "on, first_event_ms until its answer began; estimate_ms and n_cached_tokens are "
-    "what the choice of the upstream rested on.",
+    "on, first_event_ms until its answer began; estimate_ms, n_cached_tokens and "
+    "peers' digests, the oldest of digests_age_ms, are what the choice rested on.",
 )
 NOT_SERVED = Event(
     2201,
@@ -32,24 +34,41 @@
         "route",
         "status",
         "failure",
+        "reason",
+        "n_usable",
+        "n_waiting",
+        "wait_ms",
+        "retry_after_ms",
         "n_may_have_run",
         "n_unexecuted",
+        "digests_age_ms",
+        "configuration_version",
         "duration_ms",
     ),
-    "A request got no upstream's answer; status 0 is a stream that was broken off.",
+    "A request got no upstream's answer; status 0 is a stream that was broken off. "
+    "n_usable upstreams could serve it, n_waiting requests waited for them here, and "
+    "wait_ms was expected; null where no place was looked for.",
 )
 ATTEMPT_FAILED = Event(
     2202,
     "gateway.attempt_failed",
     "warning",
-    ("request_id", "upstream_id", "failure", "reason", "weights_version"),
-    "An upstream gave no usable answer to a request.",
+    (
+        "request_id",
+        "upstream_id",
+        "failure",
+        "reason",
+        "decision",
+        "estimate_ms",
+        "weights_version",
+    ),
+    "An upstream gave no usable answer to a request; decision is what is done next.",
 )
 TURNED_AWAY = Event(
     2203,
     "gateway.turned_away",
     "info",
-    ("request_id", "status", "failure", "configuration_version"),
+    ("request_id", "status", "failure", "reason", "configuration_version"),
     "The configuration in force does not allow a request.",
 )
 CLIENT_LEFT = Event(
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -16,13 +16,15 @@
     WaitingRoom,
     is_hopeless,
 )
-from .requests import AdmittedRequest, Refusal
+from .requests import AdmittedRequest, Outlook, Refusal
 
 #: Places also come free by peers' requests, which only this period shows.
 TICK_MS = 20.0
 #: Clients of refused requests come back no earlier and no later than this.
 MIN_RETRY_AFTER_MS = 200.0
 MAX_RETRY_AFTER_MS = 3_000.0
+#: Time in which an upstream may come back into service.
+NO_UPSTREAM_RETRY_MS = 500.0
 
 
 class Ticket:
@@ -91,10 +93,12 @@
                 room.on_placed(demand, now_ms)
                 return Ok(self._ticket(placement))
             if not placement.n_usable:
-                return Error(_refusal("no upstream is in service", 500.0))
+                outlook = Outlook(0, len(room), NO_UPSTREAM_RETRY_MS)
+                return Error(_refusal("no upstream is in service", outlook))
         wait_ms = room.expected_wait_ms(waiting, now_ms)
         if is_hopeless(waiting, wait_ms, now_ms):
-            return Error(_refusal("no place before the deadline", wait_ms))
+            outlook = self._outlook(demand, wait_ms)
+            return Error(_refusal("no place before the deadline", outlook))
         return await self._wait(waiting, excluded, room)
 
     def report(self, upstream: Upstream, load: tuple[int, int, int]) -> None:
@@ -143,7 +147,8 @@
             ticket = found
             return Ok(ticket)
         except TimeoutError:
-            return Error(_refusal("no place came free in time", MIN_RETRY_AFTER_MS))
+            outlook = self._outlook(waiting.demand, MIN_RETRY_AFTER_MS)
+            return Error(_refusal("no place came free in time", outlook))
         finally:
             del self._places[waiting.number], self._excluded[waiting.number]
             if ticket is None:
@@ -167,7 +172,8 @@
                 if place is not None and not place.done():
                     room.leave(waiting.number)
                     reason = "no place before the deadline any more"
-                    place.set_result(_refusal(reason, wait_ms))
+                    outlook = self._outlook(waiting.demand, wait_ms)
+                    place.set_result(_refusal(reason, outlook))
 
     def _try_place(self, waiting: Waiting) -> bool:
         place = self._places.get(waiting.number)
@@ -184,6 +190,11 @@
         upstreams = [u for u in usable if u.upstream_id not in excluded]
         return choose(demand, upstreams or usable, self._view())
 
+    def _outlook(self, demand: Demand, wait_ms: float) -> Outlook:
+        name = demand.service.name
+        n_usable = len(self._directory.usable(name))
+        return Outlook(n_usable, len(self._rooms[name]), wait_ms)
+
     def _ticket(self, placement: Placement) -> Ticket:
         return Ticket(placement, self.loads, self.wake_soon)
 
@@ -194,6 +205,6 @@
         place.result().release()
 
 
-def _refusal(reason: str, wait_ms: float) -> Refusal:
-    retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
-    return Refusal(503, "no-place", reason, retry_after_ms)
+def _refusal(reason: str, outlook: Outlook) -> Refusal:
+    retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, outlook.wait_ms))
+    return Refusal(503, "no-place", reason, retry_after_ms, outlook)
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -1,6 +1,7 @@
 """Serves one admitted request: attempts, checks of answers, relayed streams."""
 
 import asyncio
+import enum
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -8,18 +9,11 @@
 from expression import Error, Ok, Result
 
 from ..catalog.configuration import RouteKind
-from ..events import gateway as events
 from ..scheduling.loads import UpstreamLoad
 from ..scheduling.prompt import cache_salt
 from ..scheduling.reading import store_incarnation
 from ..scheduling.retry_budget import RetryBudget
 from ..telemetry import Telemetry
-from ..telemetry.metrics import (
-    GATEWAY_ATTEMPTS_FAILED,
-    GATEWAY_FIRST_EVENT_MS,
-    GATEWAY_REQUESTS,
-    GATEWAY_WAITED_MS,
-)
 from .dispatcher import Dispatcher, Ticket
 from .errors import (
     AttemptFailure,
@@ -28,6 +22,13 @@
     NotExecuted,
     NotReached,
 )
+from .exchange_log import (
+    Progress,
+    log_attempt_failed,
+    log_left,
+    log_not_served,
+    log_served,
+)
 from .front import FrontConnection
 from .knowledge import Knowledge
 from .pool import ConnectionPool
@@ -55,6 +56,16 @@
 KEEPING_MS = 300.0
 
 
+class NextStep(enum.Enum):
+    """What is done after an attempt that failed."""
+
+    TRY_AGAIN = "try again"
+    NOT_REPEATABLE = "give up: may not run twice"
+    ATTEMPTS_USED = "give up: no attempt left"
+    BUDGET_USED = "give up: the retry budget is used up"
+    TIME_USED = "give up: no time left"
+
+
 class ExchangeParts(NamedTuple):
     """What all exchanges share."""
 
@@ -64,6 +75,7 @@
     budget: RetryBudget
     n_instances: Callable[[], int]
     knowledge: Knowledge
+    now_ms: Callable[[], float]
     telemetry: Telemetry
 
 
@@ -100,14 +112,14 @@
         except TimeoutError:
             self._fail("deadline", "no answer before the deadline")
         except asyncio.CancelledError:
-            self._log_left()
+            log_left(self._parts.telemetry, self._admitted, self._progress())
             raise
 
     async def _attempt_until_answered(self) -> None:
         while True:
             placed = await self._parts.dispatcher.place(self._admitted, self._excluded)
             if placed.is_error():
-                self._refuse(placed.error)
+                self._on_no_place(placed.error)
                 return
             ticket = placed.ok
             self._waited_ms = self._now_ms() - self._admitted.request.received_at_ms
@@ -116,12 +128,31 @@
             finally:
                 ticket.release()
             if outcome.is_ok():
-                self._log_served(ticket)
+                log_served(
+                    self._parts.telemetry,
+                    self._admitted,
+                    ticket.placement,
+                    self._progress(),
+                )
                 return
-            if not self._may_try_again(ticket, outcome.error):
+            decision = self._decide_next(ticket, outcome.error)
+            log_attempt_failed(
+                self._parts.telemetry,
+                self._admitted,
+                ticket.placement,
+                outcome.error,
+                decision.value,
+            )
+            if decision is not NextStep.TRY_AGAIN:
                 self._give_up(outcome.error)
                 return
 
+    def _on_no_place(self, refusal: Refusal) -> None:
+        if self._server_failure is not None and not self._client.has_started:
+            self._pass_on_failure(*self._server_failure)
+            return
+        self._refuse(refusal)
+
     async def _attempt(self, ticket: Ticket) -> Result[None, AttemptFailure]:
         upstream = ticket.placement.upstream
         self._upstream_id = upstream.upstream_id
@@ -243,26 +274,37 @@
             ticket.placement.upstream, prompt.model, head.fields.weights_version
         )
 
-    def _may_try_again(self, ticket: Ticket, failure: AttemptFailure) -> bool:
+    def _decide_next(self, ticket: Ticket, failure: AttemptFailure) -> NextStep:
         upstream = ticket.placement.upstream
         now_ms = self._now_ms()
-        self._log_attempt(ticket, failure)
         self._excluded |= {upstream.upstream_id}
         if isinstance(failure, NotReached):
             self._n_unexecuted += 1
             self._load(ticket).on_unreached(now_ms)
-            return self._n_unexecuted < MAX_UNEXECUTED
+            return self._after_unexecuted()
         if isinstance(failure, NotExecuted):
             self._n_unexecuted += 1
             self._parts.dispatcher.block(upstream, BLOCK_AFTER_REFUSAL_MS)
-            return self._n_unexecuted < MAX_UNEXECUTED and self._take_budget(now_ms)
+            return self._within_budget(self._after_unexecuted(), now_ms)
         self._n_may_have_run += 1
         self._count(ticket, is_failure=self._server_failure is None)
         if not self._admitted.route.is_repeatable:
-            return False
+            return NextStep.NOT_REPEATABLE
         if self._n_may_have_run >= self._admitted.route.n_attempts:
-            return False
-        return self._left_ms() > ANSWER_MARGIN_MS and self._take_budget(now_ms)
+            return NextStep.ATTEMPTS_USED
+        if self._left_ms() <= ANSWER_MARGIN_MS:
+            return NextStep.TIME_USED
+        return self._within_budget(NextStep.TRY_AGAIN, now_ms)
+
+    def _after_unexecuted(self) -> NextStep:
+        if self._n_unexecuted >= MAX_UNEXECUTED:
+            return NextStep.ATTEMPTS_USED
+        return NextStep.TRY_AGAIN
+
+    def _within_budget(self, step: NextStep, now_ms: float) -> NextStep:
+        if step is NextStep.TRY_AGAIN and not self._take_budget(now_ms):
+            return NextStep.BUDGET_USED
+        return step
 
     def _take_budget(self, now_ms: float) -> bool:
         service = self._admitted.demand.service.name
@@ -278,11 +320,16 @@
         if self._client.has_started:
             self._fail(failure.code, "the stream broke off")
             return
-        if self._server_failure is not None:
-            self._send_whole(*self._server_failure)
-            self._log_refused(self._server_failure[0].status, "upstream-failed")
+        if self._server_failure is None:
+            self._fail(failure.code, "no upstream gave a whole answer")
             return
-        self._fail(failure.code, "no upstream gave a whole answer")
+        self._pass_on_failure(*self._server_failure)
+
+    def _pass_on_failure(self, head: AnswerHead, body: bytes) -> None:
+        """Give the client an upstream's own failure."""
+        self._send_whole(head, body)
+        reason = "each upstream answered with a failure"
+        self._log_not_served(Refusal(head.status, "upstream-failed", reason))
 
     def _fail(self, code: str, reason: str) -> None:
         """End without an upstream's answer, saying no more than is known."""
@@ -293,14 +340,17 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         if self._client.has_started:
-            self._log_refused(0, refusal.code)
+            self._log_not_served(refusal._replace(status=0))
             self._client.break_off()
             return
         if self._n_may_have_run and refusal.status == 503:
-            refusal = Refusal(502, refusal.code, refusal.reason)
-        self._log_refused(refusal.status, refusal.code)
+            refusal = refusal._replace(status=502, retry_after_ms=None)
+        self._log_not_served(refusal)
         self._client.refuse(refusal)
 
+    def _log_not_served(self, refusal: Refusal) -> None:
+        log_not_served(self._parts.telemetry, self._admitted, refusal, self._progress())
+
     def _attempt_limit_s(self) -> float:
         """Return how long to wait for the head of an answer."""
         left_ms = self._left_ms()
@@ -314,80 +364,19 @@
         return self._admitted.ends_at_ms - self._now_ms()
 
     def _now_ms(self) -> float:
-        return self._parts.knowledge.view().now_ms
-
-    def _count_outcome(self, outcome: str) -> None:
-        kind = self._admitted.route.kind.value
-        metrics = self._parts.telemetry.metrics
-        metrics.incr(GATEWAY_REQUESTS, label=f"{kind}.{outcome}")
-        metrics.timing(GATEWAY_WAITED_MS, self._waited_ms, label=kind)
-        if outcome == "served":
-            received_at_ms = self._admitted.request.received_at_ms
-            first_event_ms = self._head_at_ms - received_at_ms
-            metrics.timing(GATEWAY_FIRST_EVENT_MS, first_event_ms, label=kind)
-
-    def _log_served(self, ticket: Ticket) -> None:
-        placement = ticket.placement
-        self._count_outcome("served")
-        self._parts.telemetry.log(
-            events.SERVED,
-            request_id=self._admitted.request_id,
-            route=self._admitted.route.name,
-            rank=self._admitted.demand.rank,
-            upstream_id=placement.upstream.upstream_id,
-            waited_ms=round(self._waited_ms, 1),
-            first_event_ms=round(
-                self._head_at_ms - self._admitted.request.received_at_ms, 1
-            ),
-            estimate_ms=round(placement.estimate_ms, 1),
-            n_cached_tokens=placement.n_cached_tokens,
-            weights_version=placement.weights_version,
-            n_attempts=self._n_may_have_run + self._n_unexecuted + 1,
-            duration_ms=round(
-                self._now_ms() - self._admitted.request.received_at_ms, 1
-            ),
-        )
-
-    def _log_refused(self, status: int, code: str) -> None:
-        self._count_outcome(code)
-        self._parts.telemetry.log(
-            events.NOT_SERVED,
-            request_id=self._admitted.request_id,
-            route=self._admitted.route.name,
-            status=status,
-            failure=code,
-            n_may_have_run=self._n_may_have_run,
-            n_unexecuted=self._n_unexecuted,
-            duration_ms=round(
-                self._now_ms() - self._admitted.request.received_at_ms, 1
-            ),
-        )
+        return self._parts.now_ms()
 
-    def _log_left(self) -> None:
-        self._count_outcome("client-left")
-        self._parts.telemetry.log(
-            events.CLIENT_LEFT,
-            request_id=self._admitted.request_id,
-            route=self._admitted.route.name,
+    def _progress(self) -> Progress:
+        received_at_ms = self._admitted.request.received_at_ms
+        now_ms = self._now_ms()
+        return Progress(
             upstream_id=self._upstream_id,
-            last_event_id=self._relay.last_event_id,
+            waited_ms=self._waited_ms,
+            first_event_ms=self._head_at_ms - received_at_ms,
+            duration_ms=now_ms - received_at_ms,
             n_may_have_run=self._n_may_have_run,
             n_unexecuted=self._n_unexecuted,
-            duration_ms=round(
-                self._now_ms() - self._admitted.request.received_at_ms, 1
-            ),
-        )
-
-    def _log_attempt(self, ticket: Ticket, failure: AttemptFailure) -> None:
-        upstream_id = ticket.placement.upstream.upstream_id
-        self._parts.telemetry.metrics.incr(
-            GATEWAY_ATTEMPTS_FAILED, label=f"{upstream_id}.{failure.code}"
-        )
-        self._parts.telemetry.log(
-            events.ATTEMPT_FAILED,
-            request_id=self._admitted.request_id,
-            upstream_id=upstream_id,
-            failure=failure.code,
-            reason=str(failure[0]),
-            weights_version=ticket.placement.weights_version,
+            last_event_id=self._relay.last_event_id,
+            digests_age_ms=self._parts.dispatcher.loads.digests_age_ms(now_ms),
+            configuration_version=self._parts.knowledge.configuration_version,
         )
--- /dev/null
+++ b/buckthornrock/gateway/exchange_log.py
@@ -0,0 +1,140 @@
+"""Log lines and counters for the outcome of one request."""
+
+from typing import NamedTuple
+
+from ..events import gateway as events
+from ..scheduling.choice import Placement
+from ..telemetry import Telemetry
+from ..telemetry.metrics import (
+    GATEWAY_ATTEMPTS_FAILED,
+    GATEWAY_FIRST_EVENT_MS,
+    GATEWAY_REQUESTS,
+    GATEWAY_WAITED_MS,
+)
+from .errors import AttemptFailure
+from .requests import AdmittedRequest, Refusal
+
+
+class Progress(NamedTuple):
+    """How far a request has come, as its log lines tell it.
+
+    ``waited_ms`` passed before it was handed on, ``first_event_ms`` until its answer
+    began. ``digests_age_ms`` is the age of the oldest digest behind the last choice.
+    """
+
+    upstream_id: str
+    waited_ms: float
+    first_event_ms: float
+    duration_ms: float
+    n_may_have_run: int
+    n_unexecuted: int
+    last_event_id: int | None
+    digests_age_ms: float
+    configuration_version: int
+
+
+def log_served(
+    telemetry: Telemetry,
+    admitted: AdmittedRequest,
+    placement: Placement,
+    progress: Progress,
+) -> None:
+    """Log and count a request that got an upstream's whole answer."""
+    kind = _count(telemetry, admitted, "served", progress)
+    telemetry.metrics.timing(
+        GATEWAY_FIRST_EVENT_MS, progress.first_event_ms, label=kind
+    )
+    telemetry.log(
+        events.SERVED,
+        request_id=admitted.request_id,
+        route=admitted.route.name,
+        rank=admitted.demand.rank,
+        upstream_id=placement.upstream.upstream_id,
+        waited_ms=round(progress.waited_ms, 1),
+        first_event_ms=round(progress.first_event_ms, 1),
+        estimate_ms=round(placement.estimate_ms, 1),
+        n_cached_tokens=placement.n_cached_tokens,
+        weights_version=placement.weights_version,
+        n_attempts=progress.n_may_have_run + progress.n_unexecuted + 1,
+        digests_age_ms=round(progress.digests_age_ms, 1),
+        configuration_version=progress.configuration_version,
+        duration_ms=round(progress.duration_ms, 1),
+    )
+
+
+def log_not_served(
+    telemetry: Telemetry,
+    admitted: AdmittedRequest,
+    refusal: Refusal,
+    progress: Progress,
+) -> None:
+    """Log and count a request that got no upstream's answer."""
+    _count(telemetry, admitted, refusal.code, progress)
+    outlook = refusal.outlook
+    telemetry.log(
+        events.NOT_SERVED,
+        request_id=admitted.request_id,
+        route=admitted.route.name,
+        status=refusal.status,
+        failure=refusal.code,
+        reason=refusal.reason,
+        n_usable=outlook.n_usable if outlook else None,
+        n_waiting=outlook.n_waiting if outlook else None,
+        wait_ms=round(outlook.wait_ms, 1) if outlook else None,
+        retry_after_ms=refusal.retry_after_ms,
+        n_may_have_run=progress.n_may_have_run,
+        n_unexecuted=progress.n_unexecuted,
+        digests_age_ms=round(progress.digests_age_ms, 1),
+        configuration_version=progress.configuration_version,
+        duration_ms=round(progress.duration_ms, 1),
+    )
+
+
+def log_left(
+    telemetry: Telemetry, admitted: AdmittedRequest, progress: Progress
+) -> None:
+    """Log and count a request whose client left."""
+    _count(telemetry, admitted, "client-left", progress)
+    telemetry.log(
+        events.CLIENT_LEFT,
+        request_id=admitted.request_id,
+        route=admitted.route.name,
+        upstream_id=progress.upstream_id,
+        last_event_id=progress.last_event_id,
+        n_may_have_run=progress.n_may_have_run,
+        n_unexecuted=progress.n_unexecuted,
+        duration_ms=round(progress.duration_ms, 1),
+    )
+
+
+def log_attempt_failed(
+    telemetry: Telemetry,
+    admitted: AdmittedRequest,
+    placement: Placement,
+    failure: AttemptFailure,
+    decision: str,
+) -> None:
+    """Log and count an attempt that failed; ``decision`` is what is done next."""
+    upstream_id = placement.upstream.upstream_id
+    telemetry.metrics.incr(
+        GATEWAY_ATTEMPTS_FAILED, label=f"{upstream_id}.{failure.code}"
+    )
+    telemetry.log(
+        events.ATTEMPT_FAILED,
+        request_id=admitted.request_id,
+        upstream_id=upstream_id,
+        failure=failure.code,
+        reason=str(failure[0]),
+        decision=decision,
+        estimate_ms=round(placement.estimate_ms, 1),
+        weights_version=placement.weights_version,
+    )
+
+
+def _count(
+    telemetry: Telemetry, admitted: AdmittedRequest, outcome: str, progress: Progress
+) -> str:
+    kind = admitted.route.kind.value
+    telemetry.metrics.incr(GATEWAY_REQUESTS, label=f"{kind}.{outcome}")
+    telemetry.metrics.timing(GATEWAY_WAITED_MS, progress.waited_ms, label=kind)
+    return kind
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from expression import Error, Ok, Result
+from expression import Result
 
 from ..events import gateway as events
 from ..events import lifecycle as lifecycle_events
@@ -173,16 +173,16 @@
         inputs = AdmissionInputs(self._knowledge.table, self._rng)
         admitted = admit(request, inputs)
         if admitted.is_ok():
-            return Ok(admitted.ok)
-        table = self._knowledge.table
+            return admitted
         self._telemetry.log(
             events.TURNED_AWAY,
             request_id=request.fields.request_id,
             status=admitted.error.status,
             failure=admitted.error.code,
-            configuration_version=table.configuration.version if table else 0,
+            reason=admitted.error.reason,
+            configuration_version=self._knowledge.configuration_version,
         )
-        return Error(admitted.error)
+        return admitted
 
     def _on_broken(
         self, request: ClientRequest, client: FrontConnection, error: Exception
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -38,6 +38,14 @@
         return self.request.fields.request_id
 
 
+class Outlook(NamedTuple):
+    """What the refusal of a request that found no place rested on."""
+
+    n_usable: int
+    n_waiting: int
+    wait_ms: float
+
+
 class Refusal(NamedTuple):
     """An answer of the gateway's own in place of an upstream's.
 
@@ -48,3 +56,4 @@
     code: str
     reason: str
     retry_after_ms: float | None = None
+    outlook: Outlook | None = None
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -124,6 +124,11 @@
         """Take over what a peer has at the upstreams."""
         self._peers[peer] = (now_ms, works)
 
+    def digests_age_ms(self, now_ms: float) -> float:
+        """Return the age of the oldest digest that is used, 0 without any."""
+        ages_ms = [now_ms - at_ms for at_ms, _ in self._peers.values()]
+        return max((age for age in ages_ms if age <= DIGEST_LIFETIME_MS), default=0.0)
+
     def digest(self) -> dict[Incarnation, Work]:
         """Return this instance's work at each upstream where it has some."""
         return {
--- /dev/null
+++ b/buckthornrock/telemetry/request_story.py
@@ -0,0 +1,210 @@
+"""One request's story, from the log files of several instances; pure.
+
+A line may be preceded by text, of which the first word, if it is a number, is taken as
+its time in seconds and the second as its instance.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ..events import CATALOGUE
+from ..events import gateway as events
+from ..events import rollout as rollout_events
+
+#: Lines on upstreams and the store are shown from this long before the request.
+CONTEXT_BEFORE_S = 5.0
+CONTEXT_AFTER_S = 2.0
+#: Fields that every line has, or that the heading shows.
+_HIDDEN = {
+    "event",
+    "message_type",
+    "level",
+    "timestamp",
+    "task_uuid",
+    "task_level",
+    "request_id",
+}
+#: Events of the request's own instance that may explain any request.
+_OWN = {
+    events.STORE_LOST.number,
+    events.STORE_BACK.number,
+    events.CONFIGURATION_IN_FORCE.number,
+    events.STOPPING.number,
+    events.STARTED.number,
+}
+
+
+class LogLine(NamedTuple):
+    """One line of a log, with the time and the instance that wrote it."""
+
+    at_s: float
+    instance: str
+    event: int
+    fields: dict[str, Any]
+
+
+class Story(NamedTuple):
+    """Lines on one request, and others that may explain them, in order of time."""
+
+    own: tuple[LogLine, ...]
+    context: tuple[LogLine, ...]
+
+
+def parse_line(text: str, instance: str) -> LogLine | None:
+    """Return the line, or None if it is no event of the catalogue."""
+    prefix, brace, rest = text.partition("{")
+    try:
+        fields = msgspec.json.decode(brace + rest, type=dict[str, Any])
+    except msgspec.DecodeError:
+        return None
+    if fields.get("event") not in CATALOGUE:
+        return None
+    words = prefix.split()
+    if len(words) >= 2 and _is_number(words[0]):
+        return LogLine(float(words[0]), words[1], fields["event"], fields)
+    return LogLine(
+        float(fields.get("timestamp", 0.0)), instance, fields["event"], fields
+    )
+
+
+def find_story(request_id: str, lines: Iterable[LogLine]) -> Story:
+    """Return what the logs say of one request."""
+    ordered = sorted(lines, key=lambda line: line.at_s)
+    own = tuple(line for line in ordered if line.fields.get("request_id") == request_id)
+    if not own:
+        return Story((), ())
+    begin_s = _began_at_s(own) - CONTEXT_BEFORE_S
+    end_s = own[-1].at_s + CONTEXT_AFTER_S
+    is_relevant = _relevance(own)
+    context = tuple(
+        line for line in ordered if begin_s <= line.at_s <= end_s and is_relevant(line)
+    )
+    return Story(own, context)
+
+
+def _relevance(own: tuple[LogLine, ...]) -> Callable[[LogLine], bool]:
+    """Return whether a line may explain a request with the lines ``own``."""
+    upstream_ids = {line.fields.get("upstream_id") for line in own} - {None, ""}
+    instances = {line.instance for line in own}
+
+    def is_relevant(line: LogLine) -> bool:
+        if line.event == rollout_events.ORDER_SENT.number:
+            return line.fields["upstream_id"] in upstream_ids
+        if line.instance not in instances:
+            return False
+        if line.event == events.UPSTREAM_CHANGED.number:
+            return line.fields["upstream_id"] in upstream_ids
+        return line.event in _OWN
+
+    return is_relevant
+
+
+def story_lines(story: Story) -> list[str]:
+    """Return the story as text, one line an event, the cause last."""
+    own = set(map(id, story.own))
+    lines = sorted((*story.own, *story.context), key=lambda line: line.at_s)
+    text = [_text(line, "  " if id(line) in own else "    ") for line in lines]
+    return [*text, f"cause: {cause_of(story)}"]
+
+
+def cause_of(story: Story) -> str:
+    """Return why the request ended as it did."""
+    last = story.own[-1]
+    explain = _CAUSES.get(last.event)
+    return explain(last, story) if explain else "the log has no line on its end"
+
+
+def _not_served(last: LogLine, story: Story) -> str:
+    fields = last.fields
+    if fields["failure"] == "no-place" and fields["n_usable"] == 0:
+        return "no upstream of the service was in use"
+    if fields["failure"] == "no-place" and not _attempts(story):
+        return (
+            f"{fields['reason']}: {fields['n_waiting']} waited for "
+            f"{fields['n_usable']} upstreams, {fields['wait_ms']} ms expected"
+        )
+    attempts = _attempts(story)
+    if not attempts:
+        return f"{fields['reason']} after {fields['duration_ms']} ms of waiting"
+    tried = "; ".join(_attempt_text(line, story) for line in attempts)
+    return f"{fields['reason']}: {tried}"
+
+
+def _attempt_text(line: LogLine, story: Story) -> str:
+    upstream_id = line.fields["upstream_id"]
+    gone = [
+        other
+        for other in story.context
+        if other.event == events.UPSTREAM_CHANGED.number
+        and other.fields["upstream_id"] == upstream_id
+        and other.fields["state"] != "ready"
+    ]
+    text = f"{upstream_id} {line.fields['failure']} ({line.fields['reason']})"
+    text += f", {line.fields['decision']}"
+    if gone:
+        text += f", {gone[-1].fields['state']} at {gone[-1].at_s:.1f} s"
+    return text
+
+
+def _served(last: LogLine, story: Story) -> str:
+    fields = last.fields
+    waited_ms, first_ms = fields["waited_ms"], fields["first_event_ms"]
+    parts_ms = {
+        "waiting for an upstream": waited_ms,
+        f"reading at {fields['upstream_id']}": first_ms - waited_ms,
+        "the answer itself": fields["duration_ms"] - first_ms,
+    }
+    longest = max(parts_ms, key=lambda name: parts_ms[name])
+    text = f"served; most time went to {longest}, {parts_ms[longest]:.0f} ms"
+    failed = "; ".join(_attempt_text(line, story) for line in _attempts(story))
+    return f"{text}, after {failed}" if failed else text
+
+
+def _left(last: LogLine, story: Story) -> str:
+    if not last.fields["upstream_id"]:
+        return f"the client left after {last.fields['duration_ms']} ms without a place"
+    return (
+        f"the client left after {last.fields['duration_ms']} ms at "
+        f"{last.fields['upstream_id']}"
+    )
+
+
+def _turned_away(last: LogLine, story: Story) -> str:
+    version = last.fields["configuration_version"]
+    return f"{last.fields['reason']} (configuration {version})"
+
+
+_CAUSES = {
+    events.SERVED.number: _served,
+    events.NOT_SERVED.number: _not_served,
+    events.CLIENT_LEFT.number: _left,
+    events.TURNED_AWAY.number: _turned_away,
+    events.BROKEN.number: lambda last, _: f"a fault of ours: {last.fields['reason']}",
+}
+
+
+def _attempts(story: Story) -> list[LogLine]:
+    return [line for line in story.own if line.event == events.ATTEMPT_FAILED.number]
+
+
+def _began_at_s(own: tuple[LogLine, ...]) -> float:
+    ages_s = [line.fields.get("duration_ms", 0.0) / 1000.0 for line in own]
+    return min(line.at_s - age_s for line, age_s in zip(own, ages_s, strict=True))
+
+
+def _text(line: LogLine, indent: str) -> str:
+    event = CATALOGUE[line.event]
+    shown = [
+        f"{name}={value}" for name, value in line.fields.items() if name not in _HIDDEN
+    ]
+    return f"{indent}{line.at_s:.3f} {line.instance} {event.name} {' '.join(shown)}"
+
+
+def _is_number(word: str) -> bool:
+    try:
+        float(word)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/tests/gateway/test_log_lines.py
@@ -0,0 +1,98 @@
+"""A line on each decision says what it rested on."""
+
+import pytest
+
+from buckthornrock.events import gateway as events
+from tests.gateway.test_answers import BODY, nothing, own_failure, refused, whole
+from tests.gateway.world import ScriptedUpstream, ask, request, run, start_world
+
+
+def lines(world, event):
+    return [fields for name, fields in world.logged if name == event.name]
+
+
+@pytest.mark.parametrize(
+    ("script", "path", "budget", "decision"),
+    [
+        (nothing, "/book/1", 50.0, "give up: may not run twice"),
+        (nothing, "/read/1", 50.0, "try again"),
+        (nothing, "/read/1", 0.0, "give up: the retry budget is used up"),
+        (refused, "/book/1", 50.0, "try again"),
+        (refused, "/book/1", 0.0, "give up: the retry budget is used up"),
+    ],
+)
+def test_failed_attempt_tells_what_is_done_next(script, path, budget, decision):
+    async def main():
+        upstreams = [ScriptedUpstream(script) for _ in range(2)]
+        world = await start_world(*upstreams, budget=budget)
+        await ask(world.front, request(path))
+        first = lines(world, events.ATTEMPT_FAILED)[0]
+        assert first["decision"] == decision
+
+    run(main)
+
+
+def test_attempts_that_are_used_up_are_told_from_a_budget():
+    async def main():
+        world = await start_world(*(ScriptedUpstream(own_failure) for _ in range(3)))
+        await ask(world.front, request("/read/1"))
+        decisions = [line["decision"] for line in lines(world, events.ATTEMPT_FAILED)]
+        assert decisions == ["try again", "give up: no attempt left"]
+
+    run(main)
+
+
+def test_refusal_for_want_of_an_upstream_names_its_inputs():
+    async def main():
+        world = await start_world()
+        reply = await ask(world.front, request("/read/1"))
+        assert reply.status == 503
+        [line] = lines(world, events.NOT_SERVED)
+        assert (line["failure"], line["n_usable"]) == ("no-place", 0)
+        assert line["reason"] == "no upstream is in service"
+        assert line["configuration_version"] == 1
+        assert line["retry_after_ms"] > 0.0
+
+    run(main)
+
+
+def test_key_that_is_not_known_is_named_with_its_configuration():
+    async def main():
+        world = await start_world(ScriptedUpstream(whole), accounts={})
+        reply = await ask(world.front, request("/read/1"))
+        assert reply.status == 401
+        [line] = lines(world, events.TURNED_AWAY)
+        assert line["reason"] == "the API key is not known"
+        assert line["configuration_version"] == 1
+
+    run(main)
+
+
+def test_failure_of_an_upstream_outlives_a_second_place_that_never_comes():
+    async def main():
+        worlds = []
+
+        async def fail_and_leave(arrival):
+            ids = [u.upstream_id for u in worlds[0].knowledge.directory.all()]
+            worlds[0].knowledge.change_upstreams([], ids, 2)
+            await own_failure(arrival)
+
+        worlds.append(await start_world(ScriptedUpstream(fail_and_leave)))
+        reply = await ask(worlds[0].front, request("/read/1"))
+        assert (reply.status, reply.body) == (500, b"broken")
+        [line] = lines(worlds[0], events.NOT_SERVED)
+        assert (line["failure"], line["status"]) == ("upstream-failed", 500)
+
+    run(main)
+
+
+def test_served_request_names_the_age_of_what_it_rested_on():
+    async def main():
+        world = await start_world(ScriptedUpstream(whole))
+        reply = await ask(world.front, request("/read/1"))
+        assert reply.body == BODY
+        [line] = lines(world, events.SERVED)
+        assert line["digests_age_ms"] == 0.0
+        assert line["configuration_version"] == 1
+
+    run(main)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -212,6 +212,7 @@
         budget=RetryBudget(0.0, budget, 10_000.0),
         n_instances=lambda: 1,
         knowledge=knowledge,
+        now_ms=now_ms,
         telemetry=telemetry,
     )
     exchange = KnowledgeExchange(peer, knowledge, decode_configuration, telemetry)
