Give the gateway's tests ports that differ

A test of shutdown hung once until its limit (one of some 60 runs of tests/gateway). Traced: three ports were found one after the other, each released before the next was asked for, so two could be the same; the gateway then failed to listen for readiness and the test asked the front door instead. Forced with equal ports: the same hang, with EADDRINUSE in the gateway's task.

Ruled out: load (40 runs, 8 at a time, all pass).

Ports are now held until all are found, and a gateway that can't listen fails its test at once.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -16,7 +16,7 @@
 from buckthornrock.scheduling.weights import WeightsView
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 from buckthornrock.wire.digests import Digest, decode_digest, encode_digest
-from tests.gateway.world import free_port, now_ms, run
+from tests.gateway.world import free_ports, now_ms, run
 from tests.platform.test_decoding import DOCUMENT
 
 TELEMETRY = Telemetry(open_log(None), open_metrics("", 0, ""))
@@ -87,7 +87,7 @@
     async def main():
         loop = asyncio.get_running_loop()
         sides = []
-        addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+        addresses = [f"127.0.0.1:{port}" for port in free_ports(2)]
         for number, address in enumerate(addresses):
             known = knowledge(version=1)
             known.replace_upstreams([UPSTREAM], 1)
@@ -129,7 +129,7 @@
     async def main():
         ahead, behind = knowledge(version=theirs), knowledge(version=mine)
         ahead.replace_upstreams([UPSTREAM], 40)
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{free_ports(1)[0]}"
         serving = KnowledgeExchange(address, ahead, decode_configuration, TELEMETRY)
         task = asyncio.create_task(serving.run())
         asking = KnowledgeExchange("", behind, decode_configuration, TELEMETRY)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -1,6 +1,8 @@
 """A gateway before scripted upstreams, all in one event loop on loopback."""
 
 import asyncio
+import contextlib
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -164,12 +166,15 @@
     return time.monotonic() * 1000.0
 
 
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_ports(n_ports: int) -> list[int]:
+    """Return ports that differ: each stays bound until all are found."""
+    with contextlib.ExitStack() as probes:
+        found = []
+        for _ in range(n_ports):
+            probe = probes.enter_context(socket.socket())
+            probe.bind(("127.0.0.1", 0))
+            found.append(probe.getsockname()[1])
+        return found
 
 
 async def start_world(
@@ -203,7 +208,7 @@
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
     dispatcher = Dispatcher(knowledge.directory, knowledge.loads, knowledge.view)
-    front, ready, peer = (f"127.0.0.1:{free_port()}" for _ in range(3))
+    front, ready, peer = (f"127.0.0.1:{port}" for port in free_ports(3))
     peers = PeerExchange(PeerSettings("i1", peer, (), 1), knowledge, now_ms, telemetry)
     parts = ExchangeParts(
         dispatcher=dispatcher,
@@ -222,7 +227,12 @@
     )
     stop = asyncio.Event()
     task = asyncio.create_task(gateway.run(stop))
-    await _wait_until_listening(ready)
+    listening = asyncio.create_task(_wait_until_listening(ready))
+    await asyncio.wait({task, listening}, return_when=asyncio.FIRST_COMPLETED)
+    if task.done():
+        # Another program took one of the ports; a test must not hang on that.
+        listening.cancel()
+        task.result()
     return World(gateway, knowledge, front, ready, stop, task, logged)
 
 
