Let upstreams that leave within the grace go at its end

An instance was cut off from the store for 4 s; 1.0 s after its return an upstream's entry was removed (a server that never reports draining). The directory began the grace of 2 s anew at that removal and looked for its end each 500 ms, so the upstream got requests 2.07 to 2.43 s after the store's acknowledgement (bound 2.0 s).

The grace now runs from the store's return for all entries, its end is looked for each 100 ms, and a follower pauses for 500 ms at most between two tries, so that the return is noticed within the time for which the instance isn't in touch. Ruled out: dropping the grace for removals seen live (entries that lapsed in an outage may be removed just after its end, and come back).

--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -89,13 +89,23 @@
         """Note that the store does not answer."""
         self._is_store_lost = True
 
+    @property
+    def has_missing(self) -> bool:
+        """Whether entries are kept that the store no longer has."""
+        return bool(self._missing_since_ms)
+
     def expire(self, now_ms: float) -> list[str]:
         """Drop entries that stayed missing after the store's return."""
         if self._is_store_lost:
             return []
+        # The grace runs from the store's return: an upstream that leaves within it is
+        # kept no longer than one that lapsed in the outage.
+        is_grace_over = now_ms - self._store_back_at_ms >= RETURN_GRACE_MS
         since_ms = now_ms - RETURN_GRACE_MS
         gone = [
-            key for key, at_ms in self._missing_since_ms.items() if at_ms < since_ms
+            key
+            for key, at_ms in self._missing_since_ms.items()
+            if is_grace_over or at_ms < since_ms
         ]
         for upstream_id in gone:
             del self._missing_since_ms[upstream_id]
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -24,6 +24,8 @@
 
 LISTEN_BACKLOG = 1_024
 HOUSEKEEPING_PERIOD_MS = 500.0
+#: How late an upstream may go whose time has come.
+EXPIRY_PERIOD_MS = 100.0
 #: New connections are taken for this long after the instance is not ready.
 ROTATION_LAG_MS = 2_700.0
 #: Left of the time for shutdown when requests that are still open are cut.
@@ -110,6 +112,7 @@
                 for loop in (
                     self._dispatcher.tick,
                     self._keep_house,
+                    self._expire_upstreams,
                     self._peers.run,
                     self._exchange.run,
                 )
@@ -219,7 +222,12 @@
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_MS / 1000.0)
-            self._pool.retain(self._knowledge.expire())
+            self._pool.retain(self._knowledge.retain_live())
+
+    async def _expire_upstreams(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD_MS / 1000.0)
+            self._knowledge.expire()
 
     async def _drain(self, front: asyncio.Server) -> None:
         """Finish every request; new ones come until the balancer has noticed."""
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -139,11 +139,16 @@
         self.directory.apply(changed, removed, revision, self._now_ms())
         self._log_changes(before)
 
-    def expire(self) -> set[Incarnation]:
-        """Drop upstreams that stayed missing; return the incarnations that live."""
+    def expire(self) -> None:
+        """Drop upstreams that stayed missing after the store's return."""
+        if not self.directory.has_missing:
+            return
         before = self._states()
         self.directory.expire(self._now_ms())
         self._log_changes(before)
+
+    def retain_live(self) -> set[Incarnation]:
+        """Forget the loads of upstreams that are gone; return the live incarnations."""
         incarnations = {upstream.incarnation for upstream in self.directory.all()}
         stores = self.table.configuration.prompt_stores if self.table else ()
         self.loads.retain(incarnations | {store_incarnation(s) for s in stores})
--- a/buckthornrock/store/follower.py
+++ b/buckthornrock/store/follower.py
@@ -13,6 +13,8 @@
 
 #: Waiting time of one long poll; bounds how late a silent connection is noticed.
 POLL_WAIT_MS = 2_000.0
+#: Longest pause between two tries; bounds how late the store's return is noticed.
+MAX_PAUSE_MS = 500.0
 
 
 class Listener(NamedTuple):
@@ -68,7 +70,8 @@
         if is_answered:
             self._n_failures = 0
             return
-        time.sleep(backoff_ms(self._n_failures, self._rng) / 1000.0)
+        pause_ms = min(MAX_PAUSE_MS, backoff_ms(self._n_failures, self._rng))
+        time.sleep(pause_ms / 1000.0)
         self._n_failures += 1
 
     def _read(self) -> bool:
--- a/tests/catalog/test_upstreams.py
+++ b/tests/catalog/test_upstreams.py
@@ -1,5 +1,6 @@
 """The directory of upstreams against a model of the store, through outages."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -96,8 +97,8 @@
         if not extra:
             return
         assert self.back_at_ms is not None
-        # A removal in the last moment of the grace is kept for the grace again.
-        assert self.now_ms - self.back_at_ms <= 2 * RETURN_GRACE_MS + 1.0
+        # The grace runs from the store's return, also for what leaves within it.
+        assert self.now_ms - self.back_at_ms < RETURN_GRACE_MS
 
 
 DirectoryMachine.TestCase.settings = settings(
@@ -132,3 +133,17 @@
     directory.apply([], [], 3, 9_000.0)
     directory.expire(9_000.0)
     assert directory.get("u1") is None
+
+
+@pytest.mark.parametrize("removed_after_ms", [1.0, 1_000.0, RETURN_GRACE_MS - 1.0])
+def test_upstream_that_leaves_within_the_grace_goes_at_its_end(removed_after_ms):
+    """Hunted (Wieszak, mix 371512540761): kept for the grace again, past the bound."""
+    directory = UpstreamDirectory()
+    directory.replace([upstream("u1")], 1, 0.0)
+    directory.on_store_lost()
+    directory.apply([], [], 2, 5_000.0)
+    directory.apply([], ["u1"], 3, 5_000.0 + removed_after_ms)
+    directory.expire(5_000.0 + RETURN_GRACE_MS - 0.5)
+    assert directory.get("u1") is not None
+    directory.expire(5_000.0 + RETURN_GRACE_MS)
+    assert directory.get("u1") is None
