Copy upstreams to peers as they are

UpstreamCopy repeated Upstream field by field; msgspec encodes the NamedTuple itself, in the same bytes. admission.is_stream had no caller. tests/gateway: all pass.

--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 
-from ..catalog.configuration import ClientAccount, Route, RouteKind
+from ..catalog.configuration import ClientAccount, Route
 from ..catalog.route_table import RouteTable
 from ..scheduling.choice import Demand
 from ..scheduling.prompt import parse_prompt
@@ -94,8 +94,3 @@
     )
     ends_at_ms = min(gives_up_at_ms, request.received_at_ms + route.timeout_ms)
     return AdmittedRequest(request, route, account, demand, gives_up_at_ms, ends_at_ms)
-
-
-def is_stream(route: Route) -> bool:
-    """Return whether answers of the route are event streams."""
-    return route.kind is RouteKind.STREAM
--- a/buckthornrock/gateway/knowledge_exchange.py
+++ b/buckthornrock/gateway/knowledge_exchange.py
@@ -25,25 +25,12 @@
 _REQUEST = b"copy"
 
 
-class UpstreamCopy(msgspec.Struct, array_like=True):
-    """One incarnation of an upstream, as a peer knows it."""
-
-    upstream_id: str
-    service: str
-    address: str
-    failure_domain: str
-    is_draining: bool
-    started_ms: int
-    n_slots: int
-    weights_versions: dict[str, int]
-
-
 class KnowledgeCopy(msgspec.Struct, array_like=True):
     """What a peer knows; ``configuration`` is as the operators wrote it."""
 
     configuration: bytes
     revision: int
-    upstreams: list[UpstreamCopy]
+    upstreams: list[Upstream]
 
 
 class PeerState(NamedTuple):
@@ -126,21 +113,16 @@
                 return
             knowledge.on_configuration(configuration.ok, copy.configuration, source)
         if knowledge.needs_upstreams and copy.revision > knowledge.revision:
-            upstreams = [_upstream(entry) for entry in copy.upstreams]
-            knowledge.copy_upstreams(upstreams, copy.revision)
+            knowledge.copy_upstreams(copy.upstreams, copy.revision)
 
 
 def encode_copy(knowledge: Knowledge) -> bytes:
     """Return what is known, for a peer."""
-    upstreams = [UpstreamCopy(*upstream) for upstream in knowledge.directory.all()]
+    upstreams = knowledge.directory.all()
     copy = KnowledgeCopy(knowledge.encoded_configuration, knowledge.revision, upstreams)
     return msgspec.msgpack.encode(copy)
 
 
-def _upstream(entry: UpstreamCopy) -> Upstream:
-    return Upstream(**{name: getattr(entry, name) for name in Upstream._fields})
-
-
 async def _request(address: str) -> bytes:
     with pynng.Req0(
         dial=f"tcp://{address}",
