Replace the oldest weights first, and let loads trickle while a burst lasts

Now: oldest version first, then least work; silent engines last, set aside for 500 ms and logged (2303); one load at a time while the others' places or memory are over 85% taken, as long as all engines can still be done in time; time counts from the first version that is newer than the loaded one.

--- a/buckthornrock/events/rollout.py
+++ b/buckthornrock/events/rollout.py
@@ -32,3 +32,10 @@
     "An engine was told to load new weights; n_orders is the count that the order "
     "rests on.",
 )
+ENGINE_SET_ASIDE = Event(
+    2303,
+    "rollout.engine_set_aside",
+    "warning",
+    ("upstream_id", "reason", "duration_ms"),
+    "An engine gave no report; it is asked again after duration_ms.",
+)
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -257,11 +257,23 @@
             for model in upstream.weights_versions.keys() & wanted.keys():
                 if upstream.is_draining:
                     continue
-                total = self.loads.total(upstream.incarnation, now_ms)
                 version = self.weights.loaded(upstream, model) or 0
-                engines[model].append(EngineView(upstream, version, total.n_requests))
+                left_ms = self.weights.left_ms(upstream, model, now_ms)
+                use = self._use(upstream, now_ms)
+                engines[model].append(EngineView(upstream, version, use, left_ms))
         return RolloutInputs(wanted, engines)
 
+    def _use(self, upstream: Upstream, now_ms: float) -> float:
+        """Return the share of an upstream's places or memory that is taken."""
+        total = self.loads.total(upstream.incarnation, now_ms)
+        services = self.table.configuration.services if self.table else {}
+        service = services.get(upstream.service)
+        use = total.n_requests / max(1, upstream.n_slots)
+        if service is None or service.engine is None:
+            return use
+        capacity = service.engine.kv_capacity_tokens
+        return max(use, total.n_memory_tokens / max(1, capacity))
+
     def log_undecodable(self, what: str, reason: str) -> None:
         """Note a value that can't be read."""
         self._telemetry.log(events.UNDECODABLE, what=what, reason=reason)
--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -4,13 +4,21 @@
 from collections.abc import Callable
 
 import pykka
+from expression import Result
 
 from ..catalog.upstreams import Upstream
 from ..events import rollout as events
 from ..telemetry import Telemetry
 from .holder import DutyHolder
 from .plan import Order, PendingOrder, plan_orders
-from .port import EnginePort, Fencing, RolloutInputs, RolloutNews
+from .port import (
+    EnginePort,
+    EngineReport,
+    EngineUnanswered,
+    Fencing,
+    RolloutInputs,
+    RolloutNews,
+)
 
 STEP_PERIOD_MS = 200.0
 #: Others look for a free lease this often while engines are behind.
@@ -19,6 +27,8 @@
 REPORT_PERIOD_MS = 400.0
 #: Time for which an engine that was told to load gets no new work, if no news comes.
 EXPECTED_LOAD_MS = 3_000.0
+#: An engine that gave no report is asked again after this time.
+SET_ASIDE_MS = 500.0
 
 
 class RolloutActor(pykka.ThreadingActor):
@@ -46,6 +56,7 @@
         self._telemetry = telemetry
         self._pending: dict[tuple[str, int], PendingOrder] = {}
         self._asked_at_ms: dict[tuple[str, int], float] = {}
+        self._silent_until_ms: dict[tuple[str, int], float] = {}
         self._next_try_ms = 0.0
         self._is_stopping = False
         self._was_holding = False
@@ -70,12 +81,23 @@
 
     def _step(self) -> None:
         inputs = self._read_inputs()
+        self._forget_gone(inputs)
         self._hold(inputs)
         if not self._holder.may_act():
             return
         for model, version in inputs.wanted.items():
             self._bring(model, version, inputs)
 
+    def _forget_gone(self, inputs: RolloutInputs) -> None:
+        known = {
+            engine.upstream.incarnation
+            for engines in inputs.engines.values()
+            for engine in engines
+        }
+        for state in (self._pending, self._asked_at_ms, self._silent_until_ms):
+            for incarnation in state.keys() - known:
+                del state[incarnation]
+
     def _hold(self, inputs: RolloutInputs) -> None:
         """Keep the lease; look for a free one only while there is work."""
         if not self._holder.holds():
@@ -96,7 +118,9 @@
             elif engine.upstream.incarnation in self._pending:
                 self._look_at(engine.upstream, model)
         now_ms = self._now_ms()
-        for order in plan_orders(model, version, engines, self._pending, now_ms):
+        for order in plan_orders(
+            model, version, engines, self._pending, now_ms, set(self._silent_until_ms)
+        ):
             if self._holder.may_act():
                 self._give(order)
 
@@ -105,8 +129,10 @@
         now_ms = self._now_ms()
         if now_ms - self._asked_at_ms.get(upstream.incarnation, 0.0) < REPORT_PERIOD_MS:
             return
+        if self._is_set_aside(upstream):
+            return
         self._asked_at_ms[upstream.incarnation] = now_ms
-        report = self._engines.report(upstream)
+        report = self._report(upstream)
         if report.is_error():
             return
         if report.ok.is_busy:
@@ -118,9 +144,30 @@
             del self._pending[upstream.incarnation]
             self._news.on_loaded(upstream, model, loaded)
 
+    def _report(self, upstream: Upstream) -> Result[EngineReport, EngineUnanswered]:
+        report = self._engines.report(upstream)
+        if report.is_ok():
+            self._silent_until_ms.pop(upstream.incarnation, None)
+            return report
+        until_ms = self._now_ms() + SET_ASIDE_MS
+        self._silent_until_ms[upstream.incarnation] = until_ms
+        self._telemetry.log(
+            events.ENGINE_SET_ASIDE,
+            upstream_id=upstream.upstream_id,
+            reason=report.error.reason,
+            duration_ms=SET_ASIDE_MS,
+        )
+        return report
+
+    def _is_set_aside(self, upstream: Upstream) -> bool:
+        until_ms = self._silent_until_ms.get(upstream.incarnation, 0.0)
+        return self._now_ms() < until_ms
+
     def _give(self, order: Order) -> None:
         upstream = order.upstream
-        report = self._engines.report(upstream)
+        if self._is_set_aside(upstream):
+            return
+        report = self._report(upstream)
         if report.is_error() or report.ok.is_busy:
             return
         loaded = report.ok.versions.get(order.model, 0)
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -1,9 +1,14 @@
 """Which weights are wanted, and which each upstream is believed to have. Pure."""
 
+import math
+from collections import deque
 from typing import NamedTuple
 
 from ..catalog.upstreams import Upstream
 
+#: Versions of one model whose time of naming is kept.
+MAX_NAMED_VERSIONS = 32
+
 
 class WantedWeights(NamedTuple):
     """The newest version of a model, and since when it is known to be wanted."""
@@ -24,6 +29,7 @@
     def __init__(self, usable_ms: float) -> None:
         self._usable_ms = usable_ms
         self._wanted: dict[str, WantedWeights] = {}
+        self._named: dict[str, deque[WantedWeights]] = {}
         self._learnt: dict[tuple[tuple[str, int], str], int] = {}
 
     def on_wanted(self, model: str, version: int, since_ms: float) -> bool:
@@ -38,7 +44,12 @@
         if known is not None and known.version == version:
             since_ms = min(since_ms, known.known_at_ms)
         self._wanted[model] = WantedWeights(version, since_ms)
-        return known is None or known.version < version
+        named = self._named.setdefault(model, deque(maxlen=MAX_NAMED_VERSIONS))
+        is_new = known is None or known.version < version
+        if not is_new:
+            named.pop()
+        named.append(self._wanted[model])
+        return is_new
 
     def on_loaded(self, incarnation: tuple[str, int], model: str, version: int) -> bool:
         """Note a version seen at an upstream; return whether it is news."""
@@ -69,15 +80,23 @@
         loaded = self.loaded(upstream, model)
         if loaded is None:
             return False
-        wanted = self._wanted.get(model)
-        if wanted is None or loaded >= wanted.version:
-            return True
-        return now_ms - wanted.known_at_ms < self._usable_ms
+        return self.lag_ms(upstream, model, now_ms) < self._usable_ms
 
     def lag_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
-        """Return how long a newer version than the loaded one has been wanted."""
+        """Return how long a newer version than the loaded one has been wanted.
+
+        Versions may follow each other faster than engines load them; the first that
+        is newer than the loaded one counts.
+        """
         wanted = self._wanted.get(model)
         loaded = self.loaded(upstream, model) or 0
         if wanted is None or loaded >= wanted.version:
             return 0.0
-        return now_ms - wanted.known_at_ms
+        return now_ms - min(
+            named.known_at_ms for named in self._named[model] if named.version > loaded
+        )
+
+    def left_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
+        """Return for how long requests may still begin on what is loaded there."""
+        lag_ms = self.lag_ms(upstream, model, now_ms)
+        return self._usable_ms - lag_ms if lag_ms else math.inf
--- /dev/null
+++ b/tests/rollout/test_actor.py
@@ -0,0 +1,118 @@
+"""Orders go on where single engines give no report, and each failure is logged."""
+
+from expression import Error, Ok
+
+from buckthornrock.rollout.actor import SET_ASIDE_MS, RolloutActor
+from buckthornrock.rollout.plan import EngineView
+from buckthornrock.rollout.port import (
+    EnginePort,
+    EngineReport,
+    EngineUnanswered,
+    OrderAnswer,
+    RolloutInputs,
+    RolloutNews,
+)
+from buckthornrock.telemetry import Telemetry, open_metrics
+from tests.scheduling.world import engine
+
+CALL_MS = 600.0
+
+
+class HeldDuty:
+    """A lease that is always held."""
+
+    fence = 7
+
+    def may_act(self):
+        return True
+
+    def holds(self):
+        return True
+
+    def step(self):
+        pass
+
+
+class Fleet:
+    """Engines of which some are silent; a call to these takes its whole time-out."""
+
+    def __init__(self, n_engines, silent):
+        self.now_ms = 0.0
+        self.upstreams = [engine(number) for number in range(n_engines)]
+        self.silent = set(silent)
+        self.ordered, self.logged = [], []
+        self.n_silent_calls = 0
+
+    def report(self, upstream):
+        if upstream.upstream_id in self.silent:
+            self.now_ms += CALL_MS
+            self.n_silent_calls += 1
+            return Error(EngineUnanswered("ConnectTimeoutError"))
+        is_loaded = upstream.upstream_id in self.ordered
+        return Ok(EngineReport({"m": 2 if is_loaded else 1}, False, 0))
+
+    def order(self, order, fencing):
+        self.ordered.append(order.upstream.upstream_id)
+        return Ok(OrderAnswer(202))
+
+    def inputs(self):
+        views = [EngineView(upstream, 1, 0.0) for upstream in self.upstreams]
+        return RolloutInputs({"m": 2}, {"m": views})
+
+    def actor(self):
+        return RolloutActor(
+            HeldDuty(),
+            EnginePort(self.report, self.order),
+            self.inputs,
+            RolloutNews(lambda *_: None, lambda *_: None),
+            "i1",
+            lambda: self.now_ms,
+            Telemetry(
+                lambda event, **fields: self.logged.append((event.name, fields)),
+                open_metrics("", 0, ""),
+            ),
+        )
+
+
+def test_silent_engines_hold_no_wave():
+    # The silent ones sort first, so they would take every place of a wave.
+    fleet = Fleet(6, silent={"e0", "e1"})
+    actor = fleet.actor()
+    for _ in range(6):
+        actor._step()
+        fleet.now_ms += 200.0
+    assert {"e2", "e3"} <= set(fleet.ordered)
+    # A place of the wave is tried at most once in the time of a call and a pause.
+    assert fleet.n_silent_calls <= fleet.now_ms / CALL_MS
+
+
+def test_engine_without_a_report_is_logged_and_asked_again():
+    fleet = Fleet(1, silent={"e0"})
+    actor = fleet.actor()
+    actor._step()
+    assert fleet.logged[-1] == (
+        "rollout.engine_set_aside",
+        {
+            "upstream_id": "e0",
+            "reason": "ConnectTimeoutError",
+            "duration_ms": SET_ASIDE_MS,
+        },
+    )
+    actor._step()
+    assert fleet.n_silent_calls == 1
+    fleet.silent.clear()
+    fleet.now_ms += SET_ASIDE_MS
+    actor._step()
+    assert fleet.ordered == ["e0"]
+
+
+def test_what_is_known_of_engines_goes_with_them():
+    fleet = Fleet(3, silent={"e0"})
+    actor = fleet.actor()
+    for _ in range(4):
+        actor._step()
+        fleet.now_ms += 200.0
+    assert actor._silent_until_ms and actor._pending
+    fleet.upstreams = [engine(9, version=2)]
+    actor._step()
+    assert not actor._silent_until_ms and not {("e0", 1)} & actor._pending.keys()
