Refuse late requests that newer ones crowd out

Cause: among requests of one urgency those that can still be on time go first.

A late request now counts on what newer ones leave: the rate of places less the rate of arrivals. Where that is nothing it is refused, with a Retry-After, when this is known.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -87,6 +87,7 @@
         room = self._rooms[demand.service.name]
         now_ms = self._view().now_ms
         waiting = Waiting(next(self._numbers), demand, now_ms, admitted.ends_at_ms)
+        room.on_arrived(demand, now_ms)
         if not room.has_ahead_of(demand):
             placement = self._choose(demand, excluded)
             if isinstance(placement, Placement):
--- a/buckthornrock/scheduling/waiting.py
+++ b/buckthornrock/scheduling/waiting.py
@@ -5,6 +5,7 @@
 placed before its client gives up is refused when that becomes known.
 """
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -15,9 +16,9 @@
 MIN_SERVICE_MS = 150.0
 #: Requests of one urgency that are tried before there is taken to be no place.
 N_TRIES_PER_URGENCY = 6
-#: Time over which the rate of handing on is measured, and the requests it takes.
-DRAIN_WINDOW_MS = 2_000.0
-MIN_PLACED = 3
+#: Time over which rates are measured, and the requests that this takes.
+RATE_WINDOW_MS = 2_000.0
+MIN_COUNTED = 3
 
 
 class Waiting(NamedTuple):
@@ -32,23 +33,23 @@
     give_up_at_ms: float
 
 
-class DrainRate:
-    """Prompt tokens or plain requests that were handed on lately, per millisecond."""
+class RecentRate:
+    """Prompt tokens or plain requests that came or were handed on lately."""
 
     def __init__(self) -> None:
-        self._placed: deque[tuple[float, int]] = deque()
+        self._counted: deque[tuple[float, int]] = deque()
 
     def add(self, n_units: int, now_ms: float) -> None:
-        """Count a request that was handed on."""
-        self._placed.append((now_ms, n_units))
+        """Count a request."""
+        self._counted.append((now_ms, n_units))
 
     def per_ms(self, now_ms: float) -> float | None:
-        """Return the rate, or None while too little was handed on to tell."""
-        while self._placed and self._placed[0][0] < now_ms - DRAIN_WINDOW_MS:
-            self._placed.popleft()
-        if len(self._placed) < MIN_PLACED:
+        """Return the rate, or None while there were too few requests to tell."""
+        while self._counted and self._counted[0][0] < now_ms - RATE_WINDOW_MS:
+            self._counted.popleft()
+        if len(self._counted) < MIN_COUNTED:
             return None
-        return sum(n_units for _, n_units in self._placed) / DRAIN_WINDOW_MS
+        return sum(n_units for _, n_units in self._counted) / RATE_WINDOW_MS
 
 
 class WaitingRoom:
@@ -56,7 +57,8 @@
 
     def __init__(self) -> None:
         self._members: dict[int, Waiting] = {}
-        self._rates: dict[int, DrainRate] = defaultdict(DrainRate)
+        self._placed: dict[int, RecentRate] = defaultdict(RecentRate)
+        self._arrived: dict[int, RecentRate] = defaultdict(RecentRate)
 
     def __len__(self) -> int:
         return len(self._members)
@@ -69,9 +71,13 @@
         """Take out a request whose client left or that was refused."""
         self._members.pop(number, None)
 
+    def on_arrived(self, demand: Demand, now_ms: float) -> None:
+        """Count a request, whether it will wait or not."""
+        self._arrived[demand.urgency].add(_n_units(demand), now_ms)
+
     def on_placed(self, demand: Demand, now_ms: float) -> None:
         """Count a request that was handed on, whether it waited or not."""
-        self._rates[demand.urgency].add(_n_units(demand), now_ms)
+        self._placed[demand.urgency].add(_n_units(demand), now_ms)
 
     def has_ahead_of(self, demand: Demand) -> bool:
         """Return whether a request waits that is at least as urgent."""
@@ -99,7 +105,7 @@
         Requests that are more urgent hardly wait, so they aren't counted; what they
         take shows in the rate at which this urgency is handed on.
         """
-        rate = self._rates[waiting.demand.urgency].per_ms(now_ms)
+        rate = self._placed[waiting.demand.urgency].per_ms(now_ms)
         if not rate:
             return 0.0
         key = _order(waiting, now_ms)
@@ -112,19 +118,33 @@
         return n_ahead / rate
 
     def hopeless(self, now_ms: float) -> list[tuple[Waiting, float]]:
-        """Return the requests that won't be placed in time, with their wait."""
+        """Return the requests that won't be placed in time, with their wait.
+
+        Those that are late already get only what newer ones leave over.
+        """
         found: list[tuple[Waiting, float]] = []
         n_ahead: dict[int, int] = defaultdict(int)
         for waiting in self._in_order(now_ms):
             urgency = waiting.demand.urgency
-            rate = self._rates[urgency].per_ms(now_ms)
+            rate = self._rate_for(waiting, now_ms)
             wait_ms = n_ahead[urgency] / rate if rate else 0.0
+            if rate is not None and rate <= 0.0:
+                wait_ms = math.inf
             if is_hopeless(waiting, wait_ms, now_ms):
                 found.append((waiting, wait_ms))
                 continue
             n_ahead[urgency] += _n_units(waiting.demand)
         return found
 
+    def _rate_for(self, waiting: Waiting, now_ms: float) -> float | None:
+        """Return the rate at which requests like this one are handed on."""
+        urgency = waiting.demand.urgency
+        rate = self._placed[urgency].per_ms(now_ms)
+        # Refused requests of urgent routes come back at once and crowd out new ones.
+        if rate is None or waiting.demand.is_urgent or not _is_late(waiting, now_ms):
+            return rate
+        return rate - (self._arrived[urgency].per_ms(now_ms) or 0.0)
+
     def _in_order(self, now_ms: float) -> list[Waiting]:
         return sorted(self._members.values(), key=lambda w: _order(w, now_ms))
 
@@ -136,11 +156,15 @@
 
 def _order(waiting: Waiting, now_ms: float) -> tuple[int, bool, float]:
     """Return the sort key: urgent first, then those that can still be on time."""
-    waited_ms = now_ms - waiting.joined_at_ms
-    is_late = waited_ms + MIN_SERVICE_MS > waiting.demand.route.objective_ms
+    is_late = _is_late(waiting, now_ms)
     return waiting.demand.urgency, is_late, waiting.give_up_at_ms
 
 
+def _is_late(waiting: Waiting, now_ms: float) -> bool:
+    waited_ms = now_ms - waiting.joined_at_ms
+    return waited_ms + MIN_SERVICE_MS > waiting.demand.route.objective_ms
+
+
 def _n_units(demand: Demand) -> int:
     """Return the size of a request: its prompt's tokens, or 1 for a plain one."""
     return demand.prompt.n_prompt_tokens if demand.prompt else 1
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -125,3 +125,35 @@
 )
 def test_prompts_are_parsed_or_refused(counts, parts, is_valid):
     assert parse_prompt("m", counts, parts).is_ok() == is_valid
+
+
+def crowded_room(arrivals_per_place, age_ms):
+    """Return a room whose requests came at a multiple of the rate of places."""
+    room = WaitingRoom()
+    for step in range(20):
+        now_ms = step * 100.0
+        room.on_placed(long(), now_ms)
+        for _ in range(arrivals_per_place):
+            room.on_arrived(long(), now_ms)
+    room.join(Waiting(0, long(), 2_000.0 - age_ms, 12_000.0))
+    return room
+
+
+@pytest.mark.parametrize(
+    ("arrivals_per_place", "age_ms", "is_hopeless"),
+    [(2, 1_400.0, True), (2, 1_000.0, False), (1, 1_400.0, True), (0, 1_400.0, False)],
+    ids=["late in a burst", "on time in a burst", "late, none left over", "late after"],
+)
+def test_late_request_gets_only_what_newer_ones_leave(
+    arrivals_per_place, age_ms, is_hopeless
+):
+    """Load: long prompts at a multiple of what the engines read, for 2 s."""
+    room = crowded_room(arrivals_per_place, age_ms)
+    assert bool(room.hopeless(2_000.0)) == is_hopeless
+
+
+def test_late_requests_are_served_again_when_the_burst_is_over():
+    room = crowded_room(2, 1_400.0)
+    for step in range(20):
+        room.on_placed(long(), 2_000.0 + step * 100.0)
+    assert not room.hopeless(4_100.0)
