Keep nothing at the prompt store that weights soon to be replaced made

Parts go to the store only from engines that have the newest wanted weights; others would be useless there soon anyway. Test fails before.

The engines for long prompts are ranked once in a choice, not two or three times.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -151,9 +151,13 @@
 
 
 class _Prompted(NamedTuple):
-    """A demand's prompt with its homes and holders."""
+    """A demand's prompt with its homes and holders.
+
+    ``long_engines`` are those that read long prompts.
+    """
 
     sharing: Sharing
+    long_engines: list[Upstream]
     home_ranks: dict[Incarnation, int]
     holders: list[Holder]
     slow: frozenset[Incarnation] = frozenset()
@@ -182,7 +186,7 @@
     demand: Demand, prompted: _Prompted, upstreams: list[Upstream], view: View
 ) -> Placement | None:
     """Keep long prompts to some of the engines, strictly while these are full."""
-    engines = _long_prompt_engines(upstreams)
+    engines = prompted.long_engines
     best = _best(demand, prompted, engines, view)
     if best is None:
         return None
@@ -207,7 +211,7 @@
     if not free:
         return None
     best = min(free, key=lambda option: option.estimate_ms)
-    return best._replace(kv_target=_kv_target(prompted, view))
+    return best._replace(kv_target=_kv_target(demand, prompted, best.upstream, view))
 
 
 def _reading_ms(upstream: Upstream, view: View) -> float:
@@ -226,17 +230,18 @@
     if demand.prompt is None or demand.service.engine is None:
         return None
     sharing = Sharing(demand.prompt, demand.wall, demand.service.engine)
+    long_engines = _long_prompt_engines(upstreams)
     if demand.is_urgent:
-        slow = frozenset(u.incarnation for u in _long_prompt_engines(upstreams))
-        return _Prompted(sharing, {}, [], slow)
+        slow = frozenset(upstream.incarnation for upstream in long_engines)
+        return _Prompted(sharing, long_engines, {}, [], slow)
     if not sharing.is_worth_fetching:
-        return _Prompted(sharing, {}, [])
+        return _Prompted(sharing, long_engines, {}, [])
     key = f"{demand.wall}/{demand.prompt.shared[-1].part_id}"
-    by_id = {u.upstream_id: u.incarnation for u in _long_prompt_engines(upstreams)}
+    by_id = {upstream.upstream_id: upstream.incarnation for upstream in long_engines}
     ranked = rendezvous.rank(key.encode(), list(by_id))
     home_ranks = {by_id[id_]: home_rank for home_rank, id_ in enumerate(ranked)}
     holders = find_holders(sharing, upstreams, view.caches)
-    return _Prompted(sharing, home_ranks, holders)
+    return _Prompted(sharing, long_engines, home_ranks, holders)
 
 
 def _option(
@@ -315,12 +320,18 @@
     return total.n_memory_tokens + n_memory <= capacity * share
 
 
-def _kv_target(prompted: _Prompted | None, view: View) -> str:
+def _kv_target(
+    demand: Demand, prompted: _Prompted | None, upstream: Upstream, view: View
+) -> str:
     """Return the store that should keep the shared parts, "" if one has them."""
     if prompted is None or not prompted.sharing.is_worth_fetching:
         return ""
     if not view.prompt_stores:
         return ""
+    if view.weights.lag_ms(upstream, demand.prompt.model, view.now_ms):
+        # The weights may change while the prompt is read, and nothing at the store
+        # would tell the parts from those of the weights before.
+        return ""
     store = view.prompt_stores[0]
     is_kept = any(holder.address == store.address for holder in prompted.holders)
     is_blocked = view.now_ms < view.loads.of(store_incarnation(store)).blocked_until_ms
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -102,6 +102,16 @@
     assert (second.kv_target, second.kv_source) == ("", STORE.address)
 
 
+def test_store_keeps_nothing_that_weights_soon_to_be_replaced_made():
+    engines = [engine(0, version=1)]
+    weights = WeightsView(20_000.0)
+    weights.on_wanted("m", 1, 0.0)
+    state = view(10.0, stores=(STORE,), weights=weights)
+    assert choose(long(), engines, state).kv_target == STORE.address
+    weights.on_wanted("m", 2, 5.0)
+    assert choose(long(), engines, state).kv_target == ""
+
+
 def test_short_prompt_avoids_an_engine_that_reads_a_long_one():
     engines = [engine(n) for n in range(2)]
     loads = FleetLoads()
