Check the platform's settings as a whole; say where an unserved request was

'check' takes the platform's file too and reports every problem at once; fields that nothing uses are named at the start (2218), and the limits of the machine, decoded and never used, are no longer required.

--- a/buckthornrock/commands/serve.py
+++ b/buckthornrock/commands/serve.py
@@ -57,7 +57,7 @@
     if not path:
         raise click.UsageError("no SETTINGS_PATH given, and no platform's settings")
     failure = run_on_platform(path, sys.stdout, metrics_port)
-    click.echo(f"{failure.path}: {failure.reason}", err=True)
+    print_problems(list(failure.problems), as_json=False)
     sys.exit(1)
 
 
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -8,6 +8,7 @@
 
 import pykka
 
+from ..conf import Problem
 from ..events import gateway as events
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.exchange import ExchangeParts
@@ -51,6 +52,12 @@
     return os.environ.get(PATH_VARIABLE, "")
 
 
+def find_platform_problems(path: str) -> list[Problem]:
+    """Return every problem of the platform's settings file."""
+    settings = load_node_settings(path)
+    return list(settings.error.problems) if settings.is_error() else []
+
+
 def run_on_platform(
     path: str, log_stream: IO[str], metrics_port: int = 0
 ) -> SettingsUnreadable:
@@ -64,6 +71,10 @@
     exposition = open_exposition()
     writer = LogWriter(log_stream)
     telemetry = Telemetry(open_log(writer), exposition.metrics)
+    if settings.ok.ignored_fields:
+        telemetry.log(
+            events.SETTINGS_FIELDS_IGNORED, fields=list(settings.ok.ignored_fields)
+        )
     metrics_address = f"{settings.ok.ip}:{metrics_port}" if metrics_port else ""
     asyncio.run(_run(settings.ok, telemetry, metrics_address, exposition.render))
     writer.close(LOG_FLUSH_LIMIT_S)
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -35,6 +35,8 @@
         "status",
         "failure",
         "reason",
+        "upstream_id",
+        "waited_ms",
         "n_usable",
         "n_waiting",
         "wait_ms",
@@ -46,6 +48,7 @@
         "duration_ms",
     ),
     "A request got no upstream's answer; status 0 is a stream that was broken off. "
+    "upstream_id had it at the end, after waited_ms, empty if none had. "
     "n_usable upstreams could serve it, n_waiting requests waited for them here, and "
     "wait_ms was expected; null where no place was looked for.",
 )
@@ -85,7 +88,7 @@
         "duration_ms",
     ),
     "A client closed its connection before its answer was complete; upstream_id is "
-    "empty if the request still waited for its first place.",
+    "empty if the request waited for a place.",
 )
 CONFIGURATION_IN_FORCE = Event(
     2210,
@@ -143,6 +146,13 @@
     ("instance_id", "outcome"),
     "The settings file was read again after a signal.",
 )
+SETTINGS_FIELDS_IGNORED = Event(
+    2218,
+    "gateway.settings_fields_ignored",
+    "info",
+    ("fields",),
+    "The platform's settings file has fields that are not used.",
+)
 STARTED = Event(
     2220,
     "gateway.started",
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -146,6 +146,7 @@
             if decision is not NextStep.TRY_AGAIN:
                 self._give_up(outcome.error)
                 return
+            self._upstream_id = ""
 
     def _on_no_place(self, refusal: Refusal) -> None:
         if self._server_failure is not None and not self._client.has_started:
--- a/buckthornrock/gateway/exchange_log.py
+++ b/buckthornrock/gateway/exchange_log.py
@@ -78,6 +78,8 @@
         status=refusal.status,
         failure=refusal.code,
         reason=refusal.reason,
+        upstream_id=progress.upstream_id,
+        waited_ms=round(progress.waited_ms, 1),
         n_usable=outlook.n_usable if outlook else None,
         n_waiting=outlook.n_waiting if outlook else None,
         wait_ms=round(outlook.wait_ms, 1) if outlook else None,
--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -1,24 +1,36 @@
 """The platform's settings file of a process."""
 
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
 from expression import Error, Ok, Result
 
+from ..conf.decoding import MISSING_KEY, WRONG_TYPE, Problem
+from ..conf.loading import UNREADABLE
+
 #: Environment variable with the path of the settings file.
 PATH_VARIABLE = "BUCKTHORNROCK_NODE_FILE"
 
 
 class SettingsUnreadable(NamedTuple):
-    """The settings file can't be read, or a field is missing or of a wrong type."""
+    """The settings file has problems; all are named."""
 
     path: str
-    reason: str
+    problems: tuple[Problem, ...]
 
     code = "settings-unreadable"
 
+    @property
+    def reason(self) -> str:
+        """All problems in one line."""
+        return "; ".join(
+            f"{problem.path}: {problem.found}, {problem.hint}"
+            for problem in self.problems
+        )
+
 
 class Listen(msgspec.Struct, rename="camel"):
     """IP:PORT of each listening socket."""
@@ -29,13 +41,6 @@
     control_addr: str = ""
 
 
-class Limits(msgspec.Struct, rename="camel"):
-    """What the machine gives to the process."""
-
-    memory_mb: int
-    max_fds: int
-
-
 class Bounds(msgspec.Struct, rename="camel"):
     """Time bounds that the platform sets."""
 
@@ -66,21 +71,58 @@
     port_range: tuple[int, int]
     seeds: list[str]
     listen: Listen
-    limits: Limits
     bounds: Bounds
     platform: Store
     zones: dict[str, str] = {}
     #: Where the settings were read from.
     path: str = ""
+    #: Names of fields of the file that nothing here knows.
+    ignored_fields: tuple[str, ...] = ()
+
+
+#: Fields that loading adds.
+_ADDED = {"path", "ignoredFields"}
 
 
 def load_node_settings(path: str) -> Result[NodeSettings, SettingsUnreadable]:
     """Read and check the settings file."""
     try:
         document = tomllib.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
-        return Error(SettingsUnreadable(path, str(error)))
+    except OSError as error:
+        problem = Problem(UNREADABLE, "$", str(error), "give a readable file")
+        return Error(SettingsUnreadable(path, (problem,)))
+    except ValueError as error:
+        problem = Problem(UNREADABLE, "$", str(error), "write valid TOML")
+        return Error(SettingsUnreadable(path, (problem,)))
+    problems = tuple(_problems(document, NodeSettings, "$"))
+    if problems:
+        return Error(SettingsUnreadable(path, problems))
+    known = {field.encode_name for field in msgspec.structs.fields(NodeSettings)}
+    ignored = tuple(sorted(document.keys() - (known - _ADDED)))
+    added = {"path": path, "ignoredFields": ignored}
+    return Ok(msgspec.convert({**document, **added}, NodeSettings))
+
+
+def _problems(value: object, shape: type, path: str) -> Iterator[Problem]:
+    """Yield every field that is missing or of a wrong type."""
+    if not isinstance(value, dict):
+        yield Problem(WRONG_TYPE, path, type(value).__name__, "a table is expected")
+        return
+    for field in msgspec.structs.fields(shape):
+        name = field.encode_name
+        if name not in value:
+            if field.required:
+                hint = "this key is required"
+                yield Problem(MISSING_KEY, f"{path}.{name}", "nothing", hint)
+            continue
+        yield from _field_problems(value[name], field.type, f"{path}.{name}")
+
+
+def _field_problems(value: object, shape: type, path: str) -> Iterator[Problem]:
+    if isinstance(shape, type) and issubclass(shape, msgspec.Struct):
+        yield from _problems(value, shape, path)
+        return
     try:
-        return Ok(msgspec.convert({**document, "path": path}, NodeSettings))
+        msgspec.convert(value, shape)
     except msgspec.ValidationError as error:
-        return Error(SettingsUnreadable(path, str(error)))
+        yield Problem(WRONG_TYPE, path, str(error), "see the platform's page")
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,83 @@
+"""The platform's settings file: every problem at once, unknown fields left alone."""
+
+import pytest
+from click.testing import CliRunner
+
+from buckthornrock.commands import main
+from buckthornrock.platform.settings import load_node_settings
+
+GOOD = """
+nodeName = "edge-1"
+ip = "10.0.0.1"
+zone = "a"
+portRange = [9000, 9010]
+seeds = ["10.0.0.2:9000"]
+region = "south"
+
+[listen]
+front = "10.0.0.1:80"
+readyAddr = "10.0.0.1:81"
+
+[bounds]
+drainMs = 2000
+graceS = 8
+configMs = 2000
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 54
+leaseMs = 3000
+versionMs = 20000
+
+[platform]
+addr = "10.9.0.1:1"
+ttlMinMs = 1000
+
+[zones]
+a = "r"
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_good_file_is_read_and_names_what_it_ignores(tmp_path):
+    settings = load_node_settings(write(tmp_path, GOOD)).ok
+    assert settings.bounds.grace_s == 8.0
+    assert settings.ignored_fields == ("region",)
+
+
+@pytest.mark.parametrize(
+    ("changes", "paths"),
+    [
+        ([("graceS = 8", 'graceS = "soon"')], ["$.bounds.graceS"]),
+        ([('zone = "a"', "")], ["$.zone"]),
+        ([("[listen]", "[other]")], ["$.listen"]),
+        (
+            [("drainMs = 2000", ""), ("ttlMinMs = 1000", "ttlMinMs = 1.5")],
+            ["$.bounds.drainMs", "$.platform.ttlMinMs"],
+        ),
+        ([("portRange = [9000, 9010]", "portRange = 9000")], ["$.portRange"]),
+        ([("[platform]", "[more]")], ["$.platform"]),
+        ([("nodeName", "= nonsense")], ["$"]),
+    ],
+)
+def test_every_problem_is_reported(tmp_path, changes, paths):
+    text = GOOD
+    for old, new in changes:
+        text = text.replace(old, new)
+    path = write(tmp_path, text)
+    problems = load_node_settings(path).error.problems
+    expected = paths
+    assert [problem.path for problem in problems] == expected
+    assert all(problem.hint for problem in problems)
+    result = CliRunner().invoke(main, ["check", path])
+    assert result.exit_code == 1
+    assert f"{len(expected)} problems" in result.output
+
+
+def test_check_passes_a_good_file(tmp_path):
+    result = CliRunner().invoke(main, ["check", write(tmp_path, GOOD)])
+    assert (result.exit_code, result.output) == (0, "0 problems\n")
--- a/tests/telemetry/test_request_story.py
+++ b/tests/telemetry/test_request_story.py
@@ -31,6 +31,8 @@
         "n_usable": 9,
         "n_waiting": 40,
         "wait_ms": 5_200.0,
+        "upstream_id": "",
+        "waited_ms": 0.0,
     }
     return line(at_s, "a-1", events.NOT_SERVED, **{**defaults, **fields})
 
@@ -76,6 +78,33 @@
             ],
             "no place before the deadline: u1 interrupted",
         ),
+        (
+            [
+                not_served(
+                    failure="deadline",
+                    reason="no answer",
+                    upstream_id="u1",
+                    waited_ms=100.0,
+                )
+            ],
+            "no answer: u1 had it for 500 ms, after 100 ms of waiting",
+        ),
+        (
+            [not_served(failure="deadline", reason="no answer")],
+            "no answer: no upstream had it in 600 ms",
+        ),
+        (
+            [
+                attempt(decision="try again"),
+                not_served(
+                    failure="deadline",
+                    reason="no answer",
+                    upstream_id="u2",
+                    waited_ms=400.0,
+                ),
+            ],
+            "try again; u2 had it for 200 ms",
+        ),
         ([served(waited_ms=700.0, first_event_ms=800.0)], "waiting for an upstream"),
         ([served(waited_ms=10.0, first_event_ms=800.0)], "reading at u1"),
         ([served(waited_ms=10.0, first_event_ms=80.0)], "the answer itself"),
