--- a/benchmarks/stream_world.py
+++ b/benchmarks/stream_world.py
@@ -122,7 +122,7 @@
             "instance_id": f"router-{number}",
             "failure_domain": "fd-0",
             "isolation_secret": "stream-world-secret",
-            "entry": {"port": 0, "n_threads": 128},
+            "entry": {"port": 0, "n_threads": 128, "drain_grace_ms": 50},
             "operator": {"port": 0, "keys_sha256": [_digest("operator-key")]},
             "platform": {"kv": {"url": f"http://127.0.0.1:{kv_port}"}},
             "upstreams": {"servers": servers, "stall_timeout_ms": 1_500},
--- a/tests/deferred/test_night.py
+++ b/tests/deferred/test_night.py
@@ -81,7 +81,7 @@
         "instance_id": f"i{index}",
         "failure_domain": "fd",
         "isolation_secret": "a secret of the whole fleet",
-        "entry": {"port": 0, "n_threads": 32},
+        "entry": {"port": 0, "n_threads": 32, "drain_grace_ms": 50},
         "orders": {"order_timeout_ms": 200, "load_time_ms": 500},
         "operator": {"port": 0, "keys_sha256": [digest(OPERATOR_KEY)]},
         "platform": {"kv": kv},
--- a/tests/profiles/fleet.py
+++ b/tests/profiles/fleet.py
@@ -95,7 +95,7 @@
                 "instance_id": f"i{index}",
                 "failure_domain": f"fd-{index % 3}",
                 "isolation_secret": SECRET,
-                "entry": {"port": 0},
+                "entry": {"port": 0, "drain_grace_ms": 50},
                 "operator": {"port": 0, "keys_sha256": []},
                 "platform": {"kv": {"url": url, "timeout_ms": 500}},
                 "upstreams": {"servers": []},
