--- a/buckthornrock/telemetry/request_story.py
+++ b/buckthornrock/telemetry/request_story.py
@@ -121,10 +121,7 @@
     if fields["failure"] == "no-place" and fields["n_usable"] == 0:
         return "no upstream of the service was in use"
     if fields["failure"] == "no-place" and not _attempts(story):
-        return (
-            f"{fields['reason']}: {fields['n_waiting']} waited for "
-            f"{fields['n_usable']} upstreams, {fields['wait_ms']} ms expected"
-        )
+        return f"{fields['reason']}: {_crowd(fields)}"
     attempts = _attempts(story)
     if not attempts:
         return f"{fields['reason']}: {_where_it_was(fields)}"
@@ -134,6 +131,14 @@
     return f"{fields['reason']}: {'; '.join(tried)}"
 
 
+def _crowd(fields: dict[str, Any]) -> str:
+    text = f"{fields['n_waiting']} more waited for {fields['n_usable']} upstreams"
+    if fields["wait_ms"] is None:
+        # An endless wait, which JSON can't hold.
+        return f"{text}, and newer requests took every place"
+    return f"{text}, {fields['wait_ms']} ms expected"
+
+
 def _where_it_was(fields: dict[str, Any]) -> str:
     if not fields["upstream_id"]:
         return f"no upstream had it in {fields['duration_ms']:.0f} ms"
--- a/tests/telemetry/test_request_story.py
+++ b/tests/telemetry/test_request_story.py
@@ -65,7 +65,8 @@
 @pytest.mark.parametrize(
     ("texts", "cause"),
     [
-        ([not_served()], "40 waited for 9 upstreams, 5200.0 ms expected"),
+        ([not_served()], "40 more waited for 9 upstreams, 5200.0 ms expected"),
+        ([not_served(wait_ms=None)], "newer requests took every place"),
         ([not_served(n_usable=0)], "no upstream of the service was in use"),
         (
             [attempt(), not_served(failure="interrupted", reason="broke"), gone()],
