Split the runs of deferred jobs off the service

deferred/service.py had 507 lines and two jobs: accepting and holding segments, and running their jobs. Nothing but names changed.

--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -6,10 +6,8 @@
 
 import threading
 
-import msgspec
 from expression import Error, Ok, Result
 
-from ..errors import Failure
 from ..events import deferred as events
 from ..store import Compare
 from ..telemetry.metrics import DEFERRED_FINISHED, DEFERRED_WAITING
@@ -20,27 +18,19 @@
 from .collection import Collector
 from .errors import (
     NotAccepted,
-    PromptGone,
     ReadFailure,
-    RunBroken,
     SubmitFailure,
     UnknownJob,
 )
-from .holdings import Finished, HeldSegment, Holdings, SavedJob
+from .holdings import HeldSegment, Holdings, SavedJob
 from .ids import JobAddress
-from .packing import PackedJob, pack, unpack
-from .parts import DeferredParts, DeferredRules, JobControl
+from .packing import PackedJob, pack
+from .parts import DeferredParts, DeferredRules
 from .port import DeferredPort, JobSubmission, JobView
 from .reachability import Reachability
 from .reading import cancel_job, read_job
-from .records import Job, Outcome, claim_key
-from .running import (
-    MAX_LOSSES,
-    MAX_NOTED_ATTEMPTS,
-    RETRY_DELAY_MS,
-    judge,
-    retry_delay_ms,
-)
+from .records import claim_key
+from .runner import JobRunner
 from .scan import FoundSegment, adopt, claim_again, release, scan_shard, shards_to_scan
 
 #: The service counts as down this long after a call without an answer.
@@ -69,10 +59,18 @@
         self._holdings = Holdings(
             parts.kv, parts.clock.wall_ms, rules.retention_ms, self._on_saved
         )
+        self._runner = JobRunner(
+            parts,
+            rules,
+            self._backlog,
+            self._lock,
+            self._holdings,
+            self._blobs,
+            self._reachability,
+        )
         self._to_check: set[str] = set()
         self._n_submitters = 0
         self._next_commit_at_ms = 0.0
-        self._is_stopping = False
 
     def submit(
         self, submission: JobSubmission, wait_ms: float = 0.0
@@ -158,24 +156,11 @@
 
     def run_next(self) -> bool:
         """Run one job, if one is ready and may be started; return whether one was."""
-        if self._is_stopping or not self._may_run():
-            return False
-        with self._lock:
-            held = self._backlog.take(self._parts.clock.wall_ms())
-        if held is None:
-            return False
-        if not self._holdings.is_open(held.address):
-            self._leave(held)
-            return True
-        if not self._is_claimed(held.address):
-            self._put_back(held, RETRY_DELAY_MS)
-            return False
-        self._run(held)
-        return True
+        return self._runner.run_next()
 
     def stop(self) -> None:
         """Start no more jobs; what has ended is saved by the last steps."""
-        self._is_stopping = True
+        self._runner.stop()
 
     def close(self) -> None:
         """Save what has ended and give every segment back."""
@@ -224,7 +209,7 @@
     def _claim_terms(self) -> ClaimTerms | None:
         with self._lock:
             is_full = self._backlog.n_waiting >= self._rules.max_held_jobs
-        if is_full or self._is_stopping:
+        if is_full or self._runner.is_stopping:
             return None
         return read_terms(self._parts.lease, self._parts.holder)
 
@@ -270,7 +255,7 @@
         with self._lock:
             state = self._backlog.state(address)
         # Without a claim that stands, another instance may have ended the job.
-        if not state or not self._is_claimed(address):
+        if not state or not self._runner.is_claimed(address):
             return None
         return Ok(JobView(job_id, state, None, ""))
 
@@ -278,7 +263,7 @@
         with self._lock:
             expired = self._backlog.expired(self._parts.clock.wall_ms())
         for held in expired:
-            self._finish(held.address, "expired", "deadline-exceeded")
+            self._runner.finish(held.address, "expired", "deadline-exceeded")
 
     def _claim_lost_again(self) -> None:
         terms = read_terms(self._parts.lease, self._parts.holder)
@@ -367,131 +352,6 @@
             elif claim.ok.value == terms.holder.encode():
                 self._adopt(segment_id, terms, claim.ok.mod_revision)
 
-    def _may_run(self) -> bool:
-        """Return whether jobs may be started now.
-
-        While the service is down nobody can take this instance's segments over, so
-        it works on what it holds, as long as the results fit in memory.
-        """
-        if self._holdings.n_unsaved_bytes > self._rules.max_unsaved_bytes:
-            return False
-        return self._reachability.is_down or self._parts.lease.holds()
-
-    def _is_claimed(self, address: JobAddress) -> bool:
-        if self._reachability.is_down:
-            return True
-        segment = self._holdings.get(address.segment_id)
-        if segment is None or not self._parts.lease.holds():
-            return False
-        return segment.epoch == self._parts.lease.epoch()
-
-    def _run(self, held: HeldJob) -> None:
-        if not self._note_start(held):
-            return
-        # A start that ends here, however it ends, is not noted again.
-        held = held._replace(is_start_noted=True)
-        try:
-            answer = self._load_and_run(held)
-        except Exception as error:  # noqa: BLE001 - a bad job must not end its worker
-            self._parts.telemetry.log(
-                events.RUN_BROKEN,
-                segment_id=held.address.segment_id,
-                index=held.address.index,
-                error_type=type(error).__name__,
-            )
-            answer = Error(RunBroken())
-        if answer.is_ok():
-            self._holdings.finish(held.address, Finished(Outcome("done"), answer.ok))
-            self._leave(held)
-            return
-        self._judge(held, answer.error)
-
-    def _load_and_run(self, held: HeldJob) -> Result[bytes, Failure]:
-        """Return the answer's JSON."""
-        submission = self._load(held.job)
-        if submission.is_error():
-            return submission
-        if submission.ok is None:
-            return Error(PromptGone())
-        address, job = held.address, held.job
-        job_id = self._parts.ids.make(address, job.client_account, job.member)
-        control = JobControl(
-            rank=lambda class_rank: self._rank(held, class_rank),
-            is_lost=lambda: not self._is_claimed(held.address),
-            should_yield=lambda: self._should_yield(held),
-        )
-        result = self._parts.run_job(job_id, submission.ok, control)
-        return result.map(msgspec.json.encode)
-
-    def _load(self, job: Job) -> Result[JobSubmission | None, Failure]:
-        """Return the job as it was submitted, None if its prompt is gone."""
-        contents = []
-        for blob_id in (job.prefix_id, job.blob_id):
-            content = self._blobs.load(blob_id) if blob_id else Ok(b"")
-            if content.is_error() or content.ok is None:
-                return content
-            contents.append(content.ok)
-        return Ok(unpack(job, *contents))
-
-    def _note_start(self, held: HeldJob) -> bool:
-        """Make the start durable where jobs of the segment ended their holders."""
-        segment = self._holdings.get(held.address.segment_id)
-        if segment is None:
-            self._leave(held)
-            return False
-        if held.is_start_noted or segment.outcomes.n_losses < MAX_LOSSES:
-            return True
-        outcome = segment.outcomes.jobs[held.address.index]
-        if outcome.n_attempts >= MAX_NOTED_ATTEMPTS:
-            self._end(held, "failed", "holders-lost")
-            return False
-        if self._holdings.note_attempt(held.address):
-            return True
-        self._put_back(held, RETRY_DELAY_MS)
-        return False
-
-    def _judge(self, held: HeldJob, failure: Failure) -> None:
-        verdict = judge(failure, held.n_attempts + 1)
-        if verdict == "fail":
-            self._end(held, "failed", failure.code)
-            return
-        n_attempts = held.n_attempts + (verdict == "retry")
-        self._parts.telemetry.log(
-            events.JOB_RETRIED,
-            segment_id=held.address.segment_id,
-            index=held.address.index,
-            failure=failure.code,
-            n_attempts=n_attempts,
-        )
-        delay_ms = retry_delay_ms(failure, n_attempts)
-        self._put_back(held._replace(n_attempts=n_attempts), delay_ms)
-
-    def _rank(self, held: HeldJob, class_rank: int) -> int:
-        with self._lock:
-            return self._backlog.rank(held, class_rank, self._parts.clock.wall_ms())
-
-    def _should_yield(self, held: HeldJob) -> bool:
-        if self._is_stopping:
-            return True
-        with self._lock:
-            return self._backlog.should_yield(held, self._parts.clock.wall_ms())
-
-    def _put_back(self, held: HeldJob, delay_ms: int) -> None:
-        not_before_wall_ms = self._parts.clock.wall_ms() + delay_ms
-        with self._lock:
-            self._backlog.retry(held._replace(not_before_wall_ms=not_before_wall_ms))
-
-    def _end(self, held: HeldJob, state: str, failure_code: str) -> None:
-        self._finish(held.address, state, failure_code)
-        self._leave(held)
-
-    def _finish(self, address: JobAddress, state: str, failure_code: str) -> None:
-        self._holdings.finish(address, Finished(Outcome(state, failure_code)))
-
-    def _leave(self, held: HeldJob) -> None:
-        with self._lock:
-            self._backlog.finish(held, self._parts.clock.now_ms())
-
 
 def _open_jobs(segment: HeldSegment) -> list[HeldJob]:
     jobs = zip(segment.segment.jobs, segment.outcomes.jobs, strict=True)
--- a/tests/deferred/fleet.py
+++ b/tests/deferred/fleet.py
@@ -91,6 +91,12 @@
         return Ok(expected_answer(job))
 
 
+def replace_run(service, run_job):
+    """Let an instance's jobs run by another function from now on."""
+    runner = service._runner
+    runner._parts = runner._parts._replace(run_job=run_job)
+
+
 class Fleet:
     """Instances, what they were asked, and what they promised."""
 
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -14,6 +14,7 @@
     RULES,
     Fleet,
     expected_answer,
+    replace_run,
     submission,
 )
 
@@ -141,7 +142,7 @@
             service.cancel("a", "m", job_id)
         return Error(NoEngine("small"))
 
-    service._parts = service._parts._replace(run_job=run_job)
+    replace_run(service, run_job)
     fleet.settle(n_rounds=10)
     assert fleet.runs.count(ids[0]) == 1
     assert fleet.runs.count(ids[1]) > 1
@@ -231,7 +232,7 @@
         run_job(job_id, run, control)
         return Ok({"text": "y" * 3_000_000})
 
-    instance.service._parts = instance.service._parts._replace(run_job=run_large)
+    replace_run(instance.service, run_large)
     fleet.step("i0", "run")
     instance.connection.n_calls_left = 2
     fleet.step("i0", "commit")
--- a/tests/deferred/test_service.py
+++ b/tests/deferred/test_service.py
@@ -15,6 +15,7 @@
     RULES,
     Fleet,
     expected_answer,
+    replace_run,
     submission,
 )
 
@@ -109,7 +110,7 @@
         return Ok(answer)
 
     service = fleet.instances["i0"].service
-    service._parts = service._parts._replace(run_job=run_job)
+    replace_run(service, run_job)
     fleet.step("i0", "run")
     fleet.step("i0", "commit")
     assert seen == [job.body]
@@ -231,7 +232,7 @@
         return Ok({})
 
     service = fleet.instances["i0"].service
-    service._parts = service._parts._replace(run_job=run_job)
+    replace_run(service, run_job)
     fleet.step("i0", "run")
     assert seen == [False, True]
 
@@ -305,8 +306,7 @@
         name = f"n{index}"
         fleet.instances.clear()
         instance = fleet.start(name)
-        service = instance.service
-        service._parts = service._parts._replace(run_job=run_job(instance))
+        replace_run(instance.service, run_job(instance))
         for step in ("lease", "scan", "run", "commit", "run", "commit"):
             if name in fleet.instances:
                 fleet.step(name, step)
