--- a/buckthornrock/rollout/plan.py
+++ b/buckthornrock/rollout/plan.py
@@ -2,9 +2,8 @@
 
 Answers new versions that are named while traffic is high: only part of the fleet
 loads at a time, the oldest weights and then the least work first, and always the newest
-version.
-While a burst fills the engines one loads at a time, as long as all can be done in
-time.
+version. While a burst fills the engines one loads at a time, as long as all can be done
+in time.
 """
 
 import math
--- a/buckthornrock/scheduling/waiting.py
+++ b/buckthornrock/scheduling/waiting.py
@@ -41,16 +41,20 @@
 
     def add(self, n_units: int, now_ms: float) -> None:
         """Count a request."""
+        self._forget(now_ms)
         self._counted.append((now_ms, n_units))
 
     def per_ms(self, now_ms: float) -> float | None:
         """Return the rate, or None while there were too few requests to tell."""
-        while self._counted and self._counted[0][0] < now_ms - RATE_WINDOW_MS:
-            self._counted.popleft()
+        self._forget(now_ms)
         if len(self._counted) < MIN_COUNTED:
             return None
         return sum(n_units for _, n_units in self._counted) / RATE_WINDOW_MS
 
+    def _forget(self, now_ms: float) -> None:
+        while self._counted and self._counted[0][0] < now_ms - RATE_WINDOW_MS:
+            self._counted.popleft()
+
 
 class WaitingRoom:
     """Requests that wait for a place at the upstreams of one service."""
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -7,7 +7,7 @@
 from buckthornrock.scheduling.cached_parts import CachedParts
 from buckthornrock.scheduling.prompt import parse_prompt
 from buckthornrock.scheduling.retry_budget import SAFETY_SHARE, RetryBudget
-from buckthornrock.scheduling.waiting import Waiting, WaitingRoom
+from buckthornrock.scheduling.waiting import RecentRate, Waiting, WaitingRoom
 from buckthornrock.scheduling.weights import WeightsView
 from tests.scheduling.world import engine, long, short
 
@@ -157,3 +157,12 @@
     for step in range(20):
         room.on_placed(long(), 2_000.0 + step * 100.0)
     assert not room.hopeless(4_100.0)
+
+
+def test_rate_forgets_what_nobody_asks_for():
+    """Load: a day of requests that never wait, so that no rate is ever read."""
+    rate = RecentRate()
+    for number in range(100_000):
+        rate.add(1, number * 10.0)
+    assert len(rate._counted) <= 201
+    assert rate.per_ms(999_990.0) == pytest.approx(0.1, rel=0.02)
