Probe the tests' ports for datagrams too

Both protocols are probed now. Test: a port whose UDP side is held is passed over (fails before). Between probe and use another program can still take a port; then the test fails with that name.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,7 @@
 """What instances tell each other, and take from each other while the store is away."""
 
 import asyncio
+import socket
 import time
 
 import msgspec
@@ -156,3 +157,21 @@
         assert asking._asking is not None
 
     run(main)
+
+
+def test_ports_of_the_tests_are_free_for_datagrams_too(monkeypatch):
+    """Seen once: the port of a digest's socket was another program's UDP port."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind(("127.0.0.1", 0))
+        taken = other.getsockname()[1]
+        bind, offers = socket.socket.bind, [taken, 0, 0]
+
+        def offer(self, address):
+            is_tcp_probe = self.type == socket.SOCK_STREAM and address[1] == 0
+            port = offers.pop(0) if is_tcp_probe else address[1]
+            bind(self, (address[0], port))
+
+        monkeypatch.setattr(socket.socket, "bind", offer)
+        ports = free_ports(2)
+    assert taken not in ports
+    assert len(set(ports)) == 2
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -167,14 +167,23 @@
 
 
 def free_ports(n_ports: int) -> list[int]:
-    """Return ports that differ: each stays bound until all are found."""
+    """Return ports that differ and that neither TCP nor UDP uses.
+
+    Each stays bound until all are found.
+    """
+    found: list[int] = []
     with contextlib.ExitStack() as probes:
-        found = []
-        for _ in range(n_ports):
+        while len(found) < n_ports:
             probe = probes.enter_context(socket.socket())
             probe.bind(("127.0.0.1", 0))
-            found.append(probe.getsockname()[1])
-        return found
+            port = probe.getsockname()[1]
+            datagrams = probes.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+            with contextlib.suppress(OSError):
+                datagrams.bind(("127.0.0.1", port))
+                found.append(port)
+    return found
 
 
 async def start_world(
