Keep one copy of each type that the gateway added twice; drop what nothing reads

Read again: an incarnation's type stood in two modules and was spelled out in five more; it is catalog.upstreams.Incarnation now. store.Change had the fields and the meaning of WatchBatch, which was there before; the store's port returns that. The boundary around an isolated account's cached parts was called by a rule's name of the users' pages; it is the cache scope, and the salt's text is the same.

Nothing read: the directory's time of confirmation, the client's own deadline beside the end of a request, CachedParts.forget, and a bound on digests that was never checked.

--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -8,6 +8,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+#: Id and start of an upstream.
+Incarnation = tuple[str, int]
+
 #: Entries that lapsed in an outage are written again within this time.
 RETURN_GRACE_MS = 2_000.0
 
@@ -29,7 +32,7 @@
     weights_versions: dict[str, int]
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """What identifies this start of the upstream."""
         return self.upstream_id, self.started_ms
 
@@ -41,13 +44,10 @@
     ----------
     revision : int
         Revision of the store up to which the entries are known.
-    heard_at_ms : float
-        When the store last confirmed them.
     """
 
     def __init__(self) -> None:
         self.revision = 0
-        self.heard_at_ms = 0.0
         self._upstreams: dict[str, Upstream] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._is_store_lost = False
@@ -133,7 +133,6 @@
             self._is_store_lost = False
             self._store_back_at_ms = now_ms
         self.revision = revision
-        self.heard_at_ms = now_ms
 
     def _put(self, upstream: Upstream) -> None:
         self._missing_since_ms.pop(upstream.upstream_id, None)
--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -12,7 +12,7 @@
 from .requests import AdmittedRequest, ClientRequest, Refusal
 
 #: Text that stands for accounts which share cached parts with one another.
-SHARED_WALL = "shared"
+SHARED_SCOPE = "shared"
 
 
 class AdmissionInputs(NamedTuple):
@@ -43,10 +43,10 @@
     )
 
 
-def cache_wall(account: ClientAccount | None) -> str:
+def cache_scope_of(account: ClientAccount | None) -> str:
     """Return what separates an isolated account's cached parts from all others."""
     is_isolated = account is not None and account.is_isolated
-    return f"account={account.name}" if is_isolated else SHARED_WALL
+    return f"account={account.name}" if is_isolated else SHARED_SCOPE
 
 
 def _demand(
@@ -73,8 +73,8 @@
     rank = route.rank
     if account is not None and account.rank is not None:
         rank = account.rank
-    wall = cache_wall(account)
-    return Ok(Demand(request.fields.request_id, route, rank, service, wall, prompt))
+    scope = cache_scope_of(account)
+    return Ok(Demand(request.fields.request_id, route, rank, service, scope, prompt))
 
 
 def _pick_service(route: Route, rng: random.Random) -> str:
@@ -88,9 +88,8 @@
 def _admitted(
     request: ClientRequest, route: Route, account: ClientAccount | None, demand: Demand
 ) -> AdmittedRequest:
-    deadline_ms = request.fields.deadline_ms
-    gives_up_at_ms = request.received_at_ms + (
-        route.timeout_ms if deadline_ms is None else deadline_ms
-    )
-    ends_at_ms = min(gives_up_at_ms, request.received_at_ms + route.timeout_ms)
-    return AdmittedRequest(request, route, account, demand, gives_up_at_ms, ends_at_ms)
+    limit_ms = route.timeout_ms
+    if request.fields.deadline_ms is not None:
+        limit_ms = min(request.fields.deadline_ms, limit_ms)
+    ends_at_ms = request.received_at_ms + limit_ms
+    return AdmittedRequest(request, route, account, demand, ends_at_ms)
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -243,7 +243,7 @@
         if demand.prompt is None:
             return ""
         version = ticket.placement.weights_version
-        return cache_salt(demand.wall, demand.prompt.model, version)
+        return cache_salt(demand.cache_scope, demand.prompt.model, version)
 
     def _note_readings(self, ticket: Ticket) -> None:
         """Tell where the prompt's shared parts will be from now on."""
--- a/buckthornrock/gateway/knowledge.py
+++ b/buckthornrock/gateway/knowledge.py
@@ -7,13 +7,13 @@
 
 from ..catalog.configuration import ClientLimits, Configuration
 from ..catalog.route_table import RouteTable
-from ..catalog.upstreams import Upstream, UpstreamDirectory
+from ..catalog.upstreams import Incarnation, Upstream, UpstreamDirectory
 from ..events import gateway as events
 from ..rollout.plan import EngineView
 from ..rollout.port import RolloutInputs
 from ..scheduling.cached_parts import PartKey
 from ..scheduling.choice import View
-from ..scheduling.loads import FleetLoads, Incarnation
+from ..scheduling.loads import FleetLoads
 from ..scheduling.reading import MIN_SHARED_TOKENS, store_incarnation
 from ..scheduling.weights import WeightsView
 from ..telemetry import Telemetry
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..catalog.upstreams import Incarnation
 from ..events import gateway as events
+from ..scheduling.cached_parts import PartKey
 from ..scheduling.loads import Work
 from ..telemetry import Telemetry
 from ..wire.digests import (
@@ -167,17 +169,15 @@
 
     def _on_reading(
         self,
-        incarnation: tuple[str, int],
-        key: tuple[str, str],
+        incarnation: Incarnation,
+        key: PartKey,
         n_tokens: int,
         ready_in_ms: float,
     ) -> None:
         reading = PartReading(*incarnation, *key, n_tokens, ready_in_ms)
         self._readings.append((N_TELLINGS, reading))
 
-    def _on_loaded(
-        self, incarnation: tuple[str, int], model: str, version: int
-    ) -> None:
+    def _on_loaded(self, incarnation: Incarnation, model: str, version: int) -> None:
         self._loaded.append((N_TELLINGS, LoadedWeights(*incarnation, model, version)))
 
 
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -6,7 +6,7 @@
 
 from expression import Error, Ok, Result
 
-from ..catalog.upstreams import Upstream
+from ..catalog.upstreams import Incarnation, Upstream
 from .errors import NotReached
 from .ports import HeaderCodec
 from .sockets import tune
@@ -18,8 +18,6 @@
 #: A connection is not used any more this long before the upstream closes it.
 IDLE_MARGIN_MS = 400.0
 
-Incarnation = tuple[str, int]
-
 
 class ConnectionPool:
     """Connections that wait for their next request."""
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -21,15 +21,13 @@
 class AdmittedRequest(NamedTuple):
     """A request that the configuration allows.
 
-    ``client_gives_up_at_ms`` is the client's own deadline and ``ends_at_ms`` the
-    earlier of it and the route's time-out.
+    ``ends_at_ms`` is the earlier of the client's deadline and the route's time-out.
     """
 
     request: ClientRequest
     route: Route
     account: ClientAccount | None
     demand: Demand
-    client_gives_up_at_ms: float
     ends_at_ms: float
 
     @property
--- a/buckthornrock/platform/feeds.py
+++ b/buckthornrock/platform/feeds.py
@@ -6,7 +6,7 @@
 from ..catalog.upstreams import Upstream
 from ..gateway.knowledge import Knowledge
 from ..store.follower import Listener
-from ..store.kv_port import Change, KvEntry, Snapshot
+from ..store.kv_port import KvEntry, Snapshot, WatchBatch
 from .configuration import decode_configuration
 from .upstream_entries import (
     CONFIGURATION_KEY,
@@ -45,7 +45,7 @@
         upstreams, _ = _decode_upstreams(knowledge, snapshot.entries)
         knowledge.replace_upstreams(upstreams, snapshot.revision)
 
-    def on_change(change: Change) -> None:
+    def on_change(change: WatchBatch) -> None:
         upstreams, unreadable = _decode_upstreams(knowledge, change.entries)
         removed = [key.removeprefix(prefix) for key in (*change.deleted, *unreadable)]
         knowledge.change_upstreams(upstreams, removed, change.revision)
@@ -67,11 +67,11 @@
     loop: asyncio.AbstractEventLoop,
     prefix: str,
     on_snapshot: Callable[[Snapshot], None],
-    on_change: Callable[[Change], None],
+    on_change: Callable[[WatchBatch], None],
 ) -> Listener:
     """Return a listener that runs on the event loop, whatever thread calls it."""
 
-    def heard(handle: Callable, found: Snapshot | Change) -> None:
+    def heard(handle: Callable, found: Snapshot | WatchBatch) -> None:
         knowledge.on_store_heard(prefix)
         handle(found)
 
--- a/buckthornrock/platform/store_client.py
+++ b/buckthornrock/platform/store_client.py
@@ -13,7 +13,6 @@
 
 from ..store.errors import HistoryGone, KvUnavailable, LeaseGone
 from ..store.kv_port import (
-    Change,
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -25,6 +24,7 @@
     Snapshot,
     StorePort,
     Transaction,
+    WatchBatch,
 )
 from ..telemetry import Telemetry
 from ..telemetry.metrics import KV_CALLS, KV_FAILURES
@@ -138,7 +138,7 @@
 
     def poll(
         self, prefix: str, after_revision: int, wait_ms: float
-    ) -> Result[Change, KvUnavailable | HistoryGone]:
+    ) -> Result[WatchBatch, KvUnavailable | HistoryGone]:
         """Return what changed after a revision; waits until something did."""
         path = (
             f"/kv-watch?pathPrefix={quote(prefix, safe='')}"
@@ -296,9 +296,9 @@
     return KvEntry(item.key, value, item.rev, item.lease, value[:WRITE_ID_BYTES])
 
 
-def _change(items: _Items) -> Change:
+def _change(items: _Items) -> WatchBatch:
     newest = {item.key: item for item in items.events}.values()
-    return Change(
+    return WatchBatch(
         revision=items.as_of,
         entries=tuple(_entry(item) for item in newest if not item.removed),
         deleted=tuple(item.key for item in newest if item.removed),
--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -6,7 +6,7 @@
 import pykka
 from expression import Result
 
-from ..catalog.upstreams import Upstream
+from ..catalog.upstreams import Incarnation, Upstream
 from ..events import rollout as events
 from ..telemetry import Telemetry
 from .holder import DutyHolder
@@ -54,9 +54,9 @@
         self._instance_id = instance_id
         self._now_ms = now_ms
         self._telemetry = telemetry
-        self._pending: dict[tuple[str, int], PendingOrder] = {}
-        self._asked_at_ms: dict[tuple[str, int], float] = {}
-        self._silent_until_ms: dict[tuple[str, int], float] = {}
+        self._pending: dict[Incarnation, PendingOrder] = {}
+        self._asked_at_ms: dict[Incarnation, float] = {}
+        self._silent_until_ms: dict[Incarnation, float] = {}
         self._next_try_ms = 0.0
         self._is_stopping = False
         self._was_holding = False
--- a/buckthornrock/rollout/plan.py
+++ b/buckthornrock/rollout/plan.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from ..catalog.upstreams import Upstream
+from ..catalog.upstreams import Incarnation, Upstream
 
 #: Part of a model's engines that may load at the same time.
 WAVE_SHARE = 1.0 / 3.0
@@ -62,9 +62,9 @@
     model: str,
     wanted_version: int,
     engines: list[EngineView],
-    pending: dict[tuple[str, int], PendingOrder],
+    pending: dict[Incarnation, PendingOrder],
     now_ms: float,
-    silent: Collection[tuple[str, int]] = (),
+    silent: Collection[Incarnation] = (),
 ) -> list[Order]:
     """Return the orders to give now; engines that are ``silent`` come last."""
     behind = [e for e in engines if e.loaded_version < wanted_version]
@@ -97,7 +97,7 @@
     return left_ms < (n_waves + 1) * WAVE_MS
 
 
-def _n_spare(engines: list[EngineView], loading: set[tuple[str, int]]) -> int:
+def _n_spare(engines: list[EngineView], loading: set[Incarnation]) -> int:
     """Return how many more engines can be taken out, as the others do their work.
 
     One loads even in a burst, so that not everything is left for the end.
@@ -109,7 +109,7 @@
 
 
 def _is_loading(
-    engine: EngineView, pending: dict[tuple[str, int], PendingOrder], now_ms: float
+    engine: EngineView, pending: dict[Incarnation, PendingOrder], now_ms: float
 ) -> bool:
     order = pending.get(engine.upstream.incarnation)
     if order is None:
--- a/buckthornrock/scheduling/cached_parts.py
+++ b/buckthornrock/scheduling/cached_parts.py
@@ -42,12 +42,6 @@
         part = self._parts.get(key)
         return part is not None and part.ready_at_ms <= now_ms
 
-    def forget(self, key: PartKey) -> None:
-        """Drop a part that turned out not to be there."""
-        part = self._parts.pop(key, None)
-        if part is not None:
-            self._n_tokens -= part.n_tokens
-
     def clear(self) -> None:
         """Drop every part."""
         self._parts.clear()
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -11,9 +11,9 @@
 from typing import NamedTuple
 
 from ..catalog.configuration import PromptStore, Route, Service
-from ..catalog.upstreams import Upstream
+from ..catalog.upstreams import Incarnation, Upstream
 from ..runtime import rendezvous
-from .loads import FleetLoads, Incarnation, UpstreamLoad, Work
+from .loads import FleetLoads, UpstreamLoad, Work
 from .prompt import PromptShape
 from .reading import (
     MIN_SHARED_TOKENS,
@@ -68,14 +68,14 @@
 class Demand(NamedTuple):
     """A request as the choice sees it; ``prompt`` is None for plain services.
 
-    ``wall`` keeps cached parts of isolated client accounts apart.
+    ``cache_scope`` keeps cached parts of isolated client accounts apart.
     """
 
     request_id: str
     route: Route
     rank: int
     service: Service
-    wall: str
+    cache_scope: str
     prompt: PromptShape | None
 
     @property
@@ -229,14 +229,14 @@
 ) -> _Prompted | None:
     if demand.prompt is None or demand.service.engine is None:
         return None
-    sharing = Sharing(demand.prompt, demand.wall, demand.service.engine)
+    sharing = Sharing(demand.prompt, demand.cache_scope, demand.service.engine)
     long_engines = _long_prompt_engines(upstreams)
     if demand.is_urgent:
         slow = frozenset(upstream.incarnation for upstream in long_engines)
         return _Prompted(sharing, long_engines, {}, [], slow)
     if not sharing.is_worth_fetching:
         return _Prompted(sharing, long_engines, {}, [])
-    key = f"{demand.wall}/{demand.prompt.shared[-1].part_id}"
+    key = f"{demand.cache_scope}/{demand.prompt.shared[-1].part_id}"
     by_id = {upstream.upstream_id: upstream.incarnation for upstream in long_engines}
     ranked = rendezvous.rank(key.encode(), list(by_id))
     home_ranks = {by_id[id_]: home_rank for home_rank, id_ in enumerate(ranked)}
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
+from ..catalog.upstreams import Incarnation
 from .cached_parts import CachedParts
 
 #: A peer's digest is used for this long after it was made.
@@ -18,8 +19,6 @@
 #: Failures count half after this time.
 FAILURE_HALF_LIFE_MS = 2_000.0
 
-Incarnation = tuple[str, int]
-
 
 class Work(NamedTuple):
     """Work of one request or of several.
--- a/buckthornrock/scheduling/prompt.py
+++ b/buckthornrock/scheduling/prompt.py
@@ -56,10 +56,10 @@
     return PromptPart(part_id, int(n_tokens))
 
 
-def cache_salt(wall: str, model: str, weights_version: int | None) -> str:
+def cache_salt(cache_scope: str, model: str, weights_version: int | None) -> str:
     """Return the text that keeps cached parts apart.
 
-    Nothing cached crosses ``wall`` (an isolated client account), a model or a version
-    of its weights.
+    Nothing cached crosses ``cache_scope`` (an isolated client account), a model or a
+    version of its weights.
     """
-    return f"{wall}/{model}/{weights_version or 0}"
+    return f"{cache_scope}/{model}/{weights_version or 0}"
--- a/buckthornrock/scheduling/reading.py
+++ b/buckthornrock/scheduling/reading.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..catalog.configuration import EngineSpec, PromptStore
-from ..catalog.upstreams import Upstream
+from ..catalog.upstreams import Incarnation, Upstream
 from .loads import FleetLoads
 from .prompt import PromptShape, cache_salt
 from .weights import WeightsView
@@ -26,7 +26,7 @@
     """A prompt with what decides which cached parts it may use."""
 
     prompt: PromptShape
-    wall: str
+    cache_scope: str
     engine: EngineSpec
 
     @property
@@ -86,7 +86,7 @@
 def n_leading_cached(sharing: Sharing, upstream: Upstream, view: CacheView) -> int:
     """Return the tokens of leading shared parts that an engine has or is reading."""
     version = view.weights.loaded(upstream, sharing.prompt.model)
-    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    salt = cache_salt(sharing.cache_scope, sharing.prompt.model, version)
     parts = view.loads.of(upstream.incarnation).parts
     n_cached = 0
     for part in sharing.prompt.shared:
@@ -119,7 +119,7 @@
     n_cached = n_leading_cached(sharing, upstream, view)
     best = Reading(n_cached, 0, max(1, n_prompt - n_cached), 0.0, "")
     version = view.weights.loaded(upstream, sharing.prompt.model)
-    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    salt = cache_salt(sharing.cache_scope, sharing.prompt.model, version)
     for holder in holders:
         is_other = holder.address != upstream.address and holder.salt == salt
         n_fetched = holder.n_tokens - n_cached
@@ -133,7 +133,7 @@
     return best
 
 
-def store_incarnation(store: PromptStore) -> tuple[str, int]:
+def store_incarnation(store: PromptStore) -> Incarnation:
     """Return the key under which a prompt store's parts are known."""
     return f"prompt-store:{store.address}", 0
 
@@ -141,7 +141,7 @@
 def _engine_holder(sharing: Sharing, upstream: Upstream, view: CacheView) -> Holder:
     load = view.loads.of(upstream.incarnation)
     version = view.weights.loaded(upstream, sharing.prompt.model)
-    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    salt = cache_salt(sharing.cache_scope, sharing.prompt.model, version)
     n_ready = 0
     if view.now_ms >= load.loading_until_ms:
         n_ready = _n_ready(sharing, salt, upstream.incarnation, view)
@@ -152,14 +152,14 @@
 def _store_holder(
     sharing: Sharing, store: PromptStore, version: int | None, view: CacheView
 ) -> Holder:
-    salt = cache_salt(sharing.wall, sharing.prompt.model, version)
+    salt = cache_salt(sharing.cache_scope, sharing.prompt.model, version)
     n_ready = _n_ready(sharing, salt, store_incarnation(store), view)
     link_mbps = sharing.engine.link_mbps * STORE_LINK_SHARE
     return Holder(store.address, store.failure_domain, salt, n_ready, link_mbps)
 
 
 def _n_ready(
-    sharing: Sharing, salt: str, incarnation: tuple[str, int], view: CacheView
+    sharing: Sharing, salt: str, incarnation: Incarnation, view: CacheView
 ) -> int:
     parts = view.loads.of(incarnation).parts
     n_ready = 0
--- a/buckthornrock/store/follower.py
+++ b/buckthornrock/store/follower.py
@@ -9,7 +9,7 @@
 
 from .breaker import backoff_ms
 from .errors import HistoryGone
-from .kv_port import Change, Snapshot, StorePort
+from .kv_port import Snapshot, StorePort, WatchBatch
 
 #: Waiting time of one long poll; bounds how late a silent connection is noticed.
 POLL_WAIT_MS = 2_000.0
@@ -25,13 +25,13 @@
     on_snapshot : callable
         ``on_snapshot(Snapshot)``: every key, at the start and after lost history.
     on_change : callable
-        ``on_change(Change)``; also with no entries, which confirms the revision.
+        ``on_change(WatchBatch)``; also with no entries, which confirms the revision.
     on_lost : callable
         ``on_lost(reason)``: the store does not answer.
     """
 
     on_snapshot: Callable[[Snapshot], None]
-    on_change: Callable[[Change], None]
+    on_change: Callable[[WatchBatch], None]
     on_lost: Callable[[str], None]
 
 
--- a/buckthornrock/store/kv_port.py
+++ b/buckthornrock/store/kv_port.py
@@ -104,7 +104,7 @@
 
 
 class WatchBatch(NamedTuple):
-    """Changes under a watched prefix, up to ``revision``."""
+    """Changes under a watched prefix, up to ``revision``, the last of each key."""
 
     revision: int
     entries: tuple[KvEntry, ...]
@@ -162,14 +162,6 @@
     entries: tuple[KvEntry, ...]
 
 
-class Change(NamedTuple):
-    """What changed under a prefix, up to ``revision``, in order of the revisions."""
-
-    revision: int
-    entries: tuple[KvEntry, ...]
-    deleted: tuple[str, ...]
-
-
 class StorePort(NamedTuple):
     """Functions of a store that is watched by long polls; each blocks its thread.
 
@@ -180,7 +172,7 @@
     snapshot : callable
         ``snapshot(prefix) -> Result[Snapshot, KvUnavailable]``.
     poll : callable
-        ``poll(prefix, after_revision, wait_ms)`` returns ``Result[Change,
+        ``poll(prefix, after_revision, wait_ms)`` returns ``Result[WatchBatch,
         KvUnavailable | HistoryGone]``.
     commit : callable
         ``commit(transaction) -> CommitOutcome``.
@@ -194,7 +186,7 @@
 
     get: Callable[[str], Result[KvEntry | None, KvUnavailable]]
     snapshot: Callable[[str], Result[Snapshot, KvUnavailable]]
-    poll: Callable[[str, int, float], Result[Change, KvUnavailable | HistoryGone]]
+    poll: Callable[[str, int, float], Result[WatchBatch, KvUnavailable | HistoryGone]]
     commit: Callable[[Transaction], CommitOutcome]
     grant_lease: Callable[[float], Result[LeaseGrant, KvUnavailable]]
     keep_alive: Callable[[int], Result[float, KvUnavailable | LeaseGone]]
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -8,9 +8,6 @@
 
 from .errors import DigestUnreadable
 
-#: Fits a datagram with room to spare.
-MAX_DIGEST_BYTES = 60_000
-
 
 class UpstreamWork(msgspec.Struct, array_like=True):
     """Work that the sender has at one incarnation of an upstream."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -70,12 +70,11 @@
         text = text.replace(old, new)
     path = write(tmp_path, text)
     problems = load_node_settings(path).error.problems
-    expected = paths
-    assert [problem.path for problem in problems] == expected
+    assert [problem.path for problem in problems] == paths
     assert all(problem.hint for problem in problems)
     result = CliRunner().invoke(main, ["check", path])
     assert result.exit_code == 1
-    assert f"{len(expected)} problems" in result.output
+    assert f"{len(paths)} problems" in result.output
 
 
 def test_check_passes_a_good_file(tmp_path):
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -34,15 +34,15 @@
     )  # fmt: skip
 
 
-def short(request_id="short", rank=1, wall="shared"):
+def short(request_id="short", rank=1, cache_scope="shared"):
     prompt = PromptShape("m", (PromptPart("own", 380),), 380, 50)
-    return Demand(request_id, route(0, 500.0), rank, ENGINES, wall, prompt)
+    return Demand(request_id, route(0, 500.0), rank, ENGINES, cache_scope, prompt)
 
 
-def long(shared="contract", n_shared=13_300, rank=1, wall="shared", n_own=3_700):
+def long(shared="contract", n_shared=13_300, rank=1, cache_scope="shared", n_own=3_700):
     parts = (PromptPart(shared, n_shared), PromptPart("own", n_own))
     prompt = PromptShape("m", parts, n_shared + n_own, 160)
-    return Demand("long", route(2, 1_500.0), rank, ENGINES, wall, prompt)
+    return Demand("long", route(2, 1_500.0), rank, ENGINES, cache_scope, prompt)
 
 
 def plain(request_id="plain"):
