Derive in the decisions what was kept twice, and sum rates once

Read again: - The wanted version of a model was kept beside the list of named ones, whose last it is. - A prompt carried its long-prompt engines as a list, as a set of starts and, in a choice, as a set of ids, and ranked every home though only the first counts. It carries them by id, and the one home, from rendezvous.owner. - A rate summed its window for each waiting request, each 20 ms, and twice since late requests are told apart; it keeps its sum now.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from ..catalog.configuration import PromptStore, Route, Service
-from ..catalog.upstreams import Incarnation, Upstream
+from ..catalog.upstreams import Upstream
 from ..runtime import rendezvous
 from .loads import FleetLoads, UpstreamLoad, Work
 from .prompt import PromptShape
@@ -138,7 +138,7 @@
     code = "no-place"
 
 
-def _long_prompt_engines(upstreams: list[Upstream]) -> list[Upstream]:
+def _long_prompt_engines(upstreams: list[Upstream]) -> dict[str, Upstream]:
     """Return the engines that read long prompts; the others answer without pauses.
 
     While an engine reads a long prompt, everything that it answers slows down. All
@@ -147,20 +147,20 @@
     n_long = math.ceil(len(upstreams) * LONG_PROMPT_SHARE)
     by_id = {upstream.upstream_id: upstream for upstream in upstreams}
     ranked = rendezvous.rank(LONG_PROMPT_KEY, list(by_id))
-    return [by_id[upstream_id] for upstream_id in ranked[:n_long]]
+    return {upstream_id: by_id[upstream_id] for upstream_id in ranked[:n_long]}
 
 
 class _Prompted(NamedTuple):
-    """A demand's prompt with its homes and holders.
+    """A demand's prompt with its home and holders.
 
-    ``long_engines`` are those that read long prompts.
+    ``long_engines`` are those that read long prompts, by id. ``home`` is where equal
+    prompts go if nothing else decides, "" for prompts that go anywhere.
     """
 
     sharing: Sharing
-    long_engines: list[Upstream]
-    home_ranks: dict[Incarnation, int]
-    holders: list[Holder]
-    slow: frozenset[Incarnation] = frozenset()
+    long_engines: dict[str, Upstream]
+    home: str = ""
+    holders: tuple[Holder, ...] = ()
 
 
 def choose(
@@ -187,11 +187,10 @@
 ) -> Placement | None:
     """Keep long prompts to some of the engines, strictly while these are full."""
     engines = prompted.long_engines
-    best = _best(demand, prompted, engines, view)
+    best = _best(demand, prompted, list(engines.values()), view)
     if best is None:
         return None
-    ids = {upstream.upstream_id for upstream in engines}
-    others = [upstream for upstream in upstreams if upstream.upstream_id not in ids]
+    others = [u for u in upstreams if u.upstream_id not in engines]
     if any(_reading_ms(upstream, view) > LONG_READING_MS for upstream in others):
         return best
     other = _best(demand, prompted, others, view)
@@ -231,17 +230,12 @@
         return None
     sharing = Sharing(demand.prompt, demand.cache_scope, demand.service.engine)
     long_engines = _long_prompt_engines(upstreams)
-    if demand.is_urgent:
-        slow = frozenset(upstream.incarnation for upstream in long_engines)
-        return _Prompted(sharing, long_engines, {}, [], slow)
-    if not sharing.is_worth_fetching:
-        return _Prompted(sharing, long_engines, {}, [])
+    if demand.is_urgent or not sharing.is_worth_fetching or not long_engines:
+        return _Prompted(sharing, long_engines)
     key = f"{demand.cache_scope}/{demand.prompt.shared[-1].part_id}"
-    by_id = {upstream.upstream_id: upstream.incarnation for upstream in long_engines}
-    ranked = rendezvous.rank(key.encode(), list(by_id))
-    home_ranks = {by_id[id_]: home_rank for home_rank, id_ in enumerate(ranked)}
+    home = rendezvous.owner(key.encode(), list(long_engines))
     holders = find_holders(sharing, upstreams, view.caches)
-    return _Prompted(sharing, long_engines, home_ranks, holders)
+    return _Prompted(sharing, long_engines, home, holders)
 
 
 def _option(
@@ -284,9 +278,9 @@
     if not _fits(demand, total, n_memory):
         return None
     lag_ms = view.weights.lag_ms(upstream, prompt.model, view.now_ms)
-    home_ranks = prompted.home_ranks
-    is_home = not home_ranks or home_ranks.get(upstream.incarnation) == 0
+    is_home = prompted.home in ("", upstream.upstream_id)
     is_away = not is_home and reading.n_cached < MIN_SHARED_TOKENS
+    is_slow = demand.is_urgent and upstream.upstream_id in prompted.long_engines
     estimate_ms = (
         total.reading_ms
         + reading.duration_ms
@@ -294,7 +288,7 @@
         + load.failure_rate(view.now_ms) * FAILURE_COST_MS
         + _distance_ms(upstream, view)
         + (AWAY_FROM_HOME_MS if is_away else 0.0)
-        + (SLOW_ENGINE_MS if upstream.incarnation in prompted.slow else 0.0)
+        + (SLOW_ENGINE_MS if is_slow else 0.0)
     )
     objective_ms = demand.route.objective_ms
     if lag_ms > OLD_WEIGHTS_FREE_MS:
--- a/buckthornrock/scheduling/reading.py
+++ b/buckthornrock/scheduling/reading.py
@@ -98,21 +98,24 @@
 
 def find_holders(
     sharing: Sharing, upstreams: list[Upstream], view: CacheView
-) -> list[Holder]:
+) -> tuple[Holder, ...]:
     """Return engines and prompt stores from which shared parts can be fetched."""
     if not sharing.is_worth_fetching:
-        return []
+        return ()
     holders = [_engine_holder(sharing, upstream, view) for upstream in upstreams]
     versions = {
         view.weights.loaded(upstream, sharing.prompt.model) for upstream in upstreams
     }
     for store in view.prompt_stores:
         holders += [_store_holder(sharing, store, v, view) for v in versions]
-    return [holder for holder in holders if holder.n_tokens >= MIN_SHARED_TOKENS]
+    return tuple(h for h in holders if h.n_tokens >= MIN_SHARED_TOKENS)
 
 
 def plan_reading(
-    sharing: Sharing, upstream: Upstream, holders: list[Holder], view: CacheView
+    sharing: Sharing,
+    upstream: Upstream,
+    holders: tuple[Holder, ...],
+    view: CacheView,
 ) -> Reading:
     """Return the fastest way for an engine to get at the prompt."""
     n_prompt = sharing.prompt.n_prompt_tokens
--- a/buckthornrock/scheduling/waiting.py
+++ b/buckthornrock/scheduling/waiting.py
@@ -38,22 +38,25 @@
 
     def __init__(self) -> None:
         self._counted: deque[tuple[float, int]] = deque()
+        self._n_units = 0
 
     def add(self, n_units: int, now_ms: float) -> None:
         """Count a request."""
         self._forget(now_ms)
         self._counted.append((now_ms, n_units))
+        self._n_units += n_units
 
     def per_ms(self, now_ms: float) -> float | None:
         """Return the rate, or None while there were too few requests to tell."""
         self._forget(now_ms)
         if len(self._counted) < MIN_COUNTED:
             return None
-        return sum(n_units for _, n_units in self._counted) / RATE_WINDOW_MS
+        return self._n_units / RATE_WINDOW_MS
 
     def _forget(self, now_ms: float) -> None:
         while self._counted and self._counted[0][0] < now_ms - RATE_WINDOW_MS:
-            self._counted.popleft()
+            _, n_units = self._counted.popleft()
+            self._n_units -= n_units
 
 
 class WaitingRoom:
@@ -130,10 +133,7 @@
         n_ahead: dict[int, int] = defaultdict(int)
         for waiting in self._in_order(now_ms):
             urgency = waiting.demand.urgency
-            rate = self._rate_for(waiting, now_ms)
-            wait_ms = n_ahead[urgency] / rate if rate else 0.0
-            if rate is not None and rate <= 0.0:
-                wait_ms = math.inf
+            wait_ms = _wait_ms(n_ahead[urgency], self._rate_for(waiting, now_ms))
             if is_hopeless(waiting, wait_ms, now_ms):
                 found.append((waiting, wait_ms))
                 continue
@@ -158,6 +158,12 @@
     return now_ms + wait_ms + MIN_SERVICE_MS > waiting.give_up_at_ms
 
 
+def _wait_ms(n_ahead: int, rate: float | None) -> float:
+    if rate is None:
+        return 0.0
+    return n_ahead / rate if rate > 0.0 else math.inf
+
+
 def _order(waiting: Waiting, now_ms: float) -> tuple[int, bool, float]:
     """Return the sort key: urgent first, then those that can still be on time."""
     is_late = _is_late(waiting, now_ms)
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -28,7 +28,6 @@
 
     def __init__(self, usable_ms: float) -> None:
         self._usable_ms = usable_ms
-        self._wanted: dict[str, WantedWeights] = {}
         self._named: dict[str, deque[WantedWeights]] = {}
         self._learnt: dict[tuple[tuple[str, int], str], int] = {}
 
@@ -38,18 +37,14 @@
         Of two times for one version the earlier counts: a peer may have known it
         before this instance started.
         """
-        known = self._wanted.get(model)
-        if known is not None and known.version > version:
-            return False
-        if known is not None and known.version == version:
-            since_ms = min(since_ms, known.known_at_ms)
-        self._wanted[model] = WantedWeights(version, since_ms)
         named = self._named.setdefault(model, deque(maxlen=MAX_NAMED_VERSIONS))
-        is_new = known is None or known.version < version
-        if not is_new:
-            named.pop()
-        named.append(self._wanted[model])
-        return is_new
+        if not named or named[-1].version < version:
+            named.append(WantedWeights(version, since_ms))
+            return True
+        if named[-1].version == version:
+            earliest_ms = min(since_ms, named[-1].known_at_ms)
+            named[-1] = WantedWeights(version, earliest_ms)
+        return False
 
     def on_loaded(self, incarnation: tuple[str, int], model: str, version: int) -> bool:
         """Note a version seen at an upstream; return whether it is news."""
@@ -61,11 +56,12 @@
 
     def wanted(self, model: str) -> WantedWeights | None:
         """Return the newest version of a model."""
-        return self._wanted.get(model)
+        named = self._named.get(model)
+        return named[-1] if named else None
 
     def models(self) -> dict[str, WantedWeights]:
         """Return every model with its newest version."""
-        return dict(self._wanted)
+        return {model: named[-1] for model, named in self._named.items()}
 
     def loaded(self, upstream: Upstream, model: str) -> int | None:
         """Return the version that an upstream is believed to have."""
@@ -88,13 +84,13 @@
         Versions may follow each other faster than engines load them; the first that
         is newer than the loaded one counts.
         """
-        wanted = self._wanted.get(model)
         loaded = self.loaded(upstream, model) or 0
-        if wanted is None or loaded >= wanted.version:
-            return 0.0
-        return now_ms - min(
-            named.known_at_ms for named in self._named[model] if named.version > loaded
-        )
+        newer_ms = [
+            wanted.known_at_ms
+            for wanted in self._named.get(model, ())
+            if wanted.version > loaded
+        ]
+        return now_ms - min(newer_ms) if newer_ms else 0.0
 
     def left_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
         """Return for how long requests may still begin on what is loaded there."""
