Tell a closed idle connection in one place

The same except block stood in request() and getresponse(), with a flag beside the count that it repeated; one context manager asks the count before the library resets it. The engine client's try within a try is one. tests/upstreams, path and dispatch pass.

--- a/buckthornrock/upstreams/engine_client.py
+++ b/buckthornrock/upstreams/engine_client.py
@@ -42,14 +42,8 @@
         out once more on a new one: an engine gives up what it began there, and makes
         the same tokens again.
         """
-        pool = self._pool(call.address)
         try:
-            try:
-                response = self._send(pool, call)
-            except urllib3.exceptions.ProtocolError as error:
-                if not _is_idle_closed(error):
-                    raise
-                return self._send_anew(call)
+            response = self._send(self._pool(call.address), call)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -57,6 +51,8 @@
             name = type(error).__name__
             return Error(AttemptFailed(call.upstream_id, name, "true"))
         except urllib3.exceptions.HTTPError as error:
+            if _is_idle_closed(error):
+                return self._send_anew(call)
             name = type(error).__name__
             return Error(AttemptFailed(call.upstream_id, name, "unknown"))
         return _taken(response, call)
@@ -117,7 +113,7 @@
     return body
 
 
-def _is_idle_closed(error: urllib3.exceptions.ProtocolError) -> bool:
+def _is_idle_closed(error: urllib3.exceptions.HTTPError) -> bool:
     return any(isinstance(cause, IdleClosedError) for cause in error.args)
 
 
--- a/buckthornrock/upstreams/pooled_connection.py
+++ b/buckthornrock/upstreams/pooled_connection.py
@@ -4,6 +4,8 @@
 """
 
 import http.client
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from urllib3.connection import HTTPConnection
 from urllib3.response import HTTPResponse
@@ -21,7 +23,6 @@
     def __init__(self, *args: object, **kwargs: object) -> None:
         super().__init__(*args, **kwargs)
         self._n_requests = 0
-        self._is_reused = False
 
     def request(self, *args: object, **kwargs: object) -> None:
         """Send a request.
@@ -32,12 +33,8 @@
             If the connection is closed and not new.
         """
         self._n_requests += 1
-        self._is_reused = self._n_requests > 1
-        try:
+        with self._telling_idle_closed():
             super().request(*args, **kwargs)
-        except _CLOSED as error:
-            self._raise_if_reused(error)
-            raise
 
     def getresponse(self) -> HTTPResponse:
         """Return the answer once its head has come.
@@ -47,17 +44,21 @@
         IdleClosedError
             If the connection is closed before it, and is not new.
         """
-        try:
+        with self._telling_idle_closed():
             return super().getresponse()
-        except _CLOSED as error:
-            self._raise_if_reused(error)
-            raise
 
     def close(self) -> None:
         """Close the connection; the next request opens it anew."""
         super().close()
         self._n_requests = 0
 
-    def _raise_if_reused(self, error: Exception) -> None:
-        if self._is_reused:
-            raise IdleClosedError(type(error).__name__) from error
+    @contextmanager
+    def _telling_idle_closed(self) -> Iterator[None]:
+        # Asked first: the library closes the connection before the error comes here.
+        is_reused = self._n_requests > 1
+        try:
+            yield
+        except _CLOSED as error:
+            if is_reused:
+                raise IdleClosedError(type(error).__name__) from error
+            raise
