--- a/benchmarks/settings_files.py
+++ b/benchmarks/settings_files.py
@@ -1,5 +1,6 @@
 """Settings files of the benchmark's processes."""
 
+import contextlib
 import hashlib
 import socket
 
@@ -18,14 +19,20 @@
 
 
 def free_ports(n_ports: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Return ports that differ and that neither TCP nor UDP used a moment ago."""
+    found: list[int] = []
+    with contextlib.ExitStack() as probes:
+        while len(found) < n_ports:
+            probe = probes.enter_context(socket.socket())
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+            datagrams = probes.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+            with contextlib.suppress(OSError):
+                datagrams.bind(("127.0.0.1", port))
+                found.append(port)
+    return found
 
 
 def standins_document(deployment: Deployment, seed: int, group: int) -> dict:
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -99,8 +99,9 @@
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
     peers = PeerExchange(_peer_settings(settings), knowledge, now_ms, telemetry)
-    n_instances = peers.n_instances
-    dispatcher = Dispatcher(knowledge.directory, knowledge.loads, knowledge.view)
+    dispatcher = Dispatcher(
+        knowledge.directory, knowledge.loads, knowledge.view, now_ms
+    )
     parts = ExchangeParts(
         dispatcher=dispatcher,
         pool=pool,
@@ -108,7 +109,7 @@
         budget=RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s * 1000.0
         ),
-        n_instances=n_instances,
+        n_instances=peers.n_instances,
         knowledge=knowledge,
         now_ms=now_ms,
         telemetry=telemetry,
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -69,10 +69,12 @@
         directory: UpstreamDirectory,
         loads: FleetLoads,
         view: Callable[[], View],
+        now_ms: Callable[[], float],
     ) -> None:
         self.loads = loads
         self._directory = directory
         self._view = view
+        self._now_ms = now_ms
         self._rooms: dict[str, WaitingRoom] = defaultdict(WaitingRoom)
         self._places: dict[int, asyncio.Future[Ticket | Refusal]] = {}
         self._excluded: dict[int, frozenset[str]] = {}
@@ -85,7 +87,7 @@
         """Return a place at an upstream that is not excluded, or a refusal."""
         demand = admitted.demand
         room = self._rooms[demand.service.name]
-        now_ms = self._view().now_ms
+        now_ms = self._now_ms()
         waiting = Waiting(next(self._numbers), demand, now_ms, admitted.ends_at_ms)
         room.on_arrived(demand, now_ms)
         if not room.has_ahead_of(demand):
@@ -105,12 +107,12 @@
     def report(self, upstream: Upstream, load: tuple[int, int, int]) -> None:
         """Take over an upstream's own word on its load."""
         state = self.loads.of(upstream.incarnation)
-        state.report = LoadReport(*load, self._view().now_ms)
+        state.report = LoadReport(*load, self._now_ms())
 
     def block(self, upstream: Upstream, duration_ms: float) -> None:
         """Give an upstream no new work for a while."""
         state = self.loads.of(upstream.incarnation)
-        until_ms = self._view().now_ms + duration_ms
+        until_ms = self._now_ms() + duration_ms
         state.blocked_until_ms = max(state.blocked_until_ms, until_ms)
 
     def n_waiting(self) -> int:
@@ -138,7 +140,7 @@
         self._places[waiting.number] = place
         self._excluded[waiting.number] = excluded
         room.join(waiting)
-        limit_ms = waiting.give_up_at_ms - MIN_SERVICE_MS - self._view().now_ms
+        limit_ms = waiting.give_up_at_ms - MIN_SERVICE_MS - self._now_ms()
         ticket = None
         try:
             async with asyncio.timeout(max(0.0, limit_ms) / 1000.0):
@@ -160,11 +162,11 @@
         self._is_wake_due = False
         for room in self._rooms.values():
             if len(room):
-                room.place_each(self._try_place, self._view().now_ms)
+                room.place_each(self._try_place, self._now_ms())
 
     def _refuse_hopeless(self) -> None:
         """Tell requests at once that can't be placed in time any more."""
-        now_ms = self._view().now_ms
+        now_ms = self._now_ms()
         for room in self._rooms.values():
             if not len(room):
                 continue
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from benchmarks.settings_files import free_ports
 from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway.knowledge import Knowledge
 from buckthornrock.gateway.knowledge_exchange import KnowledgeExchange, PeerState
@@ -17,7 +18,7 @@
 from buckthornrock.scheduling.weights import WeightsView
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
 from buckthornrock.wire.digests import Digest, decode_digest, encode_digest
-from tests.gateway.world import free_ports, now_ms, run
+from tests.gateway.world import now_ms, run
 from tests.platform.test_decoding import DOCUMENT
 
 TELEMETRY = Telemetry(open_log(None), open_metrics("", 0, ""))
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -1,12 +1,11 @@
 """A gateway before scripted upstreams, all in one event loop on loopback."""
 
 import asyncio
-import contextlib
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from benchmarks.settings_files import free_ports
 from buckthornrock.catalog.configuration import (
     ClientAccount,
     ClientLimits,
@@ -166,26 +165,6 @@
     return time.monotonic() * 1000.0
 
 
-def free_ports(n_ports: int) -> list[int]:
-    """Return ports that differ and that neither TCP nor UDP uses.
-
-    Each stays bound until all are found.
-    """
-    found: list[int] = []
-    with contextlib.ExitStack() as probes:
-        while len(found) < n_ports:
-            probe = probes.enter_context(socket.socket())
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-            datagrams = probes.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
-            with contextlib.suppress(OSError):
-                datagrams.bind(("127.0.0.1", port))
-                found.append(port)
-    return found
-
-
 async def start_world(
     *upstreams: ScriptedUpstream, budget: float = 50.0, **changes
 ) -> World:
@@ -216,7 +195,9 @@
     knowledge.replace_upstreams(entries, 1)
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
-    dispatcher = Dispatcher(knowledge.directory, knowledge.loads, knowledge.view)
+    dispatcher = Dispatcher(
+        knowledge.directory, knowledge.loads, knowledge.view, now_ms
+    )
     front, ready, peer = (f"127.0.0.1:{port}" for port in free_ports(3))
     peers = PeerExchange(PeerSettings("i1", peer, (), 1), knowledge, now_ms, telemetry)
     parts = ExchangeParts(
--- a/tests/profiles/fleet.py
+++ b/tests/profiles/fleet.py
@@ -1,10 +1,10 @@
 """Real instances' state parts (no entry ports) around one key-value stand-in."""
 
-import socket
 import time
 
 import msgspec
 
+from benchmarks.settings_files import free_ports
 from buckthornrock.commands.demo_world import demo_profile
 from buckthornrock.compose.core import build_core
 from buckthornrock.compose.membership import build_membership
@@ -17,16 +17,6 @@
 IN_FORCE_LIMIT_S = 6.0
 
 
-def free_ports(n_ports):
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def profile(floor=0.1):
     return {**demo_profile(), "deferrable_floor": floor}
 
