--- a/buckthornrock/telemetry/request_story.py
+++ b/buckthornrock/telemetry/request_story.py
@@ -103,9 +103,10 @@
 
 def story_lines(story: Story) -> list[str]:
     """Return the story as text, one line an event, the cause last."""
-    own = set(map(id, story.own))
-    lines = sorted((*story.own, *story.context), key=lambda line: line.at_s)
-    text = [_text(line, "  " if id(line) in own else "    ") for line in lines]
+    lines = [("  ", line) for line in story.own]
+    lines += [("    ", line) for line in story.context]
+    lines.sort(key=lambda entry: entry[1].at_s)
+    text = [_text(line, indent) for indent, line in lines]
     return [*text, f"cause: {cause_of(story)}"]
 
 
@@ -118,17 +119,15 @@
 
 def _not_served(last: LogLine, story: Story) -> str:
     fields = last.fields
-    if fields["failure"] == "no-place" and fields["n_usable"] == 0:
+    is_no_place = fields["failure"] == "no-place"
+    if is_no_place and fields["n_usable"] == 0:
         return "no upstream of the service was in use"
-    if fields["failure"] == "no-place" and not _attempts(story):
-        return f"{fields['reason']}: {_crowd(fields)}"
-    attempts = _attempts(story)
-    if not attempts:
-        return f"{fields['reason']}: {_where_it_was(fields)}"
-    tried = [_attempt_text(line, story) for line in attempts]
-    if fields["failure"] == "deadline":
-        tried.append(_where_it_was(fields))
-    return f"{fields['reason']}: {'; '.join(tried)}"
+    found = [_attempt_text(line, story) for line in _attempts(story)]
+    if is_no_place and not found:
+        found.append(_crowd(fields))
+    if not found or fields["failure"] == "deadline":
+        found.append(_where_it_was(fields))
+    return f"{fields['reason']}: {'; '.join(found)}"
 
 
 def _crowd(fields: dict[str, Any]) -> str:
