Send no request twice on one connection

An upstream refuses a request and, when it comes again on the same kept connection, writes the refusal a second time and runs the request. The gateway took that for a second refusal and sent the request a third time, so that requests which aren't idempotent ran twice; with no attempt left the caller was told that it hadn't run. All attempts of a request have one id, so the id can't tell their responses apart on one connection. An exchange now excludes the connections of its earlier attempts, whatever their outcome.

tests/gateway/test_upstream_responses.py: test_refusal_written_again (3 cases) failed before.

--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -109,6 +109,7 @@
         self._waited_ms = 0.0
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
+        self._used_connections: list[UpstreamConnection] = []
         self._upstream_failure: tuple[ResponseHead, bytes] | None = None
 
     async def run(self) -> None:
@@ -169,11 +170,14 @@
     async def _attempt(self, reservation: Reservation) -> Result[None, AttemptFailure]:
         upstream = reservation.placement.upstream
         self._upstream_id = upstream.upstream_id
-        acquired = await self._context.pool.acquire(upstream, self._remaining_ms())
+        acquired = await self._context.pool.acquire(
+            upstream, self._remaining_ms(), self._used_connections
+        )
         if acquired.is_error():
             return acquired
         self._upstream_load(reservation).on_connected()
         connection = acquired.ok
+        self._used_connections.append(connection)
         self._record_cached_parts(reservation)
         if reservation.placement.work.prefill_ms >= URGENT_PREFILL_MS:
             self._context.fleet_state.publish_now()
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from expression import Error, Ok, Result
 
@@ -29,15 +29,20 @@
         self._idle: dict[Incarnation, list[UpstreamConnection]] = defaultdict(list)
 
     async def acquire(
-        self, upstream: Upstream, limit_ms: float
+        self,
+        upstream: Upstream,
+        limit_ms: float,
+        excluded: Collection[UpstreamConnection] = (),
     ) -> Result[UpstreamConnection, NotReached]:
-        """Return an idle connection that can still be reused, or open one."""
-        connections = self._idle[upstream.incarnation]
-        while connections:
-            connection = connections.pop()
-            if connection.is_open and self._is_fresh(connection):
-                return Ok(connection)
-            connection.close()
+        """Return an idle connection that is not excluded, or open one.
+
+        A request excludes the connections of its earlier attempts. All its attempts
+        have the same id, so a response that the upstream repeats on one of these
+        connections would be taken for that of the later attempt.
+        """
+        connection = self._take_idle(upstream, excluded)
+        if connection is not None:
+            return Ok(connection)
         return await self._open(upstream, min(limit_ms, CONNECT_TIMEOUT_MS))
 
     def release(self, upstream: Upstream, connection: UpstreamConnection) -> None:
@@ -58,6 +63,19 @@
             if not remaining:
                 del self._idle[incarnation]
 
+    def _take_idle(
+        self, upstream: Upstream, excluded: Collection[UpstreamConnection]
+    ) -> UpstreamConnection | None:
+        connections = self._idle[upstream.incarnation]
+        for connection in reversed(list(connections)):
+            if connection in excluded:
+                continue
+            connections.remove(connection)
+            if connection.is_open and self._is_fresh(connection):
+                return connection
+            connection.close()
+        return None
+
     def _is_fresh(self, connection: UpstreamConnection) -> bool:
         limit_ms = connection.idle_limit_ms
         if limit_ms is None:
--- a/tests/gateway/test_upstream_responses.py
+++ b/tests/gateway/test_upstream_responses.py
@@ -199,6 +199,67 @@
     run(main)
 
 
+class RepeatingUpstream(ScriptedUpstream):
+    """Refuses the first request, and writes that refusal again on its connection.
+
+    It runs all later requests; one on the connection of the refused one gets the
+    refusal before the response of its run.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(self._respond)
+        self.n_run = 0
+        self._refused_on = None
+
+    async def _respond(self, received_request):
+        if self._refused_on is None:
+            self._refused_on = received_request.writer
+            await refused(received_request)
+            return
+        if self._refused_on is received_request.writer:
+            await refused(received_request)
+        self.n_run += 1
+        await complete_response(received_request)
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/read/1"])
+def test_refusal_written_again_on_a_kept_connection(path):
+    async def main():
+        upstream = RepeatingUpstream()
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request(path))
+        assert (reply.status, reply.body) == (200, BODY)
+        assert upstream.n_run == 1
+
+    run(main)
+
+
+def test_refusal_written_again_does_not_deny_a_run():
+    async def main():
+        upstream = RepeatingUpstream()
+        harness = await start_gateway(upstream, budget=1.25)
+        reply = await ask(harness.client_address, request("/book/1"))
+        assert (reply.status == 503) == (upstream.n_run == 0)
+
+    run(main)
+
+
+def test_not_executed_is_not_believed_of_a_success():
+    async def contradictory(received_request):
+        extra = STAMP + b"X-Buckthornrock-Not-Executed: 1\r\n"
+        message = response_bytes(received_request.request_id, BODY)
+        await received_request.send(message.replace(STAMP, extra))
+
+    async def main():
+        upstream = ScriptedUpstream(contradictory)
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request("/book/1"))
+        assert (reply.status, reply.body) == (200, BODY)
+        assert len(upstream.received) == 1
+
+    run(main)
+
+
 def test_request_that_may_have_run_never_gets_503():
     async def main():
         harnesses = []
