Forward only events that continue an interrupted stream

A stream broke off after its third event, and the next run answered 200 with the text of an error, half an event, other events or nothing at all. The client got those bytes, and a stream that ended as complete. A run that resumes a stream now has to continue it: whole events with ids, after the last one and without a gap, and at least one. Everything else counts as an interruption, and so does the end of any stream within an event. A body that states another content type on a streaming route is forwarded whole, as a plain response.

The header that says that a request did not run isn't believed of a success.

tests/gateway/test_streams.py: 13 cases of resumed runs and ends within an event, stalled (drip) and slow (2 cases) failed before; test_not_executed_is_not_believed_of_a_success failed before.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -125,6 +125,11 @@
             )
         return await self._wait(queued, excluded, queue)
 
+    def has_usable(self, demand: Demand, excluded: frozenset[str]) -> bool:
+        """Return whether an upstream that is not excluded could serve the request."""
+        usable = self._directory.usable(demand.service.name)
+        return any(upstream.upstream_id not in excluded for upstream in usable)
+
     def on_load_report(self, upstream: Upstream, load: tuple[int, int, int]) -> None:
         """Record the load that an upstream reported in a response header."""
         state = self.loads.of(upstream.incarnation)
--- a/buckthornrock/gateway/event_stream.py
+++ b/buckthornrock/gateway/event_stream.py
@@ -1,19 +1,26 @@
 """Splits a stream of server-sent events into complete events with their ids."""
 
+import re
 from typing import NamedTuple
 
 from .errors import ConnectionBrokenError
 
 #: Longest event; a stream with more bytes and no end of an event is invalid.
 MAX_EVENT_BYTES = 262_144
-_END = b"\n\n"
+_END = re.compile(rb"\n\r?\n")
+_LONGEST_END_BYTES = 3
 
 
 class StreamEvent(NamedTuple):
-    """One event as received; ``event_id`` is None without a numeric id."""
+    """One event as received; ``event_id`` is None without a numeric id.
+
+    ``is_comment`` tells that it holds nothing but comments, which servers send to keep
+    a connection alive.
+    """
 
     event_id: int | None
     raw: bytes
+    is_comment: bool = False
 
 
 class EventSplitter:
@@ -35,19 +42,27 @@
         ConnectionBrokenError
             If an event is longer than ``MAX_EVENT_BYTES``.
         """
-        n_searched = max(0, len(self._rest) - len(_END) + 1)
+        search_from = max(0, len(self._rest) - _LONGEST_END_BYTES + 1)
         self._rest += data
-        if self._rest.find(_END, n_searched) < 0:
-            if len(self._rest) > MAX_EVENT_BYTES:
-                raise ConnectionBrokenError("an event exceeds the size limit")
-            return []
-        *events, rest = bytes(self._rest).split(_END)
-        self._rest = bytearray(rest)
-        return [StreamEvent(_event_id(event), event + _END) for event in events]
+        events: list[StreamEvent] = []
+        begin = 0
+        while end := _END.search(self._rest, search_from):
+            events.append(_event(bytes(self._rest[begin : end.end()])))
+            begin = search_from = end.end()
+        del self._rest[:begin]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ConnectionBrokenError("an event exceeds the size limit")
+        return events
+
+
+def _event(raw: bytes) -> StreamEvent:
+    lines = [line for line in raw.splitlines() if line]
+    is_comment = all(line.startswith(b":") for line in lines)
+    return StreamEvent(_event_id(lines), raw, is_comment)
 
 
-def _event_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
+def _event_id(lines: list[bytes]) -> int | None:
+    for line in lines:
         if line.startswith(b"id:"):
             text = line[3:].strip()
             return int(text) if text.isdigit() else None
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -101,7 +101,7 @@
         self._relay = StreamRelay(
             client,
             admitted.request.fields.last_event_id,
-            admitted.route.is_resumable,
+            self._may_abandon_stream,
         )
         self._n_may_have_run = 0
         self._n_unexecuted = 0
@@ -262,7 +262,8 @@
             )
 
     def _is_stream(self, head: ResponseHead) -> bool:
-        return self._admitted.route.kind is RouteKind.STREAM and head.status == 200
+        is_event_stream = head.status == 200 and head.fields.is_event_stream
+        return self._admitted.route.kind is RouteKind.STREAM and is_event_stream
 
     def _send_response(self, head: ResponseHead, body: bytes) -> None:
         headers = self._context.codec.encode_response(head.headers)
@@ -356,6 +357,18 @@
             return NextStep.ATTEMPTS_USED
         return NextStep.TRY_AGAIN
 
+    def _may_abandon_stream(self) -> bool:
+        """Return whether a stalled stream could be resumed at another upstream."""
+        route = self._admitted.route
+        if not route.is_repeatable or self._n_may_have_run + 1 >= route.n_attempts:
+            return False
+        tried = self._excluded | {self._upstream_id}
+        if not self._context.dispatcher.has_usable(self._admitted.demand, tried):
+            return False
+        service = self._admitted.demand.service.name
+        n_instances = self._context.n_instances()
+        return self._context.budget.allows(service, n_instances, self._now_ms())
+
     def _apply_retry_budget(self, step: NextStep, now_ms: float) -> NextStep:
         if step is NextStep.TRY_AGAIN and not self._consume_retry_budget(now_ms):
             return NextStep.BUDGET_USED
--- a/buckthornrock/gateway/ports.py
+++ b/buckthornrock/gateway/ports.py
@@ -32,6 +32,7 @@
 
     ``has_server_stamp`` tells a response of the upstream itself from others.
     ``is_not_executed`` says that the upstream did not and will not run the request.
+    ``is_event_stream`` is False if the response states another content type.
     ``load`` is (running requests, waiting requests, slots).
     """
 
@@ -39,6 +40,7 @@
     has_server_stamp: bool
     is_not_executed: bool
     has_content_encoding: bool
+    is_event_stream: bool
     load: tuple[int, int, int] | None
     weights_version: int | None
 
--- a/buckthornrock/gateway/stream_relay.py
+++ b/buckthornrock/gateway/stream_relay.py
@@ -1,15 +1,23 @@
-"""Relays an event stream from one or more upstreams to a client."""
+"""Relays an event stream from one or more upstreams to a client.
+
+Only whole events are forwarded. A run that resumes an interrupted stream must continue
+it: its events have ids and follow the last forwarded event without a gap, and there is
+at least one of them. A run that sends anything else, such as the text of an error, is
+treated as interrupted, so that the client never takes the stream for complete.
+"""
 
 import asyncio
+from collections.abc import Callable
 
 from .client_connection import ClientConnection
 from .dispatcher import Reservation
+from .errors import ConnectionBrokenError
 from .event_stream import EventSplitter, StreamEvent
 from .ports import Headers
 from .upstream_connection import UpstreamConnection
 
-#: Time without an event after which a resumable stream is treated as broken.
-TCP_USER_TIMEOUT_MS = 1_500.0
+#: Time without an event after which a stream is abandoned, if it can be resumed.
+EVENT_TIMEOUT_MS = 1_500.0
 
 
 class StreamRelay:
@@ -21,15 +29,20 @@
         Receives the events.
     last_event_id : str
         Id of the last event that the client already has, "" for none.
-    is_resumable : bool
-        Whether a stalled stream may be abandoned and resumed at another upstream.
+    may_abandon : callable
+        Returns whether another upstream could resume a stream that is stalled.
     """
 
     def __init__(
-        self, client: ClientConnection, last_event_id: str, is_resumable: bool
+        self,
+        client: ClientConnection,
+        last_event_id: str,
+        may_abandon: Callable[[], bool],
     ) -> None:
         self._client = client
-        self._event_timeout_s = TCP_USER_TIMEOUT_MS / 1000.0 if is_resumable else None
+        self._may_abandon = may_abandon
+        self._has_gaps = False
+        self._stalls_at_s: float | None = None
         self.last_event_id = last_event_id
 
     async def run(
@@ -40,45 +53,77 @@
         Raises
         ------
         ConnectionBrokenError
-            If the stream was interrupted; ``last_event_id`` tells where to resume it.
+            If the stream was interrupted or does not continue the one before;
+            ``last_event_id`` tells where to resume it.
         TimeoutError
-            If a resumable stream had no event for ``EVENT_TIMEOUT_MS``.
+            If the stream had no event for ``EVENT_TIMEOUT_MS`` and may be abandoned.
         """
         splitter = EventSplitter()
-        events: list[StreamEvent] | None = []
-        while events is not None:
-            async with asyncio.timeout(self._event_timeout_s):
-                events = await self._read_events(connection, splitter)
-            reservation.on_first_event()
-            for event in events or ():
-                self._forward(event, headers)
-        self._finish(splitter.rest, headers)
-
-    async def _read_events(
-        self, connection: UpstreamConnection, splitter: EventSplitter
-    ) -> list[StreamEvent] | None:
-        """Return the next complete events, or None at the end of the stream."""
-        while data := await connection.read_chunk():
-            if events := splitter.feed(data):
-                return events
-        return None
-
-    def _forward(self, event: StreamEvent, headers: Headers) -> None:
-        if self._is_duplicate(event):
-            return
-        self._send(event.raw, headers)
-        if event.event_id is not None:
-            self.last_event_id = str(event.event_id)
+        is_resumed = self._client.has_sent_head
+        n_forwarded = 0
+        self._restart_stall_timer()
+        while data := await self._read_chunk(connection):
+            events = splitter.feed(data)
+            if any(not event.is_comment for event in events):
+                reservation.on_first_event()
+                self._restart_stall_timer()
+            for event in events:
+                n_forwarded += self._forward(event, headers, is_resumed)
+        if splitter.rest.strip():
+            raise ConnectionBrokenError("the stream ended within an event")
+        if is_resumed and not n_forwarded:
+            raise ConnectionBrokenError("the resumed stream had no further event")
+        if not self._client.has_sent_head:
+            self._client.start_stream(200, headers, b"")
+        self._client.end_stream()
+
+    def _restart_stall_timer(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._stalls_at_s = now_s + EVENT_TIMEOUT_MS / 1000.0
+
+    async def _read_chunk(self, connection: UpstreamConnection) -> bytes:
+        """Return the next bytes of the stream, b"" at its end."""
+        try:
+            async with asyncio.timeout_at(self._stalls_at_s):
+                return await connection.read_chunk()
+        except TimeoutError:
+            if self._may_abandon():
+                raise
+        # No other upstream can resume the stream, so a slow one may go on.
+        self._stalls_at_s = None
+        return await connection.read_chunk()
 
-    def _is_duplicate(self, event: StreamEvent) -> bool:
-        if event.event_id is None or not self.last_event_id.isdigit():
+    def _forward(self, event: StreamEvent, headers: Headers, is_resumed: bool) -> bool:
+        """Forward an event unless the client has it; return whether it is a new one."""
+        if event.is_comment:
+            self._send(event.raw, headers)
             return False
-        return event.event_id <= int(self.last_event_id)
+        if event.event_id is None:
+            if is_resumed:
+                raise ConnectionBrokenError(
+                    "the resumed stream has an event with no id"
+                )
+            self._send(event.raw, headers)
+            return True
+        if self.last_event_id.isdigit() and not self._is_next(event, is_resumed):
+            return False
+        self._send(event.raw, headers)
+        self.last_event_id = str(event.event_id)
+        return True
 
-    def _finish(self, rest: bytes, headers: Headers) -> None:
-        if rest or not self._client.has_sent_head:
-            self._send(rest, headers)
-        self._client.end_stream()
+    def _is_next(self, event: StreamEvent, is_resumed: bool) -> bool:
+        """Return whether an event follows the last one; False for one before it.
+
+        If the ids had no gap before the interruption, there is none after it either.
+        """
+        last_id = int(self.last_event_id)
+        if event.event_id <= last_id:
+            return False
+        is_gap = event.event_id > last_id + 1
+        if is_gap and is_resumed and not self._has_gaps:
+            raise ConnectionBrokenError("the resumed stream lacks an event")
+        self._has_gaps |= is_gap
+        return True
 
     def _send(self, chunk: bytes, headers: Headers) -> None:
         if self._client.has_sent_head:
--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -129,8 +129,9 @@
         has_server_stamp=STAMP in found,
         # A request with status 421 (misdirected) has not run, although the response
         # lacks the header that says so.
-        is_not_executed=NOT_EXECUTED in found or status == 421,
+        is_not_executed=(NOT_EXECUTED in found and status >= 400) or status == 421,
         has_content_encoding=_text(found, b"content-encoding") not in ("", "identity"),
+        is_event_stream=_media_type(found) in ("", "text/event-stream"),
         load=_load(_text(found, LOAD)),
         weights_version=None if version is None else int(version),
     )
@@ -150,6 +151,10 @@
     return found.get(name, b"").decode("latin-1").strip()
 
 
+def _media_type(found: dict[bytes, bytes]) -> str:
+    return _text(found, b"content-type").partition(";")[0].strip().lower()
+
+
 def _number(text: str) -> float | None:
     try:
         return float(text)
--- a/buckthornrock/scheduling/retry_budget.py
+++ b/buckthornrock/scheduling/retry_budget.py
@@ -36,15 +36,19 @@
         self._requests[service].append(now_ms)
         self._trim(self._requests[service], now_ms)
 
-    def take(self, service: str, n_instances: int, now_ms: float) -> bool:
-        """Count a retry if the budget allows it; return whether it does."""
+    def allows(self, service: str, n_instances: int, now_ms: float) -> bool:
+        """Return whether the budget allows a retry now."""
         retries, requests = self._retries[service], self._requests[service]
         self._trim(retries, now_ms)
         self._trim(requests, now_ms)
         allowed = self._ratio * len(requests) + self._allowance / max(1, n_instances)
-        if len(retries) + 1 > allowed * SAFETY_SHARE:
+        return len(retries) + 1 <= allowed * SAFETY_SHARE
+
+    def take(self, service: str, n_instances: int, now_ms: float) -> bool:
+        """Count a retry if the budget allows it; return whether it does."""
+        if not self.allows(service, n_instances, now_ms):
             return False
-        retries.append(now_ms)
+        self._retries[service].append(now_ms)
         return True
 
     def _trim(self, times_ms: deque[float], now_ms: float) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from buckthornrock.gateway import stream_relay
 from tests.gateway.harness import (
     ID,
     STAMP,
@@ -148,6 +149,153 @@
     run(main)
 
 
+def whole_body(body: bytes, content_type: bytes = b"text/event-stream"):
+    """Return a script that sends a body with its length and ends regularly."""
+
+    async def script(received_request):
+        head = (
+            b"HTTP/1.1 200 OK\r\n%s: %s\r\n" % (ID, received_request.request_id) + STAMP
+        )
+        head += b"Content-Type: %s\r\n" % content_type
+        head += b"Content-Length: %d\r\n\r\n" % len(body)
+        await received_request.send(head + body)
+
+    return script
+
+
+ERROR_TEXT = b'{"error": "no such run"}'
+
+
+@pytest.mark.parametrize(
+    "second_run",
+    [
+        whole_body(ERROR_TEXT),
+        whole_body(ERROR_TEXT, b"application/json"),
+        whole_body(ERROR_TEXT + b"\n\n"),
+        whole_body(b"id: 4\nda"),
+        whole_body(b"id: 4\ndata: piece 4\n\nid: 5\nda"),
+        whole_body(b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"),
+        whole_body(b""),
+        whole_body(event(1) + event(2) + event(3)),
+        whole_body(event(5) + event(6)),
+        whole_body(b": comment\n\n"),
+        whole_body(b"data: piece 4\n\n"),
+    ],
+)
+def test_resumed_stream_that_does_not_continue_the_first_is_incomplete(second_run):
+    async def main():
+        upstream = ScriptedUpstream(stream(3, is_ended=False), second_run)
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request("/note/1"))
+        assert (reply.status, reply.is_complete) == (200, False)
+        assert EVENTS.startswith(reply.body.replace(b": comment\n\n", b""))
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("path", "n_attempts"), [("/note/1", 3), ("/long/1", 1)], ids=["again", "once"]
+)
+def test_stream_that_ends_within_an_event_is_interrupted(path, n_attempts):
+    async def main():
+        upstream = ScriptedUpstream(whole_body(event(1) + b"id: 2\nda"))
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request(path))
+        assert (reply.body, reply.is_complete) == (event(1), False)
+        assert len(upstream.received) == n_attempts
+
+    run(main)
+
+
+def test_plain_body_of_a_streaming_route_is_forwarded_whole():
+    async def main():
+        upstream = ScriptedUpstream(whole_body(ERROR_TEXT, b"application/json"))
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request("/long/1"))
+        assert (reply.status, reply.body, reply.is_complete) == (200, ERROR_TEXT, True)
+
+    run(main)
+
+
+def test_events_with_carriage_returns_are_forwarded_as_they_arrive():
+    async def main():
+        body = EVENTS.replace(b"\n", b"\r\n")
+        upstream = ScriptedUpstream(whole_body(body))
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request("/note/1"))
+        assert (reply.body, reply.is_complete) == (body, True)
+
+    run(main)
+
+
+async def drip(received_request):
+    """Send one event and then a comment now and then, without end."""
+    head = b"HTTP/1.1 200 OK\r\n%s: %s\r\n" % (ID, received_request.request_id) + STAMP
+    await received_request.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    piece = event(1)
+    while True:
+        await received_request.send(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await asyncio.sleep(0.02)
+        piece = b": still here\n\n"
+
+
+async def drip_bytes(received_request):
+    """Send one event and then single bytes of the next one, without end."""
+    head = b"HTTP/1.1 200 OK\r\n%s: %s\r\n" % (ID, received_request.request_id) + STAMP
+    await received_request.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    piece = event(1)
+    while True:
+        await received_request.send(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await asyncio.sleep(0.02)
+        piece = b"x"
+
+
+@pytest.mark.parametrize("stalled", [drip, drip_bytes])
+def test_stalled_stream_that_still_sends_bytes_is_resumed(stalled, monkeypatch):
+    monkeypatch.setattr(stream_relay, "EVENT_TIMEOUT_MS", 100.0)
+
+    async def main():
+        scripts = iter([stalled, stream(N_EVENTS)])
+
+        async def next_script(received_request):
+            await next(scripts)(received_request)
+
+        upstreams = [ScriptedUpstream(next_script) for _ in range(2)]
+        harness = await start_gateway(*upstreams)
+        reply = await ask(harness.client_address, request("/note/1"))
+        events = reply.body.replace(b": still here\n\n", b"")
+        assert (events, reply.is_complete) == (EVENTS, True)
+
+    run(main)
+
+
+@pytest.mark.parametrize("stalled", [drip, drip_bytes])
+def test_stalled_stream_that_still_sends_bytes_ends_at_the_deadline(stalled):
+    async def main():
+        upstream = ScriptedUpstream(stalled)
+        harness = await start_gateway(upstream)
+        deadline = b"X-Buckthornrock-Deadline-Ms: 300\r\n"
+        reply = await ask(harness.client_address, request("/long/1", extra=deadline))
+        assert (reply.status, reply.is_complete) == (200, False)
+
+    run(main)
+
+
+@pytest.mark.parametrize("n_upstreams", [1, 2])
+def test_slow_but_sound_stream_is_not_cut(n_upstreams, monkeypatch):
+    """Each pause exceeds the limit after which a stalled stream is resumed."""
+    monkeypatch.setattr(stream_relay, "EVENT_TIMEOUT_MS", 50.0)
+
+    async def main():
+        slow = stream(N_EVENTS, gap_s=0.12)
+        upstreams = [ScriptedUpstream(slow) for _ in range(n_upstreams)]
+        harness = await start_gateway(*upstreams)
+        reply = await ask(harness.client_address, request("/note/1"))
+        assert (reply.body, reply.is_complete) == (EVENTS, True)
+
+    run(main)
+
+
 def test_client_resumes_after_the_event_it_has():
     async def main():
         upstream = ScriptedUpstream(stream(N_EVENTS))
