Decode loads that carry a fourth figure

The first three are used now; the fourth isn't yet.

test_load_of_an_upstream_is_decoded: two cases failed before.

--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -29,6 +29,10 @@
 WEIGHTS_VERSION = _PREFIX + b"weight-versions"
 LAST_EVENT_ID = b"last-event-id"
 
+#: Figures of the load header that are used. Some services add a fourth one, the time
+#: that work takes on the server's machine in percent of the usual.
+N_LOAD_FIGURES = 3
+
 _CONNECTION_HEADERS = frozenset(
     (
         b"connection",
@@ -163,8 +167,10 @@
 
 
 def _load(text: str) -> tuple[int, int, int] | None:
-    fields = text.split(",")
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+    """Return running and waiting requests and slots; further figures are ignored."""
+    fields = text.split(",")[:N_LOAD_FIGURES]
+    is_valid = len(fields) == N_LOAD_FIGURES
+    if not is_valid or not all(field.strip().isdigit() for field in fields):
         return None
     return int(fields[0]), int(fields[1]), int(fields[2])
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -176,7 +176,15 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "load"), [(b"3,0,8", (3, 0, 8)), (b"3,0", None), (b"a,b,c", None)]
+    ("text", "load"),
+    [
+        (b"3,0,8", (3, 0, 8)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        # Where servers tell how fast their machine works, all loads were ignored.
+        (b"2,1,128,130", (2, 1, 128)),
+        (b"2,1,128,", (2, 1, 128)),
+    ],
 )
 def test_load_of_an_upstream_is_decoded(text, load):
     assert decode_response(200, [(b"x-buckthornrock-instance-load", text)]).load == load
