Log for how long weights were thought to be outdated

The lines couldn't tell an instance that doesn't know since when an engine's weights are outdated from one that doesn't count the time until a request begins. Lines 2200 and 2202 carry weights_lag_ms, line 2213 carries age_ms. No change of logic.

--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -16,6 +16,7 @@
         "estimate_ms",
         "n_cached_tokens",
         "weights_version",
+        "weights_lag_ms",
         "n_attempts",
         "digests_age_ms",
         "configuration_version",
@@ -25,8 +26,9 @@
     "A request got an upstream's complete response. It was forwarded after waited_ms, "
     "and its response began after first_event_ms. The choice of the upstream was based "
     "on estimate_ms, n_cached_tokens and peer digests, the oldest of which was "
-    "digests_age_ms old. The store last confirmed the known state store_age_ms ago; "
-    "null if it never did.",
+    "digests_age_ms old. The upstream's weights had been outdated for weights_lag_ms, "
+    "as far as the instance knew; null without a prompt. The store last confirmed the "
+    "known state store_age_ms ago; null if it never did.",
 )
 NOT_SERVED = Event(
     2201,
@@ -69,6 +71,7 @@
         "decision",
         "estimate_ms",
         "weights_version",
+        "weights_lag_ms",
     ),
     "An upstream gave no usable response to a request; decision is the next action.",
 )
@@ -136,8 +139,9 @@
     2213,
     "gateway.weights_wanted",
     "info",
-    ("model", "version", "source"),
-    "A new version of a model's weights was requested.",
+    ("model", "version", "source", "age_ms"),
+    "A version of a model's weights is wanted, and has been for age_ms according to "
+    "source.",
 )
 STORE_LOST = Event(
     2214,
--- a/buckthornrock/gateway/exchange_log.py
+++ b/buckthornrock/gateway/exchange_log.py
@@ -58,6 +58,7 @@
         estimate_ms=round(placement.estimate_ms, 1),
         n_cached_tokens=placement.n_cached_tokens,
         weights_version=placement.weights_version,
+        weights_lag_ms=_rounded(placement.weights_lag_ms),
         n_attempts=progress.n_may_have_run + progress.n_unexecuted + 1,
         digests_age_ms=round(progress.digests_age_ms, 1),
         configuration_version=progress.configuration_version,
@@ -135,9 +136,14 @@
         decision=decision,
         estimate_ms=round(placement.estimate_ms, 1),
         weights_version=placement.weights_version,
+        weights_lag_ms=_rounded(placement.weights_lag_ms),
     )
 
 
+def _rounded(duration_ms: float | None) -> float | None:
+    return None if duration_ms is None else round(duration_ms, 1)
+
+
 def _count(
     telemetry: Telemetry, admitted: AdmittedRequest, outcome: str, progress: Progress
 ) -> str:
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -159,7 +159,11 @@
         """Record a version of a model's weights that has been wanted for ``age_ms``."""
         if self.weights.on_wanted(model, version, self._now_ms() - age_ms):
             self._telemetry.log(
-                events.WEIGHTS_WANTED, model=model, version=version, source=source
+                events.WEIGHTS_WANTED,
+                model=model,
+                version=version,
+                source=source,
+                age_ms=round(age_ms, 1),
             )
             self._publish_now()
 
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -124,7 +124,8 @@
 class Placement(NamedTuple):
     """The chosen upstream and the work that the request adds there.
 
-    ``weights_version`` is the version that the upstream is expected to have loaded.
+    ``weights_version`` is the version that the upstream is expected to have loaded,
+    which has been outdated for ``weights_lag_ms``; both are None without a prompt.
     ``kv_source`` is the address of the engine or prompt store from which shared parts
     that are not cached at the chosen engine are fetched. ``kv_target`` is the address
     of the prompt store that should store the shared parts. Both are "" for none.
@@ -137,6 +138,7 @@
     n_cached_tokens: int = 0
     kv_source: str = ""
     kv_target: str = ""
+    weights_lag_ms: float | None = None
 
 
 class NoCapacity(NamedTuple):
@@ -389,6 +391,7 @@
         view.weights.loaded(upstream, prompt.model),
         prefill_plan.n_cached,
         prefill_plan.kv_source,
+        weights_lag_ms=lag_ms,
     )
 
 
