Tell peers since when earlier versions of weights have been wanted

Requests began on weights that had been replaced 24 s before, where 20 s are allowed (VERSION). Digests and copies told the newest wanted version only, so that an instance which started after two changes took an engine that still had the first version for outdated since the second change.

Digests and copies carry the earlier versions that an engine's lag may count from, at their end, which older releases ignore. A version may be learnt in any order, and one that is dropped since there are too many leaves its time to the next, so that no lag becomes shorter. Ages are rounded down, so that passing them on makes no version older than it is.

Ruled out: telling them only while an engine has old weights. Engines that are down aren't listed and come back with the weights that they had.

--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -374,10 +374,39 @@
         """Return each model's wanted version and for how many ms it has been wanted."""
         now_ms = self._now_ms()
         return {
-            name: (wanted.version, round(now_ms - wanted.known_at_ms))
+            name: (wanted.version, int(now_ms - wanted.known_at_ms))
             for name, wanted in self.weights.models().items()
         }
 
+    def older_wanted_ages(self) -> dict[str, list[tuple[int, int]]]:
+        """Return earlier wanted versions and ages, for models that have any.
+
+        A peer that started after a version was replaced doesn't know since when it had
+        been wanted, which an engine with older weights is judged by.
+        """
+        now_ms = self._now_ms()
+        ages = {
+            model: [
+                (wanted.version, int(now_ms - wanted.known_at_ms))
+                for wanted in self.weights.wanted_before(model, now_ms)
+            ]
+            for model in self.weights.models()
+        }
+        return {model: versions for model, versions in ages.items() if versions}
+
+    def on_peer_weights(
+        self,
+        newest: dict[str, tuple[int, int]],
+        older: dict[str, list[tuple[int, int]]],
+        source: str,
+    ) -> None:
+        """Record the wanted versions and ages that a peer knows."""
+        for model, (version, age_ms) in newest.items():
+            self.on_weights(model, version, source, age_ms)
+        for model, versions in older.items():
+            for version, age_ms in versions:
+                self.on_weights(model, version, source, age_ms)
+
     def wanted_versions(self) -> dict[str, int]:
         """Return the wanted version of each model's weights."""
         return {name: w.version for name, w in self.weights.models().items()}
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -258,8 +258,9 @@
             peer_list.peers += self._view.entries_of([self._topology.relay], now_ms)
             self._transmit(peer_list, digest.address)
         self._apply_works(digest, now_ms)
-        for model, (version, age_ms) in digest.weights.items():
-            self._fleet_state.on_weights(model, version, digest.instance_id, age_ms)
+        self._fleet_state.on_peer_weights(
+            digest.weights, digest.older_weights, digest.instance_id
+        )
         self._apply_updates(digest, now_ms)
         self._follow(digest, now_ms)
         self.on_peer_versions(
@@ -380,6 +381,7 @@
             is_stopping=self.is_stopping,
             store_age_ms=self._fleet_state.store_contact.rounded_age_ms(),
             store_calls=self._store_calls(),
+            older_weights=self._fleet_state.older_wanted_ages(),
         )
 
     def _store_calls(self) -> StoreCalls:
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -45,8 +45,9 @@
 
     ``configuration`` is as the operators wrote it, b"" if the peer's is not newer;
     ``upstreams`` is None if the peer's revision is not newer. ``weights`` holds the
-    wanted version of each model and for how many milliseconds it has been wanted. The
-    store confirmed the peer's state ``store_age_ms`` ago, -1 if it never did.
+    wanted version of each model and for how many milliseconds it has been wanted,
+    ``older_weights`` the same of earlier versions. The store confirmed the peer's state
+    ``store_age_ms`` ago, -1 if it never did.
     """
 
     configuration: bytes
@@ -54,6 +55,7 @@
     upstreams: list[Upstream] | None
     weights: dict[str, tuple[int, int]] = {}
     store_age_ms: int = -1
+    older_weights: dict[str, list[tuple[int, int]]] = {}
 
 
 class PeerVersions(NamedTuple):
@@ -165,8 +167,7 @@
                 fleet_state.on_configuration(
                     configuration.ok, snapshot.configuration, source
                 )
-        for model, (version, age_ms) in snapshot.weights.items():
-            fleet_state.on_weights(model, version, source, age_ms)
+        fleet_state.on_peer_weights(snapshot.weights, snapshot.older_weights, source)
         if snapshot.upstreams is None or not fleet_state.needs_peers:
             return
         fleet_state.take_upstreams(
@@ -197,6 +198,7 @@
         fleet_state.directory.registered() if has_changes else None,
         fleet_state.wanted_ages(),
         fleet_state.store_contact.rounded_age_ms(),
+        fleet_state.older_wanted_ages(),
     )
     return zlib.compress(msgspec.msgpack.encode(snapshot), COMPRESSION_LEVEL)
 
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -1,13 +1,13 @@
 """Tracks the wanted and the loaded versions of weights. Pure."""
 
+import bisect
 import math
-from collections import deque
 from typing import NamedTuple
 
 from ..catalog.upstreams import Upstream
 
 #: Wanted versions kept per model, with the time since which each is known.
-MAX_NAMED_VERSIONS = 32
+MAX_WANTED_VERSIONS = 32
 
 
 class WantedWeights(NamedTuple):
@@ -28,25 +28,35 @@
 
     def __init__(self, usable_ms: float) -> None:
         self._usable_ms = usable_ms
-        self._wanted_versions: dict[str, deque[WantedWeights]] = {}
+        self._wanted_versions: dict[str, list[WantedWeights]] = {}
         self._seen_versions: dict[tuple[tuple[str, int], str], int] = {}
 
     def on_wanted(self, model: str, version: int, since_ms: float) -> bool:
-        """Record a wanted version; return whether it is newer than the known ones.
+        """Record a wanted version; return whether it wasn't known.
 
-        Older versions are ignored. For a known version the earlier time is kept: a
+        Versions may be learnt in any order: an instance that has just started learns
+        the newest one first. For a known version the earlier time is kept, since a
         peer may have learnt of it before this instance started.
         """
-        versions = self._wanted_versions.setdefault(
-            model, deque(maxlen=MAX_NAMED_VERSIONS)
-        )
-        if not versions or versions[-1].version < version:
-            versions.append(WantedWeights(version, since_ms))
-            return True
-        if versions[-1].version == version:
-            earliest_ms = min(since_ms, versions[-1].known_at_ms)
-            versions[-1] = WantedWeights(version, earliest_ms)
-        return False
+        versions = self._wanted_versions.setdefault(model, [])
+        index = bisect.bisect_left(versions, version, key=lambda known: known.version)
+        if index < len(versions) and versions[index].version == version:
+            since_ms = min(since_ms, versions[index].known_at_ms)
+            versions[index] = WantedWeights(version, since_ms)
+            return False
+        versions.insert(index, WantedWeights(version, since_ms))
+        _forget_oldest(versions)
+        return True
+
+    def wanted_before(self, model: str, now_ms: float) -> list[WantedWeights]:
+        """Return the earlier wanted versions that a lag may still count from.
+
+        Of those that were wanted so long ago that older weights are no longer usable,
+        only the newest one matters.
+        """
+        versions = self._wanted_versions.get(model, [])
+        n_expired = sum(now_ms - v.known_at_ms >= self._usable_ms for v in versions)
+        return versions[max(0, n_expired - 1) : -1]
 
     def on_loaded(self, incarnation: tuple[str, int], model: str, version: int) -> bool:
         """Record a version seen at an upstream; return whether it is newer."""
@@ -100,3 +110,15 @@
         """Return for how long new requests may still use the weights loaded there."""
         lag_ms = self.lag_ms(upstream, model, now_ms)
         return self._usable_ms - lag_ms if lag_ms else math.inf
+
+
+def _forget_oldest(versions: list[WantedWeights]) -> None:
+    """Drop the oldest version if there are too many; the next takes its time.
+
+    A lag that counted from the dropped version then doesn't become shorter.
+    """
+    if len(versions) <= MAX_WANTED_VERSIONS:
+        return
+    oldest = versions.pop(0)
+    earliest_ms = min(oldest.known_at_ms, versions[0].known_at_ms)
+    versions[0] = versions[0]._replace(known_at_ms=earliest_ms)
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -119,8 +119,8 @@
     ``incarnation`` rises with each start of the instance and ``number`` with each
     digest, so that an outdated digest is detected. ``revision`` is the store revision
     up to which upstreams are known; ``weights`` holds the wanted version of each model
-    and for how many milliseconds it has been wanted. Upstreams and parts are named by
-    numeric ids (``numeric_ids.py``).
+    and for how many milliseconds it has been wanted, ``older_weights`` the same of
+    earlier versions. Upstreams and parts are named by numeric ids (``numeric_ids.py``).
 
     ``changes`` are all changes of upstreams' entries after ``base_revision``, up to
     ``revision``; -1 if the digest lists none. The store confirmed ``store_age_ms`` ago
@@ -148,6 +148,7 @@
     changes: list[EntryChange] = []
     store_age_ms: int = -1
     store_calls: StoreCalls = StoreCalls.NONE
+    older_weights: dict[str, list[tuple[int, int]]] = {}
 
 
 def encode_digest(digest: Digest) -> bytes:
