Count the time until a request starts on replaced weights

A placement is made only if the prompt is expected to start in time there, and an attempt whose response hasn't begun 0.5 s before the bound is cancelled. The limit holds for the newest weights too, since a newer version may be wanted while the request waits.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -41,8 +41,10 @@
 from ..telemetry.exposition import open_exposition
 from ..telemetry.log_writer import LogWriter
 
-#: Replaced weights are no longer used from this long before the platform's bound on.
+#: No request is placed on replaced weights from this long before the platform's bound
+#: on, and one that was may start until this long before it.
 WEIGHTS_MARGIN_MS = 1_500.0
+START_MARGIN_MS = 500.0
 #: Time at the end for lines that are not written yet.
 LOG_FLUSH_LIMIT_S = 0.3
 
@@ -91,7 +93,9 @@
     now_ms = system_clock().now_ms
     bounds = settings.bounds
     loop = asyncio.get_running_loop()
-    weights = WeightsView(bounds.version_ms - WEIGHTS_MARGIN_MS)
+    weights = WeightsView(
+        bounds.version_ms - WEIGHTS_MARGIN_MS, WEIGHTS_MARGIN_MS - START_MARGIN_MS
+    )
     fleet_state = FleetState(settings.zone, weights, now_ms, telemetry)
     store = open_store(settings.platform.addr, telemetry, now_ms)
     codec = open_header_codec()
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -189,7 +189,8 @@
         )
         try:
             connection.send(request.method, request.target, headers, request.body)
-            async with asyncio.timeout(self._attempt_limit_s()) as limit:
+            limit_s = self._attempt_limit_s(reservation)
+            async with asyncio.timeout(limit_s) as limit:
                 head = await connection.read_head(self._admitted.request_id)
                 self._head_at_ms = self._now_ms()
                 if self._is_stream(head):
@@ -428,8 +429,11 @@
             self._context.telemetry, self._admitted, refusal, self._progress()
         )
 
-    def _attempt_limit_s(self) -> float:
-        """Return the time limit of an attempt, for a stream of its response head."""
+    def _attempt_limit_s(self, reservation: Reservation) -> float:
+        """Return the time limit of an attempt, for a stream of its response head.
+
+        A request that waits at an engine until its weights are too old is cancelled.
+        """
         remaining_ms = self._remaining_ms()
         has_more = self._n_may_have_run + 1 < self._admitted.route.n_attempts
         if self._admitted.route.is_repeatable and has_more:
@@ -437,8 +441,18 @@
                 self._admitted.route.objective_ms * FIRST_ATTEMPT_MAX_OBJECTIVES
             )
             remaining_ms = min(remaining_ms * FIRST_ATTEMPT_SHARE, max_wait_ms)
+        if self._admitted.demand.prompt is not None:
+            remaining_ms = min(remaining_ms, self._start_limit_ms(reservation))
         return max(0.0, remaining_ms) / 1000.0
 
+    def _start_limit_ms(self, reservation: Reservation) -> float:
+        """Return for how long a prompt's weights may still be used for its start."""
+        return self._context.fleet_state.weights.may_start_for_ms(
+            reservation.placement.upstream,
+            self._admitted.demand.prompt.model,
+            self._now_ms(),
+        )
+
     def _remaining_ms(self) -> float:
         return self._admitted.ends_at_ms - self._now_ms()
 
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -23,11 +23,14 @@
     Parameters
     ----------
     usable_ms : float
-        How long an older version may be used after a newer one is wanted.
+        How long requests are placed on an older version after a newer one is wanted.
+    start_margin_ms : float
+        How much later a request that was placed on it may still start.
     """
 
-    def __init__(self, usable_ms: float) -> None:
+    def __init__(self, usable_ms: float, start_margin_ms: float = 0.0) -> None:
         self._usable_ms = usable_ms
+        self._start_limit_ms = usable_ms + start_margin_ms
         self._wanted_versions: dict[str, list[WantedWeights]] = {}
         self._seen_versions: dict[tuple[tuple[str, int], str], int] = {}
 
@@ -111,6 +114,14 @@
         lag_ms = self.lag_ms(upstream, model, now_ms)
         return self._usable_ms - lag_ms if lag_ms else math.inf
 
+    def may_start_for_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
+        """Return for how long a request that is sent there now may wait to start.
+
+        It is finite for the newest weights too, since a newer version may be wanted
+        while the request waits.
+        """
+        return self._start_limit_ms - self.lag_ms(upstream, model, now_ms)
+
 
 def _forget_oldest(versions: list[WantedWeights]) -> None:
     """Drop the oldest version if there are too many; the next takes its time.
--- a/tests/gateway/test_upstream_responses.py
+++ b/tests/gateway/test_upstream_responses.py
@@ -10,6 +10,7 @@
     STAMP,
     ScriptedUpstream,
     ask,
+    now_ms,
     request,
     response_bytes,
     run,
@@ -288,6 +289,25 @@
     run(main)
 
 
+async def silent(received_request):
+    await received_request.reader.read()
+
+
+@pytest.mark.parametrize("path", ["/long/1", "/note/1"])
+def test_request_does_not_wait_at_an_engine_until_its_weights_are_too_old(path):
+    """The engine's weights may be used for 0.4 s more, and a request waits there."""
+
+    async def main():
+        harness = await start_gateway(ScriptedUpstream(silent))
+        harness.fleet_state.on_weights("m", 2, "test", age_ms=19_600.0)
+        began_at_ms = now_ms()
+        reply = await ask(harness.client_address, request(path))
+        assert reply.status == 502
+        assert 300.0 < now_ms() - began_at_ms < 1_500.0
+
+    run(main)
+
+
 def test_error_response_of_the_last_attempt_is_forwarded():
     async def main():
         upstreams = [ScriptedUpstream(server_error) for _ in range(3)]
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -223,6 +223,21 @@
     assert isinstance(choose(short(), [engine(0)], view(10.0, loads=loads)), Placement)
 
 
+@pytest.mark.parametrize(
+    ("left_ms", "is_placed"), [(5_000.0, True), (500.0, True), (300.0, False)]
+)
+def test_request_is_not_placed_where_it_would_start_on_weights_too_old(
+    left_ms, is_placed
+):
+    """The only engine has replaced weights, and work queued for 200 ms."""
+    loads, weights = FleetLoads(), WeightsView(20_000.0)
+    weights.on_wanted("m", 2, 0.0)
+    loads.of(engine(0).incarnation).own = Work(1, 200.0, 2_000)
+    state = view(20_000.0 - left_ms, weights=weights, loads=loads)
+    placement = choose(long(n_shared=2_000, n_own=4_000), [engine(0)], state)
+    assert isinstance(placement, Placement) == is_placed
+
+
 @pytest.mark.parametrize(
     ("lag_ms", "chosen"),
     [(0.0, "e1"), (1_000.0, "e1"), (2_000.0, "e0"), (20_000.0, "e0"), (30_000.0, "e0")],
--- a/tests/scheduling/test_weights.py
+++ b/tests/scheduling/test_weights.py
@@ -76,3 +76,21 @@
     weights = weights_wanted_at(0.0, 1_000.0, 8_000.0, 15_000.0)
     told = weights.wanted_before("m", now_ms)
     assert [wanted.version for wanted in told] == versions
+
+
+@pytest.mark.parametrize(
+    ("loaded", "now_ms", "start_limit_ms"),
+    [
+        (1, 10_000.0, USABLE_MS - 10_000.0 + 1_000.0),
+        (1, 19_000.0, USABLE_MS - 19_000.0 + 1_000.0),
+        # A version may be wanted while the request waits at the engine.
+        (2, 10_000.0, USABLE_MS + 1_000.0),
+    ],
+)
+def test_request_may_start_for_as_long_as_its_weights_are_allowed(
+    loaded, now_ms, start_limit_ms
+):
+    weights = WeightsView(USABLE_MS, start_margin_ms=1_000.0)
+    weights.on_wanted("m", 2, 0.0)
+    upstream = engine(0, version=loaded)
+    assert weights.may_start_for_ms(upstream, "m", now_ms) == start_limit_ms
