Keep in the store since when versions of weights are wanted

If all instances restart at once, each learns the wanted version from the store and counts from then: requests began on weights that had been replaced 24 s before, where 20 s are allowed (VERSION). Nobody was left to tell the age, and the store has no times.

The holder of the rollout lease writes the versions and since when they are wanted, once a version and under its fence. A process reads the record with its first listing.

Ruled out: a key whose lease ends with the time allowed. It needs no clock, but an outage in which leases lapse would take the old weights away from a fleet that knows better.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -104,7 +104,7 @@
     is_watch_wanted = threading.Event()
     StoreWatcher.start(
         store,
-        store_listener(fleet_state, loop),
+        store_listener(fleet_state, loop, system_clock().wall_ms),
         WatchControl(
             is_watch_wanted, lambda: fleet_state.revision, peers.n_store_watchers
         ),
@@ -189,6 +189,7 @@
         now_ms,
         telemetry,
         is_candidate,
+        system_clock().wall_ms,
     )
 
 
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -426,7 +426,11 @@
                 engines[model].append(
                     RolloutEngine(upstream, version, utilization, usable_for_ms)
                 )
-        return RolloutInputs(wanted, engines)
+        older = self.older_wanted_ages()
+        ages = {
+            m: [*older.get(m, ()), newest] for m, newest in self.wanted_ages().items()
+        }
+        return RolloutInputs(wanted, engines, ages)
 
     def _utilization(self, upstream: Upstream, now_ms: float) -> float:
         """Return the larger of the used shares of slots and of KV memory."""
--- a/buckthornrock/platform/store_listeners.py
+++ b/buckthornrock/platform/store_listeners.py
@@ -5,9 +5,11 @@
 
 from ..catalog.upstreams import Upstream
 from ..gateway.fleet_state import FleetState
+from ..rollout.wanted_record import RECORD_PREFIX, decode_record
 from ..store.kv_port import KvEntry, Snapshot, WatchBatch
 from ..store.store_watcher import Listener
 from .configuration import decode_configuration
+from .store_client import payload
 from .upstream_entries import (
     CONFIGURATION_KEY,
     UPSTREAMS_PREFIX,
@@ -17,14 +19,21 @@
 )
 
 SOURCE = "store"
+RECORD_SOURCE = "record in the store"
 
 
 def store_listener(
-    fleet_state: FleetState, loop: asyncio.AbstractEventLoop
+    fleet_state: FleetState,
+    loop: asyncio.AbstractEventLoop,
+    wall_ms: Callable[[], int],
 ) -> Listener:
-    """Return a listener that any thread may call; it runs on the event loop."""
+    """Return a listener that any thread may call; it runs on the event loop.
+
+    ``wall_ms`` returns the time of day in Unix milliseconds.
+    """
 
     def on_snapshot(snapshot: Snapshot) -> None:
+        _apply_wanted_records(fleet_state, snapshot.entries, wall_ms())
         _apply_operator_entries(fleet_state, snapshot.entries)
         upstreams, _ = _decode_upstreams(fleet_state, snapshot.entries)
         fleet_state.replace_upstreams(upstreams, snapshot.revision)
@@ -79,6 +88,25 @@
     fleet_state.on_weights(weights.ok.model, weights.ok.version, SOURCE)
 
 
+def _apply_wanted_records(
+    fleet_state: FleetState, entries: Iterable[KvEntry], wall_ms: int
+) -> None:
+    """Apply since when versions are wanted.
+
+    An instance that ran when a version changed knows it better, so that records which
+    arrive as changes aren't applied.
+    """
+    for entry in entries:
+        if not entry.key.startswith(RECORD_PREFIX):
+            continue
+        record = decode_record(payload(entry), wall_ms)
+        if record.is_error():
+            fleet_state.log_undecodable(entry.key, record.error.reason)
+            continue
+        model = entry.key.removeprefix(RECORD_PREFIX)
+        fleet_state.on_peer_weights({}, {model: record.ok}, RECORD_SOURCE)
+
+
 def _decode_upstreams(
     fleet_state: FleetState, entries: Iterable[KvEntry]
 ) -> tuple[list[Upstream], list[str]]:
--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -20,6 +20,7 @@
     RolloutInputs,
 )
 from .rollout_lease import RolloutLease
+from .wanted_record import RECORD_PREFIX, encode_record
 
 STEP_PERIOD_MS = 200.0
 #: Candidates without the lease try to take it this often while engines are outdated.
@@ -31,6 +32,8 @@
 EXPECTED_LOAD_MS = 3_000.0
 #: An engine that gave no report is asked again only after this time.
 SET_ASIDE_MS = 500.0
+#: A record of wanted versions that may not have been written is written again then.
+RECORD_RETRY_MS = 1_000.0
 
 
 class RolloutActor(pykka.ThreadingActor):
@@ -51,6 +54,7 @@
         now_ms: Callable[[], float],
         telemetry: Telemetry,
         is_candidate: threading.Event,
+        wall_ms: Callable[[], int],
     ) -> None:
         super().__init__()
         self._is_candidate = is_candidate
@@ -64,6 +68,9 @@
         self._pending: dict[Incarnation, PendingOrder] = {}
         self._polled_at_ms: dict[Incarnation, float] = {}
         self._silent_until_ms: dict[Incarnation, float] = {}
+        self._wall_ms = wall_ms
+        self._recorded: dict[str, int] = {}
+        self._record_at_ms = 0.0
         self._next_acquire_at_ms = 0.0
         self._is_stopping = False
         self._was_lease_held = False
@@ -96,6 +103,21 @@
             return
         for model, version in inputs.wanted.items():
             self._roll_out(model, version, inputs)
+        self._record_wanted(inputs)
+
+    def _record_wanted(self, inputs: RolloutInputs) -> None:
+        """Write to the store since when the versions are wanted, once a version."""
+        if self._now_ms() < self._record_at_ms:
+            return
+        for model, ages_ms in inputs.wanted_ages.items():
+            newest, _ = ages_ms[-1]
+            if self._recorded.get(model) == newest or not self._lease.may_act():
+                continue
+            record = encode_record(ages_ms, self._wall_ms())
+            if self._lease.put(RECORD_PREFIX + model, record):
+                self._recorded[model] = newest
+            else:
+                self._record_at_ms = self._now_ms() + RECORD_RETRY_MS
 
     def _forget_removed(self, inputs: RolloutInputs) -> None:
         known = {
--- a/buckthornrock/rollout/port.py
+++ b/buckthornrock/rollout/port.py
@@ -1,6 +1,6 @@
 """Interfaces of the rollout to the engines and to the gateway."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from expression import Result
@@ -63,10 +63,15 @@
 
 
 class RolloutInputs(NamedTuple):
-    """Input from the gateway: wanted versions and the engines of each model."""
+    """Input from the gateway: wanted versions and the engines of each model.
+
+    ``wanted_ages`` are the versions of each model that an engine's lag may count from,
+    the newest last, and for how many milliseconds each has been wanted.
+    """
 
     wanted: dict[str, int]
     engines: dict[str, list[RolloutEngine]]
+    wanted_ages: Mapping[str, list[tuple[int, int]]] = {}
 
 
 class RolloutCallbacks(NamedTuple):
--- a/buckthornrock/rollout/rollout_lease.py
+++ b/buckthornrock/rollout/rollout_lease.py
@@ -100,6 +100,16 @@
         if held is not None:
             self._store.revoke_lease(held.lease_id)
 
+    def put(self, key: str, value: bytes) -> bool:
+        """Write a value under the lease; return whether it was certainly written."""
+        held = self._held
+        if held is None:
+            return False
+        transaction = Transaction(
+            (Compare(HOLDER_KEY, held.fence),), (Put(key, value),)
+        )
+        return isinstance(self._store.commit(transaction), CommitDone)
+
     def _acquire(self) -> None:
         current = self._store.get(HOLDER_KEY)
         if current.is_error() or current.ok is not None:
--- a/tests/rollout/test_actor.py
+++ b/tests/rollout/test_actor.py
@@ -74,6 +74,7 @@
                 open_metrics("", 0, ""),
             ),
             threading.Event(),
+            wall_ms=lambda: 0,
         )
 
 
--- /dev/null
+++ b/tests/rollout/test_wanted_record.py
@@ -0,0 +1,195 @@
+"""Since when versions are wanted outlives a restart of all instances."""
+
+import asyncio
+import threading
+
+import msgspec
+import pytest
+from expression import Ok
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornrock.gateway.fleet_state import FleetState
+from buckthornrock.platform.store_listeners import store_listener
+from buckthornrock.rollout.actor import RECORD_RETRY_MS, RolloutActor
+from buckthornrock.rollout.plan import RolloutEngine
+from buckthornrock.rollout.port import (
+    EnginePort,
+    EngineReport,
+    OrderAnswer,
+    RolloutCallbacks,
+    RolloutInputs,
+)
+from buckthornrock.rollout.rollout_lease import RolloutLease
+from buckthornrock.rollout.wanted_record import (
+    RECORD_PREFIX,
+    decode_record,
+    encode_record,
+)
+from buckthornrock.scheduling.weights import WeightsView
+from buckthornrock.store.kv_port import KvEntry, Snapshot, WatchBatch
+from buckthornrock.telemetry import Telemetry, open_metrics
+from tests.rollout.test_rollout_lease import ModelStore
+from tests.scheduling.world import engine
+
+WALL_MS = 1_790_000_000_000
+USABLE_MS = 18_500.0
+WRITE_ID = b"w" * 16
+
+
+@pytest.mark.parametrize(
+    ("passed_ms", "expected"),
+    [
+        (0, [(2, 9_000), (3, 1_000)]),
+        (5_000, [(2, 14_000), (3, 6_000)]),
+        # The time of day jumped back by an hour.
+        (-3_600_000, [(2, 0), (3, 0)]),
+    ],
+)
+def test_ages_are_those_at_the_time_of_reading(passed_ms, expected):
+    value = encode_record([(2, 9_000), (3, 1_000)], WALL_MS)
+    assert decode_record(value, WALL_MS + passed_ms) == Ok(expected)
+
+
+@given(st.binary(max_size=60))
+def test_record_of_another_writer_is_a_failure_or_a_list(value):
+    decoded = decode_record(value, WALL_MS)
+    assert decoded.is_error() or isinstance(decoded.ok, list)
+
+
+@pytest.mark.parametrize("value", [b"[" * 100_000, b'[["2", 3]]', b"{}", b"\xff"])
+def test_odd_record_is_a_failure(value):
+    assert decode_record(value, WALL_MS).is_error()
+
+
+class World:
+    """An actor that holds the lease of a store, and engines that always obey."""
+
+    def __init__(self):
+        self.store = ModelStore()
+        self.wanted_ages = {"m": [(2, 5_000)]}
+        lease = RolloutLease(
+            self.store.port(), "i1", 3_000.0, 3_000.0, lambda: self.store.now_ms
+        )
+        self.ordered = []
+        self.actor = RolloutActor(
+            lease,
+            EnginePort(lambda _: Ok(EngineReport({"m": 1}, False, 0)), self.order),
+            self.inputs,
+            RolloutCallbacks(lambda *_: None, lambda *_: None),
+            "i1",
+            lambda: self.store.now_ms,
+            Telemetry(lambda event, **fields: None, open_metrics("", 0, "")),
+            threading.Event(),
+            wall_ms=lambda: WALL_MS,
+        )
+
+    def order(self, order, fencing):
+        self.ordered.append(order.upstream.upstream_id)
+        return Ok(OrderAnswer(202))
+
+    def inputs(self):
+        newest = self.wanted_ages["m"][-1][0]
+        engines = [RolloutEngine(engine(0), 1, 0.0)]
+        return RolloutInputs({"m": newest}, {"m": engines}, self.wanted_ages)
+
+    def step(self):
+        self.actor._step()
+        self.store.now_ms += 200.0
+
+    def record(self):
+        entry = self.store.entries.get(RECORD_PREFIX + "m")
+        return None if entry is None else decode_record(entry.value[16:], WALL_MS).ok
+
+
+def test_holder_of_the_lease_records_each_version_once():
+    world = World()
+    for _ in range(4):
+        world.step()
+    assert world.ordered and world.record() == [(2, 5_000)]
+    n_writes = world.store.revision
+    for _ in range(4):
+        world.step()
+    assert world.store.revision == n_writes
+    world.wanted_ages = {"m": [(2, 9_000), (3, 0)]}
+    world.step()
+    assert world.record() == [(2, 9_000), (3, 0)]
+
+
+def test_record_that_was_not_written_is_tried_again():
+    world = World()
+    world.step()
+    world.wanted_ages = {"m": [(2, 9_000), (3, 0)]}
+    put = world.actor._lease.put
+    world.actor._lease.put = lambda key, value: False
+    world.step()
+    world.actor._lease.put = put
+    assert world.record() == [(2, 5_000)]
+    for _ in range(int(RECORD_RETRY_MS / 200.0) + 1):
+        world.step()
+    assert world.record() == [(2, 9_000), (3, 0)]
+
+
+def test_lost_lease_writes_no_record():
+    world = World()
+    world.step()
+    world.store.end(next(iter(world.store.leases)))
+    assert not world.actor._lease.put(RECORD_PREFIX + "m", b"[]")
+
+
+def entry(key, value, revision=7):
+    return KvEntry(key, value, revision, 0, value[:16])
+
+
+def weights_entry(version):
+    value = msgspec.json.encode({"model": "m", "version": version})
+    return entry("op/version/m", value)
+
+
+def record_entry(*ages_ms):
+    return entry(RECORD_PREFIX + "m", WRITE_ID + encode_record(ages_ms, WALL_MS))
+
+
+def fleet_state_after(handle):
+    """Return the state of an instance whose watcher reported to its listener."""
+
+    async def main():
+        telemetry = Telemetry(lambda event, **fields: None, open_metrics("", 0, ""))
+        state = FleetState("a", WeightsView(USABLE_MS), lambda: 0.0, telemetry)
+        loop = asyncio.get_running_loop()
+        handle(store_listener(state, loop, lambda: WALL_MS + 4_000))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return state
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("loaded", [1, 2])
+def test_restart_of_all_instances_does_not_prolong_the_use_of_old_weights(loaded):
+    """No peer knows since when the version is wanted, only the store's record."""
+    snapshot = Snapshot(9, (weights_entry(3), record_entry((2, 9_000), (3, 1_000))))
+    state = fleet_state_after(lambda listener: listener.on_snapshot(snapshot))
+    lag_ms = state.weights.lag_ms(engine(0, version=loaded), "m", 0.0)
+    assert lag_ms == {1: 13_000.0, 2: 5_000.0}[loaded]
+
+
+def test_record_that_arrives_as_a_change_is_ignored():
+    """An instance that ran when the version changed knows better than the record."""
+    changes = WatchBatch(9, (weights_entry(3), record_entry((3, 9_000))), ())
+    state = fleet_state_after(lambda listener: listener.on_change(changes))
+    assert state.weights.lag_ms(engine(0, version=2), "m", 0.0) == 0.0
+
+
+def test_unreadable_record_leaves_the_rest_of_a_snapshot_in_force():
+    odd = entry(RECORD_PREFIX + "m", WRITE_ID + b"[[")
+    snapshot = Snapshot(9, (odd, weights_entry(3)))
+    state = fleet_state_after(lambda listener: listener.on_snapshot(snapshot))
+    assert state.weights.wanted("m").version == 3
+
+
+def test_lease_of_an_unreachable_store_writes_nothing():
+    world = World()
+    world.step()
+    world.store.is_down = True
+    assert not world.actor._lease.put(RECORD_PREFIX + "m", b"[]")
