Show a job's state from memory only under a valid lease

A caller had a job's answer from one instance, and another one then told it that the job was waiting. The second instance held the segment before the key-value service's outage; until its next scan it counted the service as down, and while it is down is_claimed is true without a lease. Another instance had taken the segment over meanwhile. Reads now ask for the lease alone and go to the key-value service without one. An instance that is still cut off answers 503 (job-unreadable), for it can't tell its own isolation from an outage. Running jobs in an outage is as before.

Ruled out: resetting is_down on a commit that got an answer; the lease can be taken over between the service's return and any call of this instance.

--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -274,7 +274,7 @@
         with self._lock:
             state = self._backlog.state(address)
         # Without a valid claim, another instance may have ended the job.
-        if not state or not self._runner.is_claimed(address):
+        if not state or not self._runner.holds_claim(address):
             return None
         return Ok(JobView(job_id, state, None, ""))
 
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -279,3 +279,27 @@
     fleet.instances["i0"] = paused
     assert view(fleet, "i1", ids[0], job).state == "done"
     assert view(fleet, "i0", ids[0], job).state == "done"
+
+
+def lose_holder_in_outage(fleet):
+    """Let i0 notice an outage, and i1 run i0's jobs once it is over."""
+    assert fleet.submit("i0", submission("in the outage")).is_ok()
+    fleet.kv.is_down = True
+    fleet.step("i0", "commit")
+    fleet.kv.is_down = False
+    fleet.kv.advance(30_000.0)
+    holder = fleet.instances.pop("i0")
+    fleet.settle(n_rounds=3)
+    fleet.instances["i0"] = holder
+
+
+@pytest.mark.parametrize(("is_cut_off", "shown"), [(False, "done"), (True, "")])
+def test_holder_after_outage_shows_no_older_state_than_was_delivered(is_cut_off, shown):
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    lose_holder_in_outage(fleet)
+    assert view(fleet, "i1", ids[0], job).state == "done"
+    fleet.kv.is_down = is_cut_off
+    found = fleet.instances["i0"].service.read("a", "m", ids[0])
+    assert found.map(lambda view: view.state).default_value("") == shown
