Give up a commit of unknown result after its last try

A commit got no response, and the key-value service then stayed away: each later try was certainly not executed, went back to the unsettled ones and never met the limit of tries. It was tried for as long as the outage lasted, long after its submitters were told that its result is unknown. A try that was not executed counts like one without a response once an earlier one may have taken effect.

tests/deferred/test_faults.py: test_commit_without_a_known_result_is_given_up_after_its_last_try: the case of a service that is down failed before; that of lost responses passed.

--- a/buckthornrock/deferred/submission_queue.py
+++ b/buckthornrock/deferred/submission_queue.py
@@ -231,10 +231,12 @@
                 self._finish_accepted(attempt, revision, claim)
             case CommitConflict(entries):
                 self._handle_conflict(attempt, {entry.key: entry for entry in entries})
-            case CommitNotDone(reason):
-                self._requeue(attempt, reason)
+            case CommitNotDone() if attempt.n_tries == 1:
+                self._requeue(attempt)
                 return False
             case _:
+                # After an earlier try, which may have taken effect, a commit that was
+                # certainly not executed is as unknown as one without a response.
                 if attempt.n_tries >= MAX_TRIES:
                     self._fail(attempt, NotAccepted(outcome.code, "unknown"))
                 return False
@@ -350,19 +352,14 @@
         pending.pins = tuple(pins)
         return False
 
-    def _requeue(self, attempt: _CommitAttempt, reason: str) -> None:
+    def _requeue(self, attempt: _CommitAttempt) -> None:
         """Requeue submissions whose commit was certainly not executed."""
         self._remove(attempt)
         with self._lock:
             waiting = [p for p in attempt.submissions if p.result is None]
-            # Earlier tries of the same commit may have taken effect, so that only a
-            # first try proves that nothing was written.
-            if attempt.n_tries == 1:
-                for pending in waiting:
-                    pending.was_sent = False
-                self._queue = waiting + self._queue
-                return
-            self._unsettled.append(attempt)
+            for pending in waiting:
+                pending.was_sent = False
+            self._queue = waiting + self._queue
 
     def _fail(self, attempt: _CommitAttempt, failure: NotAccepted) -> None:
         self._remove(attempt)
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -24,6 +24,7 @@
 from buckthornrock.deferred.packing import Blob  # noqa: E402
 from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
 from buckthornrock.deferred.scan import owned_shards  # noqa: E402
+from buckthornrock.deferred.submission_queue import MAX_TRIES  # noqa: E402
 from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
 from buckthornrock.routing.errors import NoEngine  # noqa: E402
 
@@ -303,3 +304,21 @@
     fleet.kv.is_down = is_cut_off
     found = fleet.instances["i0"].service.read("a", "m", ids[0])
     assert found.map(lambda view: view.state).default_value("") == shown
+
+
+@pytest.mark.parametrize("is_down", [True, False])
+def test_commit_without_a_known_result_is_given_up_after_its_last_try(is_down):
+    fleet = make_fleet()
+    pending = fleet.submit("i0", submission("x")).ok
+    fleet.kv.faults.append("dropped")
+    fleet.step("i0", "commit")
+    fleet.kv.is_down = is_down
+    fleet.kv.faults.extend(["dropped"] * MAX_TRIES)
+    for _ in range(MAX_TRIES - 2):
+        fleet.step("i0", "commit")
+    assert pending.result is None
+    fleet.step("i0", "commit")
+    assert pending.result.error.not_run == "unknown"
+    before = fleet.kv.n_commits
+    fleet.step("i0", "commit")
+    assert fleet.kv.n_commits == before
