Claim only segments again that are as they were left

An instance whose lease had lapsed claimed its segments again under the new one, also those that another instance had taken over and ended meanwhile, and even those whose outcomes were deleted: the comparison was that there is no claim. Such a claim is bound to the live lease and stays until the instance ends or cleans up. The outcomes' revision is compared as well now; a segment that was changed is read first and claimed in the next scan step, if it is still open. A segment whose outcomes are gone is dropped.

tests/deferred/test_faults.py: test_segment_that_another_instance_ended_is_not_claimed_again (2 cases) failed before; test_segment_that_was_changed_in_between_is_claimed_again passed and guards the other side.

--- a/buckthornrock/deferred/held_segments.py
+++ b/buckthornrock/deferred/held_segments.py
@@ -194,10 +194,10 @@
         """Reload the outcomes of a held segment after another instance changed them."""
         entry = self._kv.get(outcomes_key(segment_id))
         held = self.get(segment_id)
-        if held is None or entry.is_error() or entry.ok is None:
+        if held is None or entry.is_error():
             return
         with self._lock:
-            self._reload((held,), (entry.ok,))
+            self._reload((held,), (entry.ok,) if entry.ok else ())
 
     def record_attempt(self, address: JobAddress) -> bool:
         """Count a start of a job durably; return whether that was done."""
--- a/buckthornrock/deferred/scan.py
+++ b/buckthornrock/deferred/scan.py
@@ -16,6 +16,7 @@
 from ..store import (
     CommitConflict,
     CommitDone,
+    CommitOutcome,
     Compare,
     Delete,
     KvEntry,
@@ -123,42 +124,70 @@
     return Ok(held)
 
 
+class Reclaimed(NamedTuple):
+    """What became of segments that were to be claimed again.
+
+    ``changed`` are segments that nobody holds, but whose outcomes another instance
+    changed or deleted: they may have ended. A segment is in no list if its commit got
+    no response or if the claim under the old lease still exists.
+    """
+
+    held: list[HeldSegment]
+    lost: list[HeldSegment]
+    changed: list[HeldSegment]
+
+
 def reclaim(
     kv: KvPort, segments: Sequence[HeldSegment], claim_lease: ClaimLease
-) -> tuple[list[HeldSegment], list[HeldSegment]]:
+) -> Reclaimed:
     """Claim segments again after the lease was lost and a new one was granted.
 
-    Returns
-    -------
-    (list of HeldSegment, list of HeldSegment)
-        Segments that are held again, and segments that another instance holds now. A
-        segment is in neither list if its commit got no response or if the claim under
-        the old lease still exists.
+    Only segments whose outcomes are as this instance knows them are claimed.
     """
-    held, lost = [], []
-    holder = claim_lease.holder.encode()
+    reclaimed = Reclaimed([], [], [])
     for start in range(0, len(segments), MAX_CLAIMS_PER_COMMIT):
         group = segments[start : start + MAX_CLAIMS_PER_COMMIT]
-        if _claim(kv, group, claim_lease):
-            held += group
+        if isinstance(_claim(kv, group, claim_lease), CommitDone):
+            reclaimed.held.extend(group)
             continue
         for segment in group:
-            if _claim(kv, (segment,), claim_lease):
-                held.append(segment)
-                continue
-            claim = kv.get(claim_key(segment.segment_id))
-            if claim.is_ok() and claim.ok and claim.ok.lease_id == claim_lease.lease_id:
-                held.append(segment)
-            elif claim.is_ok() and claim.ok and claim.ok.value != holder:
-                lost.append(segment)
-    return held, lost
-
-
-def _claim(kv: KvPort, group: Sequence[HeldSegment], claim_lease: ClaimLease) -> bool:
+            _reclaim_one(kv, segment, claim_lease, reclaimed)
+    return reclaimed
+
+
+def _reclaim_one(
+    kv: KvPort, segment: HeldSegment, claim_lease: ClaimLease, reclaimed: Reclaimed
+) -> None:
+    outcome = _claim(kv, (segment,), claim_lease)
+    if isinstance(outcome, CommitDone):
+        reclaimed.held.append(segment)
+        return
+    claim = kv.get(claim_key(segment.segment_id))
+    if claim.is_error():
+        return
+    if claim.ok is None:
+        if isinstance(outcome, CommitConflict) and _has_changed(segment, outcome):
+            reclaimed.changed.append(segment)
+        return
+    if claim.ok.lease_id == claim_lease.lease_id:
+        reclaimed.held.append(segment)
+    elif claim.ok.value != claim_lease.holder.encode():
+        reclaimed.lost.append(segment)
+
+
+def _has_changed(segment: HeldSegment, conflict: CommitConflict) -> bool:
+    revisions = {entry.key: entry.mod_revision for entry in conflict.entries}
+    return revisions.get(outcomes_key(segment.segment_id)) != segment.revision
+
+
+def _claim(
+    kv: KvPort, group: Sequence[HeldSegment], claim_lease: ClaimLease
+) -> CommitOutcome:
     compares = [Compare(claim_key(segment.segment_id), 0) for segment in group]
+    compares += [Compare(outcomes_key(s.segment_id), s.revision) for s in group]
     writes = [claim_lease.put(segment.segment_id) for segment in group]
     transaction = Transaction((*compares, claim_lease.guard), tuple(writes))
-    return isinstance(kv.commit(transaction), CommitDone)
+    return kv.commit(transaction)
 
 
 def release(kv: KvPort, segment: HeldSegment) -> bool:
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -290,12 +290,14 @@
             return
         segments = self._held_segments.all()
         stale = [s for s in segments if s.epoch not in (0, claim_lease.epoch)]
-        held, lost = reclaim(self._context.kv, stale, claim_lease)
-        for segment in held:
+        reclaimed = reclaim(self._context.kv, stale, claim_lease)
+        for segment in reclaimed.held:
             segment.epoch = claim_lease.epoch
-            # Another instance may have held the segment and ended jobs in between.
+        # Another instance may have held the segments and ended jobs in between. Those
+        # that have changed are claimed in the next step, if they are still open.
+        for segment in (*reclaimed.held, *reclaimed.changed):
             self._held_segments.refresh(segment.segment_id)
-        for segment in lost:
+        for segment in reclaimed.lost:
             self._drop_lost(segment)
 
     def _drop_lost(self, segment: HeldSegment) -> None:
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -22,7 +22,7 @@
 from buckthornrock.deferred.held_segments import UnsavedOutcome  # noqa: E402
 from buckthornrock.deferred.ids import JobAddress  # noqa: E402
 from buckthornrock.deferred.packing import Blob  # noqa: E402
-from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
+from buckthornrock.deferred.records import Outcome, claim_key, outcomes_key  # noqa: E402
 from buckthornrock.deferred.scan import owned_shards  # noqa: E402
 from buckthornrock.deferred.submission_queue import MAX_TRIES  # noqa: E402
 from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
@@ -322,3 +322,35 @@
     before = fleet.kv.n_commits
     fleet.step("i0", "commit")
     assert fleet.kv.n_commits == before
+
+
+@pytest.mark.parametrize("is_collected", [False, True])
+def test_segment_that_another_instance_ended_is_not_claimed_again(is_collected):
+    fleet = make_fleet(2)
+    ids = accept(fleet, "i0", *(submission(f"note {index}") for index in range(2)))
+    segment_id = ids[0].split("-")[0]
+    holder = fleet.instances.pop("i0")
+    fleet.kv.advance(30_000.0)
+    fleet.settle(n_rounds=3)
+    if is_collected:
+        fleet.kv.entries.pop(outcomes_key(segment_id))
+    fleet.instances["i0"] = holder
+    fleet.step("i0", "lease")
+    holder.service._reclaim_stale()
+    assert claim_key(segment_id) not in fleet.kv.entries
+    for _ in range(2):
+        fleet.step("i0", "run")
+    assert len(fleet.runs) == 2
+
+
+def test_segment_that_was_changed_in_between_is_claimed_again():
+    fleet = make_fleet(2)
+    jobs = [submission(f"note {index}") for index in range(2)]
+    ids = accept(fleet, "i0", *jobs)
+    fleet.kv.advance(30_000.0)
+    fleet.instances["i1"].service.cancel("a", "m", ids[0])
+    for step in ("lease", "scan", "scan", "run", "run", "commit"):
+        fleet.step("i0", step)
+    assert [job_id for _, job_id in fleet.runs] == ids[1:]
+    assert view(fleet, "i1", ids[0], jobs[0]).state == "cancelled"
+    assert view(fleet, "i1", ids[1], jobs[1]).state == "done"
