Never replace saved outcomes by an older reading of them

refresh reads a segment's outcomes and takes the lock only afterwards. A save in between was replaced by the older entry: the instance took ended jobs for open ones and met a conflict at its next save. Only newer revisions are loaded now, after conflicts too.

tests/deferred/test_faults.py: test_outcomes_read_before_a_later_save_do_not_replace_it failed before.

--- a/buckthornrock/deferred/held_segments.py
+++ b/buckthornrock/deferred/held_segments.py
@@ -313,7 +313,7 @@
             self._on_saved(job)
 
     def _reload(self, segments: Iterable[HeldSegment], entries: tuple) -> bool:
-        """Load outcomes that other instances wrote; return whether any differed."""
+        """Load outcomes that other instances wrote; return whether any were newer."""
         entries_by_key = {entry.key: entry for entry in entries}
         has_changes = False
         for held in segments:
@@ -322,7 +322,8 @@
                 # All jobs ended and the outcomes were deleted after their retention.
                 self._segments.pop(held.segment_id, None)
                 has_changes = True
-            elif entry.mod_revision != held.revision:
+            elif entry.mod_revision > held.revision:
+                # An entry that was read before this instance's last save is older.
                 held.reload(entry)
                 has_changes = True
         self._update_unsaved_bytes()
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -354,3 +354,26 @@
     assert [job_id for _, job_id in fleet.runs] == ids[1:]
     assert view(fleet, "i1", ids[0], jobs[0]).state == "cancelled"
     assert view(fleet, "i1", ids[1], jobs[1]).state == "done"
+
+
+def test_outcomes_read_before_a_later_save_do_not_replace_it():
+    fleet = make_fleet()
+    ids = accept(fleet, "i0", submission("a"), submission("b"))
+    segment_id = ids[0].split("-")[0]
+    held_segments = fleet.instances["i0"].service._held_segments
+    held_segments.finish(
+        JobAddress(segment_id, 0), UnsavedOutcome(Outcome("done"), b"{}")
+    )
+    get = fleet.kv.get
+
+    def get_and_be_overtaken(key):
+        held_segments._kv = held_segments._kv._replace(get=get)
+        entry = get(key)
+        assert held_segments.step()
+        return entry
+
+    held_segments._kv = held_segments._kv._replace(get=get_and_be_overtaken)
+    held_segments.refresh(segment_id)
+    held = held_segments.get(segment_id)
+    assert held.outcomes.jobs[0].state == "done"
+    assert held.revision == fleet.kv.entries[outcomes_key(segment_id)].mod_revision
