Count no request as placed whose client is gone

In a pass over the wait queue, a request whose client had disconnected in the same turn of the event loop counted as placed. The rate at which requests are placed, by which others are told how long they will wait, was too high after a burst of disconnects: requests were queued that could only miss their deadline. Requests that have ended leave the queue before the pass, so that they don't count as failed tries either.

tests/gateway/test_dispatcher.py: test_requests_whose_clients_are_gone_do_not_count_as_placed failed before (40 counted of 1 placed).

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -190,6 +190,7 @@
     def _wake(self) -> None:
         self._is_wake_scheduled = False
         for name, queue in self._queues.items():
+            queue.discard(lambda number: self._futures[number].done())
             if not len(queue):
                 continue
             candidates = with_capacity(self._directory.usable(name), self._view())
@@ -212,15 +213,12 @@
                     future.set_result(_refusal(reason, snapshot))
 
     def _try_reserve(self, candidates: list[Upstream], queued: QueuedRequest) -> bool:
-        future = self._futures.get(queued.number)
-        if future is None or future.done():
-            return True
         if not may_fit(queued.demand, candidates, self._view()):
             return False
         placement = self._choose(queued.demand, self._excluded[queued.number])
         if isinstance(placement, NoCapacity):
             return False
-        future.set_result(self._reserve_at(placement))
+        self._futures[queued.number].set_result(self._reserve_at(placement))
         return True
 
     def _choose(
--- a/buckthornrock/scheduling/wait_queue.py
+++ b/buckthornrock/scheduling/wait_queue.py
@@ -79,6 +79,11 @@
         """Remove a request that was rejected or whose client disconnected."""
         self._queued.pop(number, None)
 
+    def discard(self, is_ended: Callable[[int], bool]) -> None:
+        """Remove the requests that ended by themselves, by number."""
+        for number in [number for number in self._queued if is_ended(number)]:
+            del self._queued[number]
+
     def on_arrived(self, demand: Demand, now_ms: float) -> None:
         """Count an arriving request, whether it will be queued or not."""
         self._arrived[demand.urgency].add(_n_units(demand), now_ms)
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -10,6 +10,7 @@
 from buckthornrock.gateway.requests import AdmittedRequest
 from buckthornrock.scheduling.choice import choose
 from buckthornrock.scheduling.loads import FleetLoads, Work
+from buckthornrock.scheduling.wait_queue import WaitQueue
 from buckthornrock.wire.numeric_ids import incarnation_number
 from tests.scheduling.world import engine, long, short, view
 
@@ -97,3 +98,28 @@
         assert all(place.is_ok() for place in placed)
 
     asyncio.run(main())
+
+
+def test_requests_whose_clients_are_gone_do_not_count_as_placed(monkeypatch):
+    placed = []
+    on_placed = WaitQueue.on_placed
+
+    def count(self, demand, now_ms):
+        placed.append(demand)
+        on_placed(self, demand, now_ms)
+
+    async def main():
+        burst = Burst(monkeypatch)
+        burst.apply_peer_load(NO_CAPACITY["slots"])
+        reservations = await burst.enqueue_burst()
+        for reservation in reservations[:-1]:
+            reservation.cancel()
+        burst.apply_peer_load(Work())
+        # Before the cancelled requests leave the queue by themselves.
+        burst.dispatcher._wake()
+        results = await asyncio.gather(*reservations, return_exceptions=True)
+        assert results[-1].is_ok()
+
+    monkeypatch.setattr(WaitQueue, "on_placed", count)
+    asyncio.run(main())
+    assert len(placed) == 1
