Give back what a model without engines was charged

While a model had no engine, each request for it was charged to its account's rate limit and nothing was ever given back, for its ticket isn't tracked. An account that retried was refused for its limit when the engines returned, with no work done. The request itself still counts towards requests per second.

tests/admission/test_faults.py: test_request_for_a_model_without_engines_is_not_charged failed before.

--- a/buckthornrock/admission/blocking.py
+++ b/buckthornrock/admission/blocking.py
@@ -104,7 +104,9 @@
                 return Error(failure)
             if not capacity.n_engines:
                 # There is nothing to wait for: dispatch reports the missing engine
-                # to the caller at once.
+                # to the caller at once. What runs nevertheless isn't admitted work, so
+                # it isn't charged either.
+                self._limits.correct(request, -cost_tokens)
                 return Ok(Ticket(query, now_ms, 0.0))
             queues = self._queues_of(query.model, capacity)
             failure = queues.offer(request, now_ms)
--- a/tests/admission/test_faults.py
+++ b/tests/admission/test_faults.py
@@ -19,6 +19,7 @@
 from buckthornrock.admission.blocking import (  # noqa: E402
     Admission,
     AdmissionConfig,
+    LimitPort,
     no_limits,
 )
 from buckthornrock.admission.displacement import find_displaced  # noqa: E402
@@ -31,7 +32,7 @@
     return time.monotonic() * 1000.0
 
 
-def make_admission(n_callers=2):
+def make_admission(n_callers=2, n_engines=1, limits=None):
     config = AdmissionConfig(
         queues=ModelQueueConfig(0.0, 3_600_000.0, 0.0),
         controller="fixed",
@@ -41,10 +42,11 @@
         max_caller_threads=n_callers,
         max_deferrable_threads=n_callers,
     )
-    capacity = ModelCapacity(1, 1_000.0)
+    capacity = ModelCapacity(n_engines, 1_000.0)
     policy = make_policy(ttft_target_ms=3_600_000.0)
+    limits = limits or no_limits()
     return Admission(
-        config, lambda query: policy, lambda model: capacity, no_limits(), now_ms
+        config, lambda query: policy, lambda model: capacity, limits, now_ms
     )
 
 
@@ -160,3 +162,18 @@
         ttft_ms, now_ms = 300.0 + queue_ms, index * 25.0
         window.note_first_token(ttft_ms, 0.0, now_ms - ttft_ms, now_ms)
     assert window.tokens_per_engine >= 8_192.0
+
+
+def test_request_for_a_model_without_engines_is_not_charged():
+    corrections = []
+    limits = LimitPort(
+        lambda request, now_ms: None,
+        lambda request, extra_tokens: corrections.append(
+            (request.cost_tokens, extra_tokens)
+        ),
+    )
+    admission = make_admission(n_engines=0, limits=limits)
+    assert admission.admit(make_query(), lambda: False).is_ok()
+    ((cost_tokens, extra_tokens),) = corrections
+    assert cost_tokens > 0.0
+    assert extra_tokens == -cost_tokens
