Match IPv6 hosts that state no port

The host was cut at its last colon, also within the brackets of an IPv6 address without a port, so that its route was never found.

tests/catalog/test_route_table.py: test_ipv6_host_matches_with_and_without_a_port: the case without a port failed before, the two with one passed.

--- a/buckthornrock/catalog/route_table.py
+++ b/buckthornrock/catalog/route_table.py
@@ -58,7 +58,11 @@
 
 
 def _host_name(host: str) -> str:
-    return host.strip().lower().rsplit(":", 1)[0] if ":" in host else host.lower()
+    """Return the host without its port; IPv6 addresses keep their brackets."""
+    host = host.strip().lower()
+    if host.startswith("["):
+        return host[: host.find("]") + 1]
+    return host.rsplit(":", 1)[0]
 
 
 def _bearer_key(authorization: str) -> str:
--- a/tests/catalog/test_route_table.py
+++ b/tests/catalog/test_route_table.py
@@ -27,6 +27,7 @@
         route("deep", "a.example", "/x/y/"),
         route("mid", "a.example", "/x/"),
         route("public", "b.example", "/", is_public=True),
+        route("six", "[fd00::7]", "/"),
     )
     accounts = {"k1": ClientAccount("one", 0, True)}
     limits = ClientLimits()
@@ -75,3 +76,11 @@
 def test_configuration_without_accounts_asks_for_no_key():
     routes = table(requires_keys=False).configuration.routes
     assert table(requires_keys=False).authenticate(routes[0], "").is_ok()
+
+
+IPV6_HOSTS = ["[fd00::7]", "[fd00::7]:8443", " [FD00::7]:80 "]
+
+
+@pytest.mark.parametrize("host", IPV6_HOSTS)
+def test_ipv6_host_matches_with_and_without_a_port(host):
+    assert table().match(host, "/x").ok.name == "six"
