Expire the keys behind a running call

Expired keys were removed from the front of the table up to the first one that is still running. One long call kept all later keys in memory, and once the table was full every new key was refused with 503. Running calls are skipped.

tests/idempotency/test_key_machines.py: test_running_call_keeps_no_expired_keys_behind_it failed before.

--- a/buckthornrock/idempotency/issued_keys.py
+++ b/buckthornrock/idempotency/issued_keys.py
@@ -9,6 +9,7 @@
 import base64
 import hashlib
 import hmac
+import itertools
 from typing import Literal, NamedTuple
 
 import msgspec
@@ -188,10 +189,11 @@
 
     def _expire(self, now_ms: float) -> None:
         # Entries are in insertion order, which is roughly the order of expiry.
-        while self._entries:
-            nonce, entry = next(iter(self._entries.items()))
-            if entry.state == "running" or entry.expires_at_ms > now_ms:
-                return
+        expired = itertools.takewhile(
+            lambda item: item[1].expires_at_ms <= now_ms, self._entries.items()
+        )
+        ended = [nonce for nonce, entry in expired if entry.state != "running"]
+        for nonce in ended:
             del self._entries[nonce]
 
 
--- a/tests/idempotency/test_key_machines.py
+++ b/tests/idempotency/test_key_machines.py
@@ -7,6 +7,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from buckthornrock.idempotency.issued_keys import (
+    IssuedKeyClaims,
+    IssuedKeyTable,
+    Pending,
+)
 from tests.idempotency.key_model import (
     ATTEMPTS,
     COMMIT_FAULTS,
@@ -130,3 +135,20 @@
     model.advance(0, 0, "", "answered")
     assert model.problems == []
     assert model.n_runs == 1
+
+
+def test_running_call_keeps_no_expired_keys_behind_it():
+    table = IssuedKeyTable(ttl_ms=1_000, n_max=3)
+
+    def begin(nonce, now_ms):
+        claims = IssuedKeyClaims("i0", "x", nonce, int(now_ms))
+        return table.begin(claims, b"f", "r", now_ms)
+
+    for nonce in (b"running", b"a", b"b"):
+        assert begin(nonce, 0.0).is_ok()
+    for nonce in (b"a", b"b"):
+        table.settle(nonce, "done")
+    assert begin(b"c", 2_000.0).is_ok()
+    assert len(table) == 2
+    # The running call's own key is still known.
+    assert isinstance(begin(b"running", 0.0).ok, Pending)
