Give leadership and load slots kinds of their own in the store's budget

Keys under stewards/ and load-slots/ counted as other calls of normal urgency. When a burst of deferred work used the instance's share up, the renewal of leadership waited behind the reserve that lease calls may use. Leadership is urgent now, load slots are counted by their own name.

tests/store/test_budget.py: 1 case of test_kind_of_key_gives_its_urgency and 2 of test_every_key_of_the_product_has_a_kind_of_its_own failed before.

--- a/buckthornrock/store/budget.py
+++ b/buckthornrock/store/budget.py
@@ -32,6 +32,8 @@
     "profile-history": CallKind("profile_history", "normal"),
     "instances": LEASE_KIND,
     "idempotency": CallKind("idempotency", "urgent"),
+    "stewards": CallKind("leadership", "urgent"),
+    "load-slots": CallKind("load_slots", "normal"),
     "orders": CallKind("orders", "normal"),
     "placement": CallKind("placement", "normal"),
     "jobs": CallKind("deferred", "bulk"),
--- a/tests/store/test_budget.py
+++ b/tests/store/test_budget.py
@@ -6,8 +6,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from buckthornrock.deferred import records as deferred
+from buckthornrock.fleet import leadership, load_slots
+from buckthornrock.idempotency import records as idempotency
+from buckthornrock.profiles import stored
 from buckthornrock.store.breaker import MAX_OPEN_MS, N_FAILURES_TO_OPEN, Breaker
-from buckthornrock.store.budget import MIN_CAPACITY_TOKENS, Budget, kind_of
+from buckthornrock.store.budget import (
+    MIN_CAPACITY_TOKENS,
+    OTHER_KIND,
+    Budget,
+    kind_of,
+)
 
 FLEET_WRITES_PER_S = 300.0
 
@@ -15,15 +24,32 @@
     ("profiles/default", "urgent"),
     ("instances/a/b", "urgent"),
     ("jobs/1", "bulk"),
+    ("stewards/small", "urgent"),
+    ("load-slots/0", "normal"),
     ("whatever", "normal"),
 ]
 
 
+PREFIXES = [
+    deferred.PREFIX,
+    idempotency.KEY_PREFIX,
+    leadership.KEY_PREFIX,
+    load_slots.KEY_PREFIX,
+    stored.HISTORY_PREFIX,
+    stored.KEY_PREFIX,
+]
+
+
 @pytest.mark.parametrize(("key", "urgency"), KINDS)
 def test_kind_of_key_gives_its_urgency(key, urgency):
     assert kind_of(key).urgency == urgency
 
 
+@pytest.mark.parametrize("prefix", PREFIXES)
+def test_every_key_of_the_product_has_a_kind_of_its_own(prefix):
+    assert kind_of(prefix) != OTHER_KIND
+
+
 @given(
     n_instances=st.sampled_from([1, 7, 21, 340]),
     gaps_ms=st.lists(st.floats(0.0, 400.0), min_size=1, max_size=80),
