Keep the count of dropped log lines until it is written

The count was reset before the line that reports it was written. If that write failed, as on a full disk, the log never told that lines are missing. The count is reduced by what was reported, after it was.

tests/telemetry/test_log_writer.py: test_count_of_dropped_lines_survives_a_failed_summary failed before.

--- a/buckthornrock/telemetry/log_writer.py
+++ b/buckthornrock/telemetry/log_writer.py
@@ -77,21 +77,33 @@
         while True:
             line = self._lines.get()
             try:
-                self._stream.write(line)
-                self._write_summary()
-                if self._lines.empty():
-                    self._stream.flush()
-            except (OSError, ValueError):
-                # The destination is closed; the process keeps running without a log.
-                self._count_dropped()
+                self._write_line(line)
             finally:
                 self._lines.task_done()
 
-    def _write_summary(self) -> None:
-        with self._lock:
-            n_dropped, self._n_dropped = self._n_dropped, 0
-        if not n_dropped:
+    def _write_line(self, line: str) -> None:
+        """Write a line, or count it; without a destination the process keeps running.
+
+        What was dropped is reported by the next line that can be written.
+        """
+        try:
+            self._stream.write(line)
+            if self._lines.empty():
+                self._stream.flush()
+        except (OSError, ValueError):
+            self._count_dropped()
             return
+        n_reported = self._n_dropped
+        if not n_reported:
+            return
+        try:
+            self._write_summary(n_reported)
+            self._stream.flush()
+        except (OSError, ValueError):
+            return
+        self._count_dropped(-n_reported)
+
+    def _write_summary(self, n_dropped: int) -> None:
         event = events.LINES_LEFT_OUT
         summary = {
             "event": event.number,
@@ -101,6 +113,6 @@
         }
         self._stream.write(json.dumps(summary, separators=(",", ":")) + "\n")
 
-    def _count_dropped(self) -> None:
+    def _count_dropped(self, n_lines: int = 1) -> None:
         with self._lock:
-            self._n_dropped += 1
+            self._n_dropped += n_lines
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -73,3 +73,27 @@
     writer.write(WARNING)
     writer.close(10.0)
     assert writer.n_dropped >= 1
+
+
+def test_count_of_dropped_lines_survives_a_failed_summary():
+    class FullOnce(BlockedStream):
+        has_failed = False
+
+        def write(self, line):
+            super().write(line)
+            if "log_lines_left_out" in line and not self.has_failed:
+                self.has_failed = True
+                self.lines.pop()
+                raise OSError("no space left")
+
+    stream = FullOnce()
+    writer = LogWriter(stream, max_queued=100)
+    for _ in range(1_000):
+        writer.write(INFO)
+    stream.released.set()
+    writer.close(10.0)
+    n_dropped = 1_000 - stream.lines.count(INFO)
+    summaries = [line for line in stream.lines if "log_lines_left_out" in line]
+    assert len(summaries) == 1
+    assert f'"n_lines":{n_dropped}' in summaries[0]
+    assert writer.n_dropped == 0
