Escape label values in the metrics

A label with a quote, a backslash or a line break, as a work class may have, made the whole page unreadable for whoever scrapes it.

tests/telemetry/test_exposition.py: 3 of 4 cases of test_label_values_are_escaped failed before.

--- a/buckthornrock/telemetry/exposition.py
+++ b/buckthornrock/telemetry/exposition.py
@@ -67,10 +67,15 @@
 
 
 def _bounded_label(series: dict, label: str) -> str:
+    label = _escaped(label)
     is_known = label in series or len(series) < MAX_LABELS
     return label if is_known else OTHER_LABEL
 
 
+def _escaped(label: str) -> str:
+    return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
 def _render_values(name: str, series: dict[str, float]) -> list[str]:
     kind, meaning = CATALOGUE[name]
     full_name = f"{PREFIX}_{name}"
--- a/tests/telemetry/test_exposition.py
+++ b/tests/telemetry/test_exposition.py
@@ -32,3 +32,16 @@
 def test_unknown_name_raises():
     with pytest.raises(KeyError):
         open_exposition().metrics.incr("unknown")
+
+
+@pytest.mark.parametrize(
+    ("label", "rendered"),
+    [('a"b', r"a\"b"), ("a\\b", r"a\\b"), ("a\nb", r"a\nb"), ("é", "é")],
+)
+def test_label_values_are_escaped(label, rendered):
+    exposition = open_exposition()
+    exposition.metrics.incr(GATEWAY_REQUESTS, label=label)
+    exposition.metrics.timing(GATEWAY_WAITED_MS, 1.0, label=label)
+    labels = [line for line in exposition.render().splitlines() if "label=" in line]
+    assert labels
+    assert all(f'label="{rendered}"' in line for line in labels)
