Forget old transfer times of the cache store when a new one comes

After ten seconds without transfers the expected time per block is the default again, but the next transfer was averaged with the old measurement: one slow transfer, minutes ago, outweighed a new fast one, and the store was not used.

tests/routing/test_stored_prefixes.py: the case of an old measurement of test_old_slow_transfer_does_not_outweigh_a_new_fast_one failed before.

--- a/buckthornrock/routing/stored_prefixes.py
+++ b/buckthornrock/routing/stored_prefixes.py
@@ -63,15 +63,19 @@
 
     def import_ms(self, n_blocks: int, now_ms: float) -> float:
         """Return the expected time to import ``n_blocks``."""
-        is_old = now_ms - self._measured_at_ms > MEASURED_TTL_MS
-        return CALL_MS + n_blocks * (BLOCK_MS if is_old else self._block_ms)
+        return CALL_MS + n_blocks * self._expected_block_ms(now_ms)
 
     def note_transfer(self, n_blocks: int, duration_ms: float, now_ms: float) -> None:
         """Update the measured time per block with a transfer."""
         block_ms = max(0.0, duration_ms - CALL_MS) / max(1, n_blocks)
-        self._block_ms += NEWEST_WEIGHT * (block_ms - self._block_ms)
+        expected_ms = self._expected_block_ms(now_ms)
+        self._block_ms = expected_ms + NEWEST_WEIGHT * (block_ms - expected_ms)
         self._measured_at_ms = now_ms
 
+    def _expected_block_ms(self, now_ms: float) -> float:
+        is_old = now_ms - self._measured_at_ms > MEASURED_TTL_MS
+        return BLOCK_MS if is_old else self._block_ms
+
     def note_stored(self, block_hash: int, now_ms: float, is_own: bool) -> None:
         """Record that a level is in the store; own exports are reported to peers."""
         self._expires_at_ms[block_hash] = now_ms + STORED_TTL_MS
