Take a service's name from the path alone

/services/NAME?query without a second slash named the service "NAME?query", which no server offers: the caller got 503 as if the service were gone. A question mark ends the name, and the query goes to the service with the path /.

tests/entry/test_parsing.py: 3 of 5 cases of test_service_is_named_by_the_path_alone differ from what the code before gave (computed with its expression; the function is new).

--- a/buckthornrock/entry/services.py
+++ b/buckthornrock/entry/services.py
@@ -55,12 +55,12 @@
 def _parse(
     context: EntryContext, exchange: Exchange, caller: Caller, request_id: str
 ) -> Result[ServiceRequest, Failure]:
-    service, _, rest = exchange.target.removeprefix(PATH_PREFIX).partition("/")
+    service, path = split_target(exchange.target)
     if not service or not exchange.target.startswith(PATH_PREFIX):
         return Error(NoSuchPath(exchange.path))
     checks = (
         check_method(exchange.method),
-        check_target(f"/{rest}"),
+        check_target(path),
         request_headers(exchange.headers),
         parse_deadline_ms(
             exchange.headers.get("x-deadline-ms", ""), DEFAULT_DEADLINE_MS
@@ -88,6 +88,13 @@
     )
 
 
+def split_target(target: str) -> tuple[str, str]:
+    """Return the service that a request's target names, and the target there."""
+    path, mark, query = target.removeprefix(PATH_PREFIX).partition("?")
+    service, _, rest = path.partition("/")
+    return service, f"/{rest}{mark}{query}"
+
+
 def _respond(exchange: Exchange, response: ServiceResponse, request_id: str) -> None:
     headers = response_headers(response.headers, request_id)
     length = [(n, v) for n, v in response.headers if n.lower() == "content-length"]
--- a/tests/entry/test_parsing.py
+++ b/tests/entry/test_parsing.py
@@ -8,6 +8,7 @@
     parse_deadline_ms,
     parse_object,
 )
+from buckthornrock.entry.services import split_target
 
 PLAIN = {"model": "small", "prompt": "x"}
 
@@ -60,3 +61,17 @@
 def test_integers_beyond_64_bits_are_kept():
     raw = b'{"seed": 123456789012345678901234567890}'
     assert msgspec.json.encode(parse_object(raw).ok) == raw.replace(b" ", b"")
+
+
+TARGETS = [
+    ("/services/orders/kilo?q=1", "orders", "/kilo?q=1"),
+    ("/services/orders", "orders", "/"),
+    ("/services/orders?q=1", "orders", "/?q=1"),
+    ("/services/orders?q=a/b", "orders", "/?q=a/b"),
+    ("/services/?q=1", "", "/?q=1"),
+]
+
+
+@pytest.mark.parametrize(("target", "service", "path"), TARGETS)
+def test_service_is_named_by_the_path_alone(target, service, path):
+    assert split_target(target) == (service, path)
