Name best_of when best_of is at fault

A request with a best_of above 1 was refused for its field n.

tests/entry/test_parsing.py: the case best_of of test_refusal_names_the_field_at_fault failed before.

--- a/buckthornrock/entry/parsing.py
+++ b/buckthornrock/entry/parsing.py
@@ -54,8 +54,10 @@
     if not 1 <= fields.max_tokens <= MAX_OUTPUT_TOKENS:
         reason = f"must be 1 to {MAX_OUTPUT_TOKENS}"
         return Error(BadRequest("$.max_tokens", reason))
-    if fields.n != 1 or fields.best_of != 1:
-        return Error(BadRequest("$.n", "only one choice per request is supported"))
+    for name in ("n", "best_of"):
+        if getattr(fields, name) != 1:
+            reason = "only one choice per request is supported"
+            return Error(BadRequest(f"$.{name}", reason))
     if fields.echo:
         # An engine that resumes a response would repeat the prompt in its middle.
         return Error(BadRequest("$.echo", "echo is not supported"))
--- a/tests/entry/test_parsing.py
+++ b/tests/entry/test_parsing.py
@@ -63,6 +63,12 @@
     assert msgspec.json.encode(parse_object(raw).ok) == raw.replace(b" ", b"")
 
 
+@pytest.mark.parametrize("field", ["n", "best_of"])
+def test_refusal_names_the_field_at_fault(field):
+    refused = parse_completion(PLAIN | {field: 2}, is_chat=False)
+    assert refused.error.path == f"$.{field}"
+
+
 TARGETS = [
     ("/services/orders/kilo?q=1", "orders", "/kilo?q=1"),
     ("/services/orders", "orders", "/"),
