Read preferences by name, whatever their case

respond-async was looked for as a substring of the Prefer header, in lower case: "Respond-Async" was run at once while the caller waited, and values or other names that contain the word made a job that nobody asked for. wait=SECONDS was found within other names and not in quotes. The header is split into preferences (RFC 7240) and both are looked up by name.

tests/entry/test_parsing.py: 8 of 12 cases of test_preferences_are_read_by_name differ from what the code before gave (computed with its expressions; the function is new).

--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -17,7 +17,7 @@
 from ..upstreams.engine_messages import EngineChunk
 from ..upstreams.relay import is_gone
 from .context import EntryContext, refuse
-from .deferred import submit_deferred
+from .deferred import deferred_wait_ms, submit_deferred
 from .errors import BadRequest, UnknownWorkClass
 from .event_stream import DONE_EVENT, error_event, stream_encoder
 from .parsing import (
@@ -25,6 +25,7 @@
     parse_completion,
     parse_deadline_ms,
     parse_object,
+    parse_preferences,
     render_prompt,
 )
 from .problems import problem_document
@@ -42,8 +43,10 @@
         refuse(context, exchange, parsed.error, request_id, caller)
         return
     request, fields = parsed.ok
-    if "respond-async" in exchange.headers.get("prefer", ""):
-        submit_deferred(context, exchange, request, is_chat)
+    preferences = parse_preferences(exchange.headers.get("prefer", ""))
+    if "respond-async" in preferences:
+        wait_ms = deferred_wait_ms(preferences)
+        submit_deferred(context, exchange, request, is_chat, wait_ms)
         return
     context.telemetry.metrics.incr(REQUESTS, label=request.work_class_name)
     if fields.stream:
--- a/buckthornrock/entry/deferred.py
+++ b/buckthornrock/entry/deferred.py
@@ -12,13 +12,20 @@
 PATH_PREFIX = "/v1/deferred/"
 #: Upper limit of ``N`` in ``Prefer: wait=N``; longer waits are cut to it.
 MAX_WAIT_S = 3_600
-_WAIT = re.compile(r"\bwait=(\d{1,6})\b")
+_WAIT_S = re.compile(r"[0-9]{1,6}")
 
 
 def submit_deferred(
-    context: EntryContext, exchange: Exchange, request: CompletionRequest, is_chat: bool
+    context: EntryContext,
+    exchange: Exchange,
+    request: CompletionRequest,
+    is_chat: bool,
+    wait_ms: float = 0.0,
 ) -> None:
-    """Submit a completion as a deferred job; respond once the job is durable."""
+    """Submit a completion as a deferred job; respond once the job is durable.
+
+    ``wait_ms`` is how long to wait if the job can't be made durable at once.
+    """
     record = context.profiles.current(request.profile)
     if record.is_error() or record.ok.trust == "start":
         failure = NoTrustedProfile(request.profile)
@@ -29,7 +36,6 @@
         refuse(context, exchange, failure, request.request_id, request.caller)
         return
     submission = _submission(context, exchange, request, is_chat)
-    wait_ms = _wait_ms(exchange.headers["prefer"])
     job_id = context.deferred.submit(submission, wait_ms)
     if job_id.is_error():
         refuse(context, exchange, job_id.error, request.request_id, request.caller)
@@ -38,10 +44,12 @@
     exchange.respond_json(202, {"id": job_id.ok, "state": "waiting"}, head)
 
 
-def _wait_ms(prefer: str) -> float:
-    """Return how long to wait if the job can't be made durable at once."""
-    found = _WAIT.search(prefer)
-    return 1000.0 * min(int(found.group(1)), MAX_WAIT_S) if found else 0.0
+def deferred_wait_ms(preferences: dict[str, str]) -> float:
+    """Return how long the caller prefers to wait for the job to be made durable."""
+    wait = preferences.get("wait", "")
+    if not _WAIT_S.fullmatch(wait):
+        return 0.0
+    return 1000.0 * min(int(wait), MAX_WAIT_S)
 
 
 def _submission(
--- a/buckthornrock/entry/parsing.py
+++ b/buckthornrock/entry/parsing.py
@@ -14,6 +14,10 @@
 MAX_DEADLINE_DIGITS = 12
 MAX_KEY_CHARS = 512
 _KEY = re.compile(r"[\x21-\x7e]+")
+#: An element of a Prefer header (RFC 7240): name, value and parameters.
+_PREFERENCE = re.compile(
+    r"""\s*([^\s=;,"]+)(?:\s*=\s*(?:"([^"]*)"|([^\s;,"]*)))?((?:"[^"]*"|[^,"])*)(?:,|$)"""
+)
 
 
 class CompletionFields(msgspec.Struct):
@@ -85,6 +89,18 @@
     return Ok(header)
 
 
+def parse_preferences(header: str) -> dict[str, str]:
+    """Return the values of a ``Prefer`` header by lower-case name.
+
+    Of a preference that is stated twice the first counts. Parameters are ignored.
+    """
+    preferences: dict[str, str] = {}
+    for found in _PREFERENCE.finditer(header):
+        name, quoted, value, _ = found.groups()
+        preferences.setdefault(name.lower(), quoted or value or "")
+    return preferences
+
+
 def parse_deadline_ms(header: str, default_ms: int) -> Result[int, BadRequest]:
     """Return the value of an ``X-Deadline-Ms`` header, or the default if empty."""
     if not header:
--- a/tests/entry/test_parsing.py
+++ b/tests/entry/test_parsing.py
@@ -7,6 +7,7 @@
     parse_completion,
     parse_deadline_ms,
     parse_object,
+    parse_preferences,
 )
 from buckthornrock.entry.services import split_target
 
@@ -69,6 +70,30 @@
     assert refused.error.path == f"$.{field}"
 
 
+PREFERENCES = [
+    # Header -> whether an asynchronous response is preferred, seconds to wait.
+    ("respond-async", True, ""),
+    ("Respond-Async, WAIT=15", True, "15"),
+    ("wait=5 , respond-async; foo=bar", True, "5"),
+    ('respond-async, wait="7"', True, "7"),
+    ("wait=5, wait=9, respond-async", True, "5"),
+    ("no-respond-async", False, ""),
+    ("respond-async-later", False, ""),
+    ('x="respond-async"', False, ""),
+    ('x="a, respond-async, b"', False, ""),
+    ("handling=lenient; respond-async", False, ""),
+    ("respond-wait=9, respond-async", True, ""),
+    ("", False, ""),
+]
+
+
+@pytest.mark.parametrize(("header", "is_async", "wait"), PREFERENCES)
+def test_preferences_are_read_by_name(header, is_async, wait):
+    preferences = parse_preferences(header)
+    assert ("respond-async" in preferences) == is_async
+    assert preferences.get("wait", "") == wait
+
+
 TARGETS = [
     ("/services/orders/kilo?q=1", "orders", "/kilo?q=1"),
     ("/services/orders", "orders", "/"),
