Forget upstreams to which nothing is on its way

The table of requests without a first token kept an empty entry for each upstream that was ever used, and walked all of them for every digest.

tests/routing/test_inflight.py: test_upstreams_without_requests_are_forgotten failed before.

--- a/buckthornrock/routing/inflight.py
+++ b/buckthornrock/routing/inflight.py
@@ -37,7 +37,10 @@
 
     def remove(self, upstream_id: str, request_id: str) -> None:
         """Stop counting a request that has its first token or has ended."""
-        self._sent.get(upstream_id, {}).pop(request_id, None)
+        waiting = self._sent.get(upstream_id, {})
+        waiting.pop(request_id, None)
+        if not waiting:
+            self._sent.pop(upstream_id, None)
 
     def own_tokens(self, upstream_id: str, since_ms: float) -> int:
         """Return this instance's waiting tokens that were sent after ``since_ms``."""
@@ -50,12 +53,14 @@
 
     def digest(self, now_ms: float, max_age_ms: float) -> dict[str, int]:
         """Return the waiting tokens of recent sends by engine, for the peers."""
-        for waiting in self._sent.values():
-            stale = [
-                r for r, s in waiting.items() if now_ms - s.sent_at_ms > SENT_TTL_MS
-            ]
-            for request_id in stale:
-                del waiting[request_id]
+        stale = [
+            (upstream_id, request_id)
+            for upstream_id, waiting in self._sent.items()
+            for request_id, sent in waiting.items()
+            if now_ms - sent.sent_at_ms > SENT_TTL_MS
+        ]
+        for upstream_id, request_id in stale:
+            self.remove(upstream_id, request_id)
         # Instances are replaced often, and their replacements have other ids, so old
         # digests would accumulate.
         self._peers = {
