--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -223,3 +223,10 @@
     ("request_id", "error_type", "reason"),
     "Handling a request raised an exception; the client got status 502.",
 )
+SNAPSHOT_TOO_LARGE = Event(
+    2226,
+    "gateway.snapshot_too_large",
+    "error",
+    ("n_bytes", "max_bytes"),
+    "A snapshot for a peer exceeds its limit; the part of it that fits is sent.",
+)
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -101,6 +101,7 @@
         self._decode = decode
         self._telemetry = telemetry
         self._now_ms = now_ms
+        self._n_bytes_logged = 0
         self._requested_at_ms = -UPSTREAMS_PERIOD_MS
         self._request_task: asyncio.Task | None = None
 
@@ -126,7 +127,20 @@
         except msgspec.MsgspecError as error:
             self._fleet_state.log_undecodable("copy request", str(error))
             request = SnapshotRequest(0, 0)
-        return encode_snapshot(self._fleet_state, request)
+        snapshot = encode_snapshot(self._fleet_state, request)
+        if len(snapshot) <= MAX_SNAPSHOT_BYTES:
+            return snapshot
+        self._log_too_large(len(snapshot))
+        return _encode_part(self._fleet_state, request)
+
+    def _log_too_large(self, n_bytes: int) -> None:
+        """Log a size once; peers ask again every second."""
+        if n_bytes == self._n_bytes_logged:
+            return
+        self._n_bytes_logged = n_bytes
+        self._telemetry.log(
+            events.SNAPSHOT_TOO_LARGE, n_bytes=n_bytes, max_bytes=MAX_SNAPSHOT_BYTES
+        )
 
     def is_behind(self, peer: PeerVersions) -> bool:
         """Return whether a snapshot of the peer is wanted now."""
@@ -155,8 +169,12 @@
         msgspec.MsgspecError, zlib.error
             If it can't be decoded.
         """
-        snapshot = _decode_snapshot(data)
         fleet_state = self._fleet_state
+        snapshot = _decode_snapshot(data)
+        if snapshot is None:
+            reason = f"a snapshot exceeds {MAX_DECOMPRESSED_BYTES} bytes"
+            fleet_state.log_undecodable("copy", reason)
+            return
         if snapshot.configuration:
             configuration = self._decode(snapshot.configuration)
             if configuration.is_error():
@@ -201,8 +219,26 @@
     return zlib.compress(msgspec.msgpack.encode(snapshot), COMPRESSION_LEVEL)
 
 
-def _decode_snapshot(data: bytes) -> StateSnapshot:
-    decompressed = zlib.decompressobj().decompress(data, MAX_DECOMPRESSED_BYTES)
+def _encode_part(fleet_state: FleetState, request: SnapshotRequest) -> bytes:
+    """Return the largest part of a snapshot that fits; the peer asks for the rest."""
+    version, revision = fleet_state.configuration_version, fleet_state.revision
+    parts = (
+        SnapshotRequest(request.configuration_version, revision),
+        SnapshotRequest(version, request.revision),
+    )
+    for part in parts:
+        snapshot = encode_snapshot(fleet_state, part)
+        if len(snapshot) <= MAX_SNAPSHOT_BYTES:
+            return snapshot
+    return encode_snapshot(fleet_state, SnapshotRequest(version, revision))
+
+
+def _decode_snapshot(data: bytes) -> StateSnapshot | None:
+    """Return the decoded snapshot, or None if it is too large."""
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    if decompressor.unconsumed_tail:
+        return None
     return msgspec.msgpack.decode(decompressed, type=StateSnapshot)
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,7 @@
 """Digests between peers, and snapshots from peers while the store is unreachable."""
 
 import asyncio
+import os
 import socket
 import time
 
@@ -9,6 +10,7 @@
 
 from benchmarks.settings_files import free_ports
 from buckthornrock.catalog.upstreams import Upstream
+from buckthornrock.gateway import state_sync
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.peer_view import PEER_EXPIRY_MS, PeerView
 from buckthornrock.gateway.peers import PeerExchange, PeerSettings
@@ -262,3 +264,57 @@
         ports = free_ports(2)
     assert taken not in ports
     assert len(set(ports)) == 2
+
+
+def logged_telemetry():
+    """Return telemetry that keeps its events, and their names with fields."""
+    logged = []
+    telemetry = TELEMETRY._replace(
+        log=lambda event, **fields: logged.append((event.name, fields))
+    )
+    return telemetry, logged
+
+
+OVERSIZE = [
+    # Limit as a share of the whole snapshot -> whether it is logged, upstreams arrive.
+    (1.0, False, True),
+    (0.95, True, True),
+    (0.6, True, False),
+]
+
+
+@pytest.mark.parametrize(("share", "is_logged", "has_upstreams"), OVERSIZE)
+def test_peer_gets_the_parts_that_fit_of_a_snapshot_over_the_limit(
+    monkeypatch, share, is_logged, has_upstreams
+):
+    """It was cut off at the receiver and logged as a peer that does not respond."""
+    telemetry, logged = logged_telemetry()
+    ahead, behind = fleet_state(version=7), fleet_state()
+    names = [os.urandom(20).hex() for _ in range(60)]
+    upstreams = [UPSTREAM._replace(upstream_id=name) for name in names]
+    ahead.replace_upstreams(upstreams, 40)
+    n_bytes = len(encode_snapshot(ahead, SnapshotRequest(0, 0)))
+    monkeypatch.setattr(state_sync, "MAX_SNAPSHOT_BYTES", int(share * n_bytes))
+    server = StateSync("", ahead, decode_configuration, telemetry, now_ms)
+    client = StateSync("", behind, decode_configuration, telemetry, now_ms)
+    for _ in range(2):
+        snapshot = server._respond(msgspec.msgpack.encode(client.begin_request()))
+        assert len(snapshot) <= int(share * n_bytes)
+        client.apply(snapshot, "peer")
+    assert behind.configuration_version == 7
+    assert (behind.revision == 40) == has_upstreams
+    assert {name for name, _ in logged} == (
+        {"gateway.snapshot_too_large"} if is_logged else set()
+    )
+
+
+def test_snapshot_over_the_decompressed_limit_is_logged_as_undecodable(monkeypatch):
+    monkeypatch.setattr(state_sync, "MAX_DECOMPRESSED_BYTES", 200)
+    telemetry, logged = logged_telemetry()
+    ahead = fleet_state(version=7)
+    behind = FleetState("a", WeightsView(20_000.0), now_ms, telemetry)
+    client = StateSync("", behind, decode_configuration, telemetry, now_ms)
+    client.apply(encode_snapshot(ahead, SnapshotRequest(0, 0)), "peer")
+    assert behind.configuration_version == 0
+    ((name, fields),) = logged
+    assert (name, fields["what"]) == ("gateway.undecodable", "copy")
