End streams of our own door that send bytes but no event

An engine that stalled within an event and sent a byte now and then kept its stream open for ever: each byte counted as progress, and the relay knows no deadline. The caller waited without end and the engine's slot stayed taken. Only whole chunks count now, as at the platform's door.

tests/upstreams/test_relay.py: "stalled, with bytes" failed before.

--- a/buckthornrock/upstreams/relay.py
+++ b/buckthornrock/upstreams/relay.py
@@ -72,7 +72,7 @@
     now_ms : callable
         Monotonic clock.
     stall_timeout_ms : float
-        A stream whose engine sends nothing for this long is ended.
+        A stream whose engine sends no whole chunk for this long is ended.
     caller_timeout_ms : float
         A stream whose caller accepts nothing for this long is ended.
     """
@@ -171,8 +171,8 @@
         if events & select.EPOLLOUT:
             self._epoll.modify(flow.stream.fileno(), select.EPOLLIN)
         chunks = flow.stream.read()
-        flow.progressed_at_ms = self._now_ms()
         if chunks:
+            flow.progressed_at_ms = self._now_ms()
             self._send(flow, flow.sink.encode(chunks))
         elif flow.stream.is_complete:
             self._send(flow, b"")
--- a/tests/upstreams/test_relay.py
+++ b/tests/upstreams/test_relay.py
@@ -34,6 +34,10 @@
 DONE = b"data: [DONE]\n\n"
 
 
+def pause():
+    time.sleep(0.3)
+
+
 @pytest.fixture
 def relay():
     relay = Relay(
@@ -103,7 +107,13 @@
     ("early end", [event(0), DONE], 1, "end mark before the last token"),
     ("truncated", [event(0)], 1, "ended without its end mark"),
     ("stalled", [event(0), lambda: time.sleep(1.5)], 1, "stalled"),
-]
+    ("stalled, with bytes", [event(0), *[b"x", lambda: time.sleep(0.1)] * 20], 1,
+     "stalled"),
+    ("slow", [event(0), pause, event(1), pause, event(2), pause, last(3), DONE], 4, ""),
+    ("error text", [b'{"error": "no such run"}'], 0, "ended without its end mark"),
+    ("error event", [b'{"error": "no such run"}\n\n', DONE], 0, "ValidationError"),
+    ("nothing", [DONE], 0, "end mark before the last token"),
+]  # fmt: skip
 
 
 @pytest.mark.parametrize(
