Keep connections only to services that echo request ids

A server of a plain service that doesn't echo X-Request-Id sent a second copy of a response when the connection already carried the next call: that call's caller got the answer of another. Nothing on such a connection tells the two apart, so that it is closed after its response; servers that echo the id keep their connections, and a copy with another id fails the call as unknown, as before.

Ruled out: waiting for late bytes before a connection is used again; no wait is long enough.

tests/upstreams/test_service_client.py: 1 case of test_late_second_copy_of_a_response_reaches_no_other_call failed before. test_only_repeatable_calls_share_connections expected a shared connection of a server that echoes no id, which is the fault itself; it is replaced by test_only_repeatable_calls_with_echoed_ids_share_connections, which has both kinds of server for both kinds of call (1 of 4 cases failed before).

--- a/buckthornrock/upstreams/service_client.py
+++ b/buckthornrock/upstreams/service_client.py
@@ -3,6 +3,9 @@
 A call that may not be repeated always gets a new connection. The server may have closed
 its end of a reused one, and then it is unknown whether the request was read. Only a
 failed connect proves that nothing was sent.
+
+Connections are kept only to servers that echo the request's id. Without it, a second
+copy of a response that arrives late would be taken for the response to the next call.
 """
 
 import http.client
@@ -201,8 +204,8 @@
         sock: socket.socket,
         response: HTTPResponse,
     ) -> Result[ServiceResponse, AttemptFailed]:
-        echoed_id = response.headers.get("x-request-id", call.request_id)
-        if echoed_id != call.request_id:
+        echoed_id = response.headers.get("x-request-id")
+        if echoed_id not in (None, call.request_id):
             connection.close()
             return Error(
                 AttemptFailed(call.upstream_id, RESPONSE_ID_MISMATCH, "unknown")
@@ -210,7 +213,8 @@
         read = self._make_reader(call, sock, response)
 
         def close(is_complete: bool) -> None:
-            if is_complete and call.is_repeatable and connection.sock is not None:
+            is_reusable = call.is_repeatable and echoed_id is not None
+            if is_complete and is_reusable and connection.sock is not None:
                 self._idle.release(call.address, connection)
                 return
             response.close()
--- a/tests/upstreams/raw_server.py
+++ b/tests/upstreams/raw_server.py
@@ -109,6 +109,14 @@
         connection.sendall(make_response())
 
 
+def keep_echoing(server, connection):
+    """Respond to every request with the id of the request."""
+    while head := server.read_request(connection):
+        lines = head.split(b"\r\n")
+        ids = [line for line in lines if line.lower().startswith(b"x-request-id:")]
+        connection.sendall(make_response(headers=b"".join(i + b"\r\n" for i in ids)))
+
+
 def answer_then_close_idle(server, connection):
     server.read_request(connection)
     connection.sendall(make_response())
--- a/tests/upstreams/test_service_client.py
+++ b/tests/upstreams/test_service_client.py
@@ -85,9 +85,20 @@
     assert b"accept-encoding" not in head.lower()
 
 
-@pytest.mark.parametrize(("is_repeatable", "n_connections"), [(False, 3), (True, 1)])
-def test_only_repeatable_calls_share_connections(serve, is_repeatable, n_connections):
-    server = serve(raw_server.keep_responding)
+SHARING = [
+    # Repeatable calls, server that echoes request ids -> connections for three calls.
+    (raw_server.keep_echoing, True, 1),
+    (raw_server.keep_echoing, False, 3),
+    (raw_server.keep_responding, True, 3),
+    (raw_server.keep_responding, False, 3),
+]
+
+
+@pytest.mark.parametrize(("script", "is_repeatable", "n_connections"), SHARING)
+def test_only_repeatable_calls_with_echoed_ids_share_connections(
+    serve, script, is_repeatable, n_connections
+):
+    server = serve(script)
     client = make_client()
     for _ in range(3):
         call = make_call(server.address, is_repeatable=is_repeatable)
@@ -132,6 +143,34 @@
     assert server.n_connections == 2
 
 
+@pytest.mark.parametrize("echoes_id", [True, False])
+def test_late_second_copy_of_a_response_reaches_no_other_call(serve, echoes_id):
+    """The copy arrives when the connection already carries the next call."""
+
+    def respond(connection, number):
+        echo = b"X-Request-Id: request-%d\r\n" % number if echoes_id else b""
+        connection.sendall(make_response(b"for %d" % number, echo))
+
+    def repeat_late(server, connection):
+        for number in (1, 2):
+            if not (head := server.read_request(connection)):
+                return
+            if number == 2:
+                respond(connection, 1)
+            respond(connection, 2 if b"request-2" in head else 1)
+
+    server = serve(repeat_late)
+    client = make_client()
+    call = make_call(server.address, is_repeatable=True)
+    assert client.call(call).ok.body == b"for 1"
+    second = client.call(call._replace(request_id="request-2"))
+    if echoes_id:
+        # The call was answered, but on a connection that can't be trusted.
+        assert second.error.not_run == "unknown"
+        return
+    assert second.ok.body == b"for 2"
+
+
 def test_slow_body_ends_at_deadline(serve):
     def send_slowly(server, connection):
         server.read_request(connection)
