Send no order after a pause between the lease's check and the order

A holder of the rollout lease that was paused after its last check, while it told the gateway or while it connected to the engine, sent its order on waking, after its lease had ended and another instance had begun to order. The lease is checked last before the order, and calls with a bounded response (the orders of both doors among them) send nothing on a connection that took longer to open than a response may take. What remains is a pause between two instructions; the fencing number and the expected count of orders are for that.

--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -197,6 +197,10 @@
         self._callbacks.on_loading(
             upstream, order.model, order.version, EXPECTED_LOAD_MS
         )
+        # The lease is checked last before the order is sent, because this process may
+        # have been paused until here for longer than the lease lasts.
+        if not self._lease.may_act():
+            return
         sent_at_ms = self._now_ms()
         answer = self._engines.order(order, fencing)
         is_accepted = answer.is_ok() and answer.ok.is_accepted
--- a/buckthornrock/runtime/bounded_http.py
+++ b/buckthornrock/runtime/bounded_http.py
@@ -12,6 +12,10 @@
 from urllib3.connection import HTTPConnection
 from urllib3.response import HTTPResponse
 
+from .clock import system_clock
+
+_now_ms = system_clock().now_ms
+
 #: Size limit of the head (status line and headers) of a response.
 MAX_HEAD_BYTES = 262_144
 
@@ -103,6 +107,26 @@
     class BoundedConnection(LimitedConnection):
         """A connection whose responses are limited."""
 
+        def request(self, *args: object, **kwargs: object) -> None:
+            """Send a request, unless the connection took too long to open.
+
+            If this process was paused meanwhile, the caller may no longer be entitled
+            to send it.
+
+            Raises
+            ------
+            ConnectTimeoutError
+                If opening the connection took longer than the limit of the response;
+                nothing was sent.
+            """
+            if self.sock is None:
+                started_at_ms = _now_ms()
+                self.connect()
+                if _now_ms() - started_at_ms > limit.duration_ms:
+                    self.close()
+                    raise urllib3.exceptions.ConnectTimeoutError(self, "paused")
+            super().request(*args, **kwargs)
+
         def getresponse(self) -> HTTPResponse:
             """Return the response once its head was received."""
             self.limit_response(limit)
--- a/tests/rollout/test_actor.py
+++ b/tests/rollout/test_actor.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import pytest
 from expression import Error, Ok
 
 from buckthornrock.rollout.actor import SET_ASIDE_MS, RolloutActor
@@ -61,12 +62,12 @@
         views = [RolloutEngine(upstream, 1, 0.0) for upstream in self.upstreams]
         return RolloutInputs({"m": 2}, {"m": views})
 
-    def actor(self):
+    def actor(self, lease=None, on_loading=lambda *_: None):
         return RolloutActor(
-            AlwaysHeldLease(),
+            lease or AlwaysHeldLease(),
             EnginePort(self.report, self.order),
             self.inputs,
-            RolloutCallbacks(lambda *_: None, lambda *_: None),
+            RolloutCallbacks(on_loading, lambda *_: None),
             "i1",
             lambda: self.now_ms,
             Telemetry(
@@ -119,3 +120,32 @@
     fleet.upstreams = [engine(9, version=2)]
     actor._step()
     assert not actor._silent_until_ms and not {("e0", 1)} & actor._pending.keys()
+
+
+class EndingLease(AlwaysHeldLease):
+    """A lease that ends at a time of the fleet's clock."""
+
+    def __init__(self, fleet, ends_at_ms):
+        self.fleet, self.ends_at_ms = fleet, ends_at_ms
+
+    def may_act(self):
+        return self.fleet.now_ms < self.ends_at_ms
+
+
+@pytest.mark.parametrize("frozen_in", ["", "report", "on_loading"])
+def test_holder_that_freezes_before_its_order_sends_none(frozen_in):
+    fleet = Fleet(2, silent=())
+    report = fleet.report
+
+    def freeze(place):
+        if place == frozen_in:
+            fleet.now_ms += 10_000.0
+
+    def slow_report(upstream):
+        freeze("report")
+        return report(upstream)
+
+    fleet.report = slow_report
+    lease = EndingLease(fleet, ends_at_ms=3_000.0)
+    fleet.actor(lease, lambda *_: freeze("on_loading"))._step()
+    assert bool(fleet.ordered) == (not frozen_in)
