--- a/tests/rollout/test_actor.py
+++ b/tests/rollout/test_actor.py
@@ -149,3 +149,30 @@
     lease = EndingLease(fleet, ends_at_ms=3_000.0)
     fleet.actor(lease, lambda *_: freeze("on_loading"))._step()
     assert bool(fleet.ordered) == (not frozen_in)
+
+
+@pytest.mark.parametrize("is_loaded_after", [False, True])
+def test_engine_that_falls_silent_after_its_order_is_not_ordered_again(is_loaded_after):
+    fleet = Fleet(1, silent=())
+    is_busy = [False]
+
+    def report(upstream):
+        if upstream.upstream_id in fleet.silent:
+            return Error(EngineUnanswered("ReadTimeoutError"))
+        is_loaded = bool(fleet.ordered) and not is_busy[0]
+        return Ok(EngineReport({"m": 2 if is_loaded else 1}, is_busy[0], 0))
+
+    fleet.report = report
+    actor = fleet.actor()
+    actor._step()
+    assert fleet.ordered == ["e0"]
+    fleet.silent.add("e0")
+    for _ in range(300):
+        fleet.now_ms += 200.0
+        actor._step()
+    fleet.silent.clear()
+    is_busy[0] = not is_loaded_after
+    for _ in range(100):
+        fleet.now_ms += 200.0
+        actor._step()
+    assert fleet.ordered == ["e0"]
