--- a/tests/rollout/test_rollout_lease.py
+++ b/tests/rollout/test_rollout_lease.py
@@ -1,5 +1,6 @@
 """At most one instance may act, despite store failures, pauses and restarts."""
 
+import pytest
 from expression import Error, Ok
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -192,3 +193,30 @@
     store.delay_ms = TTL_MS * 0.6
     contender.step()
     assert not contender.is_held()
+
+
+@pytest.mark.parametrize("frozen_ms", [TTL_MS - 100.0, TTL_MS + 100.0, 60_000.0])
+def test_first_order_of_a_successor_waits_for_the_last_one_of_a_frozen_holder(
+    frozen_ms,
+):
+    store = ModelStore()
+    holder, successor = (
+        RolloutLease(store.port(), name, TTL_MS, HANDOVER_MS, lambda: store.now_ms)
+        for name in ("i1", "i2")
+    )
+    holder.step()
+    assert holder.may_act()
+    # The holder freezes right after its check, and wakes with its order in hand.
+    acted_at_ms = None
+    while store.now_ms < frozen_ms:
+        store.now_ms += TICK_MS
+        successor.step()
+        if acted_at_ms is None and successor.may_act():
+            acted_at_ms = store.now_ms
+    assert not holder.may_act()
+    # The holder's check was valid until its lease ended, less the margin.
+    if acted_at_ms is not None:
+        assert acted_at_ms >= TTL_MS + HANDOVER_MS
+    assert (acted_at_ms is not None) == (frozen_ms >= TTL_MS + HANDOVER_MS)
+    holder.step()
+    assert not (holder.may_act() and successor.may_act())
