Read a deferred job's state from the store, whoever asks

A job was cancelled through one instance, and its holder went on showing it as waiting, from its own memory. The stored outcome decides now for every reader; the holder only adds which open jobs run. In an outage the holder answers 503 (job-unreadable) like every other instance.

tests/deferred/test_faults.py: the case i0 of test_job_cancelled_at_another_instance_is_shown_as_cancelled failed before; test_running_job_is_shown_as_running_by_its_holder passed and guards the rest.

--- a/buckthornrock/deferred/runner.py
+++ b/buckthornrock/deferred/runner.py
@@ -111,14 +111,8 @@
 
     def is_claimed(self, address: JobAddress) -> bool:
         """Return whether this instance may run a job or go on running it."""
-        return self._reachability.is_down or self.holds_claim(address)
-
-    def holds_claim(self, address: JobAddress) -> bool:
-        """Return whether no other instance can have ended a job as its holder.
-
-        An instance that can't reach the key-value service doesn't know whether others
-        can, so that only the lease counts.
-        """
+        if self._reachability.is_down:
+            return True
         segment = self._held_segments.get(address.segment_id)
         if segment is None or not self._context.lease.holds():
             return False
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -121,8 +121,13 @@
         address = self._context.ids.parse(job_id, client_account, member)
         if address is None:
             return Error(UnknownJob(job_id))
-        local = self._local_view(job_id, address)
-        return local or read_job(self._context.kv, job_id, address)
+        stored = read_job(self._context.kv, job_id, address)
+        if stored.is_error() or stored.ok.state != "waiting":
+            return stored
+        # Open jobs are stored as waiting; only their holder knows which ones run.
+        with self._lock:
+            state = self._backlog.state(address)
+        return Ok(stored.ok._replace(state=state or "waiting"))
 
     def cancel(
         self, client_account: str, member: str, job_id: str
@@ -268,16 +273,6 @@
             state=saved.state,
         )
 
-    def _local_view(
-        self, job_id: str, address: JobAddress
-    ) -> Result[JobView, ReadFailure] | None:
-        with self._lock:
-            state = self._backlog.state(address)
-        # Without a valid claim, another instance may have ended the job.
-        if not state or not self._runner.holds_claim(address):
-            return None
-        return Ok(JobView(job_id, state, None, ""))
-
     def _expire_jobs(self) -> None:
         with self._lock:
             expired = self._backlog.remove_expired(self._context.clock.wall_ms())
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -377,3 +377,23 @@
     held = held_segments.get(segment_id)
     assert held.outcomes.jobs[0].state == "done"
     assert held.revision == fleet.kv.entries[outcomes_key(segment_id)].mod_revision
+
+
+@pytest.mark.parametrize("reader", ["i0", "i1"])
+def test_job_cancelled_at_another_instance_is_shown_as_cancelled(reader):
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    assert view(fleet, "i0", ids[0], job).state == "waiting"
+    fleet.instances["i1"].service.cancel("a", "m", ids[0])
+    assert view(fleet, reader, ids[0], job).state == "cancelled"
+
+
+def test_running_job_is_shown_as_running_by_its_holder():
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    seen = []
+    fleet.during_run = [lambda _: seen.append(view(fleet, "i0", ids[0], job).state)]
+    fleet.step("i0", "run")
+    assert seen == ["running"]
