Forget the cache indexes of engines that are gone

Each engine id that was ever seen kept its index, with up to a full set of block hashes. Engines are replaced under new ids, so an instance's memory grew for as long as it ran. An index that nothing used for a minute is dropped.

--- a/buckthornrock/routing/cost.py
+++ b/buckthornrock/routing/cost.py
@@ -351,6 +351,7 @@
 
     def digest(self, now_ms: float) -> PeerDigest:
         """Return what peers can't know: this instance's recent sends and exports."""
+        self.index.forget_unused(now_ms)
         n_tokens = self._in_flight.digest(now_ms, 2.0 * REPORT_LAG_MS)
         return PeerDigest(n_tokens, self._stored_prefixes.take_exported())
 
--- a/buckthornrock/routing/index.py
+++ b/buckthornrock/routing/index.py
@@ -32,6 +32,10 @@
 #: Probability of an entry being gone while the engine doesn't respond to event polls.
 SILENT_DOUBT = 0.5
 
+#: An index that was neither updated nor considered for this long is dropped. Its engine
+#: is gone, or has evicted the blocks by now.
+SWEEP_PERIOD_MS = 60_000.0
+
 
 class CacheEventLike(Protocol):
     """What the index reads of a cache event."""
@@ -213,6 +217,25 @@
     def __init__(self, max_blocks: int) -> None:
         self._max_blocks = max_blocks
         self._engines: dict[str, EngineIndex] = {}
+        self._used: set[str] = set()
+        self._swept_at_ms = 0.0
+
+    @property
+    def n_engines(self) -> int:
+        """Number of engines that have an index."""
+        return len(self._engines)
+
+    def forget_unused(self, now_ms: float) -> None:
+        """Periodically drop the indexes that were not used since the last time.
+
+        Engines are replaced often, and their replacements may have other ids.
+        """
+        if now_ms - self._swept_at_ms < SWEEP_PERIOD_MS:
+            return
+        self._swept_at_ms = now_ms
+        for upstream_id in self._engines.keys() - self._used:
+            del self._engines[upstream_id]
+        self._used.clear()
 
     def observe(
         self, upstream_id: str, incarnation: str, weights_version: str
@@ -222,6 +245,7 @@
         The arguments come from the engine's load report, which states what runs
         there; events never do.
         """
+        self._used.add(upstream_id)
         engine = self._engines.get(upstream_id)
         if engine is None or engine.incarnation != incarnation:
             engine = EngineIndex(incarnation, weights_version, self._max_blocks)
@@ -245,6 +269,7 @@
         Events of another incarnation than the observed one are dropped: they are
         either late, or will be polled again once that incarnation is observed.
         """
+        self._used.add(upstream_id)
         engine = self._engines.get(upstream_id)
         if engine is None:
             engine = EngineIndex(incarnation, "", self._max_blocks)
