Name deferred jobs in events by the id that callers have

The event of acceptance logged the segment's id as job_id, the one at the end SEGMENT-INDEX: an operator could find neither by the id that a caller reports.

tests/deferred/test_faults.py: test_events_of_a_job_name_the_id_that_its_caller_has failed before.

--- a/buckthornrock/deferred/held_segments.py
+++ b/buckthornrock/deferred/held_segments.py
@@ -29,6 +29,7 @@
     HOUR_MS,
     MAX_VALUE_BYTES,
     DeletionRecord,
+    Job,
     Outcome,
     Outcomes,
     Segment,
@@ -101,7 +102,7 @@
     """A job whose outcome has been saved."""
 
     address: JobAddress
-    client_account: str
+    job: Job
     state: str
 
 
@@ -378,6 +379,6 @@
 def _saved_job(held: HeldSegment, index: int) -> SavedJob:
     return SavedJob(
         JobAddress(held.segment_id, index),
-        held.segment.jobs[index].client_account,
+        held.segment.jobs[index],
         held.outcomes.jobs[index].state,
     )
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -238,10 +238,11 @@
         return read_claim_lease(self._context.lease, self._context.holder)
 
     def _on_accepted(self, accepted: AcceptedSegment) -> None:
-        for job in accepted.segment.jobs:
+        for index, job in enumerate(accepted.segment.jobs):
+            address = JobAddress(accepted.segment_id, index)
             self._context.telemetry.log(
                 events.JOB_ACCEPTED,
-                job_id=accepted.segment_id,
+                job_id=self._context.ids.make(address, job.client_account, job.member),
                 client_account=job.client_account,
             )
         if accepted.claim == "unknown":
@@ -266,10 +267,13 @@
 
     def _on_saved(self, saved: SavedJob) -> None:
         self._context.telemetry.metrics.incr(DEFERRED_FINISHED, label=saved.state)
+        job = saved.job
         self._context.telemetry.log(
             events.JOB_FINISHED,
-            job_id=f"{saved.address.segment_id}-{saved.address.index}",
-            client_account=saved.client_account,
+            job_id=self._context.ids.make(
+                saved.address, job.client_account, job.member
+            ),
+            client_account=job.client_account,
             state=saved.state,
         )
 
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -397,3 +397,19 @@
     fleet.during_run = [lambda _: seen.append(view(fleet, "i0", ids[0], job).state)]
     fleet.step("i0", "run")
     assert seen == ["running"]
+
+
+def test_events_of_a_job_name_the_id_that_its_caller_has():
+    fleet = make_fleet()
+    logged = []
+    context = fleet.instances["i0"].service._context
+    telemetry = context.telemetry._replace(
+        log=lambda event, **fields: logged.append((event.name, fields.get("job_id")))
+    )
+    fleet.instances["i0"].service._context = context._replace(telemetry=telemetry)
+    ids = accept(fleet, "i0", submission("a"), submission("b", member="n"))
+    assert logged == [("deferred.accepted", job_id) for job_id in ids]
+    logged.clear()
+    for step in ("run", "run", "commit"):
+        fleet.step("i0", step)
+    assert sorted(logged) == sorted(("deferred.finished", job_id) for job_id in ids)
