Stop the processes of a fault world that fails to start

If an instance didn't get ready in time, its constructor raised and nobody could stop the processes and servers it had started.

tests/dispatch/test_once_faults.py: test_world_that_fails_to_start_leaves_no_process failed before.

--- a/benchmarks/once_faults.py
+++ b/benchmarks/once_faults.py
@@ -106,10 +106,14 @@
         self.http = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=16)
         ports = free_ports(3 * N_INSTANCES)
         self.ports = [ports[3 * i : 3 * i + 3] for i in range(N_INSTANCES)]
-        self.started = [self.start(index) for index in range(N_INSTANCES)]
-        self.wait_ready(range(N_INSTANCES))
-        self._apply_profile()
-        self.wait_ready(range(N_INSTANCES))
+        try:
+            self.started = [self.start(index) for index in range(N_INSTANCES)]
+            self.wait_ready(range(N_INSTANCES))
+            self._apply_profile()
+            self.wait_ready(range(N_INSTANCES))
+        except BaseException:
+            self.stop()
+            raise
         self.counts: Counter[str] = Counter()
         self.problems: list[list[object]] = []
 
