Send no request on a connection that carried its id

A client that comes back after a refusal with the same request id could get the kept connection of its first request. An upstream that writes the refusal again there and runs the request was believed: the client was told "not run, try again" of a request that ran.

Ruled out: a fresh id for each attempt; upstreams know clients' requests by it.

tests/gateway/test_upstream_responses.py: test_refusal_written_again_is_not_believed_of_a_request_with_the_same_id failed before (503 for a request that ran).

--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -171,7 +171,10 @@
         upstream = reservation.placement.upstream
         self._upstream_id = upstream.upstream_id
         acquired = await self._context.pool.acquire(
-            upstream, self._remaining_ms(), self._used_connections
+            upstream,
+            self._remaining_ms(),
+            self._used_connections,
+            self._admitted.request_id,
         )
         if acquired.is_error():
             return acquired
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -33,6 +33,7 @@
         upstream: Upstream,
         limit_ms: float,
         excluded: Collection[UpstreamConnection] = (),
+        request_id: str = "",
     ) -> Result[UpstreamConnection, NotReached]:
         """Return an idle connection that is not excluded, or open one.
 
@@ -40,7 +41,7 @@
         have the same id, so a response that the upstream repeats on one of these
         connections would be taken for that of the later attempt.
         """
-        connection = self._take_idle(upstream, excluded)
+        connection = self._take_idle(upstream, excluded, request_id)
         if connection is not None:
             return Ok(connection)
         return await self._open(upstream, min(limit_ms, CONNECT_TIMEOUT_MS))
@@ -64,11 +65,15 @@
                 del self._idle[incarnation]
 
     def _take_idle(
-        self, upstream: Upstream, excluded: Collection[UpstreamConnection]
+        self,
+        upstream: Upstream,
+        excluded: Collection[UpstreamConnection],
+        request_id: str,
     ) -> UpstreamConnection | None:
         connections = self._idle[upstream.incarnation]
         for connection in reversed(list(connections)):
-            if connection in excluded:
+            # A client may come back with the id of a request that was refused.
+            if connection in excluded or request_id in connection.request_ids:
                 continue
             connections.remove(connection)
             if connection.is_open and self._is_fresh(connection):
--- a/buckthornrock/gateway/upstream_connection.py
+++ b/buckthornrock/gateway/upstream_connection.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections import deque
 from typing import NamedTuple
 
 import h11
@@ -19,6 +20,8 @@
 MAX_BYTES_BEFORE_RESPONSE = 262_144
 #: Maximum number of interim responses; many small ones would block the event loop.
 MAX_INTERIM_RESPONSES = 16
+#: A client that was refused comes back within seconds, a few requests later.
+N_REMEMBERED_IDS = 16
 
 
 class ResponseHead(NamedTuple):
@@ -40,12 +43,15 @@
         When its last response ended.
     idle_limit_ms : float or None
         How long the upstream keeps it open idle; None if it did not say.
+    request_ids : deque of str
+        Ids of the last requests that it carried.
     """
 
     def __init__(self, codec: HeaderCodec) -> None:
         self.is_open = False
         self.idle_since_ms = 0.0
         self.idle_limit_ms: float | None = None
+        self.request_ids: deque[str] = deque(maxlen=N_REMEMBERED_IDS)
         self._codec = codec
         self._transport: asyncio.Transport | None = None
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -110,6 +116,7 @@
         ConnectionBrokenError
             If no response to the request can arrive any more.
         """
+        self.request_ids.append(request_id)
         n_interim = 0
         while True:
             event = await self._next_event()
--- a/tests/gateway/test_upstream_responses.py
+++ b/tests/gateway/test_upstream_responses.py
@@ -1,5 +1,6 @@
 """What clients get for each kind of valid and invalid upstream response."""
 
+import asyncio
 import socket
 import struct
 
@@ -244,6 +245,23 @@
     run(main)
 
 
+def test_refusal_written_again_is_not_believed_of_a_request_with_the_same_id():
+    """A client that comes back with the id of its refused request."""
+
+    async def main():
+        upstream = RepeatingUpstream()
+        harness = await start_gateway(upstream, budget=0.0)
+        first = await ask(harness.client_address, request("/book/1"))
+        assert (first.status, upstream.n_run) == (503, 0)
+        # The upstream takes nothing for a moment after its refusal.
+        await asyncio.sleep(0.2)
+        again = await ask(harness.client_address, request("/book/1"))
+        assert (again.status, again.body) == (200, BODY)
+        assert upstream.n_run == 1
+
+    run(main)
+
+
 def test_not_executed_is_not_believed_of_a_success():
     async def contradictory(received_request):
         extra = STAMP + b"X-Buckthornrock-Not-Executed: 1\r\n"
