--- a/buckthornrock/deferred/held_segments.py
+++ b/buckthornrock/deferred/held_segments.py
@@ -29,6 +29,7 @@
     HOUR_MS,
     MAX_VALUE_BYTES,
     DeletionRecord,
+    Job,
     Outcome,
     Outcomes,
     Segment,
@@ -101,7 +102,7 @@
     """A job whose outcome has been saved."""
 
     address: JobAddress
-    client_account: str
+    job: Job
     state: str
 
 
@@ -194,10 +195,10 @@
         """Reload the outcomes of a held segment after another instance changed them."""
         entry = self._kv.get(outcomes_key(segment_id))
         held = self.get(segment_id)
-        if held is None or entry.is_error() or entry.ok is None:
+        if held is None or entry.is_error():
             return
         with self._lock:
-            self._reload((held,), (entry.ok,))
+            self._reload((held,), (entry.ok,) if entry.ok else ())
 
     def record_attempt(self, address: JobAddress) -> bool:
         """Count a start of a job durably; return whether that was done."""
@@ -313,7 +314,7 @@
             self._on_saved(job)
 
     def _reload(self, segments: Iterable[HeldSegment], entries: tuple) -> bool:
-        """Load outcomes that other instances wrote; return whether any differed."""
+        """Load outcomes that other instances wrote; return whether any were newer."""
         entries_by_key = {entry.key: entry for entry in entries}
         has_changes = False
         for held in segments:
@@ -322,7 +323,8 @@
                 # All jobs ended and the outcomes were deleted after their retention.
                 self._segments.pop(held.segment_id, None)
                 has_changes = True
-            elif entry.mod_revision != held.revision:
+            elif entry.mod_revision > held.revision:
+                # An entry that was read before this instance's last save is older.
                 held.reload(entry)
                 has_changes = True
         self._update_unsaved_bytes()
@@ -377,6 +379,6 @@
 def _saved_job(held: HeldSegment, index: int) -> SavedJob:
     return SavedJob(
         JobAddress(held.segment_id, index),
-        held.segment.jobs[index].client_account,
+        held.segment.jobs[index],
         held.outcomes.jobs[index].state,
     )
--- a/buckthornrock/deferred/service.py
+++ b/buckthornrock/deferred/service.py
@@ -121,8 +121,13 @@
         address = self._context.ids.parse(job_id, client_account, member)
         if address is None:
             return Error(UnknownJob(job_id))
-        local = self._local_view(job_id, address)
-        return local or read_job(self._context.kv, job_id, address)
+        stored = read_job(self._context.kv, job_id, address)
+        if stored.is_error() or stored.ok.state != "waiting":
+            return stored
+        # Open jobs are stored as waiting; only their holder knows which ones run.
+        with self._lock:
+            state = self._backlog.state(address)
+        return Ok(stored.ok._replace(state=state or "waiting"))
 
     def cancel(
         self, client_account: str, member: str, job_id: str
@@ -233,10 +238,11 @@
         return read_claim_lease(self._context.lease, self._context.holder)
 
     def _on_accepted(self, accepted: AcceptedSegment) -> None:
-        for job in accepted.segment.jobs:
+        for index, job in enumerate(accepted.segment.jobs):
+            address = JobAddress(accepted.segment_id, index)
             self._context.telemetry.log(
                 events.JOB_ACCEPTED,
-                job_id=accepted.segment_id,
+                job_id=self._context.ids.make(address, job.client_account, job.member),
                 client_account=job.client_account,
             )
         if accepted.claim == "unknown":
@@ -261,23 +267,16 @@
 
     def _on_saved(self, saved: SavedJob) -> None:
         self._context.telemetry.metrics.incr(DEFERRED_FINISHED, label=saved.state)
+        job = saved.job
         self._context.telemetry.log(
             events.JOB_FINISHED,
-            job_id=f"{saved.address.segment_id}-{saved.address.index}",
-            client_account=saved.client_account,
+            job_id=self._context.ids.make(
+                saved.address, job.client_account, job.member
+            ),
+            client_account=job.client_account,
             state=saved.state,
         )
 
-    def _local_view(
-        self, job_id: str, address: JobAddress
-    ) -> Result[JobView, ReadFailure] | None:
-        with self._lock:
-            state = self._backlog.state(address)
-        # Without a valid claim, another instance may have ended the job.
-        if not state or not self._runner.is_claimed(address):
-            return None
-        return Ok(JobView(job_id, state, None, ""))
-
     def _expire_jobs(self) -> None:
         with self._lock:
             expired = self._backlog.remove_expired(self._context.clock.wall_ms())
@@ -290,12 +289,14 @@
             return
         segments = self._held_segments.all()
         stale = [s for s in segments if s.epoch not in (0, claim_lease.epoch)]
-        held, lost = reclaim(self._context.kv, stale, claim_lease)
-        for segment in held:
+        reclaimed = reclaim(self._context.kv, stale, claim_lease)
+        for segment in reclaimed.held:
             segment.epoch = claim_lease.epoch
-            # Another instance may have held the segment and ended jobs in between.
+        # Another instance may have held the segments and ended jobs in between. Those
+        # that have changed are claimed in the next step, if they are still open.
+        for segment in (*reclaimed.held, *reclaimed.changed):
             self._held_segments.refresh(segment.segment_id)
-        for segment in lost:
+        for segment in reclaimed.lost:
             self._drop_lost(segment)
 
     def _drop_lost(self, segment: HeldSegment) -> None:
--- a/tests/deferred/test_faults.py
+++ b/tests/deferred/test_faults.py
@@ -22,8 +22,9 @@
 from buckthornrock.deferred.held_segments import UnsavedOutcome  # noqa: E402
 from buckthornrock.deferred.ids import JobAddress  # noqa: E402
 from buckthornrock.deferred.packing import Blob  # noqa: E402
-from buckthornrock.deferred.records import Outcome, outcomes_key  # noqa: E402
+from buckthornrock.deferred.records import Outcome, claim_key, outcomes_key  # noqa: E402
 from buckthornrock.deferred.scan import owned_shards  # noqa: E402
+from buckthornrock.deferred.submission_queue import MAX_TRIES  # noqa: E402
 from buckthornrock.entry.errors import UnknownWorkClass  # noqa: E402
 from buckthornrock.routing.errors import NoEngine  # noqa: E402
 
@@ -279,3 +280,136 @@
     fleet.instances["i0"] = paused
     assert view(fleet, "i1", ids[0], job).state == "done"
     assert view(fleet, "i0", ids[0], job).state == "done"
+
+
+def lose_holder_in_outage(fleet):
+    """Let i0 notice an outage, and i1 run i0's jobs once it is over."""
+    assert fleet.submit("i0", submission("in the outage")).is_ok()
+    fleet.kv.is_down = True
+    fleet.step("i0", "commit")
+    fleet.kv.is_down = False
+    fleet.kv.advance(30_000.0)
+    holder = fleet.instances.pop("i0")
+    fleet.settle(n_rounds=3)
+    fleet.instances["i0"] = holder
+
+
+@pytest.mark.parametrize(("is_cut_off", "shown"), [(False, "done"), (True, "")])
+def test_holder_after_outage_shows_no_older_state_than_was_delivered(is_cut_off, shown):
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    lose_holder_in_outage(fleet)
+    assert view(fleet, "i1", ids[0], job).state == "done"
+    fleet.kv.is_down = is_cut_off
+    found = fleet.instances["i0"].service.read("a", "m", ids[0])
+    assert found.map(lambda view: view.state).default_value("") == shown
+
+
+@pytest.mark.parametrize("is_down", [True, False])
+def test_commit_without_a_known_result_is_given_up_after_its_last_try(is_down):
+    fleet = make_fleet()
+    pending = fleet.submit("i0", submission("x")).ok
+    fleet.kv.faults.append("dropped")
+    fleet.step("i0", "commit")
+    fleet.kv.is_down = is_down
+    fleet.kv.faults.extend(["dropped"] * MAX_TRIES)
+    for _ in range(MAX_TRIES - 2):
+        fleet.step("i0", "commit")
+    assert pending.result is None
+    fleet.step("i0", "commit")
+    assert pending.result.error.not_run == "unknown"
+    before = fleet.kv.n_commits
+    fleet.step("i0", "commit")
+    assert fleet.kv.n_commits == before
+
+
+@pytest.mark.parametrize("is_collected", [False, True])
+def test_segment_that_another_instance_ended_is_not_claimed_again(is_collected):
+    fleet = make_fleet(2)
+    ids = accept(fleet, "i0", *(submission(f"note {index}") for index in range(2)))
+    segment_id = ids[0].split("-")[0]
+    holder = fleet.instances.pop("i0")
+    fleet.kv.advance(30_000.0)
+    fleet.settle(n_rounds=3)
+    if is_collected:
+        fleet.kv.entries.pop(outcomes_key(segment_id))
+    fleet.instances["i0"] = holder
+    fleet.step("i0", "lease")
+    holder.service._reclaim_stale()
+    assert claim_key(segment_id) not in fleet.kv.entries
+    for _ in range(2):
+        fleet.step("i0", "run")
+    assert len(fleet.runs) == 2
+
+
+def test_segment_that_was_changed_in_between_is_claimed_again():
+    fleet = make_fleet(2)
+    jobs = [submission(f"note {index}") for index in range(2)]
+    ids = accept(fleet, "i0", *jobs)
+    fleet.kv.advance(30_000.0)
+    fleet.instances["i1"].service.cancel("a", "m", ids[0])
+    for step in ("lease", "scan", "scan", "run", "run", "commit"):
+        fleet.step("i0", step)
+    assert [job_id for _, job_id in fleet.runs] == ids[1:]
+    assert view(fleet, "i1", ids[0], jobs[0]).state == "cancelled"
+    assert view(fleet, "i1", ids[1], jobs[1]).state == "done"
+
+
+def test_outcomes_read_before_a_later_save_do_not_replace_it():
+    fleet = make_fleet()
+    ids = accept(fleet, "i0", submission("a"), submission("b"))
+    segment_id = ids[0].split("-")[0]
+    held_segments = fleet.instances["i0"].service._held_segments
+    held_segments.finish(
+        JobAddress(segment_id, 0), UnsavedOutcome(Outcome("done"), b"{}")
+    )
+    get = fleet.kv.get
+
+    def get_and_be_overtaken(key):
+        held_segments._kv = held_segments._kv._replace(get=get)
+        entry = get(key)
+        assert held_segments.step()
+        return entry
+
+    held_segments._kv = held_segments._kv._replace(get=get_and_be_overtaken)
+    held_segments.refresh(segment_id)
+    held = held_segments.get(segment_id)
+    assert held.outcomes.jobs[0].state == "done"
+    assert held.revision == fleet.kv.entries[outcomes_key(segment_id)].mod_revision
+
+
+@pytest.mark.parametrize("reader", ["i0", "i1"])
+def test_job_cancelled_at_another_instance_is_shown_as_cancelled(reader):
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    assert view(fleet, "i0", ids[0], job).state == "waiting"
+    fleet.instances["i1"].service.cancel("a", "m", ids[0])
+    assert view(fleet, reader, ids[0], job).state == "cancelled"
+
+
+def test_running_job_is_shown_as_running_by_its_holder():
+    fleet = make_fleet(2)
+    job = submission("x")
+    ids = accept(fleet, "i0", job)
+    seen = []
+    fleet.during_run = [lambda _: seen.append(view(fleet, "i0", ids[0], job).state)]
+    fleet.step("i0", "run")
+    assert seen == ["running"]
+
+
+def test_events_of_a_job_name_the_id_that_its_caller_has():
+    fleet = make_fleet()
+    logged = []
+    context = fleet.instances["i0"].service._context
+    telemetry = context.telemetry._replace(
+        log=lambda event, **fields: logged.append((event.name, fields.get("job_id")))
+    )
+    fleet.instances["i0"].service._context = context._replace(telemetry=telemetry)
+    ids = accept(fleet, "i0", submission("a"), submission("b", member="n"))
+    assert logged == [("deferred.accepted", job_id) for job_id in ids]
+    logged.clear()
+    for step in ("run", "run", "commit"):
+        fleet.step("i0", step)
+    assert sorted(logged) == sorted(("deferred.finished", job_id) for job_id in ids)
--- a/tests/entry/test_parsing.py
+++ b/tests/entry/test_parsing.py
@@ -7,7 +7,9 @@
     parse_completion,
     parse_deadline_ms,
     parse_object,
+    parse_preferences,
 )
+from buckthornrock.entry.services import split_target
 
 PLAIN = {"model": "small", "prompt": "x"}
 
@@ -60,3 +62,47 @@
 def test_integers_beyond_64_bits_are_kept():
     raw = b'{"seed": 123456789012345678901234567890}'
     assert msgspec.json.encode(parse_object(raw).ok) == raw.replace(b" ", b"")
+
+
+@pytest.mark.parametrize("field", ["n", "best_of"])
+def test_refusal_names_the_field_at_fault(field):
+    refused = parse_completion(PLAIN | {field: 2}, is_chat=False)
+    assert refused.error.path == f"$.{field}"
+
+
+PREFERENCES = [
+    # Header -> whether an asynchronous response is preferred, seconds to wait.
+    ("respond-async", True, ""),
+    ("Respond-Async, WAIT=15", True, "15"),
+    ("wait=5 , respond-async; foo=bar", True, "5"),
+    ('respond-async, wait="7"', True, "7"),
+    ("wait=5, wait=9, respond-async", True, "5"),
+    ("no-respond-async", False, ""),
+    ("respond-async-later", False, ""),
+    ('x="respond-async"', False, ""),
+    ('x="a, respond-async, b"', False, ""),
+    ("handling=lenient; respond-async", False, ""),
+    ("respond-wait=9, respond-async", True, ""),
+    ("", False, ""),
+]
+
+
+@pytest.mark.parametrize(("header", "is_async", "wait"), PREFERENCES)
+def test_preferences_are_read_by_name(header, is_async, wait):
+    preferences = parse_preferences(header)
+    assert ("respond-async" in preferences) == is_async
+    assert preferences.get("wait", "") == wait
+
+
+TARGETS = [
+    ("/services/orders/kilo?q=1", "orders", "/kilo?q=1"),
+    ("/services/orders", "orders", "/"),
+    ("/services/orders?q=1", "orders", "/?q=1"),
+    ("/services/orders?q=a/b", "orders", "/?q=a/b"),
+    ("/services/?q=1", "", "/?q=1"),
+]
+
+
+@pytest.mark.parametrize(("target", "service", "path"), TARGETS)
+def test_service_is_named_by_the_path_alone(target, service, path):
+    assert split_target(target) == (service, path)
