Log the size of a request's prompt with its outcome

The users saw too little served of the largest tenth of a kind of request on grown deployments (SHORT). Lines 2200, 2201 and 2204 didn't tell how large a prompt was, so that the log couldn't show whether size decides.

No change of logic.

--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -10,6 +10,7 @@
         "request_id",
         "route",
         "rank",
+        "n_prompt_tokens",
         "upstream_id",
         "waited_ms",
         "first_event_ms",
@@ -23,7 +24,8 @@
         "store_age_ms",
         "duration_ms",
     ),
-    "A request got an upstream's complete response. It was forwarded after waited_ms, "
+    "A request got an upstream's complete response. n_prompt_tokens is the size of its "
+    "prompt; null without one. It was forwarded after waited_ms, "
     "and its response began after first_event_ms. The choice of the upstream was based "
     "on estimate_ms, n_cached_tokens and peer digests, the oldest of which was "
     "digests_age_ms old. The upstream's weights had been outdated for weights_lag_ms, "
@@ -37,6 +39,7 @@
     (
         "request_id",
         "route",
+        "n_prompt_tokens",
         "status",
         "failure",
         "reason",
@@ -97,6 +100,7 @@
     (
         "request_id",
         "route",
+        "n_prompt_tokens",
         "upstream_id",
         "last_event_id",
         "n_may_have_run",
--- a/buckthornrock/gateway/exchange_log.py
+++ b/buckthornrock/gateway/exchange_log.py
@@ -52,6 +52,7 @@
         request_id=admitted.request_id,
         route=admitted.route.name,
         rank=admitted.demand.rank,
+        n_prompt_tokens=_n_prompt_tokens(admitted),
         upstream_id=placement.upstream.upstream_id,
         waited_ms=round(progress.waited_ms, 1),
         first_event_ms=round(progress.first_event_ms, 1),
@@ -80,6 +81,7 @@
         events.NOT_SERVED,
         request_id=admitted.request_id,
         route=admitted.route.name,
+        n_prompt_tokens=_n_prompt_tokens(admitted),
         status=refusal.status,
         failure=refusal.code,
         reason=refusal.reason,
@@ -107,6 +109,7 @@
         events.CLIENT_LEFT,
         request_id=admitted.request_id,
         route=admitted.route.name,
+        n_prompt_tokens=_n_prompt_tokens(admitted),
         upstream_id=progress.upstream_id,
         last_event_id=progress.last_event_id,
         n_may_have_run=progress.n_may_have_run,
@@ -140,6 +143,11 @@
     )
 
 
+def _n_prompt_tokens(admitted: AdmittedRequest) -> int | None:
+    prompt = admitted.demand.prompt
+    return None if prompt is None else prompt.n_prompt_tokens
+
+
 def _rounded(duration_ms: float | None) -> float | None:
     return None if duration_ms is None else round(duration_ms, 1)
 
