Drop odd entries of other writers at the boundary

Another writer's entry that was nested very deeply raised RecursionError out of the decoders on the event loop: the whole listing was lost, and the instance no longer followed the store. A port of 99999 or a NUL byte as host was taken as an upstream, and connecting to it raised past the typed failures. A version or start time of 400 digits was taken; digests hold 64 bits, so each digest that listed the entry raised, and so did each one after it.

runtime/decoding.py decodes all foreign bytes and returns a typed failure for everything it can't decode. A prompt store at an odd address is left out of its configuration; a configuration with a figure that later code can't handle is refused. Digests from odd addresses, and peers listed with such, are dropped, since sending to them raised in every period. Event 2211 is logged once a minute for a value, and 32 times at most.

--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -5,14 +5,22 @@
 still missing after a grace period, which begins when the store is back.
 """
 
+import re
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from ..runtime.addresses import is_connectable
+from ..runtime.decoding import MAX_INT64
+
 #: Id and start time of an upstream.
 Incarnation = tuple[str, int]
 
 #: Upstreams whose entries expired during an outage register again within this time.
 RETURN_GRACE_MS = 2_000.0
+#: Bound of an upstream's slots; sums of them must stay within 64 bits.
+MAX_SLOTS = 1_000_000
+#: Ids are sent in headers.
+_UPSTREAM_ID = re.compile(r"[\x21-\x7e]{1,256}")
 
 
 class Upstream(NamedTuple):
@@ -37,6 +45,20 @@
         return self.upstream_id, self.started_ms
 
 
+def oddity(upstream: Upstream) -> str:
+    """Return why an upstream can't be used as it is described, "" if it can."""
+    if not _UPSTREAM_ID.fullmatch(upstream.upstream_id):
+        return "the id can't be sent in a header"
+    if not is_connectable(upstream.address):
+        return "the address is not a usable IP:PORT"
+    if not 0 <= upstream.n_slots <= MAX_SLOTS:
+        return "the number of slots is out of range"
+    numbers = (upstream.started_ms, *upstream.weights_versions.values())
+    if not all(0 <= number <= MAX_INT64 for number in numbers):
+        return "a start time or version is out of range"
+    return ""
+
+
 class UpstreamChange(NamedTuple):
     """An upstream as it was written at a store revision, None if it was removed."""
 
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -16,6 +16,7 @@
     Upstream,
     UpstreamChange,
     UpstreamDirectory,
+    oddity,
 )
 from ..events import gateway as events
 from ..rollout.plan import RolloutEngine
@@ -28,6 +29,7 @@
 from ..telemetry import Telemetry
 from ..wire.numeric_ids import incarnation_number
 from .store_contact import LOST_AFTER_MS, StoreContact
+from .undecodable_log import UndecodableLog
 
 #: Share of an engine's or prompt store's cache in which shared parts are assumed to
 #: stay; beyond it they are assumed to be evicted.
@@ -64,6 +66,9 @@
         Wanted and loaded versions of each model's weights.
     loads : FleetLoads
         Work at the upstreams and the parts that they cache.
+    log_undecodable : callable
+        ``log_undecodable(what, reason)`` logs a value from the store or a peer that
+        cannot be decoded.
     store_contact : StoreContact
         How old the store's newest confirmation of this state is.
     is_watching_store : bool
@@ -87,6 +92,7 @@
         self._telemetry = telemetry
         self.store_contact = StoreContact(now_ms, telemetry)
         self.is_watching_store = False
+        self.log_undecodable = UndecodableLog(telemetry, now_ms).log
         self._changes = ChangeLog()
         self._has_upstreams = False
         self._loading: dict[Incarnation, Loading] = {}
@@ -406,9 +412,15 @@
         capacity = service.engine.kv_capacity_tokens
         return max(utilization, total.n_memory_tokens / max(1, capacity))
 
-    def log_undecodable(self, what: str, reason: str) -> None:
-        """Log a value from the store or a peer that cannot be decoded."""
-        self._telemetry.log(events.UNDECODABLE, what=what, reason=reason)
+    def is_usable(self, upstream: Upstream) -> bool:
+        """Return whether an upstream that a peer lists can be used; log why not.
+
+        Peers of an older build forward odd entries of the store.
+        """
+        reason = oddity(upstream)
+        if reason:
+            self.log_undecodable(upstream.upstream_id, reason)
+        return not reason
 
     def _set_loading(self, incarnation: Incarnation, loading: Loading) -> None:
         self._loading[incarnation] = loading
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -10,7 +10,6 @@
 
 from ..catalog.change_log import ChangeWindow
 from ..catalog.upstreams import Incarnation, Upstream, UpstreamChange
-from ..events import gateway as events
 from ..scheduling.cached_parts import PartKey
 from ..scheduling.loads import CombinedWork, Work
 from ..telemetry import Telemetry
@@ -200,9 +199,7 @@
         self.traffic = self.traffic.with_received(len(data))
         decoded = decode_digest(data)
         if decoded.is_error():
-            self._telemetry.log(
-                events.UNDECODABLE, what="digest", reason=decoded.error.reason
-            )
+            self._fleet_state.log_undecodable("digest", decoded.error.reason)
             return
         digest, now_ms = decoded.ok, self._now_ms()
         if self._view.accept(digest, now_ms):
@@ -278,12 +275,20 @@
             return
         is_listed = digest.base_revision >= 0
         base_revision = digest.base_revision if is_listed else digest.revision
-        changes = tuple(_decode_change(change) for change in digest.changes)
+        changes = tuple(self._decode_change(change) for change in digest.changes)
         window = ChangeWindow(base_revision, changes)
         is_confirmed = 0 <= digest.store_age_ms <= LOST_AFTER_MS
         if fleet_state.follow_changes(window, digest.revision) and is_confirmed:
             fleet_state.store_contact.on_confirmed(digest.store_age_ms)
 
+    def _decode_change(self, change: EntryChange) -> UpstreamChange:
+        """Return a peer's change; an odd entry, like none, names no upstream."""
+        entry = change.entry
+        upstream = None if entry is None else Upstream(*msgspec.structs.astuple(entry))
+        if upstream is not None and not self._fleet_state.is_usable(upstream):
+            upstream = None
+        return UpstreamChange(change.revision, change.upstream_id, upstream)
+
     def _apply_works(self, digest: Digest, now_ms: float) -> None:
         if digest.instance_id not in self._topology.sources():
             return
@@ -422,12 +427,6 @@
     return EntryChange(change.revision, change.upstream_id, entry)
 
 
-def _decode_change(change: EntryChange) -> UpstreamChange:
-    entry = change.entry
-    upstream = None if entry is None else Upstream(*msgspec.structs.astuple(entry))
-    return UpstreamChange(change.revision, change.upstream_id, upstream)
-
-
 def _encode_works(works: dict[int, Work]) -> list[UpstreamWork]:
     busy = [item for item in works.items() if item[1].n_requests]
     if len(busy) > MAX_WORK_ENTRIES:
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -93,7 +93,8 @@
                 transport, connection = await loop.create_connection(
                     lambda: UpstreamConnection(self._codec), host, int(port)
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The latter two: nothing can be connected to at such an address.
             return Error(NotReached(type(error).__name__))
         configure_socket(transport.get_extra_info("socket"))
         return Ok(connection)
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -13,9 +13,11 @@
 
 import msgspec
 import pynng
+from expression import Error, Result
 
 from ..catalog.upstreams import Upstream
 from ..events import gateway as events
+from ..runtime.decoding import ExactInt, Malformed, decode_msgpack, malformed
 from ..telemetry import Telemetry
 from .fleet_state import FleetState
 from .ports import ConfigurationDecoder
@@ -52,8 +54,8 @@
     configuration: bytes
     revision: int
     upstreams: list[Upstream] | None
-    weights: dict[str, tuple[int, int]] = {}
-    store_age_ms: int = -1
+    weights: dict[str, tuple[int, ExactInt]] = {}
+    store_age_ms: ExactInt = -1
 
 
 class PeerVersions(NamedTuple):
@@ -121,12 +123,11 @@
             self._request_task = asyncio.create_task(self._request_snapshot(peer))
 
     def _respond(self, data: bytes) -> bytes:
-        try:
-            request = msgspec.msgpack.decode(data, type=SnapshotRequest)
-        except msgspec.MsgspecError as error:
-            self._fleet_state.log_undecodable("copy request", str(error))
-            request = SnapshotRequest(0, 0)
-        return encode_snapshot(self._fleet_state, request)
+        request = decode_msgpack(data, SnapshotRequest)
+        if request.is_error():
+            self._fleet_state.log_undecodable("copy request", request.error.reason)
+            return encode_snapshot(self._fleet_state, SnapshotRequest(0, 0))
+        return encode_snapshot(self._fleet_state, request.ok)
 
     def is_behind(self, peer: PeerVersions) -> bool:
         """Return whether a snapshot of the peer is wanted now."""
@@ -148,15 +149,13 @@
         return SnapshotRequest(fleet_state.configuration_version, fleet_state.revision)
 
     def apply(self, data: bytes, source: str) -> None:
-        """Apply an encoded snapshot of a peer.
-
-        Raises
-        ------
-        msgspec.MsgspecError, zlib.error
-            If it can't be decoded.
-        """
-        snapshot = _decode_snapshot(data)
+        """Apply an encoded snapshot of a peer, unless it can't be decoded."""
         fleet_state = self._fleet_state
+        decoded = _decode_snapshot(data)
+        if decoded.is_error():
+            fleet_state.log_undecodable("copy", decoded.error.reason)
+            return
+        snapshot = decoded.ok
         if snapshot.configuration:
             configuration = self._decode(snapshot.configuration)
             if configuration.is_error():
@@ -169,9 +168,8 @@
             fleet_state.on_weights(model, version, source, age_ms)
         if snapshot.upstreams is None or not fleet_state.needs_peers:
             return
-        fleet_state.take_upstreams(
-            snapshot.upstreams, snapshot.revision, snapshot.store_age_ms
-        )
+        upstreams = [u for u in snapshot.upstreams if fleet_state.is_usable(u)]
+        fleet_state.take_upstreams(upstreams, snapshot.revision, snapshot.store_age_ms)
 
     async def _request_snapshot(self, peer: PeerVersions) -> None:
         if head_start_ms := self.head_start_ms():
@@ -181,7 +179,7 @@
         request = self.begin_request()
         try:
             self.apply(await _send_request(peer.address, request), peer.address)
-        except (pynng.NNGException, msgspec.MsgspecError, zlib.error) as error:
+        except pynng.NNGException as error:
             self._telemetry.log(
                 events.PEER_SILENT, peer=peer.address, reason=type(error).__name__
             )
@@ -201,9 +199,12 @@
     return zlib.compress(msgspec.msgpack.encode(snapshot), COMPRESSION_LEVEL)
 
 
-def _decode_snapshot(data: bytes) -> StateSnapshot:
-    decompressed = zlib.decompressobj().decompress(data, MAX_DECOMPRESSED_BYTES)
-    return msgspec.msgpack.decode(decompressed, type=StateSnapshot)
+def _decode_snapshot(data: bytes) -> Result[StateSnapshot, Malformed]:
+    try:
+        decompressed = zlib.decompressobj().decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        return Error(malformed(error))
+    return decode_msgpack(decompressed, StateSnapshot)
 
 
 async def _send_request(address: str, request: SnapshotRequest) -> bytes:
--- a/buckthornrock/platform/configuration.py
+++ b/buckthornrock/platform/configuration.py
@@ -14,6 +14,8 @@
     Service,
     ServiceShare,
 )
+from ..runtime.addresses import is_connectable
+from ..runtime.decoding import Count, ExactInt, decode_json
 from .errors import Undecodable
 
 _ROUTE_KINDS = {
@@ -35,35 +37,35 @@
     route_kind: str
     timeout_ms: float
     slo_ms: float = 0.0
-    priority: int = 0
+    priority: ExactInt = 0
     service: str = ""
     split: list[_Share] = []
-    attempts: int = 1
+    attempts: ExactInt = 1
     public: bool = False
     resumable: bool = False
     gap_slo_ms: float = 0.0
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int
-    kv_capacity: int
-    kv_bytes: int
+    slots: ExactInt
+    kv_capacity: ExactInt
+    kv_bytes: ExactInt
     link_mbps: float
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
-    max_conns: int = 0
+    max_conns: ExactInt = 0
     engine: _Engine | None = None
     #: Set only if the service is a prompt store, which stores KV cache of prompts.
     kv_store_addr: str = ""
     zone: str = ""
-    kv_capacity: int = 0
+    kv_capacity: ExactInt = 0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: ExactInt
+    max_body_bytes: ExactInt
     header_timeout_ms: float
     idle_timeout_ms: float
 
@@ -71,12 +73,12 @@
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: ExactInt | None = None
     isolated: bool = False
 
 
 class _Document(msgspec.Struct, rename="camel"):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -84,13 +86,19 @@
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, Undecodable]:
-    """Decode one version of the configuration."""
-    try:
-        document = msgspec.json.decode(value, type=_Document)
-    except msgspec.MsgspecError as error:
-        return Error(Undecodable("configuration", str(error)))
+    """Decode one version of the configuration.
+
+    A prompt store at an address that can't be used is left out, so that it costs
+    nothing but its cache.
+    """
+    decoded = decode_json(value, _Document)
+    if decoded.is_error():
+        return Error(Undecodable("configuration", decoded.error.reason))
+    document = decoded.ok
     services = [entry for entry in document.services if not entry.kv_store_addr]
-    stores = [entry for entry in document.services if entry.kv_store_addr]
+    stores = [
+        entry for entry in document.services if is_connectable(entry.kv_store_addr)
+    ]
     return Ok(
         Configuration(
             version=document.version,
--- a/buckthornrock/platform/engine_control.py
+++ b/buckthornrock/platform/engine_control.py
@@ -14,6 +14,7 @@
     OrderAnswer,
 )
 from ..runtime.bounded_http import ResponseLimit, bounded_pool_manager
+from ..runtime.decoding import Count, decode_json
 
 CALL_TIMEOUT_MS = 600.0
 #: Size limit of a report or of the response to an order.
@@ -26,14 +27,14 @@
 
 class _Model(msgspec.Struct, rename="camel"):
     name: str
-    version: int
+    version: Count
 
 
 class _Report(msgspec.Struct, rename="camel"):
     models: list[_Model]
     busy: bool
     #: Number of orders that the engine has accepted since its start.
-    sequence: int
+    sequence: Count
 
 
 def open_engine_control() -> EnginePort:
@@ -83,7 +84,8 @@
             headers=headers,
             body=None if body is None else msgspec.json.encode(body),
         )
-    except urllib3.exceptions.HTTPError as error:
+    except (urllib3.exceptions.HTTPError, ValueError, OverflowError) as error:
+        # The latter two: the address or the id can't be sent or connected to.
         return Error(EngineUnanswered(type(error).__name__))
     if response.status == _MISDIRECTED:
         return Error(EngineUnanswered("another upstream has the address"))
@@ -95,9 +97,8 @@
 ) -> Result[EngineReport, EngineUnanswered]:
     if response.status != 200:
         return Error(EngineUnanswered(f"status {response.status}"))
-    try:
-        report = msgspec.json.decode(response.data, type=_Report)
-    except msgspec.MsgspecError as error:
-        return Error(EngineUnanswered(str(error)))
-    versions = {model.name: model.version for model in report.models}
-    return Ok(EngineReport(versions, report.busy, report.sequence))
+    report = decode_json(response.data, _Report)
+    if report.is_error():
+        return Error(EngineUnanswered(report.error.reason))
+    versions = {model.name: model.version for model in report.ok.models}
+    return Ok(EngineReport(versions, report.ok.busy, report.ok.sequence))
--- a/buckthornrock/platform/store_client.py
+++ b/buckthornrock/platform/store_client.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok, Result
 
 from ..runtime.bounded_http import ResponseLimit, bounded_pool
+from ..runtime.decoding import Count, decode_json
 from ..store.errors import HistoryGone, KvUnavailable, LeaseGone
 from ..store.kv_port import (
     CommitConflict,
@@ -50,21 +51,21 @@
 
 class _Item(msgspec.Struct, rename="camel"):
     key: str
-    rev: int
+    rev: Count
     value: str = ""
     lease: int = 0
     removed: bool = False
 
 
 class _Items(msgspec.Struct, rename="camel"):
-    as_of: int = 0
+    as_of: Count = 0
     items: list[_Item] = []
     more_pages: bool = False
     events: list[_Item] = []
 
 
 class _Done(msgspec.Struct, rename="camel"):
-    rev: int
+    rev: Count
 
 
 class _Lease(msgspec.Struct, rename="camel"):
@@ -260,10 +261,10 @@
 def _decode(response: _Response, shape: type) -> Result:
     if response.status != _OK:
         return Error(KvUnavailable(f"status {response.status}"))
-    try:
-        return Ok(msgspec.json.decode(response.body, type=shape))
-    except msgspec.MsgspecError as error:
-        return Error(KvUnavailable(f"malformed response: {error}"))
+    decoded = decode_json(response.body, shape)
+    return decoded.map_error(
+        lambda error: KvUnavailable(f"malformed response: {error.reason}")
+    )
 
 
 def _encode_transaction(transaction: Transaction, write_id: bytes) -> dict:
@@ -289,8 +290,10 @@
 
 def _outcome(response: _Response, write_id: bytes) -> CommitOutcome:
     if response.status == _CONDITION_FAILED:
-        items = msgspec.json.decode(response.body, type=_Items).items
-        return CommitConflict(tuple(_entry(item) for item in items))
+        found = decode_json(response.body, _Items)
+        if found.is_error():
+            return CommitNotDone(f"malformed response: {found.error.reason}")
+        return CommitConflict(tuple(_entry(item) for item in found.ok.items))
     if response.status == _NOT_FOUND:
         return CommitNotDone("lease gone")
     done = _decode(response, _Done)
--- a/buckthornrock/platform/upstream_entries.py
+++ b/buckthornrock/platform/upstream_entries.py
@@ -5,7 +5,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..catalog.upstreams import Upstream
+from ..catalog.upstreams import Upstream, oddity
+from ..runtime.decoding import Count, decode_json
 from .errors import Undecodable
 
 #: Prefix of the keys that upstreams register themselves under.
@@ -19,23 +20,23 @@
 
 class _Model(msgspec.Struct, rename="camel"):
     name: str
-    version: int
+    version: Count
 
 
 class _Entry(msgspec.Struct, rename="camel"):
     service: str
     addr: str
     zone: str
-    slots: int
+    slots: Count
     state: Literal["ready", "draining"]
     #: Time of the start in Unix milliseconds.
-    born: int
+    born: Count
     models: list[_Model] = []
 
 
 class _Weights(msgspec.Struct, rename="camel"):
     model: str
-    version: int
+    version: Count
 
 
 class WantedWeights(NamedTuple):
@@ -47,31 +48,28 @@
 
 def decode_upstream(key: str, value: bytes) -> Result[Upstream, Undecodable]:
     """Decode the entry of one upstream; entries of any other form are failures."""
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error(Undecodable(key, str(error)))
-    host, separator, port = entry.addr.rpartition(":")
-    if not separator or not host or not port.isdigit():
-        return Error(Undecodable(key, "address is not IP:PORT"))
-    return Ok(
-        Upstream(
-            upstream_id=key.removeprefix(UPSTREAMS_PREFIX),
-            service=entry.service,
-            address=entry.addr,
-            failure_domain=entry.zone,
-            is_draining=entry.state == "draining",
-            started_ms=entry.born,
-            n_slots=entry.slots,
-            weights_versions={model.name: model.version for model in entry.models},
-        )
+    decoded = decode_json(value, _Entry)
+    if decoded.is_error():
+        return Error(Undecodable(key, decoded.error.reason))
+    entry = decoded.ok
+    upstream = Upstream(
+        upstream_id=key.removeprefix(UPSTREAMS_PREFIX),
+        service=entry.service,
+        address=entry.addr,
+        failure_domain=entry.zone,
+        is_draining=entry.state == "draining",
+        started_ms=entry.born,
+        n_slots=entry.slots,
+        weights_versions={model.name: model.version for model in entry.models},
     )
+    if reason := oddity(upstream):
+        return Error(Undecodable(key, reason))
+    return Ok(upstream)
 
 
 def decode_weights(key: str, value: bytes) -> Result[WantedWeights, Undecodable]:
     """Decode the wanted version of a model's weights."""
-    try:
-        weights = msgspec.json.decode(value, type=_Weights)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error(Undecodable(key, str(error)))
-    return Ok(WantedWeights(weights.model, weights.version))
+    weights = decode_json(value, _Weights)
+    if weights.is_error():
+        return Error(Undecodable(key, weights.error.reason))
+    return Ok(WantedWeights(weights.ok.model, weights.ok.version))
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -6,8 +6,10 @@
 import enum
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Result
 
+from ..runtime.addresses import is_connectable
+from ..runtime.decoding import ExactInt, decode_msgpack
 from .errors import DigestUnreadable
 
 
@@ -39,9 +41,9 @@
     """Work at one incarnation of an upstream, whose numeric id is ``upstream``."""
 
     upstream: int
-    n_requests: int
-    prefill_ms: int
-    n_memory_tokens: int
+    n_requests: ExactInt
+    prefill_ms: ExactInt
+    n_memory_tokens: ExactInt
 
 
 class LoadingEngine(msgspec.Struct, array_like=True):
@@ -50,7 +52,7 @@
     upstream: int
     model: str
     version: int
-    left_ms: int
+    left_ms: ExactInt
 
 
 class LoadedWeights(msgspec.Struct, array_like=True):
@@ -70,8 +72,8 @@
 
     upstream: int
     part: int
-    n_tokens: int
-    ready_in_ms: int
+    n_tokens: ExactInt
+    ready_in_ms: ExactInt
 
 
 class UpstreamEntry(msgspec.Struct, array_like=True):
@@ -106,7 +108,7 @@
     address: str
     failure_domain: str
     incarnation: int
-    age_ms: int
+    age_ms: ExactInt
 
 
 class Digest(msgspec.Struct, array_like=True):
@@ -134,10 +136,10 @@
     number: int
     scope: Scope
     relay: str
-    age_ms: int
+    age_ms: ExactInt
     configuration_version: int
     revision: int
-    weights: dict[str, tuple[int, int]]
+    weights: dict[str, tuple[int, ExactInt]]
     works: list[UpstreamWork]
     loading: list[LoadingEngine]
     loaded: list[LoadedWeights]
@@ -146,7 +148,7 @@
     is_stopping: bool = False
     base_revision: int = -1
     changes: list[EntryChange] = []
-    store_age_ms: int = -1
+    store_age_ms: ExactInt = -1
     store_calls: StoreCalls = StoreCalls.NONE
 
 
@@ -156,8 +158,15 @@
 
 
 def decode_digest(data: bytes) -> Result[Digest, DigestUnreadable]:
-    """Return the digest that a datagram holds."""
-    try:
-        return Ok(msgspec.msgpack.decode(data, type=Digest))
-    except msgspec.MsgspecError as error:
-        return Error(DigestUnreadable(str(error)))
+    """Return the digest that a datagram holds.
+
+    Peers at addresses that can't be used are left out.
+    """
+    decoded = decode_msgpack(data, Digest)
+    if decoded.is_error():
+        return Error(DigestUnreadable(decoded.error.reason))
+    digest = decoded.ok
+    if not is_connectable(digest.address):
+        return Error(DigestUnreadable("the sender's address is not a usable IP:PORT"))
+    digest.peers = [peer for peer in digest.peers if is_connectable(peer.address)]
+    return decoded
