Let the watcher and the rollout survive a step that raises

pykka ends an actor whose on_receive raises, so that one exception left an instance that followed the store no more, or gave no more orders, without a line in its log.

4 cases failed before (3 of the watcher, 1 of the rollout). The other changes to tests hand the watcher its new telemetry.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -104,6 +104,7 @@
         WatchControl(
             is_watch_wanted, lambda: fleet_state.revision, peers.n_store_watchers
         ),
+        telemetry,
     )
     dispatcher = Dispatcher(
         fleet_state.directory, fleet_state.loads, fleet_state.view, now_ms
--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -9,6 +9,8 @@
 
 from ..catalog.upstreams import Incarnation, Upstream
 from ..events import rollout as events
+from ..events.lifecycle import STEP_FAILED
+from ..runtime.decoding import MAX_REASON_CHARS
 from ..telemetry import Telemetry
 from .plan import Order, PendingOrder, plan_orders
 from .port import (
@@ -76,17 +78,27 @@
         """Run one step, or release the lease and stop."""
         if message == "stop":
             self._is_stopping = True
-            self._lease.release()
+            self._try(self._lease.release)
             return
         if not self._lease.is_held():
             self._is_candidate.wait()
         if self._is_stopping:
             return
+        self._try(self._step)
+        time.sleep(STEP_PERIOD_MS / 1000.0)
+        self.actor_ref.tell(message)
+
+    def _try(self, step: Callable[[], None]) -> None:
+        """Run a step and log its failure, which would otherwise end the actor."""
         try:
-            self._step()
-        finally:
-            time.sleep(STEP_PERIOD_MS / 1000.0)
-            self.actor_ref.tell(message)
+            step()
+        except Exception as error:
+            self._telemetry.log(
+                STEP_FAILED,
+                actor="RolloutActor",
+                error_type=type(error).__name__,
+                reason=str(error)[:MAX_REASON_CHARS],
+            )
 
     def _step(self) -> None:
         inputs = self._read_inputs()
--- a/buckthornrock/store/store_watcher.py
+++ b/buckthornrock/store/store_watcher.py
@@ -11,6 +11,9 @@
 
 import pykka
 
+from ..events.lifecycle import STEP_FAILED
+from ..runtime.decoding import MAX_REASON_CHARS
+from ..telemetry import Telemetry
 from .breaker import backoff_ms
 from .errors import HistoryGone
 from .kv_port import Snapshot, StorePort, WatchBatch
@@ -83,17 +86,24 @@
         Receives the snapshots and changes.
     control : WatchControl
         When and from where to poll.
+    telemetry : Telemetry
+        Logs steps that raise.
     """
 
     use_daemon_thread = True
 
     def __init__(
-        self, store: StorePort, listener: Listener, control: WatchControl
+        self,
+        store: StorePort,
+        listener: Listener,
+        control: WatchControl,
+        telemetry: Telemetry,
     ) -> None:
         super().__init__()
         self._store = store
         self._listener = listener
         self._control = control
+        self._telemetry = telemetry
         self._rng = random.Random()
         self._revision = 0
         self._is_first_step = True
@@ -107,7 +117,7 @@
         """Run one step and schedule the next."""
         if not self._is_first_step:
             self._control.is_wanted.wait()
-        is_answered = self._step()
+        is_answered = self._try_step()
         self._is_first_step = False
         self.actor_ref.tell(message)
         if is_answered:
@@ -117,6 +127,23 @@
         time.sleep(pause_ms / 1000.0)
         self._n_failures += 1
 
+    def _try_step(self) -> bool:
+        """Make one call; one that raises counts as not answered.
+
+        An exception that left ``on_receive`` would end the actor.
+        """
+        try:
+            return self._step()
+        except Exception as error:
+            self._telemetry.log(
+                STEP_FAILED,
+                actor="StoreWatcher",
+                error_type=type(error).__name__,
+                reason=str(error)[:MAX_REASON_CHARS],
+            )
+            self._listener.on_lost(type(error).__name__)
+            return False
+
     def _step(self) -> bool:
         """Make one call; return whether the store answered."""
         if self._is_first_step:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -147,7 +147,7 @@
 def test_watcher_reports_every_change_despite_faults(server, store):
     server.write("p/a", b"1")
     recorder = Recorder()
-    watcher = StoreWatcher.start(store, recorder.listener(), control())
+    watcher = StoreWatcher.start(store, recorder.listener(), control(), TELEMETRY)
     try:
         recorder.wait(lambda: recorder.keys == {"p/a": b"1"})
         server.write("p/b", b"2")
@@ -165,7 +165,7 @@
 def test_watcher_takes_a_new_snapshot_after_compaction(server, store):
     recorder = Recorder()
     server.write("p/a", b"1")
-    watcher = StoreWatcher.start(store, recorder.listener(), control())
+    watcher = StoreWatcher.start(store, recorder.listener(), control(), TELEMETRY)
     try:
         recorder.wait(lambda: recorder.n_snapshots == 1)
         with server.changed:
--- a/tests/rollout/test_actor.py
+++ b/tests/rollout/test_actor.py
@@ -119,3 +119,26 @@
     fleet.upstreams = [engine(9, version=2)]
     actor._step()
     assert not actor._silent_until_ms and not {("e0", 1)} & actor._pending.keys()
+
+
+def test_rollout_survives_a_step_that_raises():
+    """An exception ended the actor, and the instance gave no more orders."""
+    fleet = Fleet(2, [])
+    n_calls = 0
+    report = fleet.report
+
+    def fails_first(upstream):
+        nonlocal n_calls
+        n_calls += 1
+        if n_calls == 1:
+            raise OverflowError("port must be 0-65535")
+        return report(upstream)
+
+    fleet.report = fails_first
+    actor = fleet.actor()
+    for _ in range(2):
+        # The actor's library ends an actor that raises here.
+        actor.on_receive("step")
+    assert fleet.ordered
+    failures = [f for name, f in fleet.logged if name == "lifecycle.step_failed"]
+    assert [failure["error_type"] for failure in failures] == ["OverflowError"]
--- a/tests/store/test_store_watcher.py
+++ b/tests/store/test_store_watcher.py
@@ -16,8 +16,10 @@
     WatchControl,
     batching_delay_ms,
 )
+from buckthornrock.telemetry import Telemetry, open_metrics
 
 CHANGE_PERIOD_S = 0.005
+TELEMETRY = Telemetry(lambda event, **fields: None, open_metrics("", 0, ""))
 
 
 class ChangingStore:
@@ -85,7 +87,9 @@
     store = ChangingStore()
     listener, learnt = recording_listener()
     # Eight watchers wait for 200 ms each.
-    watcher = StoreWatcher.start(store.port(), listener, control(n_watchers=8))
+    watcher = StoreWatcher.start(
+        store.port(), listener, control(n_watchers=8), TELEMETRY
+    )
     time.sleep(1.0)
     watcher.stop(block=False)
     assert 2 <= store.n_polls <= 6
@@ -95,7 +99,7 @@
 def test_watcher_that_is_not_wanted_reads_once_and_rests():
     store, is_wanted = ChangingStore(), threading.Event()
     listener, _ = recording_listener()
-    watcher = StoreWatcher.start(store.port(), listener, control(is_wanted))
+    watcher = StoreWatcher.start(store.port(), listener, control(is_wanted), TELEMETRY)
     time.sleep(0.3)
     assert (store.reads, store.n_polls) == ([True], 0)
     is_wanted.set()
@@ -111,7 +115,10 @@
     listener, learnt = recording_listener()
     known = {"revision": 0}
     watcher = StoreWatcher.start(
-        store.port(), listener, control(known_revision=lambda: known["revision"])
+        store.port(),
+        listener,
+        control(known_revision=lambda: known["revision"]),
+        TELEMETRY,
     )
     while not learnt:
         time.sleep(0.01)
@@ -124,10 +131,45 @@
 def test_lost_history_is_followed_by_a_read_of_the_current_state():
     store = ChangingStore()
     listener, learnt = recording_listener()
-    watcher = StoreWatcher.start(store.port(), listener, control())
+    watcher = StoreWatcher.start(store.port(), listener, control(), TELEMETRY)
     while not learnt:
         time.sleep(0.01)
     store.is_history_gone = True
     time.sleep(0.3)
     watcher.stop(block=False)
     assert store.reads == [True, False], "only the first read may be stale"
+
+
+@pytest.mark.parametrize("failing", ["on_snapshot", "on_change", "store"])
+def test_watcher_survives_a_step_that_raises(failing):
+    """An exception ended the actor, and its instance no longer followed the store."""
+    store, logged, lost = ChangingStore(), [], []
+    listener, learnt = recording_listener()
+    calls = iter([True, False])
+
+    def fails_once(call):
+        def wrapped(*arguments):
+            if next(calls, False):
+                raise RecursionError("nested too deeply")
+            return call(*arguments)
+
+        return wrapped
+
+    port = store.port()
+    if failing == "store":
+        port = port._replace(poll=fails_once(port.poll))
+    else:
+        changed = {failing: fails_once(getattr(listener, failing))}
+        listener = listener._replace(**changed)
+    listener = listener._replace(on_lost=lost.append)
+    telemetry = TELEMETRY._replace(
+        log=lambda event, **fields: logged.append((event.name, fields["error_type"]))
+    )
+    watcher = StoreWatcher.start(port, listener, control(), telemetry)
+    deadline_s = time.monotonic() + 5.0
+    while len(learnt) < 3 and time.monotonic() < deadline_s:
+        time.sleep(0.01)
+    watcher.stop(block=False)
+    assert len(learnt) >= 3
+    assert logged == [("lifecycle.step_failed", "RecursionError")]
+    assert lost == ["RecursionError"]
