Treat numbers that can't be used as absent in headers and events

A weights version of "inf" or an event id of 5,000 digits in an upstream's response raised, and the client got 502 for an answer that was there. "²" is a digit to str.isdigit but not to int. A client's deadline of "nan" became the end of its request. Token counts of 400 digits entered the sums that digests carry and can't encode.

--- a/buckthornrock/gateway/event_stream.py
+++ b/buckthornrock/gateway/event_stream.py
@@ -3,6 +3,7 @@
 import re
 from typing import NamedTuple
 
+from ..runtime.decoding import parse_count
 from .errors import ConnectionBrokenError
 
 #: Longest event; a stream with more bytes and no end of an event is invalid.
@@ -64,6 +65,5 @@
 def _event_id(lines: list[bytes]) -> int | None:
     for line in lines:
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return parse_count(line[3:].decode("latin-1"))
     return None
--- a/buckthornrock/gateway/stream_relay.py
+++ b/buckthornrock/gateway/stream_relay.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ..runtime.decoding import parse_count
 from .client_connection import ClientConnection
 from .dispatcher import Reservation
 from .errors import ConnectionBrokenError
@@ -105,18 +106,18 @@
                 )
             self._send(event.raw, headers)
             return True
-        if self.last_event_id.isdigit() and not self._is_next(event, is_resumed):
+        last_id = parse_count(self.last_event_id)
+        if last_id is not None and not self._is_next(event, last_id, is_resumed):
             return False
         self._send(event.raw, headers)
         self.last_event_id = str(event.event_id)
         return True
 
-    def _is_next(self, event: StreamEvent, is_resumed: bool) -> bool:
+    def _is_next(self, event: StreamEvent, last_id: int, is_resumed: bool) -> bool:
         """Return whether an event follows the last one; False for one before it.
 
         If the ids had no gap before the interruption, there is none after it either.
         """
-        last_id = int(self.last_event_id)
         if event.event_id <= last_id:
             return False
         is_gap = event.event_id > last_id + 1
--- a/buckthornrock/gateway/upstream_connection.py
+++ b/buckthornrock/gateway/upstream_connection.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from ..runtime.decoding import parse_count
 from .errors import ConnectionBrokenError
 from .ports import HeaderCodec, Headers, ResponseFields
 
@@ -210,9 +211,10 @@
     def _parse_keep_alive(self, headers: Headers) -> None:
         for name, value in headers:
             if name == b"keep-alive" and b"timeout=" in value:
-                seconds = value.split(b"timeout=")[1].split(b",")[0].strip()
-                if seconds.isdigit():
-                    self.idle_limit_ms = int(seconds) * 1000.0
+                text = value.split(b"timeout=")[1].split(b",")[0]
+                seconds = parse_count(text.decode("latin-1"))
+                if seconds is not None:
+                    self.idle_limit_ms = seconds * 1000.0
 
     def _wake_reader(self) -> None:
         if self._readable is not None and not self._readable.done():
--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -1,5 +1,7 @@
 """Decodes and encodes the platform's headers."""
 
+import math
+
 from ..gateway.ports import (
     HeaderCodec,
     Headers,
@@ -7,6 +9,7 @@
     ResponseFields,
     UpstreamRequestFields,
 )
+from ..runtime.decoding import parse_count
 
 _PREFIX = b"x-buckthornrock-"
 REQUEST_ID = _PREFIX + b"request-id"
@@ -127,7 +130,6 @@
 def decode_response(status: int, headers: Headers) -> ResponseFields:
     """Decode the headers of an upstream's response."""
     found = _by_name(headers)
-    version = _number(_text(found, WEIGHTS_VERSION))
     return ResponseFields(
         request_id=_text(found, REQUEST_ID),
         has_server_stamp=STAMP in found,
@@ -137,7 +139,7 @@
         has_content_encoding=_text(found, b"content-encoding") not in ("", "identity"),
         is_event_stream=_media_type(found) in ("", "text/event-stream"),
         load=_load(_text(found, LOAD)),
-        weights_version=None if version is None else int(version),
+        weights_version=parse_count(_text(found, WEIGHTS_VERSION)),
     )
 
 
@@ -161,18 +163,19 @@
 
 def _number(text: str) -> float | None:
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def _load(text: str) -> tuple[int, int, int] | None:
     """Return running and waiting requests and slots; further figures are ignored."""
     fields = text.split(",")[:N_LOAD_FIGURES]
-    is_valid = len(fields) == N_LOAD_FIGURES
-    if not is_valid or not all(field.strip().isdigit() for field in fields):
+    figures = [parse_count(field) for field in fields]
+    if len(figures) != N_LOAD_FIGURES or None in figures:
         return None
-    return int(fields[0]), int(fields[1]), int(fields[2])
+    return tuple(figures)
 
 
 def _named_by_connection(headers: Headers) -> frozenset[bytes]:
--- a/buckthornrock/scheduling/prompt.py
+++ b/buckthornrock/scheduling/prompt.py
@@ -4,6 +4,11 @@
 
 from expression import Error, Ok, Result
 
+from ..runtime.decoding import parse_count
+
+#: Sums over many requests are sent in digests, which hold 64 bits.
+MAX_TOKENS = 1_000_000_000
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt; parts with the same id have the same tokens."""
@@ -44,7 +49,7 @@
 ) -> Result[PromptShape, MalformedPrompt]:
     """Parse ``PROMPT,OUTPUT`` token counts and ``ID:TOKENS,...`` parts."""
     try:
-        n_prompt, n_output = (int(count) for count in token_counts.split(","))
+        n_prompt, n_output = (_n_tokens(count) for count in token_counts.split(","))
         found = tuple(_part(text) for text in parts.split(",") if text.strip())
     except ValueError as error:
         return Error(MalformedPrompt(str(error)))
@@ -53,7 +58,14 @@
 
 def _part(text: str) -> PromptPart:
     part_id, _, n_tokens = text.strip().partition(":")
-    return PromptPart(part_id, int(n_tokens))
+    return PromptPart(part_id, _n_tokens(n_tokens))
+
+
+def _n_tokens(text: str) -> int:
+    n_tokens = parse_count(text)
+    if n_tokens is None or n_tokens > MAX_TOKENS:
+        raise ValueError("a number of tokens is not a count within the limit")
+    return n_tokens
 
 
 def cache_salt(cache_scope: str, model: str, weights_version: int | None) -> str:
