Treat deep nesting as a typed failure in the remaining decoders

RecursionError left the decoders of settings, profiles, orders, engine responses and frames between instances, and ended the handler or the actor. Not changed: decoders of values that the project writes itself and seals with a key (continuation.py, issued_keys.py), and of its own records in its store.

--- a/buckthornrock/conf/loading.py
+++ b/buckthornrock/conf/loading.py
@@ -27,7 +27,7 @@
     """Return the settings in ``text``, or all its problems."""
     try:
         document = msgspec.json.decode(text)
-    except msgspec.DecodeError as error:
+    except (ValueError, RecursionError) as error:
         return Error([Problem(BAD_JSON, "$", str(error), "write valid JSON")])
     problems: list[Problem] = []
     settings = decode(document, Settings, "$", problems)
--- a/buckthornrock/operator/orders.py
+++ b/buckthornrock/operator/orders.py
@@ -19,6 +19,7 @@
 )
 from ..fleet.placement_store import PlacementConflict, PlacementRecord, PlacementStore
 from ..httpd import Exchange
+from ..runtime.decoding import decode_json
 from .app import OperatorRoute
 
 #: Maximum attempts to add an order to the placement when other changes come first.
@@ -155,10 +156,9 @@
 
 def _decode(exchange: Exchange, target: type) -> Result[Any, BadRequest]:
     raw = exchange.read_body().default_value(b"")
-    try:
-        return Ok(msgspec.json.decode(raw, type=target))
-    except msgspec.MsgspecError as error:
-        return Error(BadRequest("$", str(error)))
+    return decode_json(raw, target).map_error(
+        lambda error: BadRequest("$", error.reason)
+    )
 
 
 def _respond(exchange: Exchange, result: Result[PlacementRecord, Failure]) -> None:
--- a/buckthornrock/operator/profiles.py
+++ b/buckthornrock/operator/profiles.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
 from ..entry.auth import BEARER
 from ..entry.completions import new_request_id
@@ -13,6 +13,7 @@
 from ..errors import Failure
 from ..httpd import Exchange
 from ..profiles import ProfilePort, ProfileRecord
+from ..runtime.decoding import decode_json
 from .app import OperatorRoute
 
 LIST_PATH = "/v1/profiles"
@@ -92,10 +93,9 @@
     raw = exchange.read_body()
     if raw.is_error():
         return raw
-    try:
-        return Ok(msgspec.json.decode(raw.ok, type=target))
-    except msgspec.MsgspecError as error:
-        return Error(BadRequest("$", str(error)))
+    return decode_json(raw.ok, target).map_error(
+        lambda error: BadRequest("$", error.reason)
+    )
 
 
 def _respond(exchange: Exchange, result: Result[Any, Failure]) -> None:
--- a/buckthornrock/profiles/encoding.py
+++ b/buckthornrock/profiles/encoding.py
@@ -5,6 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..runtime.decoding import UNDECODABLE
 from ..wire.profile_messages import ProfileOrders, WireOrder, WireProfile
 from .document import Profile
 from .errors import UnreadableProfile
@@ -31,7 +32,7 @@
     try:
         body = zlib.decompressobj().decompress(message.body, MAX_BODY_BYTES)
         profile = msgspec.json.decode(body, type=Profile)
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, *UNDECODABLE) as error:
         return Error(UnreadableProfile(message.name, str(error)))
     return Ok(
         ProfileRecord(
--- a/buckthornrock/profiles/stored.py
+++ b/buckthornrock/profiles/stored.py
@@ -3,6 +3,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..runtime.decoding import UNDECODABLE
 from ..store import KvEntry
 from .document import Profile
 from .errors import UnreadableProfile
@@ -50,7 +51,7 @@
     try:
         stored = msgspec.json.decode(entry.value, type=StoredProfile)
         profile = msgspec.json.decode(stored.profile, type=Profile)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         return Error(UnreadableProfile(name, str(error)))
     return Ok(
         ProfileRecord(
--- a/buckthornrock/store/instance_list.py
+++ b/buckthornrock/store/instance_list.py
@@ -5,9 +5,10 @@
 
 import msgspec
 import urllib3
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from ..conf.settings import InstanceListSettings
+from ..runtime.decoding import decode_json
 from .errors import ListUnavailable
 
 TIMEOUT_MS = 1_000
@@ -54,9 +55,8 @@
             return Error(ListUnavailable(type(error).__name__))
         if response.status != 200:
             return Error(ListUnavailable(f"status {response.status}"))
-        try:
-            return Ok(msgspec.json.decode(response.data, type=InstanceList))
-        except msgspec.MsgspecError:
-            return Error(ListUnavailable("malformed answer"))
+        return decode_json(response.data, InstanceList).map_error(
+            lambda _: ListUnavailable("malformed answer")
+        )
 
     return read
--- a/buckthornrock/store/kv_http.py
+++ b/buckthornrock/store/kv_http.py
@@ -12,6 +12,7 @@
 from ..conf.settings import KvSettings
 from ..events import platform as events
 from ..runtime import Clock
+from ..runtime.decoding import UNDECODABLE, decode_json
 from ..telemetry import Telemetry
 from ..telemetry.metrics import KV_CALLS, KV_FAILURES, KV_WAITS_MS
 from .breaker import Breaker
@@ -173,10 +174,9 @@
             return Error(CallFailed(LEASE_GONE, was_sent=True, is_refused=True))
         if response.status != 200:
             return Error(CallFailed(f"status {response.status}", was_sent=True))
-        try:
-            return Ok(msgspec.json.decode(response.data))
-        except msgspec.DecodeError:
-            return Error(CallFailed("malformed answer", was_sent=True))
+        return decode_json(response.data, dict).map_error(
+            lambda _: CallFailed("malformed answer", was_sent=True)
+        )
 
     def _report(self, answer: Result[dict, CallFailed]) -> None:
         with self._lock:
@@ -195,10 +195,8 @@
 def _is_lease_gone(path: str, response: urllib3.BaseHTTPResponse) -> bool:
     if response.status != NOT_FOUND or path not in _PATHS_WITH_LEASES:
         return False
-    try:
-        return msgspec.json.decode(response.data, type=_Refusal).code == NOT_FOUND_CODE
-    except msgspec.MsgspecError:
-        return False
+    refusal = decode_json(response.data, _Refusal)
+    return refusal.is_ok() and refusal.ok.code == NOT_FOUND_CODE
 
 
 def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[dict]:
@@ -206,6 +204,6 @@
     try:
         for part in response.stream(65_536):
             *lines, buffer = (buffer + part).split(b"\n")
-            yield from (msgspec.json.decode(line) for line in lines if line)
-    except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            yield from (msgspec.json.decode(line, type=dict) for line in lines if line)
+    except (urllib3.exceptions.HTTPError, *UNDECODABLE):
         return
--- a/buckthornrock/upstreams/engine_control_client.py
+++ b/buckthornrock/upstreams/engine_control_client.py
@@ -9,9 +9,10 @@
 
 import msgspec
 import urllib3
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from ..runtime.bounded_http import ResponseLimit, bounded_pool_manager
+from ..runtime.decoding import decode_json
 from .engine_messages import (
     CacheEvents,
     CacheTransfer,
@@ -86,7 +87,6 @@
         if response.status != 200:
             reason = f"status {response.status}"
             return Error(AttemptFailed(address, reason, "unknown"))
-        try:
-            return Ok(msgspec.json.decode(response.data, type=response_type))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Error(AttemptFailed(address, type(error).__name__, "unknown"))
+        return decode_json(response.data, response_type).map_error(
+            lambda error: AttemptFailed(address, error.reason, "unknown")
+        )
--- a/buckthornrock/upstreams/engine_stream.py
+++ b/buckthornrock/upstreams/engine_stream.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 
+from ..runtime.decoding import UNDECODABLE
 from .chunked import ChunkedBody, FramingError
 from .engine_messages import EngineChunk
 
@@ -122,7 +123,7 @@
             raise BrokenStreamError(
                 type(error).__name__, is_connection_lost=True
             ) from error
-        except (FramingError, msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (FramingError, *UNDECODABLE) as error:
             raise BrokenStreamError(type(error).__name__) from error
 
     def finish(self) -> None:
--- a/buckthornrock/upstreams/order_client.py
+++ b/buckthornrock/upstreams/order_client.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from ..runtime.bounded_http import ResponseLimit, bounded_pool_manager
+from ..runtime.decoding import decode_json
 from .errors import AttemptFailed
 from .order_messages import EngineOrder, EngineOrderState, OrderRefusal
 
@@ -82,7 +83,6 @@
 def _decode(
     upstream_id: str, raw: bytes, target: type
 ) -> Result[object, AttemptFailed]:
-    try:
-        return Ok(msgspec.json.decode(raw, type=target))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(AttemptFailed(upstream_id, type(error).__name__, "unknown"))
+    return decode_json(raw, target).map_error(
+        lambda error: AttemptFailed(upstream_id, error.reason, "unknown")
+    )
--- a/buckthornrock/wire/codec.py
+++ b/buckthornrock/wire/codec.py
@@ -12,6 +12,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..runtime.decoding import UNDECODABLE
 from . import (
     idempotency_messages,
     membership_messages,
@@ -133,7 +134,7 @@
             return Error(BadFrame("bad_mac"))
         try:
             envelope = self._envelope_decoder.decode(raw)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Error(BadFrame("malformed"))
         if envelope.oldest_reader > self._version:
             return Error(BadFrame("too_new"))
@@ -143,7 +144,7 @@
         """Return the message of an envelope; an unknown type is a bad frame."""
         try:
             return Ok(self._message_decoder.decode(envelope.body))
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Error(BadFrame("unknown_message"))
 
     def _mac(self, direction: Direction, raw: bytes) -> bytes:
