Don't take an upstream that stops right after the head for one that is done

A response with neither a length nor chunks ends with its connection. One whose connection ended right after the head became a 200 with an empty body, framed as whole, on plain and streaming routes, and was not retried where it may be. It now counts as interrupted, as nothing tells it from an upstream that stopped; 204, 304 and answers to HEAD have no body and stay complete.

--- a/buckthornrock/gateway/upstream_connection.py
+++ b/buckthornrock/gateway/upstream_connection.py
@@ -55,6 +55,7 @@
         self._readable: asyncio.Future[None] | None = None
         self._failure_reason = ""
         self._n_received = 0
+        self._may_be_empty = True
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Mark the connection as open."""
@@ -127,6 +128,7 @@
             fields = self._codec.decode_response(event.status_code, headers)
             if fields.request_id == request_id:
                 self._parse_keep_alive(headers)
+                self._may_be_empty = self._may_lack_body(event)
                 return ResponseHead(event.status_code, headers, fields)
             await self._skip_response()
 
@@ -153,9 +155,12 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 if event.data:
+                    self._may_be_empty = True
                     return bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage):
+                if not self._may_be_empty:
+                    raise ConnectionBrokenError("closed right after the head")
                 return b""
             raise ConnectionBrokenError("response truncated")
 
@@ -208,6 +213,17 @@
         if trailing:
             self._h11.receive_data(trailing)
 
+    def _may_lack_body(self, response: h11.Response) -> bool:
+        """Return whether the response is complete without any bytes of a body.
+
+        One that only the end of its connection delimits is not: an upstream that
+        stopped right after the head looks the same.
+        """
+        if self._request.method == b"HEAD" or response.status_code in (204, 304):
+            return True
+        names = {name for name, _ in response.headers}
+        return bool(names & {b"content-length", b"transfer-encoding"})
+
     def _parse_keep_alive(self, headers: Headers) -> None:
         for name, value in headers:
             if name == b"keep-alive" and b"timeout=" in value:
