Read heads strictly at the project's own door

The engine client took the end of the connection for the end of the head: a refusal (503) was believed although its head was cut, and a 200 became a stream without end mark, which the relay then found broken. The service client returned an empty body as whole if the connection ended right after a head without a length or chunks.

--- a/buckthornrock/upstreams/pooled_connection.py
+++ b/buckthornrock/upstreams/pooled_connection.py
@@ -9,7 +9,7 @@
 
 from urllib3.response import HTTPResponse
 
-from ..runtime.bounded_http import BoundedHeadConnection
+from .strict_connection import StrictConnection
 
 _CLOSED = (http.client.RemoteDisconnected, ConnectionResetError, BrokenPipeError)
 
@@ -18,7 +18,7 @@
     """A reused connection was closed before the response to its next request."""
 
 
-class PooledConnection(BoundedHeadConnection):
+class PooledConnection(StrictConnection):
     """A connection that counts its requests."""
 
     def __init__(self, *args: object, **kwargs: object) -> None:
--- a/buckthornrock/upstreams/service_client.py
+++ b/buckthornrock/upstreams/service_client.py
@@ -29,6 +29,9 @@
 #: Failure reason if the request id in a response is that of another request.
 RESPONSE_ID_MISMATCH = "CrossedAnswer"
 
+#: Failure reason if a connection closed right after a head without framing.
+NO_BODY = "ClosedAfterHead"
+
 HeaderItems = tuple[tuple[str, str], ...]
 
 
@@ -218,6 +221,10 @@
 
         rest = ResponseRest(read, close)
         first = self._first_part(read)
+        if not first and _is_unframed(response):
+            # A server that stopped right after the head looks the same.
+            connection.close()
+            return Error(AttemptFailed(call.upstream_id, NO_BODY, "unknown"))
         headers = tuple(response.headers.iteritems())
         if len(first) >= self._settings.answer_buffer_bytes:
             return Ok(ServiceResponse(response.status, headers, first, rest))
@@ -253,3 +260,8 @@
         if remaining_ms <= 0:
             raise TimeoutError
         return min(self._settings.read_timeout_ms, remaining_ms) / 1000.0
+
+
+def _is_unframed(response: HTTPResponse) -> bool:
+    """Return whether only the end of the connection delimits the body."""
+    return response.length_remaining is None and not response.chunked
--- a/buckthornrock/upstreams/strict_connection.py
+++ b/buckthornrock/upstreams/strict_connection.py
@@ -19,10 +19,15 @@
 
     def __init__(self, file: BinaryIO) -> None:
         self._file = file
+        self._has_begun = False
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line."""
         line = self._file.readline(limit)
+        if not line and not self._has_begun:
+            # The library has its own error for a connection that closed silently.
+            return line
+        self._has_begun = True
         if not line.endswith(b"\n"):
             raise HeadTruncatedError
         return line
