End each request of a stopping instance with a whole response

A request that came late in the grace, on a connection that was busy or just receiving it, was sent to an upstream; at the end of the grace the process ended, and the connection with it, without a word. A request that was open all the time ended the same way, also one that may not be repeated.

gateway/stopping.py knows the times of a shutdown. Requests of its first 3 s are served as before, with a deadline, for the upstream too, that isn't later than the last responses. Later ones are sent on only if they end by then by their own deadline or route, else refused at once: 503, Retry-After of 50 ms, Connection: close; likewise retries, and at that time what still waits in the queue. What an upstream has 600 ms before the limit gets 504, a begun stream is reset, and a request that is still being received gets 503. Attempts that the shutdown will end aren't abandoned for another one.

Idle connections are closed when no new ones are accepted any more, as before: sooner, their clients would come back to this instance. A request behind a response with Connection: close was never sent on; its test passed at once.

Decided against: refusing long streams in the first 3 s, when load balancers still send clients here.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -18,6 +18,7 @@
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
 from ..gateway.state_sync import StateSync
+from ..gateway.stopping import Stopping
 from ..platform.configuration import decode_configuration
 from ..platform.engine_control import open_engine_control
 from ..platform.headers import open_header_codec
@@ -120,6 +121,7 @@
         fleet_state=fleet_state,
         now_ms=now_ms,
         telemetry=telemetry,
+        stopping=Stopping(),
     )
     state_sync = StateSync(
         _peer_address(settings), fleet_state, decode_configuration, telemetry, now_ms
--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -117,6 +117,11 @@
         if not self.is_busy and self._head is None and not self._has_partial_head:
             self._transport.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that was not received completely."""
+        if not self.is_busy and not self._is_rejected:
+            self._reject(503, "the instance is stopping")
+
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
         head = [*headers, (b"content-length", str(len(body)).encode())]
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -155,6 +155,20 @@
         self._is_wake_scheduled = True
         asyncio.get_running_loop().call_soon(self._wake)
 
+    def end_by(self, at_ms: float) -> None:
+        """Let no queued request wait for longer than until ``at_ms``."""
+        for queue in self._queues.values():
+            queue.end_by(at_ms)
+
+    def refuse_ending_at(self, at_ms: float, refusal: Refusal) -> None:
+        """Refuse the queued requests whose deadline is ``at_ms`` or later."""
+        for queue in self._queues.values():
+            for queued in queue.ending_at(at_ms):
+                future = self._futures.get(queued.number)
+                if future is not None and not future.done():
+                    queue.remove(queued.number)
+                    future.set_result(refusal)
+
     async def tick(self) -> None:
         """Periodically place queued requests and refuse those that will be late."""
         while True:
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -36,6 +36,7 @@
 from .pool import ConnectionPool
 from .ports import HeaderCodec, UpstreamRequestFields
 from .requests import AdmittedRequest, Refusal
+from .stopping import NOT_FINISHED, NOT_SENT, Stopping
 from .stream_relay import StreamRelay
 from .upstream_connection import ResponseHead, UpstreamConnection
 
@@ -84,6 +85,7 @@
     fleet_state: FleetState
     now_ms: Callable[[], float]
     telemetry: Telemetry
+    stopping: Stopping
 
 
 class Exchange:
@@ -105,6 +107,7 @@
         )
         self._n_may_have_run = 0
         self._n_unexecuted = 0
+        self._has_sent = False
         self._upstream_id = ""
         self._waited_ms = 0.0
         self._head_at_ms = 0.0
@@ -116,21 +119,33 @@
         """Respond to the client within the deadline of the request."""
         service = self._admitted.demand.service.name
         self._context.budget.on_request(service, self._now_ms())
-        limit_ms = self._admitted.ends_at_ms - self._now_ms()
+        limit_s = max(0.0, self._remaining_ms()) / 1000.0
         try:
-            async with asyncio.timeout(max(0.0, limit_ms) / 1000.0):
-                await self._attempt_until_done()
+            async with asyncio.timeout(limit_s) as limit:
+                with self._context.stopping.limiting(limit):
+                    await self._attempt_until_done()
         except TimeoutError:
-            self._fail("deadline", "no response before the deadline")
+            self._on_timeout()
         except asyncio.CancelledError:
             log_client_left(self._context.telemetry, self._admitted, self._progress())
             raise
 
+    def _on_timeout(self) -> None:
+        stopping = self._context.stopping
+        if not stopping.ends_early(self._admitted.ends_at_ms):
+            self._fail("deadline", "no response before the deadline")
+            return
+        may_have_run = self._has_sent or self._n_may_have_run
+        self._refuse(NOT_FINISHED if may_have_run else NOT_SENT)
+
     async def _attempt_until_done(self) -> None:
+        stopping, ends_at_ms = self._context.stopping, self._admitted.ends_at_ms
         while True:
-            reserved = await self._context.dispatcher.reserve(
-                self._admitted, self._excluded
-            )
+            if stopping.must_refuse(ends_at_ms, self._now_ms()):
+                self._on_no_reservation(NOT_SENT)
+                return
+            limited = self._admitted._replace(ends_at_ms=stopping.capped(ends_at_ms))
+            reserved = await self._context.dispatcher.reserve(limited, self._excluded)
             if reserved.is_error():
                 self._on_no_reservation(reserved.error)
                 return
@@ -187,6 +202,7 @@
             self._upstream_request_fields(reservation),
             len(request.body),
         )
+        self._has_sent = True
         try:
             connection.send(request.method, request.target, headers, request.body)
             async with asyncio.timeout(self._attempt_limit_s()) as limit:
@@ -334,6 +350,7 @@
         upstream = reservation.placement.upstream
         now_ms = self._now_ms()
         self._excluded |= {upstream.upstream_id}
+        self._has_sent = False
         if isinstance(failure, NotReached):
             self._n_unexecuted += 1
             self._upstream_load(reservation).on_connect_failure(now_ms)
@@ -359,8 +376,7 @@
 
     def _may_abandon_stream(self) -> bool:
         """Return whether a stalled stream could be resumed at another upstream."""
-        route = self._admitted.route
-        if not route.is_repeatable or self._n_may_have_run + 1 >= route.n_attempts:
+        if not self._has_another_attempt():
             return False
         tried = self._excluded | {self._upstream_id}
         if not self._context.dispatcher.has_usable(self._admitted.demand, tried):
@@ -431,16 +447,24 @@
     def _attempt_limit_s(self) -> float:
         """Return the time limit of an attempt, for a stream of its response head."""
         remaining_ms = self._remaining_ms()
-        has_more = self._n_may_have_run + 1 < self._admitted.route.n_attempts
-        if self._admitted.route.is_repeatable and has_more:
+        if self._has_another_attempt():
             max_wait_ms = (
                 self._admitted.route.objective_ms * FIRST_ATTEMPT_MAX_OBJECTIVES
             )
             remaining_ms = min(remaining_ms * FIRST_ATTEMPT_SHARE, max_wait_ms)
         return max(0.0, remaining_ms) / 1000.0
 
+    def _has_another_attempt(self) -> bool:
+        """Return whether the request may be repeated after the current attempt."""
+        route = self._admitted.route
+        if self._context.stopping.ends_early(self._admitted.ends_at_ms):
+            # Another attempt would begin too late to be finished.
+            return False
+        return route.is_repeatable and self._n_may_have_run + 1 < route.n_attempts
+
     def _remaining_ms(self) -> float:
-        return self._admitted.ends_at_ms - self._now_ms()
+        ends_at_ms = self._context.stopping.capped(self._admitted.ends_at_ms)
+        return ends_at_ms - self._now_ms()
 
     def _now_ms(self) -> float:
         return self._context.now_ms()
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -23,6 +23,7 @@
 from .requests import ClientRequest, Refusal
 from .resources import ResourceInputs, ResourceMonitor
 from .state_sync import StateSync
+from .stopping import NOT_SENT
 from .store_watch import StoreWatch
 
 LISTEN_BACKLOG = 1_024
@@ -33,8 +34,9 @@
 #: How long new connections are accepted after the instance reports not ready, so that
 #: load balancers have noticed it and send no more of them.
 ACCEPT_AFTER_NOT_READY_MS = 2_700.0
-#: Requests that are still open are cut this long before the shutdown limit.
-CUT_MARGIN_MS = 600.0
+#: Connections that are still open are closed this long before the shutdown limit, once
+#: the open requests have their last response.
+CLOSE_MARGIN_MS = 450.0
 #: Poll period for open connections while draining.
 DRAIN_POLL_MS = 50.0
 #: Time to flush the last sent bytes before the process ends.
@@ -267,6 +269,9 @@
     async def _drain(self, client_listener: asyncio.Server) -> None:
         """Finish open requests; accept new ones until load balancers have noticed."""
         started_at_ms = self._now_ms()
+        stopping = self._exchange_context.stopping
+        stopping.begin(started_at_ms, self._settings.shutdown_limit_ms)
+        self._dispatcher.end_by(stopping.cut_at_ms)
         self._is_draining = True
         self._peers.is_stopping = True
         self._telemetry.log(
@@ -277,12 +282,16 @@
         await asyncio.sleep(ACCEPT_AFTER_NOT_READY_MS / 1000.0)
         # Connections accepted after this point could not be finished in time.
         client_listener.close()
-        cut_at_ms = started_at_ms + self._settings.shutdown_limit_ms - CUT_MARGIN_MS
-        while self._now_ms() < cut_at_ms:
+        close_at_ms = started_at_ms + self._settings.shutdown_limit_ms - CLOSE_MARGIN_MS
+        while self._now_ms() < close_at_ms:
             self._close_idle_connections()
             if not self._connections:
                 break
+            if self._now_ms() >= stopping.refuses_from_ms:
+                self._dispatcher.refuse_ending_at(stopping.cut_at_ms, NOT_SENT)
             await asyncio.sleep(DRAIN_POLL_MS / 1000.0)
+        for connection in list(self._connections):
+            connection.refuse_incomplete()
         self._telemetry.log(
             events.STOPPED,
             instance_id=self._settings.instance_id,
--- a/buckthornrock/scheduling/wait_queue.py
+++ b/buckthornrock/scheduling/wait_queue.py
@@ -79,6 +79,15 @@
         """Remove a request that was rejected or whose client disconnected."""
         self._queued.pop(number, None)
 
+    def end_by(self, at_ms: float) -> None:
+        """Move the deadlines that are later than ``at_ms`` to it."""
+        for request in self.ending_at(at_ms):
+            self._queued[request.number] = request._replace(deadline_at_ms=at_ms)
+
+    def ending_at(self, at_ms: float) -> list[QueuedRequest]:
+        """Return the requests whose deadline is ``at_ms`` or later."""
+        return [r for r in self._queued.values() if r.deadline_at_ms >= at_ms]
+
     def on_arrived(self, demand: Demand, now_ms: float) -> None:
         """Count an arriving request, whether it will be queued or not."""
         self._arrived[demand.urgency].add(_n_units(demand), now_ms)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -24,6 +24,7 @@
 from buckthornrock.gateway.peers import PeerExchange, PeerSettings
 from buckthornrock.gateway.pool import ConnectionPool
 from buckthornrock.gateway.state_sync import StateSync
+from buckthornrock.gateway.stopping import Stopping
 from buckthornrock.platform.configuration import decode_configuration
 from buckthornrock.platform.headers import open_header_codec
 from buckthornrock.scheduling.retry_budget import RetryBudget
@@ -166,7 +167,10 @@
 
 
 async def start_gateway(
-    *upstreams: ScriptedUpstream, budget: float = 50.0, **changes
+    *upstreams: ScriptedUpstream,
+    budget: float = 50.0,
+    shutdown_limit_ms: float = 8_000.0,
+    **changes,
 ) -> GatewayHarness:
     logged: list[tuple[str, dict]] = []
 
@@ -199,9 +203,12 @@
         fleet_state=fleet_state,
         now_ms=now_ms,
         telemetry=telemetry,
+        stopping=Stopping(),
     )
     state_sync = StateSync(peer, fleet_state, decode_configuration, telemetry, now_ms)
-    settings = GatewaySettings("i1", "a", client_address, ready_address, peer, 8_000.0)
+    settings = GatewaySettings(
+        "i1", "a", client_address, ready_address, peer, shutdown_limit_ms
+    )
     gateway = Gateway(
         settings, fleet_state, context, pool, peers, state_sync, now_ms, telemetry
     )
