--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -18,6 +18,7 @@
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
 from ..gateway.state_sync import StateSync
+from ..gateway.stopping import Stopping
 from ..platform.configuration import decode_configuration
 from ..platform.engine_control import open_engine_control
 from ..platform.headers import open_header_codec
@@ -108,6 +109,7 @@
         WatchControl(
             is_watch_wanted, lambda: fleet_state.revision, peers.n_store_watchers
         ),
+        telemetry,
     )
     dispatcher = Dispatcher(
         fleet_state.directory, fleet_state.loads, fleet_state.view, now_ms
@@ -123,6 +125,7 @@
         fleet_state=fleet_state,
         now_ms=now_ms,
         telemetry=telemetry,
+        stopping=Stopping(),
     )
     state_sync = StateSync(
         _peer_address(settings), fleet_state, decode_configuration, telemetry, now_ms
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -13,9 +13,11 @@
 
 import msgspec
 import pynng
+from expression import Error, Result
 
 from ..catalog.upstreams import Upstream
 from ..events import gateway as events
+from ..runtime.decoding import ExactInt, Malformed, decode_msgpack, malformed
 from ..telemetry import Telemetry
 from .fleet_state import FleetState
 from .ports import ConfigurationDecoder
@@ -53,9 +55,9 @@
     configuration: bytes
     revision: int
     upstreams: list[Upstream] | None
-    weights: dict[str, tuple[int, int]] = {}
-    store_age_ms: int = -1
-    older_weights: dict[str, list[tuple[int, int]]] = {}
+    weights: dict[str, tuple[int, ExactInt]] = {}
+    store_age_ms: ExactInt = -1
+    older_weights: dict[str, list[tuple[int, ExactInt]]] = {}
 
 
 class PeerVersions(NamedTuple):
@@ -124,11 +126,10 @@
             self._request_task = asyncio.create_task(self._request_snapshot(peer))
 
     def _respond(self, data: bytes) -> bytes:
-        try:
-            request = msgspec.msgpack.decode(data, type=SnapshotRequest)
-        except msgspec.MsgspecError as error:
-            self._fleet_state.log_undecodable("copy request", str(error))
-            request = SnapshotRequest(0, 0)
+        decoded = decode_msgpack(data, SnapshotRequest)
+        if decoded.is_error():
+            self._fleet_state.log_undecodable("copy request", decoded.error.reason)
+        request = decoded.ok if decoded.is_ok() else SnapshotRequest(0, 0)
         snapshot = encode_snapshot(self._fleet_state, request)
         if len(snapshot) <= MAX_SNAPSHOT_BYTES:
             return snapshot
@@ -164,19 +165,13 @@
         return SnapshotRequest(fleet_state.configuration_version, fleet_state.revision)
 
     def apply(self, data: bytes, source: str) -> None:
-        """Apply an encoded snapshot of a peer.
-
-        Raises
-        ------
-        msgspec.MsgspecError, zlib.error
-            If it can't be decoded.
-        """
+        """Apply an encoded snapshot of a peer, unless it can't be decoded."""
         fleet_state = self._fleet_state
-        snapshot = _decode_snapshot(data)
-        if snapshot is None:
-            reason = f"a snapshot exceeds {MAX_DECOMPRESSED_BYTES} bytes"
-            fleet_state.log_undecodable("copy", reason)
+        decoded = _decode_snapshot(data)
+        if decoded.is_error():
+            fleet_state.log_undecodable("copy", decoded.error.reason)
             return
+        snapshot = decoded.ok
         if snapshot.configuration:
             configuration = self._decode(snapshot.configuration)
             if configuration.is_error():
@@ -188,9 +183,8 @@
         fleet_state.on_peer_weights(snapshot.weights, snapshot.older_weights, source)
         if snapshot.upstreams is None or not fleet_state.needs_peers:
             return
-        fleet_state.take_upstreams(
-            snapshot.upstreams, snapshot.revision, snapshot.store_age_ms
-        )
+        upstreams = [u for u in snapshot.upstreams if fleet_state.is_usable(u)]
+        fleet_state.take_upstreams(upstreams, snapshot.revision, snapshot.store_age_ms)
 
     async def _request_snapshot(self, peer: PeerVersions) -> None:
         if head_start_ms := self.head_start_ms():
@@ -200,7 +194,7 @@
         request = self.begin_request()
         try:
             self.apply(await _send_request(peer.address, request), peer.address)
-        except (pynng.NNGException, msgspec.MsgspecError, zlib.error) as error:
+        except pynng.NNGException as error:
             self._telemetry.log(
                 events.PEER_SILENT, peer=peer.address, reason=type(error).__name__
             )
@@ -235,13 +229,15 @@
     return encode_snapshot(fleet_state, SnapshotRequest(version, revision))
 
 
-def _decode_snapshot(data: bytes) -> StateSnapshot | None:
-    """Return the decoded snapshot, or None if it is too large."""
+def _decode_snapshot(data: bytes) -> Result[StateSnapshot, Malformed]:
     decompressor = zlib.decompressobj()
-    decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    try:
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        return Error(malformed(error))
     if decompressor.unconsumed_tail:
-        return None
-    return msgspec.msgpack.decode(decompressed, type=StateSnapshot)
+        return Error(Malformed(f"a snapshot exceeds {MAX_DECOMPRESSED_BYTES} bytes"))
+    return decode_msgpack(decompressed, StateSnapshot)
 
 
 async def _send_request(address: str, request: SnapshotRequest) -> bytes:
--- a/buckthornrock/gateway/upstream_connection.py
+++ b/buckthornrock/gateway/upstream_connection.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from ..runtime.decoding import parse_count
 from .errors import ConnectionBrokenError
 from .ports import HeaderCodec, Headers, ResponseFields
 
@@ -60,6 +61,7 @@
         self._readable: asyncio.Future[None] | None = None
         self._failure_reason = ""
         self._n_received = 0
+        self._may_be_empty = True
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Mark the connection as open."""
@@ -133,6 +135,7 @@
             fields = self._codec.decode_response(event.status_code, headers)
             if fields.request_id == request_id:
                 self._parse_keep_alive(headers)
+                self._may_be_empty = self._may_lack_body(event)
                 return ResponseHead(event.status_code, headers, fields)
             await self._skip_response()
 
@@ -159,9 +162,12 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 if event.data:
+                    self._may_be_empty = True
                     return bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage):
+                if not self._may_be_empty:
+                    raise ConnectionBrokenError("closed right after the head")
                 return b""
             raise ConnectionBrokenError("response truncated")
 
@@ -214,12 +220,24 @@
         if trailing:
             self._h11.receive_data(trailing)
 
+    def _may_lack_body(self, response: h11.Response) -> bool:
+        """Return whether the response is complete without any bytes of a body.
+
+        One that only the end of its connection delimits is not: an upstream that
+        stopped right after the head looks the same.
+        """
+        if self._request.method == b"HEAD" or response.status_code in (204, 304):
+            return True
+        names = {name for name, _ in response.headers}
+        return bool(names & {b"content-length", b"transfer-encoding"})
+
     def _parse_keep_alive(self, headers: Headers) -> None:
         for name, value in headers:
             if name == b"keep-alive" and b"timeout=" in value:
-                seconds = value.split(b"timeout=")[1].split(b",")[0].strip()
-                if seconds.isdigit():
-                    self.idle_limit_ms = int(seconds) * 1000.0
+                text = value.split(b"timeout=")[1].split(b",")[0]
+                seconds = parse_count(text.decode("latin-1"))
+                if seconds is not None:
+                    self.idle_limit_ms = seconds * 1000.0
 
     def _wake_reader(self) -> None:
         if self._readable is not None and not self._readable.done():
--- a/buckthornrock/rollout/wanted_record.py
+++ b/buckthornrock/rollout/wanted_record.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
-from .errors import RecordUnreadable
+from ..runtime.decoding import Count, ExactInt, Malformed, decode_json
 
 #: Followed by the name of the model.
 RECORD_PREFIX = "rollout/wanted/"
@@ -19,8 +19,8 @@
 class WantedSince(msgspec.Struct, array_like=True, frozen=True):
     """A wanted version, and since when in Unix milliseconds."""
 
-    version: int
-    since_unix_ms: int
+    version: Count
+    since_unix_ms: ExactInt
 
 
 def encode_record(ages_ms: Iterable[tuple[int, int]], wall_ms: int) -> bytes:
@@ -32,10 +32,8 @@
 
 def decode_record(
     value: bytes, wall_ms: int
-) -> Result[list[tuple[int, int]], RecordUnreadable]:
+) -> Result[list[tuple[int, int]], Malformed]:
     """Return the recorded versions and for how many milliseconds each was wanted."""
-    try:
-        wanted = msgspec.json.decode(value, type=list[WantedSince])
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Error(RecordUnreadable(str(error)))
-    return Ok([(w.version, max(0, wall_ms - w.since_unix_ms)) for w in wanted])
+    return decode_json(value, list[WantedSince]).map(
+        lambda wanted: [(w.version, max(0, wall_ms - w.since_unix_ms)) for w in wanted]
+    )
--- a/tests/rollout/test_wanted_record.py
+++ b/tests/rollout/test_wanted_record.py
@@ -57,7 +57,9 @@
     assert decoded.is_error() or isinstance(decoded.ok, list)
 
 
-@pytest.mark.parametrize("value", [b"[" * 100_000, b'[["2", 3]]', b"{}", b"\xff"])
+@pytest.mark.parametrize(
+    "value", [b"[" * 100_000, b"[[2, %d]]" % 10**400, b'[["2", 3]]', b"{}", b"\xff"]
+)
 def test_odd_record_is_a_failure(value):
     assert decode_record(value, WALL_MS).is_error()
 
