Keep requests that wait for a quiet service in its queue

Callers saw, in a load replayed without sockets (12 upstreams, 55% busy, all of them quiet for a second, 6 s of time each): 9% of the requests were refused though all could be served after the quiet time. The cause: the queue predicts from the rates of the last two seconds, and in a quiet time nothing is placed, so requests past their objective seemed crowded out. While no upstream of a service takes requests, the rates begin anew and only the known return counts; afterwards they refer to the time since.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -233,6 +233,9 @@
             if not len(queue):
                 continue
             quiet_ms = self.service_quiet_ms(name)
+            if quiet_ms:
+                # Nothing is placed meanwhile, which is no sign of little capacity.
+                queue.restart_rates(now_ms)
             for queued, wait_ms in queue.predict_missed_deadlines(now_ms, quiet_ms):
                 future = self._futures.get(queued.number)
                 if future is not None and not future.done():
--- a/buckthornrock/scheduling/wait_queue.py
+++ b/buckthornrock/scheduling/wait_queue.py
@@ -20,6 +20,8 @@
 #: Window over which rates are measured, and the fewest requests that give a rate.
 RATE_WINDOW_MS = 2_000.0
 MIN_COUNTED = 3
+#: Shortest time that a rate refers to after a restart.
+MIN_RATE_SPAN_MS = 200.0
 
 
 class QueuedRequest(NamedTuple):
@@ -40,6 +42,7 @@
     def __init__(self) -> None:
         self._counted: deque[tuple[float, int]] = deque()
         self._n_units = 0
+        self._restarted_at_ms = -math.inf
 
     def add(self, n_units: int, now_ms: float) -> None:
         """Count a request of ``n_units``."""
@@ -52,7 +55,14 @@
         self._forget(now_ms)
         if len(self._counted) < MIN_COUNTED:
             return None
-        return self._n_units / RATE_WINDOW_MS
+        span_ms = max(MIN_RATE_SPAN_MS, now_ms - self._restarted_at_ms)
+        return self._n_units / min(RATE_WINDOW_MS, span_ms)
+
+    def restart(self, now_ms: float) -> None:
+        """Count from now on only."""
+        self._counted.clear()
+        self._n_units = 0
+        self._restarted_at_ms = now_ms
 
     def _forget(self, now_ms: float) -> None:
         while self._counted and self._counted[0][0] < now_ms - RATE_WINDOW_MS:
@@ -87,6 +97,11 @@
         """Count a placed request, whether it was queued or not."""
         self._placed[demand.urgency].add(_n_units(demand), now_ms)
 
+    def restart_rates(self, now_ms: float) -> None:
+        """Forget what was counted, as it says nothing of the capacity to come."""
+        for rate in (*self._placed.values(), *self._arrived.values()):
+            rate.restart(now_ms)
+
     def has_ahead_of(self, demand: Demand) -> bool:
         """Return whether a request that is at least as urgent is queued."""
         return any(
