Tell peers of upstreams that leave

An instance that learnt from an answer that an upstream leaves told nobody, so each instance had to send one request more to it. Digests carry such upstreams as a last field, repeated and forwarded like loaded weights; a digest without any is one byte longer, measured in tests/gateway/test_peers.py. The quiet time stays the instance's own.

Tests: simulated fleets of 7, 30 and 88 instances, with datagrams lost, know it within a second; tests/wire/test_older_build.py is unchanged.

--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -115,9 +115,9 @@
     2206,
     "gateway.upstream_leaving",
     "info",
-    ("upstream_id", "service"),
+    ("upstream_id", "source"),
     "An upstream said in an answer that it leaves; it gets no further requests, "
-    "whatever the store says of it.",
+    "whatever the store says of it. source is answer, or the peer that had it.",
 )
 QUIET_ASKED = Event(
     2207,
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -92,7 +92,9 @@
         self._has_upstreams = False
         self._loading: dict[Incarnation, Loading] = {}
         self._incarnation_by_number: dict[int, Incarnation] = {}
-        self.set_observers(lambda *_: None, lambda *_: None, lambda: None)
+        self.set_observers(
+            lambda *_: None, lambda *_: None, lambda *_: None, lambda: None
+        )
 
     @property
     def configuration_version(self) -> int:
@@ -286,6 +288,7 @@
         self,
         on_part_cached: Callable[[Incarnation, PartKey, int, float], None],
         on_loaded: Callable[[Incarnation, str, int], None],
+        on_leaving: Callable[[Incarnation], None],
         on_urgent: Callable[[], None],
     ) -> None:
         """Set the callbacks that publish this instance's own findings to peers.
@@ -294,6 +297,7 @@
         """
         self._notify_part_cached = on_part_cached
         self._notify_loaded = on_loaded
+        self._notify_leaving = on_leaving
         self._publish_now = on_urgent
 
     def publish_now(self) -> None:
@@ -341,12 +345,9 @@
     def on_notice(self, upstream: Upstream, notice: Notice) -> None:
         """Record what an upstream says of itself in an answer to this instance."""
         notices, incarnation = self.directory.notices, upstream.incarnation
-        if notice.is_leaving and notices.on_leaving(incarnation):
-            self._telemetry.log(
-                events.UPSTREAM_LEAVING,
-                upstream_id=upstream.upstream_id,
-                service=upstream.service,
-            )
+        if notice.is_leaving and self._on_leaving(incarnation, "answer"):
+            self._notify_leaving(incarnation)
+            self._publish_now()
         if not notice.asks_for_quiet:
             return
         quiet_ms = granted_quiet_ms(notice)
@@ -359,6 +360,19 @@
                 quiet_ms=quiet_ms,
             )
 
+    def on_peer_leaving(self, incarnation: Incarnation, peer: str) -> None:
+        """Record that an upstream said to a peer that it leaves."""
+        self._on_leaving(incarnation, peer)
+
+    def _on_leaving(self, incarnation: Incarnation, source: str) -> bool:
+        is_new = self.directory.notices.on_leaving(incarnation)
+        if is_new:
+            upstream_id, _ = incarnation
+            self._telemetry.log(
+                events.UPSTREAM_LEAVING, upstream_id=upstream_id, source=source
+            )
+        return is_new
+
     def on_peer_loading(self, incarnation: Incarnation, loading: Loading) -> None:
         """Record a weights load that a peer reports, unless it is done already."""
         upstream = self.directory.get(incarnation[0])
--- a/buckthornrock/gateway/gossip_queue.py
+++ b/buckthornrock/gateway/gossip_queue.py
@@ -28,7 +28,13 @@
     ready_at_ms: float
 
 
-Update = PartUpdate | LoadedWeights
+class LeavingUpdate(NamedTuple):
+    """An upstream, by number, that said that it leaves."""
+
+    upstream: int
+
+
+Update = PartUpdate | LoadedWeights | LeavingUpdate
 
 
 class GossipQueue:
@@ -66,4 +72,6 @@
 def _key(item: Update) -> Hashable:
     if isinstance(item, PartUpdate):
         return item.upstream, item.part
+    if isinstance(item, LeavingUpdate):
+        return item.upstream
     return item.upstream, item.model, item.version
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -29,7 +29,7 @@
 )
 from ..wire.numeric_ids import incarnation_number
 from .fleet_state import FleetState, Loading
-from .gossip_queue import GossipQueue, PartUpdate, Update
+from .gossip_queue import GossipQueue, LeavingUpdate, PartUpdate, Update
 from .peer_view import PeerView
 from .relays import MAX_DIRECT_FLEET, Contact, RelayTopology, digest_period_ms
 from .resources import DigestTraffic
@@ -105,7 +105,10 @@
         self._relay_updates = GossipQueue()
         self._failing_since_ms: dict[str, float] = {}
         fleet_state.set_observers(
-            self._on_part_cached, self._on_loaded, self._send_urgent
+            self._on_part_cached,
+            self._on_loaded,
+            self._on_leaving,
+            self._send_urgent,
         )
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -307,6 +310,10 @@
             if incarnation := fleet_state.incarnation(loaded.upstream):
                 fleet_state.on_peer_loaded(incarnation, loaded.model, loaded.version)
                 self._forward(loaded, digest.scope, now_ms)
+        for number in digest.leaving:
+            if incarnation := fleet_state.incarnation(number):
+                fleet_state.on_peer_leaving(incarnation, digest.instance_id)
+                self._forward(LeavingUpdate(number), digest.scope, now_ms)
         for part in digest.cached_parts:
             if incarnation := fleet_state.incarnation(part.upstream):
                 ready_at_ms = now_ms + part.ready_in_ms
@@ -342,19 +349,21 @@
         digest.base_revision = window.base_revision
         digest.changes = [_encode_change(change) for change in window.changes]
         digest.loading = self._loading(now_ms, is_for_relays=True)
-        digest.loaded, digest.cached_parts = _encode_updates(
-            self._updates.next_batch(), now_ms
-        )
+        updates = self._updates.next_batch()
+        digest.loaded, digest.cached_parts = _encode_updates(updates, now_ms)
+        digest.leaving = _leaving(updates)
         return digest
 
     def _digest_for_followers(self, base: Digest, now_ms: float) -> Digest:
         """Return ``base`` plus the updates and weights loads from other relays."""
-        loaded, parts = _encode_updates(self._relay_updates.next_batch(), now_ms)
+        updates = self._relay_updates.next_batch()
+        loaded, parts = _encode_updates(updates, now_ms)
         return msgspec.structs.replace(
             base,
             loading=self._loading(now_ms, is_for_relays=False),
             loaded=base.loaded + loaded,
             cached_parts=base.cached_parts + parts,
+            leaving=base.leaving + _leaving(updates),
         )
 
     def _empty_digest(self, scope: Scope, n_peers: int, now_ms: float) -> Digest:
@@ -416,6 +425,14 @@
         loaded = LoadedWeights(incarnation_number(*incarnation), model, version)
         self._updates.add(loaded, self._now_ms())
 
+    def _on_leaving(self, incarnation: Incarnation) -> None:
+        update = LeavingUpdate(incarnation_number(*incarnation))
+        self._updates.add(update, self._now_ms())
+
+
+def _leaving(updates: list[Update]) -> list[int]:
+    return [item.upstream for item in updates if isinstance(item, LeavingUpdate)]
+
 
 def _encode_change(change: UpstreamChange) -> EntryChange:
     entry = None if change.upstream is None else UpstreamEntry(*change.upstream)
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -124,7 +124,8 @@
 
     ``changes`` are all changes of upstreams' entries after ``base_revision``, up to
     ``revision``; -1 if the digest lists none. The store confirmed ``store_age_ms`` ago
-    that there are no others; -1 if it never did.
+    that there are no others; -1 if it never did. ``leaving`` names upstreams that said
+    that they leave.
     """
 
     instance_id: str
@@ -148,6 +149,7 @@
     changes: list[EntryChange] = []
     store_age_ms: int = -1
     store_calls: StoreCalls = StoreCalls.NONE
+    leaving: list[int] = []
 
 
 def encode_digest(digest: Digest) -> bytes:
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from buckthornrock.catalog.upstream_notices import Notice
 from buckthornrock.gateway.relays import CONTACT_LIFETIME_MS, RELAY_COOLDOWN_MS
 from buckthornrock.scheduling.loads import DIGEST_LIFETIME_MS, Work
 from buckthornrock.wire.numeric_ids import part_number
@@ -117,6 +118,19 @@
         assert node.fleet_state.loads.of(upstream.incarnation).loading_until_ms == 0.0
 
 
+@pytest.mark.parametrize(("n_instances", "loss"), [(7, 0.02), (30, 0.0), (88, 0.02)])
+def test_leaving_upstream_is_known_everywhere(n_instances, loss):
+    fleet = Fleet(n_instances, loss=loss)
+    fleet.run(DISCOVERY_MS)
+    leaving, other = fleet.upstreams[:2]
+    fleet.nodes[-1].fleet_state.on_notice(leaving, Notice(is_leaving=True))
+    fleet.run(GOSSIP_LIMIT_MS)
+    for node in fleet.nodes:
+        usable = node.fleet_state.directory.usable("engines")
+        assert leaving not in usable
+        assert other in usable
+
+
 def test_updates_are_not_forwarded_in_loops():
     """Relays forward updates; once all instances have one, traffic must fall again."""
     fleet = Fleet(30)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from benchmarks.settings_files import free_ports
+from buckthornrock.catalog.upstream_notices import Notice
 from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.peer_view import PEER_EXPIRY_MS, PeerView
@@ -72,6 +73,24 @@
     assert own_view.accept(digest("i2", *second), 1.0) == is_accepted
 
 
+def test_digest_without_leaving_upstreams_is_one_byte_longer():
+    plain = encode_digest(digest())
+    older = msgspec.msgpack.encode(msgspec.msgpack.decode(plain)[:-1])
+    assert len(plain) - len(older) == 1
+    assert decode_digest(older).ok == digest()
+
+
+def test_quiet_time_is_not_told_to_peers():
+    state = fleet_state(version=1)
+    state.replace_upstreams([UPSTREAM], 1)
+    told = []
+    state.set_observers(told.append, told.append, told.append, lambda: told.append(""))
+    state.on_notice(UPSTREAM, Notice(False, True, 1_000.0))
+    assert not told
+    state.on_notice(UPSTREAM, Notice(is_leaving=True))
+    assert told == [UPSTREAM.incarnation, ""]
+
+
 def test_own_digest_is_rejected():
     assert not view("i1").accept(digest("i1"), 0.0)
 
@@ -158,6 +177,9 @@
         while two.weights.loaded(UPSTREAM, "m") != 2:
             await asyncio.sleep(0.01)
         assert load.loading_until_ms == 0.0
+        one.on_notice(UPSTREAM, Notice(is_leaving=True))
+        while two.directory.usable("s"):
+            await asyncio.sleep(0.01)
         assert peers_two.n_instances() == 2
 
     run(main)
