Fetch shared parts from engines that leave

An engine that says it leaves got no work, and was no cache source either: what it caches was read again elsewhere, though it serves on for a while. For one second after the notice, which is less than any announced leaving takes, its caches are offered to the engines that take over; the choice compares the fetch with reading as ever. Not from quiet ones, nor once the second is over when the request is written.

--- a/buckthornrock/catalog/upstream_notices.py
+++ b/buckthornrock/catalog/upstream_notices.py
@@ -17,6 +17,9 @@
 #: Notices are kept this long after their upstream was last listed, since an entry that
 #: lapsed may return.
 KEEP_UNLISTED_MS = 600_000.0
+#: For this long after an upstream said that it leaves, others fetch what it caches. It
+#: may be gone soon after.
+FETCH_FROM_LEAVING_MS = 1_000.0
 #: Most notices kept of upstreams that aren't listed.
 MAX_UNLISTED = 1_000
 
@@ -36,10 +39,14 @@
 class _State(NamedTuple):
     """Notices of one incarnation; ``unlisted_since_ms`` is None while it is listed."""
 
-    is_leaving: bool = False
+    leaving_since_ms: float | None = None
     quiet_until_ms: float = -math.inf
     unlisted_since_ms: float | None = None
 
+    @property
+    def is_leaving(self) -> bool:
+        return self.leaving_since_ms is not None
+
 
 class UpstreamNotices:
     """Upstreams that leave or want quiet, by incarnation."""
@@ -50,11 +57,13 @@
     def __len__(self) -> int:
         return len(self._states)
 
-    def on_leaving(self, incarnation: Incarnation) -> bool:
+    def on_leaving(self, incarnation: Incarnation, now_ms: float) -> bool:
         """Record that an upstream leaves; return whether that is new."""
         state = self._states.get(incarnation, _State())
-        self._states[incarnation] = state._replace(is_leaving=True)
-        return not state.is_leaving
+        if state.is_leaving:
+            return False
+        self._states[incarnation] = state._replace(leaving_since_ms=now_ms)
+        return True
 
     def on_quiet(
         self, incarnation: Incarnation, quiet_ms: float, now_ms: float
@@ -77,6 +86,16 @@
         """Return whether an upstream may get requests now."""
         return now_ms >= self._returns_at_ms(incarnation)
 
+    def may_fetch(self, incarnation: Incarnation, now_ms: float) -> bool:
+        """Return whether others may fetch what an upstream caches."""
+        state = self._states.get(incarnation)
+        if state is None:
+            return True
+        if now_ms < state.quiet_until_ms:
+            return False
+        since_ms = state.leaving_since_ms
+        return since_ms is None or now_ms - since_ms < FETCH_FROM_LEAVING_MS
+
     def time_to_return_ms(
         self, incarnations: Iterable[Incarnation], now_ms: float
     ) -> float:
--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -152,6 +152,17 @@
             and not self.notices.is_leaving(upstream.incarnation)
         ]
 
+    def cache_only(self, now_ms: float) -> list[Upstream]:
+        """Return the upstreams that take no work, but whose caches may be fetched."""
+        if not len(self.notices):
+            return []
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if self.notices.is_leaving(upstream.incarnation)
+            and self.notices.may_fetch(upstream.incarnation, now_ms)
+        ]
+
     def retain_notices(self, now_ms: float) -> None:
         """Forget the notices of upstreams that are gone for long."""
         listed = {upstream.incarnation for upstream in self._upstreams.values()}
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -142,8 +142,12 @@
         """Return whether cached parts may be fetched from an engine or prompt store."""
         if not len(self._directory.notices):
             return True
-        upstreams = self._directory.all()
-        return all(self.may_send(u) for u in upstreams if u.address == address)
+        notices, now_ms = self._directory.notices, self._now_ms()
+        return all(
+            notices.may_fetch(upstream.incarnation, now_ms)
+            for upstream in self._directory.all()
+            if upstream.address == address
+        )
 
     def service_quiet_ms(self, service: str) -> float:
         """Return for how long no upstream of a service takes requests.
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -129,8 +129,10 @@
     def view(self) -> SchedulingView:
         """Return the inputs for choosing an upstream."""
         stores = self.table.configuration.prompt_stores if self.table else ()
+        now_ms = self._now_ms()
+        cache_only = tuple(self.directory.cache_only(now_ms))
         return SchedulingView(
-            self.loads, self.weights, stores, self._failure_domain, self._now_ms()
+            self.loads, self.weights, stores, self._failure_domain, now_ms, cache_only
         )
 
     def on_configuration(
@@ -365,7 +367,7 @@
         self._on_leaving(incarnation, peer)
 
     def _on_leaving(self, incarnation: Incarnation, source: str) -> bool:
-        is_new = self.directory.notices.on_leaving(incarnation)
+        is_new = self.directory.notices.on_leaving(incarnation, self._now_ms())
         if is_new:
             upstream_id, _ = incarnation
             self._telemetry.log(
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -107,13 +107,17 @@
 
 
 class SchedulingView(NamedTuple):
-    """Snapshot of the state that placements are computed from."""
+    """Snapshot of the state that placements are computed from.
+
+    ``cache_only`` are upstreams that take no work, but whose caches may be fetched.
+    """
 
     loads: FleetLoads
     weights: WeightsView
     prompt_stores: tuple[PromptStore, ...]
     failure_domain: str
     now_ms: float
+    cache_only: tuple[Upstream, ...] = ()
 
     @property
     def caches(self) -> CacheView:
@@ -306,7 +310,9 @@
         return _PromptContext(long_engines, shared_prompt, plan)
     key = f"{demand.cache_scope}/{demand.prompt.shared[-1].part_id}"
     preferred_id = rendezvous.owner(key.encode(), list(long_engines))
-    cache_sources = find_cache_sources(shared_prompt, upstreams, view.caches)
+    service = demand.service.name
+    sources = upstreams + [u for u in view.cache_only if u.service == service]
+    cache_sources = find_cache_sources(shared_prompt, sources, view.caches)
     plan = prefill_planner(shared_prompt, cache_sources, view.caches)
     return _PromptContext(
         long_engines, shared_prompt, plan, preferred_id, cache_sources
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -116,6 +116,17 @@
     assert placement.kv_source == engines[0].address
 
 
+@pytest.mark.parametrize("service", ["engines", "other"])
+def test_parts_of_an_engine_that_leaves_are_fetched_from_it(service):
+    leaving = engine(0)._replace(service=service)
+    others = [engine(n) for n in range(1, 4)]
+    inputs = view(loads=loads_with_cached_parts(leaving))
+    placement = choose(long(), others, inputs._replace(cache_only=(leaving,)))
+    assert placement.upstream in others
+    is_same_service = service == "engines"
+    assert placement.kv_source == (leaving.address if is_same_service else "")
+
+
 @pytest.mark.parametrize(
     ("salt", "ready_at_ms"),
     [("account=x/m/1", 0.0), ("shared/m/0", 0.0), ("shared/other/1", 0.0), (SALT, 9.0)],
