Spare work per response and choice while nothing leaves

Each choice looked up every upstream's notices, each response's headers were indexed twice, and each report of an engine woke the event loop. No decision changes; the state machine also covers which caches are offered.

--- a/buckthornrock/catalog/upstream_notices.py
+++ b/buckthornrock/catalog/upstream_notices.py
@@ -45,6 +45,7 @@
 
     @property
     def is_leaving(self) -> bool:
+        """Whether the upstream has said that it leaves."""
         return self.leaving_since_ms is not None
 
 
@@ -96,6 +97,14 @@
         since_ms = state.leaving_since_ms
         return since_ms is None or now_ms - since_ms < FETCH_FROM_LEAVING_MS
 
+    def newly_leaving(self, now_ms: float) -> list[Incarnation]:
+        """Return the leaving upstreams from which others may still fetch."""
+        return [
+            incarnation
+            for incarnation, state in self._states.items()
+            if state.is_leaving and self.may_fetch(incarnation, now_ms)
+        ]
+
     def time_to_return_ms(
         self, incarnations: Iterable[Incarnation], now_ms: float
     ) -> float:
--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -144,24 +144,20 @@
 
         Those that ask for quiet are among them, as they will take work again.
         """
-        return [
+        ready = [
             upstream
             for upstream in self._upstreams.values()
-            if upstream.service == service
-            and not upstream.is_draining
-            and not self.notices.is_leaving(upstream.incarnation)
+            if upstream.service == service and not upstream.is_draining
         ]
+        if not len(self.notices):
+            return ready
+        return [u for u in ready if not self.notices.is_leaving(u.incarnation)]
 
     def cache_only(self, now_ms: float) -> list[Upstream]:
         """Return the upstreams that take no work, but whose caches may be fetched."""
-        if not len(self.notices):
-            return []
-        return [
-            upstream
-            for upstream in self._upstreams.values()
-            if self.notices.is_leaving(upstream.incarnation)
-            and self.notices.may_fetch(upstream.incarnation, now_ms)
-        ]
+        incarnations = self.notices.newly_leaving(now_ms)
+        named = [self._upstreams.get(upstream_id) for upstream_id, _ in incarnations]
+        return [u for u in named if u is not None and u.incarnation in incarnations]
 
     def retain_notices(self, now_ms: float) -> None:
         """Forget the notices of upstreams that are gone for long."""
--- a/buckthornrock/platform/engine_control.py
+++ b/buckthornrock/platform/engine_control.py
@@ -57,8 +57,9 @@
         method: str, upstream: Upstream, path: str, body: dict | None
     ) -> Result[urllib3.BaseHTTPResponse, EngineUnanswered]:
         response = _call(pool, method, upstream, path, body)
-        if response.is_ok():
-            on_notice(upstream, _notice(response.ok))
+        notice = _notice(response.ok) if response.is_ok() else Notice()
+        if notice != Notice():
+            on_notice(upstream, notice)
         return response
 
     def report(upstream: Upstream) -> Result[EngineReport, EngineUnanswered]:
--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -148,19 +148,19 @@
         is_event_stream=_media_type(found) in ("", "text/event-stream"),
         load=_load(_text(found, LOAD)),
         weights_version=None if version is None else int(version),
-        notice=decode_notice(status, headers),
+        notice=_notice(status, found),
     )
 
 
 def decode_notice(status: int, headers: Headers) -> Notice:
-    """Decode what an upstream says of itself in any of its responses.
+    """Decode what an upstream says of itself in any of its responses."""
+    return _notice(status, _by_name(headers))
 
-    A misdirected request (status 421) was answered by another upstream, whose notices
-    say nothing of the one that was meant.
-    """
+
+def _notice(status: int, found: dict[bytes, bytes]) -> Notice:
     if status == _MISDIRECTED:
+        # Another upstream answered; its notices say nothing of the one that was meant.
         return Notice()
-    found = _by_name(headers)
     is_leaving = LEAVING in found and _text(found, LEAVING) != "0"
     if status != _UNAVAILABLE or RETRY_AFTER not in found:
         return Notice(is_leaving)
--- a/tests/catalog/test_upstream_notices.py
+++ b/tests/catalog/test_upstream_notices.py
@@ -111,6 +111,16 @@
             notices = self.directory.notices
             assert notices.may_fetch(incarnation, self.now_ms) == expected
 
+    @invariant()
+    def only_caches_of_newly_leaving_upstreams_are_offered(self):
+        notices = self.directory.notices
+        assert {u.incarnation for u in self.directory.cache_only(self.now_ms)} == {
+            u.incarnation
+            for u in self.directory.all()
+            if u.incarnation in self.leaving
+            and notices.may_fetch(u.incarnation, self.now_ms)
+        }
+
     @invariant()
     def leaving_upstreams_are_not_usable(self):
         usable = {u.incarnation for u in self.directory.usable(SERVICE)}
--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -71,7 +71,7 @@
     return script
 
 
-def names_of(harness, event_name):
+def fields_logged(harness, event_name):
     return [fields for name, fields in harness.logged if name == event_name]
 
 
@@ -102,7 +102,7 @@
             assert reply.status == 503
             assert float(reply.headers[b"retry-after"]) > 0.0
         assert len(upstream.received) == 1
-        assert len(names_of(harness, "gateway.upstream_leaving")) == 1
+        assert len(fields_logged(harness, "gateway.upstream_leaving")) == 1
 
     run(main)
 
@@ -179,7 +179,7 @@
         harness = await start_gateway(upstream)
         reader, writer = await connect(harness.client_address)
         writer.write(request("/long/1"))
-        while not names_of(harness, "gateway.upstream_leaving"):
+        while not fields_logged(harness, "gateway.upstream_leaving"):
             await asyncio.sleep(0.01)
         later = await ask(harness.client_address, request("/long/1", b"r2"))
         assert (later.status, len(upstream.received)) == (503, 1)
@@ -249,7 +249,7 @@
             assert 28.0 < float(reply.headers[b"retry-after"]) <= 30.0
         assert time.monotonic() - started_s < 2.0
         assert len(upstream.received) == 1
-        assert len(names_of(harness, "gateway.quiet_asked")) == 1
+        assert len(fields_logged(harness, "gateway.quiet_asked")) == 1
 
     run(main)
 
@@ -328,7 +328,7 @@
         reply = await ask(harness.client_address, request("/book/1"))
         assert (reply.status, reply.body) == (200, BODY)
         assert time.monotonic() - started_s >= quiet_ms / 1000.0
-        (logged,) = names_of(harness, "gateway.quiet_asked")
+        (logged,) = fields_logged(harness, "gateway.quiet_asked")
         assert (logged["asked_ms"], logged["quiet_ms"]) == (None, quiet_ms)
 
     run(main)
