--- a/buckthornrock/catalog/upstreams.py
+++ b/buckthornrock/catalog/upstreams.py
@@ -11,9 +11,8 @@
 
 from ..runtime.addresses import is_connectable
 from ..runtime.decoding import MAX_INT64
-
-#: Id and start time of an upstream.
-Incarnation = tuple[str, int]
+from .incarnation import Incarnation
+from .upstream_notices import UpstreamNotices
 
 #: Upstreams whose entries expired during an outage register again within this time.
 RETURN_GRACE_MS = 2_000.0
@@ -74,10 +73,13 @@
     ----------
     revision : int
         Store revision that the entries reflect.
+    notices : UpstreamNotices
+        What the upstreams say of themselves in their answers.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.notices = UpstreamNotices()
         self._upstreams: dict[str, Upstream] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._is_store_lost = False
@@ -159,12 +161,29 @@
         ]
 
     def usable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of ``service`` that take new work."""
-        return [
+        """Return the upstreams of ``service`` that take new work.
+
+        Those that ask for quiet are among them, as they will take work again.
+        """
+        ready = [
             upstream
             for upstream in self._upstreams.values()
             if upstream.service == service and not upstream.is_draining
         ]
+        if not len(self.notices):
+            return ready
+        return [u for u in ready if not self.notices.is_leaving(u.incarnation)]
+
+    def cache_only(self, now_ms: float) -> list[Upstream]:
+        """Return the upstreams that take no work, but whose caches may be fetched."""
+        incarnations = self.notices.newly_leaving(now_ms)
+        named = [self._upstreams.get(upstream_id) for upstream_id, _ in incarnations]
+        return [u for u in named if u is not None and u.incarnation in incarnations]
+
+    def retain_notices(self, now_ms: float) -> None:
+        """Forget the notices of upstreams that are gone for long."""
+        listed = {upstream.incarnation for upstream in self._upstreams.values()}
+        self.notices.retain(listed, now_ms)
 
     def confirm(self, revision: int, now_ms: float) -> None:
         """Record that the store answers and has no other entries at ``revision``."""
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -11,6 +11,7 @@
 from ..catalog.change_log import ChangeLog, ChangeWindow
 from ..catalog.configuration import ClientLimits, Configuration
 from ..catalog.route_table import RouteTable
+from ..catalog.upstream_notices import Notice, granted_quiet_ms
 from ..catalog.upstreams import (
     Incarnation,
     Upstream,
@@ -97,7 +98,9 @@
         self._has_upstreams = False
         self._loading: dict[Incarnation, Loading] = {}
         self._incarnation_by_number: dict[int, Incarnation] = {}
-        self.set_observers(lambda *_: None, lambda *_: None, lambda: None)
+        self.set_observers(
+            lambda *_: None, lambda *_: None, lambda *_: None, lambda: None
+        )
 
     @property
     def configuration_version(self) -> int:
@@ -132,8 +135,10 @@
     def view(self) -> SchedulingView:
         """Return the inputs for choosing an upstream."""
         stores = self.table.configuration.prompt_stores if self.table else ()
+        now_ms = self._now_ms()
+        cache_only = tuple(self.directory.cache_only(now_ms))
         return SchedulingView(
-            self.loads, self.weights, stores, self._failure_domain, self._now_ms()
+            self.loads, self.weights, stores, self._failure_domain, now_ms, cache_only
         )
 
     def on_configuration(
@@ -281,6 +286,7 @@
     def retain_live(self) -> set[Incarnation]:
         """Drop the loads of removed upstreams; return the live incarnations."""
         incarnations = {upstream.incarnation for upstream in self.directory.all()}
+        self.directory.retain_notices(self._now_ms())
         stores = self.table.configuration.prompt_stores if self.table else ()
         self.loads.retain(incarnations | {prompt_store_incarnation(s) for s in stores})
         return incarnations
@@ -294,6 +300,7 @@
         self,
         on_part_cached: Callable[[Incarnation, PartKey, int, float], None],
         on_loaded: Callable[[Incarnation, str, int], None],
+        on_leaving: Callable[[Incarnation], None],
         on_urgent: Callable[[], None],
     ) -> None:
         """Set the callbacks that publish this instance's own findings to peers.
@@ -302,6 +309,7 @@
         """
         self._notify_part_cached = on_part_cached
         self._notify_loaded = on_loaded
+        self._notify_leaving = on_leaving
         self._publish_now = on_urgent
 
     def publish_now(self) -> None:
@@ -346,6 +354,37 @@
         if n_tokens >= MIN_SHARED_TOKENS:
             self._notify_part_cached(incarnation, key, n_tokens, ready_in_ms)
 
+    def on_notice(self, upstream: Upstream, notice: Notice) -> None:
+        """Record what an upstream says of itself in an answer to this instance."""
+        notices, incarnation = self.directory.notices, upstream.incarnation
+        if notice.is_leaving and self._on_leaving(incarnation, "answer"):
+            self._notify_leaving(incarnation)
+            self._publish_now()
+        if not notice.asks_for_quiet:
+            return
+        quiet_ms = granted_quiet_ms(notice)
+        if notices.on_quiet(incarnation, quiet_ms, self._now_ms()):
+            self._telemetry.log(
+                events.QUIET_ASKED,
+                upstream_id=upstream.upstream_id,
+                service=upstream.service,
+                asked_ms=notice.quiet_ms,
+                quiet_ms=quiet_ms,
+            )
+
+    def on_peer_leaving(self, incarnation: Incarnation, peer: str) -> None:
+        """Record that an upstream said to a peer that it leaves."""
+        self._on_leaving(incarnation, peer)
+
+    def _on_leaving(self, incarnation: Incarnation, source: str) -> bool:
+        is_new = self.directory.notices.on_leaving(incarnation, self._now_ms())
+        if is_new:
+            upstream_id, _ = incarnation
+            self._telemetry.log(
+                events.UPSTREAM_LEAVING, upstream_id=upstream_id, source=source
+            )
+        return is_new
+
     def on_peer_loading(self, incarnation: Incarnation, loading: Loading) -> None:
         """Record a weights load that a peer reports, unless it is done already."""
         upstream = self.directory.get(incarnation[0])
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -107,13 +107,17 @@
 
 
 class SchedulingView(NamedTuple):
-    """Snapshot of the state that placements are computed from."""
+    """Snapshot of the state that placements are computed from.
+
+    ``cache_only`` are upstreams that take no work, but whose caches may be fetched.
+    """
 
     loads: FleetLoads
     weights: WeightsView
     prompt_stores: tuple[PromptStore, ...]
     failure_domain: str
     now_ms: float
+    cache_only: tuple[Upstream, ...] = ()
 
     @property
     def caches(self) -> CacheView:
@@ -190,7 +194,7 @@
     demand: Demand, upstreams: Iterable[Upstream], view: SchedulingView
 ) -> Placement | NoCapacity:
     """Return the best placement among upstreams with free capacity."""
-    usable = [u for u in upstreams if _may_serve(demand, u, view)]
+    usable = [u for u in upstreams if may_serve(demand, u, view)]
     accepting = [u for u in usable if _accepts_work(u, view)]
     if not may_fit(demand, with_capacity(accepting, view), view):
         return NoCapacity(len(usable))
@@ -287,7 +291,8 @@
     return view.loads.total(upstream.incarnation, view.now_ms).prefill_ms
 
 
-def _may_serve(demand: Demand, upstream: Upstream, view: SchedulingView) -> bool:
+def may_serve(demand: Demand, upstream: Upstream, view: SchedulingView) -> bool:
+    """Return whether an upstream has weights that the request may use."""
     if demand.prompt is None:
         return True
     return view.weights.is_usable(upstream, demand.prompt.model, view.now_ms)
@@ -307,7 +312,9 @@
         return _PromptContext(long_engines, shared_prompt, plan)
     key = f"{demand.cache_scope}/{demand.prompt.shared[-1].part_id}"
     preferred_id = rendezvous.owner(key.encode(), list(long_engines))
-    cache_sources = find_cache_sources(shared_prompt, upstreams, view.caches)
+    service = demand.service.name
+    sources = upstreams + [u for u in view.cache_only if u.service == service]
+    cache_sources = find_cache_sources(shared_prompt, sources, view.caches)
     plan = prefill_planner(shared_prompt, cache_sources, view.caches)
     return _PromptContext(
         long_engines, shared_prompt, plan, preferred_id, cache_sources
--- a/buckthornrock/scheduling/wait_queue.py
+++ b/buckthornrock/scheduling/wait_queue.py
@@ -20,6 +20,8 @@
 #: Window over which rates are measured, and the fewest requests that give a rate.
 RATE_WINDOW_MS = 2_000.0
 MIN_COUNTED = 3
+#: Shortest time that a rate refers to after a restart.
+MIN_RATE_SPAN_MS = 200.0
 
 
 class QueuedRequest(NamedTuple):
@@ -40,6 +42,7 @@
     def __init__(self) -> None:
         self._counted: deque[tuple[float, int]] = deque()
         self._n_units = 0
+        self._restarted_at_ms = -math.inf
 
     def add(self, n_units: int, now_ms: float) -> None:
         """Count a request of ``n_units``."""
@@ -52,7 +55,14 @@
         self._forget(now_ms)
         if len(self._counted) < MIN_COUNTED:
             return None
-        return self._n_units / RATE_WINDOW_MS
+        span_ms = max(MIN_RATE_SPAN_MS, now_ms - self._restarted_at_ms)
+        return self._n_units / min(RATE_WINDOW_MS, span_ms)
+
+    def restart(self, now_ms: float) -> None:
+        """Count from now on only."""
+        self._counted.clear()
+        self._n_units = 0
+        self._restarted_at_ms = now_ms
 
     def _forget(self, now_ms: float) -> None:
         while self._counted and self._counted[0][0] < now_ms - RATE_WINDOW_MS:
@@ -101,6 +111,11 @@
         """Count a placed request, whether it was queued or not."""
         self._placed[demand.urgency].add(_n_units(demand), now_ms)
 
+    def restart_rates(self, now_ms: float) -> None:
+        """Forget what was counted, as it says nothing of the capacity to come."""
+        for rate in (*self._placed.values(), *self._arrived.values()):
+            rate.restart(now_ms)
+
     def has_ahead_of(self, demand: Demand) -> bool:
         """Return whether a request that is at least as urgent is queued."""
         return any(
@@ -142,18 +157,19 @@
         return n_ahead / rate
 
     def predict_missed_deadlines(
-        self, now_ms: float
+        self, now_ms: float, min_wait_ms: float = 0.0
     ) -> list[tuple[QueuedRequest, float]]:
         """Return the requests that will miss their deadline, with their estimated wait.
 
-        Requests past their latency objective only get the capacity that newer
-        requests leave.
+        No request is placed before ``min_wait_ms`` have passed. Requests past their
+        latency objective only get the capacity that newer requests leave.
         """
         found: list[tuple[QueuedRequest, float]] = []
         n_ahead: dict[int, int] = defaultdict(int)
         for request in self._in_order(now_ms):
             urgency = request.demand.urgency
-            wait_ms = _wait_ms(n_ahead[urgency], self._rate_for(request, now_ms))
+            rate = self._rate_for(request, now_ms)
+            wait_ms = max(min_wait_ms, _wait_ms(n_ahead[urgency], rate))
             if will_miss_deadline(request, wait_ms, now_ms):
                 found.append((request, wait_ms))
                 continue
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -126,7 +126,8 @@
 
     ``changes`` are all changes of upstreams' entries after ``base_revision``, up to
     ``revision``; -1 if the digest lists none. The store confirmed ``store_age_ms`` ago
-    that there are no others; -1 if it never did.
+    that there are no others; -1 if it never did. ``leaving`` names upstreams that said
+    that they leave.
     """
 
     instance_id: str
@@ -151,6 +152,7 @@
     store_age_ms: ExactInt = -1
     store_calls: StoreCalls = StoreCalls.NONE
     older_weights: dict[str, list[tuple[int, ExactInt]]] = {}
+    leaving: list[int] = []
 
 
 def encode_digest(digest: Digest) -> bytes:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -146,7 +146,7 @@
         self.logged = []
         telemetry = Telemetry(self._log, open_metrics("", 0, ""))
         self.state = FleetState("a", WeightsView(20_000.0), lambda: 5_000.0, telemetry)
-        self.listener = store_listener(self.state, self)
+        self.listener = store_listener(self.state, self, lambda: 0)
 
     def _log(self, event, **fields):
         self.logged.append((event.name, fields))
