--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -201,10 +201,16 @@
 
 
 def _seconds(text: str) -> float | None:
-    """Return a time in seconds, None for a date, a negative or any other value."""
-    seconds = _number(text)
+    """Return a time in seconds, which may be infinite.
+
+    None for a date, a negative number or any other value.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
     # Values that aren't numbers compare as False.
-    return seconds if seconds is not None and seconds >= 0.0 else None
+    return seconds if seconds >= 0.0 else None
 
 
 def _load(text: str) -> tuple[int, int, int] | None:
