Give open requests of a stopping instance as long as before

The last responses go out 500 ms before the limit, not 600: the process used to end about 100 ms after it stopped waiting, and streams that ended within that time were whole.

--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -36,7 +36,7 @@
 ACCEPT_AFTER_NOT_READY_MS = 2_700.0
 #: Connections that are still open are closed this long before the shutdown limit, once
 #: the open requests have their last response.
-CLOSE_MARGIN_MS = 450.0
+CLOSE_MARGIN_MS = 400.0
 #: Poll period for open connections while draining.
 DRAIN_POLL_MS = 50.0
 #: Time to flush the last sent bytes before the process ends.
--- a/buckthornrock/gateway/stopping.py
+++ b/buckthornrock/gateway/stopping.py
@@ -16,7 +16,7 @@
 #: Requests that arrive this long after the shutdown began are served in any case.
 SERVED_AFTER_STOP_MS = 3_000.0
 #: Open requests get their last response this long before the shutdown limit.
-CUT_MARGIN_MS = 600.0
+CUT_MARGIN_MS = 500.0
 #: Other instances can serve a refused request at once.
 RETRY_AFTER_MS = 50.0
 NOT_SENT = Refusal(503, "stopping", "the instance is stopping", RETRY_AFTER_MS)
