Log which requests an engine's crash broke off, and their shared parts

The failed attempts of a crash were logged one by one as interrupted; nothing told a crash from another broken connection, which requests had an event of their response, or which shared parts they hold. A broken attempt at an engine now tries one connection, which is kept idle if it opens. No decision changes.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -11,6 +11,7 @@
 
 from ..conf import Problem
 from ..events import gateway as events
+from ..gateway.crash_watch import CrashWatch
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.exchange import ExchangeContext
 from ..gateway.fleet_state import FleetState
@@ -117,6 +118,7 @@
         ),
         n_instances=peers.n_instances,
         fleet_state=fleet_state,
+        crash_watch=CrashWatch(pool, fleet_state.directory, now_ms, telemetry),
         now_ms=now_ms,
         telemetry=telemetry,
     )
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -111,6 +111,15 @@
     "An upstream refused a request, and its response was not read to the end; the "
     "request has not run there.",
 )
+ENGINE_CRASHED = Event(
+    2206,
+    "gateway.engine_crashed",
+    "warning",
+    ("request_id", "upstream_id", "has_event", "parts"),
+    "An attempt at an engine broke off and the engine accepts no connection any more; "
+    "has_event tells whether the attempt had an event of its response. parts lists the "
+    "prompt's shared parts, each with its number in other lines.",
+)
 CONFIGURATION_IN_FORCE = Event(
     2210,
     "gateway.configuration_in_force",
--- /dev/null
+++ b/buckthornrock/gateway/crash_watch.py
@@ -0,0 +1,109 @@
+"""Finds out whether a broken attempt was the crash of its upstream.
+
+A connection breaks for many reasons. It is the crash of the upstream if the upstream
+accepts no connection right afterwards, although it is in service.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from ..catalog.upstreams import Incarnation, Upstream, UpstreamDirectory
+from ..events import gateway as events
+from ..scheduling.prompt import PromptPart, PromptShape
+from ..telemetry import Telemetry
+from ..wire.numeric_ids import part_number
+from .pool import ConnectionPool
+
+#: Attempts that break within this time of each other share one trial connection.
+TRIAL_LIFETIME_MS = 1_000.0
+
+
+def crash_part_number(model: str, part_id: str) -> int:
+    """Return the numeric id of a part that engines of any account may crash on."""
+    return part_number(f"crash/{model}", part_id)
+
+
+class WatchedAttempt:
+    """One attempt at an upstream, and whether it had an event of its response.
+
+    Attributes
+    ----------
+    has_event : bool
+        Whether the upstream has sent at least one event.
+    """
+
+    def __init__(
+        self, request_id: str, upstream: Upstream, prompt: PromptShape | None
+    ) -> None:
+        self.request_id = request_id
+        self.upstream = upstream
+        self.has_event = False
+        self._prompt = prompt
+
+    @property
+    def parts(self) -> dict[int, PromptPart]:
+        """The prompt's shared parts by their numeric ids."""
+        prompt = self._prompt
+        if prompt is None:
+            return {}
+        return {crash_part_number(prompt.model, p.part_id): p for p in prompt.shared}
+
+
+class CrashWatch:
+    """Examines broken attempts of one instance."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        directory: UpstreamDirectory,
+        now_ms: Callable[[], float],
+        telemetry: Telemetry,
+    ) -> None:
+        self._pool = pool
+        self._directory = directory
+        self._now_ms = now_ms
+        self._telemetry = telemetry
+        self._trials: dict[Incarnation, tuple[float, asyncio.Task[bool]]] = {}
+
+    async def on_broken(self, attempt: WatchedAttempt) -> None:
+        """Examine an attempt whose connection broke.
+
+        The examination goes on if the caller is cancelled.
+        """
+        broken_at_ms = self._now_ms()
+        trial = self._trial(attempt.upstream, broken_at_ms)
+        examination = asyncio.ensure_future(self._examine(attempt, trial))
+        await asyncio.shield(examination)
+
+    async def _examine(
+        self, attempt: WatchedAttempt, trial: asyncio.Task[bool]
+    ) -> None:
+        if await trial or not self._is_in_service(attempt.upstream):
+            return
+        self._telemetry.log(
+            events.ENGINE_CRASHED,
+            request_id=attempt.request_id,
+            upstream_id=attempt.upstream.upstream_id,
+            has_event=attempt.has_event,
+            parts=[
+                f"{part.part_id}={number}" for number, part in attempt.parts.items()
+            ],
+        )
+
+    def _trial(self, upstream: Upstream, now_ms: float) -> asyncio.Task[bool]:
+        self._trials = {
+            incarnation: (at_ms, task)
+            for incarnation, (at_ms, task) in self._trials.items()
+            if now_ms - at_ms < TRIAL_LIFETIME_MS
+        }
+        if upstream.incarnation not in self._trials:
+            task = asyncio.ensure_future(self._pool.can_connect(upstream))
+            self._trials[upstream.incarnation] = now_ms, task
+        return self._trials[upstream.incarnation][1]
+
+    def _is_in_service(self, upstream: Upstream) -> bool:
+        """Return whether the upstream is not known to be leaving or gone."""
+        known = self._directory.get(upstream.upstream_id)
+        if known is None or known.incarnation != upstream.incarnation:
+            return False
+        return not known.is_draining
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import functools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from ..telemetry import Telemetry
 from ..wire.numeric_ids import part_number
 from .client_connection import ClientConnection
+from .crash_watch import CrashWatch, WatchedAttempt
 from .dispatcher import Dispatcher, Reservation
 from .errors import (
     AttemptFailure,
@@ -82,6 +84,7 @@
     budget: RetryBudget
     n_instances: Callable[[], int]
     fleet_state: FleetState
+    crash_watch: CrashWatch
     now_ms: Callable[[], float]
     telemetry: Telemetry
 
@@ -182,6 +185,8 @@
         if reservation.placement.work.prefill_ms >= URGENT_PREFILL_MS:
             self._context.fleet_state.publish_now()
         request = self._admitted.request
+        prompt = self._admitted.demand.prompt
+        watched = WatchedAttempt(self._admitted.request_id, upstream, prompt)
         headers = self._context.codec.encode_request(
             request.headers,
             self._upstream_request_fields(reservation),
@@ -194,8 +199,12 @@
                 self._head_at_ms = self._now_ms()
                 if self._is_stream(head):
                     limit.reschedule(None)
-                return await self._handle_response(reservation, connection, head)
+                return await self._handle_response(
+                    reservation, connection, head, watched
+                )
         except ConnectionBrokenError as error:
+            if prompt is not None:
+                await self._context.crash_watch.on_broken(watched)
             return Error(Interrupted(str(error)))
         except h11.LocalProtocolError as error:
             return Error(NotReached(str(error)))
@@ -210,6 +219,7 @@
         reservation: Reservation,
         connection: UpstreamConnection,
         head: ResponseHead,
+        watched: WatchedAttempt,
     ) -> Result[None, AttemptFailure]:
         upstream = reservation.placement.upstream
         if head.fields.load is not None:
@@ -228,7 +238,7 @@
             await self._relay.run(
                 connection,
                 self._context.codec.encode_response(head.headers),
-                reservation,
+                functools.partial(self._on_event, reservation, watched),
             )
             self._record_outcome(reservation, is_failure=False)
             return Ok(None)
@@ -243,6 +253,10 @@
         self._send_response(head, body)
         return Ok(None)
 
+    def _on_event(self, reservation: Reservation, watched: WatchedAttempt) -> None:
+        reservation.on_first_event()
+        watched.has_event = True
+
     async def _drain_refusal(self, connection: UpstreamConnection) -> None:
         """Read the body of a refusal, so that the connection can be reused.
 
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -45,6 +45,15 @@
             return Ok(connection)
         return await self._open(upstream, min(limit_ms, CONNECT_TIMEOUT_MS))
 
+    async def can_connect(self, upstream: Upstream) -> bool:
+        """Return whether the upstream accepts a connection, which is then kept idle."""
+        opened = await self._open(upstream, CONNECT_TIMEOUT_MS)
+        if opened.is_error():
+            return False
+        opened.ok.idle_since_ms = self._now_ms()
+        self._idle[upstream.incarnation].append(opened.ok)
+        return True
+
     def release(self, upstream: Upstream, connection: UpstreamConnection) -> None:
         """Return a connection to the pool if it can carry another request."""
         if connection.finish(self._now_ms()):
--- a/buckthornrock/gateway/stream_relay.py
+++ b/buckthornrock/gateway/stream_relay.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from .client_connection import ClientConnection
-from .dispatcher import Reservation
 from .errors import ConnectionBrokenError
 from .event_stream import EventSplitter, StreamEvent
 from .ports import Headers
@@ -46,10 +45,15 @@
         self.last_event_id = last_event_id
 
     async def run(
-        self, connection: UpstreamConnection, headers: Headers, reservation: Reservation
+        self,
+        connection: UpstreamConnection,
+        headers: Headers,
+        on_event: Callable[[], None],
     ) -> None:
         """Relay the stream of one upstream to its end.
 
+        ``on_event`` is called when events other than comments have arrived.
+
         Raises
         ------
         ConnectionBrokenError
@@ -65,7 +69,7 @@
         while data := await self._read_chunk(connection):
             events = splitter.feed(data)
             if any(not event.is_comment for event in events):
-                reservation.on_first_event()
+                on_event()
                 self._restart_stall_timer()
             for event in events:
                 n_forwarded += self._forward(event, headers, is_resumed)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -17,6 +17,7 @@
     ServiceShare,
 )
 from buckthornrock.catalog.upstreams import Upstream
+from buckthornrock.gateway.crash_watch import CrashWatch
 from buckthornrock.gateway.dispatcher import Dispatcher
 from buckthornrock.gateway.exchange import ExchangeContext
 from buckthornrock.gateway.fleet_state import FleetState
@@ -197,6 +198,7 @@
         budget=RetryBudget(0.0, budget, 10_000.0),
         n_instances=lambda: 1,
         fleet_state=fleet_state,
+        crash_watch=CrashWatch(pool, fleet_state.directory, now_ms, telemetry),
         now_ms=now_ms,
         telemetry=telemetry,
     )
