Refuse prompts with a shared part that crashes engines

Cause: a failed attempt was charged to the upstream only, never to what the request held, and instances shared no such knowledge.

Now every shared part that was in flight without an event at a crash is a suspect until an attempt with it has an event (scheduling/crash_suspects.py, a state machine of its own). Crash reports and events of suspects go to peers in digests; after two crashes, four for a part that was seen sound before, the part is quarantined on all instances: its requests get 503 at once with the time until the next probe as Retry-After. A probe is fleet-wide, after 30 s and then after four times as long each. Quarantines are listed in every digest, so that a restarted instance learns them. A request is not sent a third time after two crashes.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -118,7 +118,9 @@
         ),
         n_instances=peers.n_instances,
         fleet_state=fleet_state,
-        crash_watch=CrashWatch(pool, fleet_state.directory, now_ms, telemetry),
+        crash_watch=CrashWatch(
+            pool, fleet_state.directory, fleet_state.crash_findings, now_ms, telemetry
+        ),
         now_ms=now_ms,
         telemetry=telemetry,
     )
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -120,6 +120,29 @@
     "has_event tells whether the attempt had an event of its response. parts lists the "
     "prompt's shared parts, each with its number in other lines.",
 )
+PART_QUARANTINED = Event(
+    2207,
+    "gateway.part_quarantined",
+    "warning",
+    ("part", "source", "n_crashes", "n_probes"),
+    "Requests whose prompt has this shared part are refused from now on: it was in "
+    "flight at n_crashes crashes of engines, and no attempt with it had an event "
+    "since. source is own or the peer that decided it (n_crashes is 0 then).",
+)
+PART_RELEASED = Event(
+    2208,
+    "gateway.part_released",
+    "info",
+    ("part", "source", "n_crashes", "n_probes"),
+    "An attempt with a quarantined part had an event: its requests are served again.",
+)
+PART_PROBED = Event(
+    2209,
+    "gateway.part_probed",
+    "info",
+    ("request_id", "part"),
+    "A request with a quarantined part is sent to find out whether the part is sound.",
+)
 CONFIGURATION_IN_FORCE = Event(
     2210,
     "gateway.configuration_in_force",
--- a/buckthornrock/gateway/crash_watch.py
+++ b/buckthornrock/gateway/crash_watch.py
@@ -11,7 +11,8 @@
 from ..events import gateway as events
 from ..scheduling.prompt import PromptPart, PromptShape
 from ..telemetry import Telemetry
-from ..wire.numeric_ids import part_number
+from ..wire.numeric_ids import incarnation_number, part_number
+from .crash_findings import CrashFindings
 from .pool import ConnectionPool
 
 #: Attempts that break within this time of each other share one trial connection.
@@ -23,6 +24,13 @@
     return part_number(f"crash/{model}", part_id)
 
 
+def crash_parts(prompt: PromptShape | None) -> dict[int, PromptPart]:
+    """Return the shared parts of a prompt by their numeric ids."""
+    if prompt is None:
+        return {}
+    return {crash_part_number(prompt.model, p.part_id): p for p in prompt.shared}
+
+
 class WatchedAttempt:
     """One attempt at an upstream, and whether it had an event of its response.
 
@@ -33,20 +41,17 @@
     """
 
     def __init__(
-        self, request_id: str, upstream: Upstream, prompt: PromptShape | None
+        self,
+        request_id: str,
+        upstream: Upstream,
+        parts: dict[int, PromptPart],
+        is_repeat: bool,
     ) -> None:
         self.request_id = request_id
         self.upstream = upstream
+        self.parts = parts
+        self.is_repeat = is_repeat
         self.has_event = False
-        self._prompt = prompt
-
-    @property
-    def parts(self) -> dict[int, PromptPart]:
-        """The prompt's shared parts by their numeric ids."""
-        prompt = self._prompt
-        if prompt is None:
-            return {}
-        return {crash_part_number(prompt.model, p.part_id): p for p in prompt.shared}
 
 
 class CrashWatch:
@@ -56,30 +61,38 @@
         self,
         pool: ConnectionPool,
         directory: UpstreamDirectory,
+        findings: CrashFindings,
         now_ms: Callable[[], float],
         telemetry: Telemetry,
     ) -> None:
         self._pool = pool
         self._directory = directory
+        self._findings = findings
         self._now_ms = now_ms
         self._telemetry = telemetry
         self._trials: dict[Incarnation, tuple[float, asyncio.Task[bool]]] = {}
 
-    async def on_broken(self, attempt: WatchedAttempt) -> None:
-        """Examine an attempt whose connection broke.
+    def on_event(self, attempt: WatchedAttempt) -> None:
+        """Record that events of an attempt have arrived."""
+        if not attempt.has_event:
+            attempt.has_event = True
+            self._findings.on_event(attempt.parts)
+
+    async def on_broken(self, attempt: WatchedAttempt) -> bool:
+        """Return whether a crash broke off an attempt before its first event.
 
         The examination goes on if the caller is cancelled.
         """
         broken_at_ms = self._now_ms()
         trial = self._trial(attempt.upstream, broken_at_ms)
-        examination = asyncio.ensure_future(self._examine(attempt, trial))
-        await asyncio.shield(examination)
+        examination = asyncio.ensure_future(self._examine(attempt, trial, broken_at_ms))
+        return await asyncio.shield(examination)
 
     async def _examine(
-        self, attempt: WatchedAttempt, trial: asyncio.Task[bool]
-    ) -> None:
+        self, attempt: WatchedAttempt, trial: asyncio.Task[bool], broken_at_ms: float
+    ) -> bool:
         if await trial or not self._is_in_service(attempt.upstream):
-            return
+            return False
         self._telemetry.log(
             events.ENGINE_CRASHED,
             request_id=attempt.request_id,
@@ -89,6 +102,13 @@
                 f"{part.part_id}={number}" for number, part in attempt.parts.items()
             ],
         )
+        if attempt.has_event:
+            return False
+        upstream = incarnation_number(*attempt.upstream.incarnation)
+        self._findings.on_crash(
+            upstream, attempt.parts, broken_at_ms, attempt.is_repeat
+        )
+        return True
 
     def _trial(self, upstream: Upstream, now_ms: float) -> asyncio.Task[bool]:
         self._trials = {
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -18,7 +18,7 @@
 from ..telemetry import Telemetry
 from ..wire.numeric_ids import part_number
 from .client_connection import ClientConnection
-from .crash_watch import CrashWatch, WatchedAttempt
+from .crash_watch import CrashWatch, WatchedAttempt, crash_parts
 from .dispatcher import Dispatcher, Reservation
 from .errors import (
     AttemptFailure,
@@ -43,6 +43,8 @@
 
 #: A request is refused after this many attempts that no upstream executed.
 MAX_UNEXECUTED_ATTEMPTS = 4
+#: A request is not sent again after this many crashes before its first event.
+MAX_CRASHES = 2
 #: How long an upstream gets no new requests after it refused one.
 BLOCK_AFTER_REFUSAL_MS = 120.0
 #: How long an upstream gets no new requests after one of its responses timed out.
@@ -73,6 +75,7 @@
     ATTEMPTS_USED = "give up: no attempt left"
     BUDGET_USED = "give up: the retry budget is used up"
     TIME_USED = "give up: no time left"
+    CRASHES_ENGINES = "give up: engines crashed on it"
 
 
 class ExchangeContext(NamedTuple):
@@ -112,6 +115,8 @@
         self._waited_ms = 0.0
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
+        self._n_crashes = 0
+        self._crash_parts = crash_parts(admitted.demand.prompt)
         self._used_connections: list[UpstreamConnection] = []
         self._upstream_failure: tuple[ResponseHead, bytes] | None = None
 
@@ -131,6 +136,8 @@
 
     async def _attempt_until_done(self) -> None:
         while True:
+            if self._refuse_quarantined():
+                return
             reserved = await self._context.dispatcher.reserve(
                 self._admitted, self._excluded
             )
@@ -138,6 +145,10 @@
                 self._on_no_reservation(reserved.error)
                 return
             reservation = reserved.ok
+            if self._refuse_quarantined():
+                # A part was quarantined while the request waited.
+                reservation.release()
+                return
             self._waited_ms = self._now_ms() - self._admitted.request.received_at_ms
             try:
                 outcome = await self._attempt(reservation)
@@ -164,6 +175,17 @@
                 return
             self._upstream_id = ""
 
+    def _refuse_quarantined(self) -> bool:
+        """Refuse the request if a part of its prompt crashes engines."""
+        findings = self._context.fleet_state.crash_findings
+        found = findings.find_quarantined(self._crash_parts)
+        if found is None:
+            return False
+        reason = f"engines crash on part {found.part} of the prompt"
+        retry_after_ms = found.retry_after_ms
+        self._refuse(Refusal(503, "quarantined-part", reason, retry_after_ms))
+        return True
+
     def _on_no_reservation(self, refusal: Refusal) -> None:
         if self._upstream_failure is not None and not self._client.has_sent_head:
             self._forward_failure(*self._upstream_failure)
@@ -185,13 +207,20 @@
         if reservation.placement.work.prefill_ms >= URGENT_PREFILL_MS:
             self._context.fleet_state.publish_now()
         request = self._admitted.request
-        prompt = self._admitted.demand.prompt
-        watched = WatchedAttempt(self._admitted.request_id, upstream, prompt)
+        watched = WatchedAttempt(
+            self._admitted.request_id,
+            upstream,
+            self._crash_parts,
+            is_repeat=self._n_crashes > 0,
+        )
         headers = self._context.codec.encode_request(
             request.headers,
             self._upstream_request_fields(reservation),
             len(request.body),
         )
+        self._context.fleet_state.crash_findings.on_sending(
+            self._admitted.request_id, self._crash_parts
+        )
         try:
             connection.send(request.method, request.target, headers, request.body)
             async with asyncio.timeout(self._attempt_limit_s()) as limit:
@@ -203,8 +232,8 @@
                     reservation, connection, head, watched
                 )
         except ConnectionBrokenError as error:
-            if prompt is not None:
-                await self._context.crash_watch.on_broken(watched)
+            if self._admitted.demand.prompt is not None:
+                self._n_crashes += await self._context.crash_watch.on_broken(watched)
             return Error(Interrupted(str(error)))
         except h11.LocalProtocolError as error:
             return Error(NotReached(str(error)))
@@ -243,6 +272,8 @@
             self._record_outcome(reservation, is_failure=False)
             return Ok(None)
         body = await connection.read_body()
+        if head.status == 200:
+            self._context.crash_watch.on_event(watched)
         is_failure = head.status >= 500
         self._record_outcome(reservation, is_failure)
         if self._client.has_sent_head:
@@ -255,7 +286,7 @@
 
     def _on_event(self, reservation: Reservation, watched: WatchedAttempt) -> None:
         reservation.on_first_event()
-        watched.has_event = True
+        self._context.crash_watch.on_event(watched)
 
     async def _drain_refusal(self, connection: UpstreamConnection) -> None:
         """Read the body of a refusal, so that the connection can be reused.
@@ -360,6 +391,8 @@
         self._record_outcome(reservation, is_failure=self._upstream_failure is None)
         if not self._admitted.route.is_repeatable:
             return NextStep.NOT_REPEATABLE
+        if self._n_crashes >= MAX_CRASHES:
+            return NextStep.CRASHES_ENGINES
         if self._n_may_have_run >= self._admitted.route.n_attempts:
             return NextStep.ATTEMPTS_USED
         if self._remaining_ms() <= RESPONSE_MARGIN_MS:
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import random
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -22,11 +23,13 @@
 from ..rollout.port import RolloutInputs
 from ..scheduling.cached_parts import PartKey
 from ..scheduling.choice import SchedulingView
+from ..scheduling.crash_suspects import CrashSuspects
 from ..scheduling.loads import FleetLoads
 from ..scheduling.prefill import MIN_SHARED_TOKENS, prompt_store_incarnation
 from ..scheduling.weights import WeightsView
 from ..telemetry import Telemetry
 from ..wire.numeric_ids import incarnation_number
+from .crash_findings import CrashFindings
 from .store_contact import LOST_AFTER_MS, StoreContact
 
 #: Share of an engine's or prompt store's cache in which shared parts are assumed to
@@ -34,6 +37,8 @@
 CACHE_SHARE = 0.7
 #: A peer's report extends a known weights load only if it ends this much later.
 LOADING_SLACK_MS = 250.0
+#: Instances probe a quarantined part at times that differ by up to this much.
+MAX_PROBE_DELAY_MS = 2_000.0
 
 
 class Loading(NamedTuple):
@@ -64,6 +69,8 @@
         Wanted and loaded versions of each model's weights.
     loads : FleetLoads
         Work at the upstreams and the parts that they cache.
+    crash_findings : CrashFindings
+        Shared parts of prompts that crash engines.
     store_contact : StoreContact
         How old the store's newest confirmation of this state is.
     is_watching_store : bool
@@ -82,6 +89,10 @@
         self.directory = UpstreamDirectory()
         self.weights = weights
         self.loads = FleetLoads()
+        probe_delay_ms = random.uniform(0.0, MAX_PROBE_DELAY_MS)
+        self.crash_findings = CrashFindings(
+            CrashSuspects(probe_delay_ms), now_ms, telemetry
+        )
         self._failure_domain = failure_domain
         self._now_ms = now_ms
         self._telemetry = telemetry
--- a/buckthornrock/gateway/gossip_queue.py
+++ b/buckthornrock/gateway/gossip_queue.py
@@ -1,8 +1,8 @@
 """Queue of state updates, each repeated in several digests as datagrams may be lost."""
 
 from collections import OrderedDict, deque
-from collections.abc import Hashable
-from typing import NamedTuple
+from collections.abc import Callable, Hashable
+from typing import Any, NamedTuple
 
 from ..wire.digests import LoadedWeights
 
@@ -32,22 +32,29 @@
 
 
 class GossipQueue:
-    """Holds updates until each was sent often enough; the caller passes the time."""
+    """Holds updates until each was sent often enough; the caller passes the time.
 
-    def __init__(self) -> None:
-        self._pending: deque[tuple[int, Update]] = deque(maxlen=MAX_PENDING)
+    Parameters
+    ----------
+    key : callable
+        Returns what makes two updates alike.
+    """
+
+    def __init__(self, key: Callable[[Any], Hashable] | None = None) -> None:
+        self._key = key or _key
+        self._pending: deque[tuple[int, Any]] = deque(maxlen=MAX_PENDING)
         self._added_at_ms: OrderedDict[Hashable, float] = OrderedDict()
 
-    def add(self, item: Update, now_ms: float) -> None:
+    def add(self, item: Any, now_ms: float) -> None:
         """Queue ``item``, unless its like was added within ``REPEAT_AFTER_MS``."""
         self._expire_added(now_ms)
-        key = _key(item)
+        key = self._key(item)
         if key in self._added_at_ms:
             return
         self._added_at_ms[key] = now_ms
         self._pending.append((N_TRANSMISSIONS, item))
 
-    def next_batch(self) -> list[Update]:
+    def next_batch(self) -> list[Any]:
         """Return the updates for the next digest, the longest queued first."""
         n_sent = min(MAX_BATCH, len(self._pending))
         batch = [self._pending.popleft() for _ in range(n_sent)]
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -28,6 +28,7 @@
     encode_digest,
 )
 from ..wire.numeric_ids import incarnation_number
+from .crash_gossip import CrashGossip
 from .fleet_state import FleetState, Loading
 from .gossip_queue import GossipQueue, PartUpdate, Update
 from .peer_view import PeerView
@@ -104,6 +105,9 @@
         self._updates = GossipQueue()
         self._relay_updates = GossipQueue()
         self._failing_since_ms: dict[str, float] = {}
+        self._crash_gossip = CrashGossip(
+            fleet_state.crash_findings, now_ms, self._send_urgent
+        )
         fleet_state.set_observers(
             self._on_part_cached, self._on_loaded, self._send_urgent
         )
@@ -261,6 +265,7 @@
         for model, (version, age_ms) in digest.weights.items():
             self._fleet_state.on_weights(model, version, digest.instance_id, age_ms)
         self._apply_updates(digest, now_ms)
+        self._crash_gossip.apply(digest)
         self._follow(digest, now_ms)
         self.on_peer_versions(
             PeerVersions(digest.address, digest.configuration_version, digest.revision)
@@ -345,17 +350,20 @@
         digest.loaded, digest.cached_parts = _encode_updates(
             self._updates.next_batch(), now_ms
         )
+        self._crash_gossip.fill(digest)
         return digest
 
     def _digest_for_followers(self, base: Digest, now_ms: float) -> Digest:
         """Return ``base`` plus the updates and weights loads from other relays."""
         loaded, parts = _encode_updates(self._relay_updates.next_batch(), now_ms)
-        return msgspec.structs.replace(
+        digest = msgspec.structs.replace(
             base,
             loading=self._loading(now_ms, is_for_relays=False),
             loaded=base.loaded + loaded,
             cached_parts=base.cached_parts + parts,
         )
+        self._crash_gossip.fill_for_followers(digest)
+        return digest
 
     def _empty_digest(self, scope: Scope, n_peers: int, now_ms: float) -> Digest:
         """Return a digest that reports no work, weights loads or updates."""
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -109,6 +109,37 @@
     age_ms: int
 
 
+class CrashSuspicion(msgspec.Struct, array_like=True):
+    """A shared part that was in flight, without an event, when an upstream crashed.
+
+    ``part`` is the numeric id of the part and its model, ``depth`` its position in the
+    prompt. ``is_repeat`` tells that the request was in flight at a crash before.
+    """
+
+    upstream: int
+    part: int
+    depth: int
+    age_ms: int
+    is_repeat: bool
+
+
+class SoundPart(msgspec.Struct, array_like=True):
+    """A suspected part whose attempt had an event ``age_ms`` ago."""
+
+    part: int
+    age_ms: int
+
+
+class PartQuarantine(msgspec.Struct, array_like=True):
+    """Whether requests with a part are refused; the highest ``version`` is newest."""
+
+    part: int
+    version: int
+    is_active: bool
+    n_probes: int
+    age_ms: int
+
+
 class Digest(msgspec.Struct, array_like=True):
     """The state of one instance that other instances base their decisions on.
 
@@ -148,6 +179,9 @@
     changes: list[EntryChange] = []
     store_age_ms: int = -1
     store_calls: StoreCalls = StoreCalls.NONE
+    suspicions: list[CrashSuspicion] = []
+    sound_parts: list[SoundPart] = []
+    quarantines: list[PartQuarantine] = []
 
 
 def encode_digest(digest: Digest) -> bytes:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -198,7 +198,9 @@
         budget=RetryBudget(0.0, budget, 10_000.0),
         n_instances=lambda: 1,
         fleet_state=fleet_state,
-        crash_watch=CrashWatch(pool, fleet_state.directory, now_ms, telemetry),
+        crash_watch=CrashWatch(
+            pool, fleet_state.directory, fleet_state.crash_findings, now_ms, telemetry
+        ),
         now_ms=now_ms,
         telemetry=telemetry,
     )
