Treat a stream without length and events as interrupted

A stream may come with neither a length nor chunks and end with its connection. Whole ones and ones that end within an event were handled; one whose connection ended before its first event, as when the engine crashes, reached the caller as a complete, empty answer with status 200. It is interrupted now, so that the request is tried again where the route allows it, and 502 elsewhere. Responses that state their length may still be empty.

6 new cases in tests/gateway/test_streams.py, 1 of them failed before (no event).

--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -268,6 +268,7 @@
                 connection,
                 self._context.codec.encode_response(head.headers),
                 functools.partial(self._on_event, reservation, watched),
+                must_have_event=head.ends_with_connection,
             )
             self._record_outcome(reservation, is_failure=False)
             return Ok(None)
--- a/buckthornrock/gateway/stream_relay.py
+++ b/buckthornrock/gateway/stream_relay.py
@@ -49,10 +49,12 @@
         connection: UpstreamConnection,
         headers: Headers,
         on_event: Callable[[], None],
+        must_have_event: bool = False,
     ) -> None:
         """Relay the stream of one upstream to its end.
 
-        ``on_event`` is called when events other than comments have arrived.
+        ``on_event`` is called when events other than comments have arrived. A stream
+        without any counts as interrupted if it ``must_have_event``.
 
         Raises
         ------
@@ -65,16 +67,20 @@
         splitter = EventSplitter()
         is_resumed = self._client.has_sent_head
         n_forwarded = 0
+        has_event = False
         self._restart_stall_timer()
         while data := await self._read_chunk(connection):
             events = splitter.feed(data)
             if any(not event.is_comment for event in events):
+                has_event = True
                 on_event()
                 self._restart_stall_timer()
             for event in events:
                 n_forwarded += self._forward(event, headers, is_resumed)
         if splitter.rest.strip():
             raise ConnectionBrokenError("the stream ended within an event")
+        if must_have_event and not has_event:
+            raise ConnectionBrokenError("the stream ended before its first event")
         if is_resumed and not n_forwarded:
             raise ConnectionBrokenError("the resumed stream had no further event")
         if not self._client.has_sent_head:
--- a/buckthornrock/gateway/upstream_connection.py
+++ b/buckthornrock/gateway/upstream_connection.py
@@ -28,6 +28,12 @@
     headers: Headers
     fields: ResponseFields
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells where the body ends."""
+        names = {name for name, _ in self.headers}
+        return names.isdisjoint((b"content-length", b"transfer-encoding"))
+
 
 class UpstreamConnection(asyncio.Protocol):
     """Speaks HTTP/1.1 with an upstream.
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -207,6 +207,63 @@
     run(main)
 
 
+def until_close(body: bytes):
+    """Return a script that sends events without a length, until the connection ends."""
+
+    async def script(received_request):
+        first = int(received_request.header(b"last-event-id") or 0)
+        head = (
+            b"HTTP/1.1 200 OK\r\n%s: %s\r\n" % (ID, received_request.request_id) + STAMP
+        )
+        head += b"Content-Type: text/event-stream\r\n\r\n"
+        await received_request.send(head + (EVENTS if first else body))
+        received_request.writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize("path", ["/long/1", "/note/1"])
+def test_stream_that_ends_with_its_connection_is_complete(path):
+    async def main():
+        upstream = ScriptedUpstream(until_close(EVENTS))
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request(path))
+        assert (reply.status, reply.body, reply.is_complete) == (200, EVENTS, True)
+        assert len(upstream.received) == 1
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("body", "whole"),
+    [(event(1) + b"id: 2\nda", event(1)), (b"id: 1\nda", b""), (b"", b"")],
+    ids=["after an event", "first event", "no event"],
+)
+def test_stream_whose_connection_ends_within_an_event_is_broken_off(body, whole):
+    async def main():
+        upstream = ScriptedUpstream(until_close(body))
+        harness = await start_gateway(upstream)
+        reply = await ask(harness.client_address, request("/long/1"))
+        if whole:
+            assert (reply.body, reply.is_complete) == (whole, False)
+            return
+        assert reply.status == 502
+
+    run(main)
+
+
+def test_stream_whose_connection_ends_within_an_event_is_resumed():
+    async def main():
+        upstream = ScriptedUpstream(until_close(event(1) + b"id: 2\nda"))
+        harness = await start_gateway(upstream, ScriptedUpstream(until_close(EVENTS)))
+        for number in range(2):
+            message = request("/note/1", b"r%d" % number)
+            reply = await ask(harness.client_address, message)
+            assert (reply.body, reply.is_complete) == (EVENTS, True)
+
+    run(main)
+
+
 def test_plain_body_of_a_streaming_route_is_forwarded_whole():
     async def main():
         upstream = ScriptedUpstream(whole_body(ERROR_TEXT, b"application/json"))
