Break off attempts in flight when their part is quarantined

Attempts without an event that hold the part are closed now, so that the engine drops them; the caller gets 502, as the request may have run.

2 new cases in tests/gateway/test_crashing_parts.py, both failed before.

--- a/buckthornrock/gateway/crash_findings.py
+++ b/buckthornrock/gateway/crash_findings.py
@@ -20,7 +20,13 @@
 
 
 class CrashFindings:
-    """Suspects and quarantined parts, with the callbacks that tell peers."""
+    """Suspects and quarantined parts, with the callbacks that tell peers.
+
+    Attributes
+    ----------
+    on_quarantined : callable
+        Called with each part that is quarantined, on whose word it may be.
+    """
 
     def __init__(
         self,
@@ -31,6 +37,7 @@
         self._suspects = suspects
         self._now_ms = now_ms
         self._telemetry = telemetry
+        self.on_quarantined: Callable[[int], None] = lambda _: None
         self.set_observers(lambda _: None, lambda *_: None, lambda: None)
 
     def set_observers(
@@ -121,4 +128,6 @@
                 n_crashes=n_crashes,
                 n_probes=state.n_probes,
             )
+            if state.is_active:
+                self.on_quarantined(part)
         return bool(changes)
--- a/buckthornrock/gateway/crash_watch.py
+++ b/buckthornrock/gateway/crash_watch.py
@@ -71,6 +71,17 @@
         self._now_ms = now_ms
         self._telemetry = telemetry
         self._trials: dict[Incarnation, tuple[float, asyncio.Task[bool]]] = {}
+        self._in_flight: dict[WatchedAttempt, Callable[[], None]] = {}
+        findings.on_quarantined = self._abort_attempts
+
+    def begin(self, attempt: WatchedAttempt, abort: Callable[[], None]) -> None:
+        """Watch an attempt that is sent now; ``abort`` closes its connection."""
+        self._in_flight[attempt] = abort
+        self._findings.on_sending(attempt.request_id, attempt.parts)
+
+    def end(self, attempt: WatchedAttempt) -> None:
+        """Stop watching an attempt."""
+        self._in_flight.pop(attempt, None)
 
     def on_event(self, attempt: WatchedAttempt) -> None:
         """Record that events of an attempt have arrived."""
@@ -110,6 +121,12 @@
         )
         return True
 
+    def _abort_attempts(self, part: int) -> None:
+        """Break off attempts with a quarantined part before they crash an engine."""
+        for attempt, abort in list(self._in_flight.items()):
+            if part in attempt.parts and not attempt.has_event:
+                abort()
+
     def _trial(self, upstream: Upstream, now_ms: float) -> asyncio.Task[bool]:
         self._trials = {
             incarnation: (at_ms, task)
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -218,9 +218,7 @@
             self._upstream_request_fields(reservation),
             len(request.body),
         )
-        self._context.fleet_state.crash_findings.on_sending(
-            self._admitted.request_id, self._crash_parts
-        )
+        self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
             async with asyncio.timeout(self._attempt_limit_s()) as limit:
@@ -241,6 +239,7 @@
             self._context.dispatcher.block(upstream, BLOCK_AFTER_TIMEOUT_MS)
             return Error(Interrupted("the upstream did not respond in time"))
         finally:
+            self._context.crash_watch.end(watched)
             self._context.pool.release(upstream, connection)
 
     async def _handle_response(
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -4,7 +4,16 @@
 
 import pytest
 
-from tests.gateway.harness import ScriptedUpstream, ask, request, run, start_gateway
+from buckthornrock.gateway.crash_watch import crash_part_number
+from buckthornrock.scheduling.crash_suspects import Quarantine
+from tests.gateway.harness import (
+    ScriptedUpstream,
+    ask,
+    now_ms,
+    request,
+    run,
+    start_gateway,
+)
 from tests.gateway.test_streams import EVENTS, N_EVENTS, stream
 
 DEADLY = b"dead:10"
@@ -105,6 +114,34 @@
     run(main)
 
 
+async def wait_until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+async def keep_silent(received_request):
+    # The gateway closes the connection.
+    await received_request.reader.read()
+    received_request.writer.close()
+
+
+@pytest.mark.parametrize("path", ["/long/1", "/note/1"])
+def test_request_in_flight_is_broken_off_when_its_part_is_quarantined(path):
+    async def main():
+        upstreams = [ScriptedUpstream(keep_silent) for _ in range(2)]
+        harness = await start_gateway(*upstreams)
+        asked = asyncio.create_task(ask(harness.client_address, prompt(path, DEADLY)))
+        await wait_until(lambda: any(upstream.received for upstream in upstreams))
+        part = crash_part_number("m", "dead")
+        state = Quarantine(1, True, 0, now_ms())
+        harness.fleet_state.crash_findings.on_peer_quarantine(part, state, "i2")
+        reply = await asked
+        assert reply.status == 502
+        assert sum(len(upstream.received) for upstream in upstreams) == 1
+
+    run(main)
+
+
 async def reset(received_request):
     received_request.writer.transport.abort()
 
