--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -134,6 +134,38 @@
     "An upstream refused a request and asked for no others for asked_ms, null if that "
     "can't be read. It gets none for quiet_ms.",
 )
+ENGINE_CRASHED = Event(
+    2230,
+    "gateway.engine_crashed",
+    "warning",
+    ("request_id", "upstream_id", "has_event", "parts"),
+    "An attempt at an engine broke off and the engine accepts no connection any more; "
+    "has_event tells whether the attempt had an event of its response. parts lists the "
+    "prompt's shared parts, each with its number in other lines.",
+)
+PART_QUARANTINED = Event(
+    2231,
+    "gateway.part_quarantined",
+    "warning",
+    ("part", "source", "n_crashes", "n_probes"),
+    "Requests whose prompt has this shared part are refused from now on: it was in "
+    "flight at n_crashes crashes of engines, and no attempt with it had an event "
+    "since. source is own or the peer that decided it (n_crashes is 0 then).",
+)
+PART_RELEASED = Event(
+    2232,
+    "gateway.part_released",
+    "info",
+    ("part", "source", "n_crashes", "n_probes"),
+    "An attempt with a quarantined part had an event: its requests are served again.",
+)
+PART_PROBED = Event(
+    2233,
+    "gateway.part_probed",
+    "info",
+    ("request_id", "part"),
+    "A request with a quarantined part is sent to find out whether the part is sound.",
+)
 CONFIGURATION_IN_FORCE = Event(
     2210,
     "gateway.configuration_in_force",
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import functools
 import math
 from collections.abc import Callable
 from typing import NamedTuple
@@ -18,6 +19,7 @@
 from ..telemetry import Telemetry
 from ..wire.numeric_ids import part_number
 from .client_connection import ClientConnection
+from .crash_watch import CrashWatch, WatchedAttempt, crash_parts
 from .dispatcher import Dispatcher, Reservation
 from .errors import (
     AttemptFailure,
@@ -44,6 +46,8 @@
 
 #: A request is refused after this many attempts that no upstream executed.
 MAX_UNEXECUTED_ATTEMPTS = 4
+#: A request is not sent again after this many crashes before its first event.
+MAX_CRASHES = 2
 #: How long an upstream gets no new requests after it refused one.
 BLOCK_AFTER_REFUSAL_MS = 120.0
 #: How long an upstream gets no new requests after one of its responses timed out.
@@ -74,6 +78,7 @@
     ATTEMPTS_USED = "give up: no attempt left"
     BUDGET_USED = "give up: the retry budget is used up"
     TIME_USED = "give up: no time left"
+    CRASHES_ENGINES = "give up: engines crashed on it"
 
 
 class ExchangeContext(NamedTuple):
@@ -85,6 +90,7 @@
     budget: RetryBudget
     n_instances: Callable[[], int]
     fleet_state: FleetState
+    crash_watch: CrashWatch
     now_ms: Callable[[], float]
     telemetry: Telemetry
     stopping: Stopping
@@ -114,6 +120,8 @@
         self._waited_ms = 0.0
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
+        self._n_crashes = 0
+        self._crash_parts = crash_parts(admitted.demand.prompt)
         self._used_connections: list[UpstreamConnection] = []
         self._upstream_failure: tuple[ResponseHead, bytes] | None = None
 
@@ -146,12 +154,18 @@
             if stopping.must_refuse(ends_at_ms, self._now_ms()):
                 self._on_no_reservation(NOT_SENT)
                 return
+            if self._refuse_quarantined():
+                return
             limited = self._admitted._replace(ends_at_ms=stopping.capped(ends_at_ms))
             reserved = await self._context.dispatcher.reserve(limited, self._excluded)
             if reserved.is_error():
                 self._on_no_reservation(reserved.error)
                 return
             reservation = reserved.ok
+            if self._refuse_quarantined():
+                # A part was quarantined while the request waited.
+                reservation.release()
+                return
             self._waited_ms = self._now_ms() - self._admitted.request.received_at_ms
             try:
                 outcome = await self._attempt(reservation)
@@ -178,6 +192,17 @@
                 return
             self._upstream_id = ""
 
+    def _refuse_quarantined(self) -> bool:
+        """Refuse the request if a part of its prompt crashes engines."""
+        findings = self._context.fleet_state.crash_findings
+        found = findings.find_quarantined(self._crash_parts)
+        if found is None:
+            return False
+        reason = f"engines crash on part {found.part} of the prompt"
+        retry_after_ms = found.retry_after_ms
+        self._refuse(Refusal(503, "quarantined-part", reason, retry_after_ms))
+        return True
+
     def _on_no_reservation(self, refusal: Refusal) -> None:
         if self._upstream_failure is not None and not self._client.has_sent_head:
             self._forward_failure(*self._upstream_failure)
@@ -205,12 +230,19 @@
         if reservation.placement.work.prefill_ms >= URGENT_PREFILL_MS:
             self._context.fleet_state.publish_now()
         request = self._admitted.request
+        watched = WatchedAttempt(
+            self._admitted.request_id,
+            upstream,
+            self._crash_parts,
+            is_repeat=self._n_crashes > 0,
+        )
         headers = self._context.codec.encode_request(
             request.headers,
             self._upstream_request_fields(reservation),
             len(request.body),
         )
         self._has_sent = True
+        self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
             limit_s = self._attempt_limit_s(reservation)
@@ -220,8 +252,12 @@
                 self._context.fleet_state.on_notice(upstream, head.fields.notice)
                 if self._is_stream(head):
                     limit.reschedule(None)
-                return await self._handle_response(reservation, connection, head)
+                return await self._handle_response(
+                    reservation, connection, head, watched
+                )
         except ConnectionBrokenError as error:
+            if self._admitted.demand.prompt is not None:
+                self._n_crashes += await self._context.crash_watch.on_broken(watched)
             return Error(Interrupted(str(error)))
         except h11.LocalProtocolError as error:
             return Error(NotReached(str(error)))
@@ -229,6 +265,7 @@
             self._context.dispatcher.block(upstream, BLOCK_AFTER_TIMEOUT_MS)
             return Error(Interrupted("the upstream did not respond in time"))
         finally:
+            self._context.crash_watch.end(watched)
             self._context.pool.release(upstream, connection)
 
     async def _handle_response(
@@ -236,6 +273,7 @@
         reservation: Reservation,
         connection: UpstreamConnection,
         head: ResponseHead,
+        watched: WatchedAttempt,
     ) -> Result[None, AttemptFailure]:
         upstream = reservation.placement.upstream
         if head.fields.load is not None:
@@ -254,11 +292,14 @@
             await self._relay.run(
                 connection,
                 self._context.codec.encode_response(head.status, head.headers),
-                reservation,
+                functools.partial(self._on_event, reservation, watched),
+                must_have_event=head.ends_with_connection,
             )
             self._record_outcome(reservation, is_failure=False)
             return Ok(None)
         body = await connection.read_body()
+        if head.status == 200:
+            self._context.crash_watch.on_event(watched)
         is_failure = head.status >= 500
         self._record_outcome(reservation, is_failure)
         if self._client.has_sent_head:
@@ -269,6 +310,10 @@
         self._send_response(head, body)
         return Ok(None)
 
+    def _on_event(self, reservation: Reservation, watched: WatchedAttempt) -> None:
+        reservation.on_first_event()
+        self._context.crash_watch.on_event(watched)
+
     async def _drain_refusal(self, connection: UpstreamConnection) -> None:
         """Read the body of a refusal, so that the connection can be reused.
 
@@ -378,6 +423,8 @@
         self._record_outcome(reservation, is_failure=self._upstream_failure is None)
         if not self._admitted.route.is_repeatable:
             return NextStep.NOT_REPEATABLE
+        if self._n_crashes >= MAX_CRASHES:
+            return NextStep.CRASHES_ENGINES
         if self._n_may_have_run >= self._admitted.route.n_attempts:
             return NextStep.ATTEMPTS_USED
         if self._remaining_ms() <= RESPONSE_MARGIN_MS:
