--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -112,7 +112,7 @@
     "request has not run there.",
 )
 UPSTREAM_LEAVING = Event(
-    2206,
+    2228,
     "gateway.upstream_leaving",
     "info",
     ("upstream_id", "source"),
@@ -120,7 +120,7 @@
     "whatever the store says of it. source is answer, or the peer that had it.",
 )
 QUIET_ASKED = Event(
-    2207,
+    2229,
     "gateway.quiet_asked",
     "warning",
     ("upstream_id", "service", "asked_ms", "quiet_ms"),
