--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -119,7 +119,7 @@
     "request has not run there.",
 )
 UPSTREAM_LEAVING = Event(
-    2206,
+    2228,
     "gateway.upstream_leaving",
     "info",
     ("upstream_id", "source"),
@@ -127,7 +127,7 @@
     "whatever the store says of it. source is answer, or the peer that had it.",
 )
 QUIET_ASKED = Event(
-    2207,
+    2229,
     "gateway.quiet_asked",
     "warning",
     ("upstream_id", "service", "asked_ms", "quiet_ms"),
@@ -135,7 +135,7 @@
     "can't be read. It gets none for quiet_ms.",
 )
 ENGINE_CRASHED = Event(
-    2230,
+    2206,
     "gateway.engine_crashed",
     "warning",
     ("request_id", "upstream_id", "has_event", "parts"),
@@ -144,7 +144,7 @@
     "prompt's shared parts, each with its number in other lines.",
 )
 PART_QUARANTINED = Event(
-    2231,
+    2207,
     "gateway.part_quarantined",
     "warning",
     ("part", "source", "n_crashes", "n_probes"),
@@ -153,14 +153,14 @@
     "since. source is own or the peer that decided it (n_crashes is 0 then).",
 )
 PART_RELEASED = Event(
-    2232,
+    2208,
     "gateway.part_released",
     "info",
     ("part", "source", "n_crashes", "n_probes"),
     "An attempt with a quarantined part had an event: its requests are served again.",
 )
 PART_PROBED = Event(
-    2233,
+    2209,
     "gateway.part_probed",
     "info",
     ("request_id", "part"),
