Limit only the start of a response by the age of its weights

The limit on waiting at an engine with replaced weights held for a whole buffered response too, so that one which had begun in time was cut. It ends with the response's head now.

test_response_that_began_in_time_is_not_cut_when_its_weights_become_too_old failed before.

--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -245,13 +245,14 @@
         self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
-            limit_s = self._attempt_limit_s(reservation)
-            async with asyncio.timeout(limit_s) as limit:
+            limit_s = self._attempt_limit_s()
+            ends_at_s = asyncio.get_running_loop().time() + limit_s
+            start_limit_s = min(limit_s, self._start_limit_s(reservation))
+            async with asyncio.timeout(start_limit_s) as limit:
                 head = await connection.read_head(self._admitted.request_id)
                 self._head_at_ms = self._now_ms()
                 self._context.fleet_state.on_notice(upstream, head.fields.notice)
-                if self._is_stream(head):
-                    limit.reschedule(None)
+                limit.reschedule(None if self._is_stream(head) else ends_at_s)
                 return await self._handle_response(
                     reservation, connection, head, watched
                 )
@@ -514,28 +515,28 @@
             self._context.telemetry, self._admitted, refusal, self._progress()
         )
 
-    def _attempt_limit_s(self, reservation: Reservation) -> float:
-        """Return the time limit of an attempt, for a stream of its response head.
-
-        A request that waits at an engine until its weights are too old is cancelled.
-        """
+    def _attempt_limit_s(self) -> float:
+        """Return the time limit of an attempt, for a stream of its response head."""
         remaining_ms = self._remaining_ms()
         if self._has_another_attempt():
             max_wait_ms = (
                 self._admitted.route.objective_ms * FIRST_ATTEMPT_MAX_OBJECTIVES
             )
             remaining_ms = min(remaining_ms * FIRST_ATTEMPT_SHARE, max_wait_ms)
-        if self._admitted.demand.prompt is not None:
-            remaining_ms = min(remaining_ms, self._start_limit_ms(reservation))
         return max(0.0, remaining_ms) / 1000.0
 
-    def _start_limit_ms(self, reservation: Reservation) -> float:
-        """Return for how long a prompt's weights may still be used for its start."""
-        return self._context.fleet_state.weights.may_start_for_ms(
-            reservation.placement.upstream,
-            self._admitted.demand.prompt.model,
-            self._now_ms(),
+    def _start_limit_s(self, reservation: Reservation) -> float:
+        """Return the time limit of the response head that an engine's weights set.
+
+        A request that waits at an engine until its weights are too old is cancelled.
+        """
+        prompt = self._admitted.demand.prompt
+        if prompt is None:
+            return math.inf
+        limit_ms = self._context.fleet_state.weights.may_start_for_ms(
+            reservation.placement.upstream, prompt.model, self._now_ms()
         )
+        return max(0.0, limit_ms) / 1000.0
 
     def _has_another_attempt(self) -> bool:
         """Return whether the request may be repeated after the current attempt."""
--- a/tests/gateway/test_upstream_responses.py
+++ b/tests/gateway/test_upstream_responses.py
@@ -326,6 +326,26 @@
     run(main)
 
 
+async def plain_and_slow(received_request):
+    message = response_bytes(received_request.request_id, BODY)
+    message = message.replace(b"\r\n", b"\r\nContent-Type: text/plain\r\n", 1)
+    await received_request.send(message[:-4])
+    await asyncio.sleep(0.8)
+    await received_request.send(message[-4:])
+
+
+def test_response_that_began_in_time_is_not_cut_when_its_weights_become_too_old():
+    """A buffered response takes longer than its weights may still be used."""
+
+    async def main():
+        harness = await start_gateway(ScriptedUpstream(plain_and_slow))
+        harness.fleet_state.on_weights("m", 2, "test", age_ms=19_600.0)
+        reply = await ask(harness.client_address, request("/long/1"))
+        assert (reply.status, reply.body) == (200, BODY)
+
+    run(main)
+
+
 def test_error_response_of_the_last_attempt_is_forwarded():
     async def main():
         upstreams = [ScriptedUpstream(server_error) for _ in range(3)]
