Keep the longest known age in the record of wanted versions

A process that starts may read a stale listing, which lacks the record, and then counted from its start. A holder of the lease that knew too short an age overwrote the right one. The record was written only after the wait behind the holder before, and its ages were taken before the orders of that step.

The record is read from the first listing and the first changes, and never later: a process that ran when a version changed knows it better. It is written as soon as the lease is held, before any order, and keeps the longer age of each version. Versions that operators haven't named are ignored.

--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -450,7 +450,26 @@
         }
         return {model: versions for model, versions in ages.items() if versions}
 
-    def on_peer_weights(
+    def on_wanted_record(self, model: str, ages_ms: list[tuple[int, int]]) -> None:
+        """Record since when versions are wanted, as the store told at the start.
+
+        Versions that operators haven't named are ignored.
+        """
+        newest = self.weights.wanted(model)
+        for version, age_ms in ages_ms:
+            if newest is None or version > newest.version:
+                continue
+            self.weights.on_wanted(model, version, self._now_ms() - age_ms)
+            self._telemetry.log(
+                events.WEIGHTS_WANTED,
+                model=model,
+                version=version,
+                source="record",
+                age_ms=age_ms,
+            )
+        self._publish_now()
+
+    def on_wanted_ages(
         self,
         newest: dict[str, tuple[int, int]],
         older: dict[str, list[tuple[int, int]]],
@@ -482,11 +501,11 @@
                 engines[model].append(
                     RolloutEngine(upstream, version, utilization, usable_for_ms)
                 )
-        older = self.older_wanted_ages()
-        ages = {
-            m: [*older.get(m, ()), newest] for m, newest in self.wanted_ages().items()
+        since = {
+            model: [*self.weights.wanted_before(model, now_ms), newest]
+            for model, newest in self.weights.models().items()
         }
-        return RolloutInputs(wanted, engines, ages)
+        return RolloutInputs(wanted, engines, since)
 
     def _utilization(self, upstream: Upstream, now_ms: float) -> float:
         """Return the larger of the used shares of slots and of KV memory."""
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -262,7 +262,7 @@
             peer_list.peers += self._view.entries_of([self._topology.relay], now_ms)
             self._transmit(peer_list, digest.address)
         self._apply_works(digest, now_ms)
-        self._fleet_state.on_peer_weights(
+        self._fleet_state.on_wanted_ages(
             digest.weights, digest.older_weights, digest.instance_id
         )
         self._apply_updates(digest, now_ms)
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -180,7 +180,7 @@
                 fleet_state.on_configuration(
                     configuration.ok, snapshot.configuration, source
                 )
-        fleet_state.on_peer_weights(snapshot.weights, snapshot.older_weights, source)
+        fleet_state.on_wanted_ages(snapshot.weights, snapshot.older_weights, source)
         if snapshot.upstreams is None or not fleet_state.needs_peers:
             return
         upstreams = [u for u in snapshot.upstreams if fleet_state.is_usable(u)]
--- a/buckthornrock/platform/store_client.py
+++ b/buckthornrock/platform/store_client.py
@@ -15,6 +15,7 @@
 from ..runtime.decoding import Count, decode_json
 from ..store.errors import HistoryGone, KvUnavailable, LeaseGone
 from ..store.kv_port import (
+    WRITE_ID_BYTES,
     CommitConflict,
     CommitDone,
     CommitNotDone,
@@ -41,8 +42,6 @@
 #: Time limit for finding out the outcome of a write whose response was lost.
 RESOLVE_LIMIT_MS = 3_000.0
 RESOLVE_PAUSE_MS = 200.0
-#: Length of the id that precedes the payload of each value that the router writes.
-WRITE_ID_BYTES = 16
 
 _OK, _NOT_FOUND, _GONE, _CONDITION_FAILED = 200, 404, 410, 412
 #: Statuses with which the store refuses a call without executing it.
@@ -324,8 +323,3 @@
         entries=tuple(_entry(item) for item in newest if not item.removed),
         deleted=tuple(item.key for item in newest if item.removed),
     )
-
-
-def payload(entry: KvEntry) -> bytes:
-    """Return the value that the router wrote, without the write id."""
-    return entry.value[WRITE_ID_BYTES:]
--- a/buckthornrock/platform/store_listeners.py
+++ b/buckthornrock/platform/store_listeners.py
@@ -6,10 +6,9 @@
 from ..catalog.upstreams import Upstream
 from ..gateway.fleet_state import FleetState
 from ..rollout.wanted_record import RECORD_PREFIX, decode_record
-from ..store.kv_port import KvEntry, Snapshot, WatchBatch
+from ..store.kv_port import KvEntry, Snapshot, WatchBatch, payload
 from ..store.store_watcher import Listener
 from .configuration import decode_configuration
-from .store_client import payload
 from .upstream_entries import (
     CONFIGURATION_KEY,
     UPSTREAMS_PREFIX,
@@ -19,7 +18,6 @@
 )
 
 SOURCE = "store"
-RECORD_SOURCE = "record in the store"
 
 
 def store_listener(
@@ -29,11 +27,13 @@
 ) -> Listener:
     """Return a listener that any thread may call; it runs on the event loop.
 
-    ``wall_ms`` returns the time of day in Unix milliseconds.
+    ``wall_ms`` returns the time of day in Unix milliseconds. Since when versions are
+    wanted is read from the first listing and from the first changes, which bring what
+    that listing lacked if it was stale. Later, the process knows it better.
     """
+    unread = {Snapshot, WatchBatch}
 
     def on_snapshot(snapshot: Snapshot) -> None:
-        _apply_wanted_records(fleet_state, snapshot.entries, wall_ms())
         _apply_operator_entries(fleet_state, snapshot.entries)
         upstreams, _ = _decode_upstreams(fleet_state, snapshot.entries)
         fleet_state.replace_upstreams(upstreams, snapshot.revision)
@@ -51,6 +51,9 @@
     def on_received(handle: Callable, received: Snapshot | WatchBatch) -> None:
         fleet_state.store_contact.on_call_answered()
         handle(received)
+        if type(received) in unread:
+            unread.remove(type(received))
+            _apply_wanted_records(fleet_state, received.entries, wall_ms())
 
     def post(handle: Callable) -> Callable:
         return lambda received: loop.call_soon_threadsafe(on_received, handle, received)
@@ -91,11 +94,7 @@
 def _apply_wanted_records(
     fleet_state: FleetState, entries: Iterable[KvEntry], wall_ms: int
 ) -> None:
-    """Apply since when versions are wanted.
-
-    An instance that ran when a version changed knows it better, so that records which
-    arrive as changes aren't applied.
-    """
+    """Apply since when versions are wanted, as the store records it."""
     for entry in entries:
         if not entry.key.startswith(RECORD_PREFIX):
             continue
@@ -104,7 +103,7 @@
             fleet_state.log_undecodable(entry.key, record.error.reason)
             continue
         model = entry.key.removeprefix(RECORD_PREFIX)
-        fleet_state.on_peer_weights({}, {model: record.ok}, RECORD_SOURCE)
+        fleet_state.on_wanted_record(model, record.ok)
 
 
 def _decode_upstreams(
--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import pykka
 from expression import Result
@@ -11,6 +11,8 @@
 from ..events import rollout as events
 from ..events.lifecycle import STEP_FAILED
 from ..runtime.decoding import MAX_REASON_CHARS
+from ..scheduling.weights import WantedWeights
+from ..store.kv_port import payload
 from ..telemetry import Telemetry
 from .plan import Order, PendingOrder, plan_orders
 from .port import (
@@ -22,7 +24,7 @@
     RolloutInputs,
 )
 from .rollout_lease import RolloutLease
-from .wanted_record import RECORD_PREFIX, encode_record
+from .wanted_record import RECORD_PREFIX, decode_record, encode_record, merge_ages
 
 STEP_PERIOD_MS = 200.0
 #: Candidates without the lease try to take it this often while engines are outdated.
@@ -111,26 +113,38 @@
         inputs = self._read_inputs()
         self._forget_removed(inputs)
         self._maintain_lease(inputs)
+        # Before the orders: a holder that waits for its turn may be lost meanwhile.
+        self._record_wanted(inputs)
         if not self._lease.may_act():
             return
         for model, version in inputs.wanted.items():
             self._roll_out(model, version, inputs)
-        self._record_wanted(inputs)
 
     def _record_wanted(self, inputs: RolloutInputs) -> None:
         """Write to the store since when the versions are wanted, once a version."""
-        if self._now_ms() < self._record_at_ms:
+        if not self._lease.is_held() or self._now_ms() < self._record_at_ms:
             return
-        for model, ages_ms in inputs.wanted_ages.items():
-            newest, _ = ages_ms[-1]
-            if self._recorded.get(model) == newest or not self._lease.may_act():
+        for model, wanted in inputs.wanted_since.items():
+            if self._recorded.get(model) == wanted[-1].version:
                 continue
-            record = encode_record(ages_ms, self._wall_ms())
-            if self._lease.put(RECORD_PREFIX + model, record):
-                self._recorded[model] = newest
+            if self._write_record(model, wanted):
+                self._recorded[model] = wanted[-1].version
             else:
                 self._record_at_ms = self._now_ms() + RECORD_RETRY_MS
 
+    def _write_record(self, model: str, wanted: Iterable[WantedWeights]) -> bool:
+        """Write the record of one model; return whether it was certainly written."""
+        entry = self._lease.get(RECORD_PREFIX + model)
+        if entry.is_error():
+            return False
+        now_ms, wall_ms = self._now_ms(), self._wall_ms()
+        ages_ms = [(w.version, int(now_ms - w.known_at_ms)) for w in wanted]
+        if entry.ok is not None:
+            recorded = decode_record(payload(entry.ok), wall_ms)
+            ages_ms = merge_ages(ages_ms, recorded.default_value([]))
+        record = encode_record(ages_ms, wall_ms)
+        return self._lease.put(RECORD_PREFIX + model, record)
+
     def _forget_removed(self, inputs: RolloutInputs) -> None:
         known = {
             engine.upstream.incarnation
--- a/buckthornrock/rollout/port.py
+++ b/buckthornrock/rollout/port.py
@@ -6,6 +6,7 @@
 from expression import Result
 
 from ..catalog.upstreams import Upstream
+from ..scheduling.weights import WantedWeights
 from .plan import Order, RolloutEngine
 
 
@@ -65,13 +66,13 @@
 class RolloutInputs(NamedTuple):
     """Input from the gateway: wanted versions and the engines of each model.
 
-    ``wanted_ages`` are the versions of each model that an engine's lag may count from,
-    the newest last, and for how many milliseconds each has been wanted.
+    ``wanted_since`` are the versions of each model that an engine's lag may count from,
+    the newest last, and since when each is wanted in monotonic milliseconds.
     """
 
     wanted: dict[str, int]
     engines: dict[str, list[RolloutEngine]]
-    wanted_ages: Mapping[str, list[tuple[int, int]]] = {}
+    wanted_since: Mapping[str, list[WantedWeights]] = {}
 
 
 class RolloutCallbacks(NamedTuple):
--- a/buckthornrock/rollout/rollout_lease.py
+++ b/buckthornrock/rollout/rollout_lease.py
@@ -3,9 +3,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from expression import Result
+
+from ..store.errors import KvUnavailable
 from ..store.kv_port import (
     CommitDone,
     Compare,
+    KvEntry,
     Put,
     StorePort,
     Transaction,
@@ -100,6 +104,10 @@
         if held is not None:
             self._store.revoke_lease(held.lease_id)
 
+    def get(self, key: str) -> Result[KvEntry | None, KvUnavailable]:
+        """Return an entry of the store, None if it does not exist."""
+        return self._store.get(key)
+
     def put(self, key: str, value: bytes) -> bool:
         """Write a value under the lease; return whether it was certainly written."""
         held = self._held
--- a/buckthornrock/rollout/wanted_record.py
+++ b/buckthornrock/rollout/wanted_record.py
@@ -2,10 +2,10 @@
 
 Instances tell it each other. If all of them restart at once, only the record is left.
 It holds times of day, since no other clock outlives a process; where these jump, an age
-is wrong by the jump until the next version.
+is wrong by the jump until all engines have the version.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 from expression import Result
@@ -30,6 +30,19 @@
     )
 
 
+def merge_ages(
+    known_ms: Iterable[tuple[int, int]], recorded_ms: Iterable[tuple[int, int]]
+) -> list[tuple[int, int]]:
+    """Return the known versions, each with the longer of its ages.
+
+    A process that has just started may know too short an age.
+    """
+    recorded: Mapping[int, int] = dict(recorded_ms)
+    return [
+        (version, max(age_ms, recorded.get(version, 0))) for version, age_ms in known_ms
+    ]
+
+
 def decode_record(
     value: bytes, wall_ms: int
 ) -> Result[list[tuple[int, int]], Malformed]:
--- a/buckthornrock/store/kv_codec.py
+++ b/buckthornrock/store/kv_codec.py
@@ -3,9 +3,15 @@
 import base64
 from typing import NamedTuple
 
-from .kv_port import Compare, Delete, KvEntry, Put, Transaction, WatchBatch
-
-WRITE_ID_BYTES = 16
+from .kv_port import (
+    WRITE_ID_BYTES,
+    Compare,
+    Delete,
+    KvEntry,
+    Put,
+    Transaction,
+    WatchBatch,
+)
 
 
 class Page(NamedTuple):
--- a/buckthornrock/store/kv_port.py
+++ b/buckthornrock/store/kv_port.py
@@ -15,6 +15,11 @@
 LEASE_GONE = "lease gone"
 
 
+#: Length of the id that precedes the payload of each value that the router writes to
+#: the platform's store.
+WRITE_ID_BYTES = 16
+
+
 class KvEntry(NamedTuple):
     """A key with its value.
 
@@ -28,6 +33,11 @@
     write_id: bytes
 
 
+def payload(entry: KvEntry) -> bytes:
+    """Return the value that the router wrote, without the write id."""
+    return entry.value[WRITE_ID_BYTES:]
+
+
 class Compare(NamedTuple):
     """Condition that ``key`` was last modified at ``mod_revision`` (0: absent)."""
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -340,3 +340,14 @@
     assert behind.configuration_version == 0
     ((name, fields),) = logged
     assert (name, fields["what"]) == ("gateway.undecodable", "copy")
+
+
+def test_snapshot_tells_earlier_versions_of_weights():
+    """A peer that has just started learns the newest version from the store alone."""
+    one, two = fleet_state(version=1), fleet_state(version=1)
+    one.on_weights("m", 2, "store", age_ms=9_000.0)
+    one.on_weights("m", 3, "store", age_ms=1_000.0)
+    two.on_weights("m", 3, "store")
+    sync = StateSync("", two, decode_configuration, TELEMETRY, now_ms)
+    sync.apply(encode_snapshot(one, SnapshotRequest(1, 0)), "i1")
+    assert two.weights.lag_ms(UPSTREAM, "m", now_ms()) >= 9_000.0
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from buckthornrock.platform.store_client import open_store, payload
+from buckthornrock.platform.store_client import open_store
 from buckthornrock.store.kv_port import (
     CommitConflict,
     CommitDone,
@@ -14,6 +14,7 @@
     Delete,
     Put,
     Transaction,
+    payload,
 )
 from buckthornrock.store.store_watcher import Listener, StoreWatcher, WatchControl
 from buckthornrock.telemetry import Telemetry, open_log, open_metrics
--- a/tests/rollout/test_wanted_record.py
+++ b/tests/rollout/test_wanted_record.py
@@ -26,7 +26,7 @@
     decode_record,
     encode_record,
 )
-from buckthornrock.scheduling.weights import WeightsView
+from buckthornrock.scheduling.weights import WantedWeights, WeightsView
 from buckthornrock.store.kv_port import KvEntry, Snapshot, WatchBatch
 from buckthornrock.telemetry import Telemetry, open_metrics
 from tests.rollout.test_rollout_lease import ModelStore
@@ -69,7 +69,8 @@
 
     def __init__(self):
         self.store = ModelStore()
-        self.wanted_ages = {"m": [(2, 5_000)]}
+        self.store.now_ms = 100_000.0
+        self.wanted_ages = [(2, 5_000)]
         lease = RolloutLease(
             self.store.port(), "i1", 3_000.0, 3_000.0, lambda: self.store.now_ms
         )
@@ -91,14 +92,23 @@
         return Ok(OrderAnswer(202))
 
     def inputs(self):
-        newest = self.wanted_ages["m"][-1][0]
+        newest = self.wanted_ages[-1][0]
         engines = [RolloutEngine(engine(0), 1, 0.0)]
-        return RolloutInputs({"m": newest}, {"m": engines}, self.wanted_ages)
+        since = [
+            WantedWeights(v, self.store.now_ms - age) for v, age in self.wanted_ages
+        ]
+        return RolloutInputs({"m": newest}, {"m": engines}, {"m": since})
 
     def step(self):
         self.actor._step()
         self.store.now_ms += 200.0
 
+    def recorded(self, *ages_ms):
+        """Let another holder have written the record."""
+        value = WRITE_ID + encode_record(ages_ms, WALL_MS)
+        key = RECORD_PREFIX + "m"
+        self.store.entries[key] = KvEntry(key, value, 1, 0, WRITE_ID)
+
     def record(self):
         entry = self.store.entries.get(RECORD_PREFIX + "m")
         return None if entry is None else decode_record(entry.value[16:], WALL_MS).ok
@@ -113,15 +123,48 @@
     for _ in range(4):
         world.step()
     assert world.store.revision == n_writes
-    world.wanted_ages = {"m": [(2, 9_000), (3, 0)]}
+    world.wanted_ages = [(2, 9_000), (3, 0)]
     world.step()
     assert world.record() == [(2, 9_000), (3, 0)]
 
 
+def test_version_is_recorded_before_the_holder_may_send_orders():
+    """The holder before it sent orders just now, so that it waits for its turn."""
+    world = World()
+    other = RolloutLease(
+        world.store.port(), "i2", 3_000.0, 3_000.0, lambda: world.store.now_ms
+    )
+    other.step()
+    other.release()
+    world.step()
+    assert not world.ordered
+    assert world.record() == [(2, 5_000)]
+
+
+def test_holder_that_started_late_does_not_shorten_a_recorded_age():
+    world = World()
+    world.recorded((1, 30_000), (2, 12_000))
+    world.wanted_ages = [(2, 0), (3, 0)]
+    world.step()
+    assert world.record() == [(2, 12_000), (3, 0)]
+
+
+def test_slow_order_makes_no_recorded_age_shorter():
+    world = World()
+
+    def order_slowly(order, fencing):
+        world.store.now_ms += 600.0
+        return World.order(world, order, fencing)
+
+    world.actor._engines = world.actor._engines._replace(order=order_slowly)
+    world.step()
+    assert world.record()[0][1] >= 5_000
+
+
 def test_record_that_was_not_written_is_tried_again():
     world = World()
     world.step()
-    world.wanted_ages = {"m": [(2, 9_000), (3, 0)]}
+    world.wanted_ages = [(2, 9_000), (3, 0)]
     put = world.actor._lease.put
     world.actor._lease.put = lambda key, value: False
     world.step()
@@ -176,13 +219,46 @@
     assert lag_ms == {1: 13_000.0, 2: 5_000.0}[loaded]
 
 
-def test_record_that_arrives_as_a_change_is_ignored():
+def test_record_that_a_stale_listing_lacks_is_read_with_the_first_changes():
+    def handle(listener):
+        listener.on_snapshot(Snapshot(7, ()))
+        entries = (weights_entry(3), record_entry((3, 9_000)))
+        listener.on_change(WatchBatch(9, entries, ()))
+
+    state = fleet_state_after(handle)
+    assert state.weights.lag_ms(engine(0, version=2), "m", 0.0) == 13_000.0
+
+
+@pytest.mark.parametrize("is_listing", [False, True])
+def test_later_record_is_ignored(is_listing):
     """An instance that ran when the version changed knows better than the record."""
-    changes = WatchBatch(9, (weights_entry(3), record_entry((3, 9_000))), ())
-    state = fleet_state_after(lambda listener: listener.on_change(changes))
+    entries = (weights_entry(3), record_entry((3, 9_000)))
+
+    def handle(listener):
+        listener.on_snapshot(Snapshot(7, ()))
+        listener.on_change(WatchBatch(8, (weights_entry(3),), ()))
+        if is_listing:
+            listener.on_snapshot(Snapshot(9, entries))
+        else:
+            listener.on_change(WatchBatch(9, entries, ()))
+
+    state = fleet_state_after(handle)
     assert state.weights.lag_ms(engine(0, version=2), "m", 0.0) == 0.0
 
 
+def test_recorded_version_that_operators_did_not_name_is_ignored():
+    snapshot = Snapshot(9, (weights_entry(2), record_entry((2, 1_000), (7, 9_000))))
+    state = fleet_state_after(lambda listener: listener.on_snapshot(snapshot))
+    assert state.weights.wanted("m").version == 2
+
+
+def test_inputs_of_the_rollout_name_earlier_versions():
+    snapshot = Snapshot(9, (weights_entry(3), record_entry((2, 9_000), (3, 1_000))))
+    state = fleet_state_after(lambda listener: listener.on_snapshot(snapshot))
+    since = state.rollout_inputs().wanted_since
+    assert since == {"m": [WantedWeights(2, -13_000.0), WantedWeights(3, -5_000.0)]}
+
+
 def test_unreadable_record_leaves_the_rest_of_a_snapshot_in_force():
     odd = entry(RECORD_PREFIX + "m", WRITE_ID + b"[[")
     snapshot = Snapshot(9, (odd, weights_entry(3)))
