--- a/tests/upstreams/raw_server.py
+++ b/tests/upstreams/raw_server.py
@@ -112,9 +112,14 @@
 def keep_echoing(server, connection):
     """Respond to every request with the id of the request."""
     while head := server.read_request(connection):
-        lines = head.split(b"\r\n")
-        ids = [line for line in lines if line.lower().startswith(b"x-request-id:")]
-        connection.sendall(make_response(headers=b"".join(i + b"\r\n" for i in ids)))
+        connection.sendall(make_response(headers=echoed_id(head)))
+
+
+def echoed_id(head):
+    """Return the header line of a response that repeats the id of its request."""
+    lines = head.split(b"\r\n")
+    ids = [line for line in lines if line.lower().startswith(b"x-request-id:")]
+    return b"".join(line + b"\r\n" for line in ids)
 
 
 def answer_then_close_idle(server, connection):
--- a/tests/upstreams/test_truncated_heads.py
+++ b/tests/upstreams/test_truncated_heads.py
@@ -8,7 +8,7 @@
 from buckthornrock.conf.settings import UpstreamsSettings
 from buckthornrock.upstreams.engine_client import EngineClient
 from buckthornrock.upstreams.errors import UpstreamRefused
-from tests.upstreams.raw_server import RawServer, make_response
+from tests.upstreams.raw_server import RawServer, echoed_id, make_response
 from tests.upstreams.test_engine_client import make_call as make_engine_call
 from tests.upstreams.test_service_client import make_call, make_client
 
@@ -33,8 +33,9 @@
 
     def _serve(self, connection):
         if self._is_kept:
-            self.read_request(connection)
-            connection.sendall(make_response())
+            # Connections are kept only to servers that echo the request's id.
+            first = self.read_request(connection)
+            connection.sendall(make_response(headers=echoed_id(first)))
         if not self.read_request(connection):
             return
         self.n_cut += 1
