Ask for a lag once a placement, and take queued requests out in one place

Read again: a placement asked for the lag of an engine's weights twice, also where none is outdated, and two loops of the dispatcher took a request out of its queue before they refused it. No behaviour changes, the values in log lines included.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -197,9 +197,7 @@
         """Refuse the queued requests whose deadline is ``at_ms`` or later."""
         for queue in self._queues.values():
             for queued in queue.ending_at(at_ms):
-                future = self._futures.get(queued.number)
-                if future is not None and not future.done():
-                    queue.remove(queued.number)
+                if future := self._take_from(queue, queued):
                     future.set_result(refusal)
 
     async def tick(self) -> None:
@@ -256,13 +254,21 @@
                 # Nothing is placed meanwhile, which is no sign of little capacity.
                 queue.restart_rates(now_ms)
             for queued, wait_ms in queue.predict_missed_deadlines(now_ms, quiet_ms):
-                future = self._futures.get(queued.number)
-                if future is not None and not future.done():
-                    queue.remove(queued.number)
+                if future := self._take_from(queue, queued):
                     reason = "no capacity is expected before the deadline any more"
                     snapshot = self._queue_snapshot(queued.demand, wait_ms)
                     future.set_result(_refusal(reason, snapshot, quiet_ms))
 
+    def _take_from(
+        self, queue: WaitQueue, queued: QueuedRequest
+    ) -> asyncio.Future[Reservation | Refusal] | None:
+        """Remove a request that is to be refused; None if it has ended meanwhile."""
+        future = self._futures.get(queued.number)
+        if future is None or future.done():
+            return None
+        queue.remove(queued.number)
+        return future
+
     def _try_reserve(self, candidates: list[Upstream], queued: QueuedRequest) -> bool:
         if not may_fit(queued.demand, candidates, self._view()):
             return False
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -380,10 +380,12 @@
     n_memory = prompt.n_total_tokens - prefill_plan.n_cached
     if not _fits(demand, total, n_memory):
         return None
-    starts_in_ms = total.prefill_ms + prefill_plan.duration_ms
-    if starts_in_ms >= view.weights.usable_for_ms(upstream, prompt.model, view.now_ms):
-        return None
     lag_ms = view.weights.lag_ms(upstream, prompt.model, view.now_ms)
+    if lag_ms:
+        starts_in_ms = total.prefill_ms + prefill_plan.duration_ms
+        usable_ms = view.weights.usable_for_ms(upstream, prompt.model, view.now_ms)
+        if starts_in_ms >= usable_ms:
+            return None
     is_preferred = context.preferred_id in ("", upstream.upstream_id)
     lacks_affinity = not is_preferred and prefill_plan.n_cached < MIN_SHARED_TOKENS
     estimate_ms = queue_ms + prefill_plan.duration_ms
