--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -293,6 +294,10 @@
 
 
 if __name__ == "__main__":
-    code = main()
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = 2
     print({0: "held", 1: "broken", 2: "could not run"}[code])
     os._exit(code)
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -24,7 +24,7 @@
         self.cold_ms = cold_ms
         self.beat_at_s = 0.0
         self.sequence = 0
-        self.is_leaving = False
+        self.is_leaving = self.says_leaving = False
         self.lock = threading.Lock()
         self.connections = set()
         server = self
@@ -111,6 +111,8 @@
             handler.send_response(status)
             for name, value in dict(headers).items():
                 handler.send_header(name, value)
+            if self.says_leaving:
+                handler.send_header("Server-Leaving", "1")
             handler.send_header("Content-Length", str(len(body)))
             handler.end_headers()
             handler.wfile.write(body)
@@ -119,7 +121,7 @@
 
     def leave(self):
         """Remove the entry without a report of draining, and go on serving."""
-        self.is_leaving = True
+        self.is_leaving = self.says_leaving = True
         return self.store.delete(f"servers/{self.server_id}")
 
     def exit(self):
