Keep removed isolated accounts in the set that names the shared cache scope

Callers saw: after an isolated account was removed, requests of other accounts ran on what it had cached before it was isolated.

Cause: the shared scope is a function of the isolated accounts of the configuration in force. With the account gone the set, and so the scope, was that of before the isolation.

Names from peers are bounded. The text of the scope is unchanged for every set, so nothing cached is lost by the upgrade, and removing an isolated account no longer changes it.

Ruled out: a scope named by the accounts that do share, which needs no history but makes all shared prompts be read again whenever an account is added. Open: a restart of all instances.

--- a/buckthornrock/catalog/route_table.py
+++ b/buckthornrock/catalog/route_table.py
@@ -28,9 +28,17 @@
 
 
 class RouteTable:
-    """Lookup by host and longest path prefix over one configuration."""
+    """Lookup by host and longest path prefix over one configuration.
 
-    def __init__(self, configuration: Configuration) -> None:
+    ``isolated_accounts`` are the accounts that are isolated, or were when they were
+    removed; None for those that the configuration names.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        isolated_accounts: frozenset[str] | None = None,
+    ) -> None:
         self.configuration = configuration
         by_host: dict[str, list[Route]] = defaultdict(list)
         for route in configuration.routes:
@@ -38,7 +46,9 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._by_host = dict(by_host)
-        self._shared_scope = shared_scope(configuration)
+        if isolated_accounts is None:
+            isolated_accounts = configuration.isolated_accounts
+        self._shared_scope = shared_scope(isolated_accounts)
 
     def match(self, host: str, path: str) -> Result[Route, NoRoute]:
         """Return the route of the host with the longest prefix of ``path``."""
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -292,3 +292,11 @@
     ("n_bytes", "max_bytes"),
     "A snapshot for a peer exceeds its limit; the part of it that fits is sent.",
 )
+CACHE_SCOPE_CHANGED = Event(
+    2240,
+    "gateway.cache_scope_changed",
+    "info",
+    ("source", "n_removed_accounts", "cache_scope"),
+    "A peer told of accounts that were isolated when they were removed. What they "
+    "cached before they were isolated stays out of reach under the new cache_scope.",
+)
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ..catalog.cache_scopes import merge_isolated
 from ..catalog.change_log import ChangeLog, ChangeWindow
 from ..catalog.configuration import ClientLimits, Configuration
 from ..catalog.route_table import RouteTable
@@ -106,6 +107,7 @@
         self.is_watching_store = False
         self.log_undecodable = UndecodableLog(telemetry, now_ms).log
         self._changes = ChangeLog()
+        self._isolated_accounts: frozenset[str] = frozenset()
         self._has_upstreams = False
         self._loading: dict[Incarnation, Loading] = {}
         self._incarnation_by_number: dict[int, Incarnation] = {}
@@ -163,7 +165,10 @@
             return
         replaced_version = self.configuration_version
         self.encoded_configuration = encoded
-        self.table = RouteTable(configuration)
+        self._isolated_accounts = merge_isolated(
+            self._isolated_accounts, (), configuration
+        )
+        self.table = RouteTable(configuration, self._isolated_accounts)
         self._telemetry.log(
             events.CONFIGURATION_IN_FORCE,
             version=configuration.version,
@@ -176,6 +181,33 @@
         self._index_incarnations()
         self._publish_now()
 
+    @property
+    def removed_isolated_accounts(self) -> frozenset[str]:
+        """Accounts that were isolated when they were removed."""
+        if self.table is None:
+            return frozenset()
+        return self._isolated_accounts - self.table.configuration.isolated_accounts
+
+    def on_removed_isolated_accounts(self, names: Iterable[str], source: str) -> None:
+        """Record accounts that a peer knows were isolated when they were removed.
+
+        Names that arrive before any configuration are ignored; peers repeat them.
+        """
+        if self.table is None:
+            return
+        configuration = self.table.configuration
+        merged = merge_isolated(self._isolated_accounts, names, configuration)
+        if merged == self._isolated_accounts:
+            return
+        self._isolated_accounts = merged
+        self.table = RouteTable(configuration, merged)
+        self._telemetry.log(
+            events.CACHE_SCOPE_CHANGED,
+            source=source,
+            n_removed_accounts=len(self.removed_isolated_accounts),
+            cache_scope=self.table.cache_scope(None),
+        )
+
     def on_weights(
         self, model: str, version: int, source: str, age_ms: float = 0.0
     ) -> None:
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -265,6 +265,9 @@
         self._fleet_state.on_wanted_ages(
             digest.weights, digest.older_weights, digest.instance_id
         )
+        self._fleet_state.on_removed_isolated_accounts(
+            digest.removed_isolated_accounts, digest.instance_id
+        )
         self._apply_updates(digest, now_ms)
         self._crash_gossip.apply(digest)
         self._follow(digest, now_ms)
@@ -404,6 +407,7 @@
             store_age_ms=self._fleet_state.store_contact.rounded_age_ms(),
             store_calls=self._store_calls(),
             older_weights=self._fleet_state.older_wanted_ages(),
+            removed_isolated_accounts=list(self._fleet_state.removed_isolated_accounts),
         )
 
     def _store_calls(self) -> StoreCalls:
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -49,7 +49,8 @@
     ``upstreams`` is None if the peer's revision is not newer. ``weights`` holds the
     wanted version of each model and for how many milliseconds it has been wanted,
     ``older_weights`` the same of earlier versions. The store confirmed the peer's state
-    ``store_age_ms`` ago, -1 if it never did.
+    ``store_age_ms`` ago, -1 if it never did. ``removed_isolated_accounts`` names
+    accounts that were isolated when they were removed.
     """
 
     configuration: bytes
@@ -58,6 +59,7 @@
     weights: dict[str, tuple[int, ExactInt]] = {}
     store_age_ms: ExactInt = -1
     older_weights: dict[str, list[tuple[int, ExactInt]]] = {}
+    removed_isolated_accounts: list[str] = []
 
 
 class PeerVersions(NamedTuple):
@@ -180,6 +182,9 @@
                 fleet_state.on_configuration(
                     configuration.ok, snapshot.configuration, source
                 )
+        fleet_state.on_removed_isolated_accounts(
+            snapshot.removed_isolated_accounts, source
+        )
         fleet_state.on_wanted_ages(snapshot.weights, snapshot.older_weights, source)
         if snapshot.upstreams is None or not fleet_state.needs_peers:
             return
@@ -211,6 +216,7 @@
         fleet_state.wanted_ages(),
         fleet_state.store_contact.rounded_age_ms(),
         fleet_state.older_wanted_ages(),
+        list(fleet_state.removed_isolated_accounts),
     )
     return zlib.compress(msgspec.msgpack.encode(snapshot), COMPRESSION_LEVEL)
 
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -161,7 +161,8 @@
     ``changes`` are all changes of upstreams' entries after ``base_revision``, up to
     ``revision``; -1 if the digest lists none. The store confirmed ``store_age_ms`` ago
     that there are no others; -1 if it never did. ``leaving`` names upstreams that said
-    that they leave.
+    that they leave. ``removed_isolated_accounts`` names accounts that were isolated
+    when they were removed.
     """
 
     instance_id: str
@@ -190,6 +191,7 @@
     suspicions: list[CrashSuspicion] = []
     sound_parts: list[SoundPart] = []
     quarantines: list[PartQuarantine] = []
+    removed_isolated_accounts: list[str] = []
 
 
 def encode_digest(digest: Digest) -> bytes:
--- a/tests/catalog/test_cache_scopes.py
+++ b/tests/catalog/test_cache_scopes.py
@@ -2,6 +2,11 @@
 
 import pytest
 
+from buckthornrock.catalog.cache_scopes import (
+    MAX_NAME_CHARS,
+    MAX_REMOVED_ACCOUNTS,
+    merge_isolated,
+)
 from buckthornrock.catalog.configuration import (
     ClientAccount,
     ClientLimits,
@@ -62,6 +67,57 @@
     assert one["one"] == two["one"]
 
 
+def scope_after(*versions, told=()):
+    """Return the shared scope after maps of account to whether it is isolated."""
+    known = frozenset()
+    for version, accounts in enumerate(versions, 1):
+        configuration = Configuration(
+            version,
+            (),
+            {},
+            (),
+            {f"key-{name}": ClientAccount(name, None) for name in accounts},
+            True,
+            ClientLimits(),
+            frozenset(name for name, is_isolated in accounts.items() if is_isolated),
+        )
+        known = merge_isolated(known, told, configuration)
+    return RouteTable(configuration, known).cache_scope(None)
+
+
+SHARED, ISOLATED = {"one": False, "two": False}, {"one": True, "two": False}
+
+
+# Removing an isolated account made what it cached before reachable for others (WALL).
+@pytest.mark.parametrize(
+    ("versions", "told", "equal"),
+    [
+        # Neither removing an isolated account nor its return changes the scope.
+        ([SHARED, ISOLATED, {"two": False}], (), [ISOLATED]),
+        ([SHARED, ISOLATED, {"two": False}, ISOLATED], (), [ISOLATED]),
+        ([{"two": False}], ("one",), [ISOLATED]),
+        # An account that comes back without being isolated shares its parts again.
+        ([ISOLATED, {"two": False}, SHARED], (), [SHARED]),
+        # A peer that missed that version repeats what it knew.
+        ([ISOLATED, SHARED], ("one",), [SHARED]),
+        # An account that wasn't isolated may be removed at no cost.
+        ([SHARED, {"two": False}], (), [SHARED]),
+    ],
+)
+def test_removed_accounts_stay_in_the_set_if_they_were_isolated(versions, told, equal):
+    assert scope_after(*versions, told=told) == scope_after(*equal)
+
+
+def test_remembered_accounts_are_bounded():
+    """Names arrive from peers, whatever those send."""
+    told = [f"{number}" for number in range(2 * MAX_REMOVED_ACCOUNTS)]
+    told.append("x" * (MAX_NAME_CHARS + 1))
+    configuration = Configuration(1, (), {}, (), {}, True, ClientLimits())
+    merged = merge_isolated(frozenset(), told, configuration)
+    assert len(merged) == MAX_REMOVED_ACCOUNTS
+    assert max(map(len, merged)) <= MAX_NAME_CHARS
+
+
 def test_names_of_isolated_accounts_are_not_run_together():
     assert scopes(["ab", "c"])["one"] != scopes(["a", "bc"])["one"]
 
--- a/tests/gateway/test_cache_scopes.py
+++ b/tests/gateway/test_cache_scopes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from buckthornrock.catalog.configuration import ClientAccount
+from tests.gateway.fleet import Fleet
 from tests.gateway.harness import (
     KEY,
     ScriptedUpstream,
@@ -15,6 +16,7 @@
     run,
     start_gateway,
 )
+from tests.gateway.test_large_fleet import DISCOVERY_MS
 from tests.gateway.test_streams import EVENTS, N_EVENTS, stream
 
 SALT = b"X-Buckthornrock-Cache-Salt"
@@ -55,6 +57,48 @@
     run(main)
 
 
+# An isolated account that was removed left the set of isolated accounts: what it had
+# cached before it was isolated was in use for the others again.
+@pytest.mark.parametrize("path", ["/long/1", "/note/1"])
+def test_parts_of_an_isolated_account_that_is_removed_stay_out_of_reach(path):
+    async def main():
+        upstream = ScriptedUpstream(stream(N_EVENTS))
+        harness = await start_gateway(upstream, accounts=ACCOUNTS)
+        await ask(harness.client_address, request(path))
+        isolate(harness)
+        remaining = {OTHER_KEY: ACCOUNTS[OTHER_KEY]}
+        harness.fleet_state.on_configuration(
+            configuration(3, accounts=remaining), b"", "test"
+        )
+        await ask(harness.client_address, from_other(path, b"r2"))
+        of_removed, of_other = salts(upstream)
+        assert of_removed != of_other
+
+    run(main)
+
+
+# Instances that started after an isolated account was removed used the scope of before.
+@pytest.mark.parametrize(("n_instances", "loss"), [(7, 0.02), (30, 0.02)])
+def test_restarted_instances_learn_of_removed_isolated_accounts(n_instances, loss):
+    fleet = Fleet(n_instances, loss=loss)
+    isolating, removing = (
+        configuration(version, accounts={}, isolated_accounts=names)
+        for version, names in ((10, ISOLATED), (11, frozenset()))
+    )
+    for node in fleet.nodes:
+        node.fleet_state.on_configuration(isolating, b"", "test")
+        node.fleet_state.on_configuration(removing, b"", "test")
+    fleet.configuration = (removing, b"")
+    fleet.run(DISCOVERY_MS)
+    expected = fleet.nodes[0].fleet_state.table.cache_scope(None)
+    assert expected != "shared"
+    for node in fleet.nodes[:-1]:
+        node.stop()
+        node.start()
+    fleet.run(DISCOVERY_MS)
+    assert {n.fleet_state.table.cache_scope(None) for n in fleet.nodes} == {expected}
+
+
 # A request that waited for capacity was sent with the salt of an older configuration.
 def test_request_that_waited_while_an_account_was_isolated_uses_the_new_scope():
     async def main():
