Use all prompt stores and their configured links

Cause: shared parts were sent only to the first prompt store of the configuration, so that others stayed empty, and the link of a store was assumed to be 0.15 of an engine's although the configuration states it.

Change: an engine sends its shared parts to the store of its own failure domain, or, without one there, to a store chosen by rendezvous hashing of the leading part. Without one of its own it doesn't store a part that any store holds already. The configured link of a store decides the time to fetch, bounded by the engine's link; 0, an odd value or none counts as absent, and the share is assumed as before. With one store, the target is chosen as before.

Ruled out: one owner per part by hash for all engines (a note in docs/design/platform.md weighs it); hashing the deepest part, which stores the leading part again beside each continuation; another store while the chosen one is blocked, on which instances would not agree.

A link of 400 digits or 1e999 rejected the configuration while the field was decoded as a number, so it is decoded by itself.

--- a/buckthornrock/catalog/configuration.py
+++ b/buckthornrock/catalog/configuration.py
@@ -68,12 +68,16 @@
 
 
 class PromptStore(NamedTuple):
-    """A prompt store, which stores KV cache outside the engines."""
+    """A prompt store, which stores KV cache outside the engines.
+
+    ``link_mbps`` is the transfer rate of its link, 0 if the configuration has none.
+    """
 
     name: str
     address: str
     failure_domain: str
     capacity_tokens: int
+    link_mbps: float = 0.0
 
 
 class ClientAccount(NamedTuple):
--- a/buckthornrock/platform/configuration.py
+++ b/buckthornrock/platform/configuration.py
@@ -24,6 +24,10 @@
     "streaming": RouteKind.STREAM,
 }
 
+#: Transfer rates above this, which also excludes infinity, count as absent.
+MAX_LINK_MBPS = 1e9
+_NO_FIGURE = msgspec.Raw(b"0")
+
 
 class _Share(msgspec.Struct, rename="camel"):
     service: str
@@ -53,7 +57,7 @@
     link_mbps: float
 
 
-class _Service(msgspec.Struct, rename="camel"):
+class _Service(msgspec.Struct, rename="camel", omit_defaults=True):
     name: str
     max_conns: ExactInt = 0
     engine: _Engine | None = None
@@ -61,6 +65,9 @@
     kv_store_addr: str = ""
     zone: str = ""
     kv_capacity: ExactInt = 0
+    #: Link of a prompt store. It is decoded by itself, so that an odd value is left out
+    #: and doesn't reject the configuration.
+    link_mbps: msgspec.Raw = _NO_FIGURE
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -144,7 +151,21 @@
 
 
 def _prompt_store(store: _Service) -> PromptStore:
-    return PromptStore(store.name, store.kv_store_addr, store.zone, store.kv_capacity)
+    return PromptStore(
+        store.name,
+        store.kv_store_addr,
+        store.zone,
+        store.kv_capacity,
+        _link_mbps(store.link_mbps),
+    )
+
+
+def _link_mbps(value: msgspec.Raw) -> float:
+    """Return a positive rate; 0 for any other value, which counts as absent."""
+    decoded = decode_json(bytes(value), float)
+    if decoded.is_error() or not 0.0 < decoded.ok <= MAX_LINK_MBPS:
+        return 0.0
+    return decoded.ok
 
 
 def _accounts(tenants: list[_Tenant]) -> dict[str, ClientAccount]:
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -431,20 +431,43 @@
     """Return the address of the store that should store the shared parts, or ""."""
     if context is None or not context.shared_prompt.is_worth_fetching:
         return ""
-    if not view.prompt_stores:
+    store = _prompt_store(demand, upstream, view.prompt_stores)
+    if store is None:
         return ""
     if view.weights.lag_ms(upstream, demand.prompt.model, view.now_ms):
         # The weights may be replaced during prefill, and the store could not
         # distinguish the new parts from those of the previous weights.
         return ""
-    store = view.prompt_stores[0]
-    is_stored = any(source.address == store.address for source in context.cache_sources)
+    holding = {source.address for source in context.cache_sources}
+    if store.failure_domain != upstream.failure_domain:
+        # A second copy in another failure domain would be no closer to this engine.
+        is_stored = any(other.address in holding for other in view.prompt_stores)
+    else:
+        is_stored = store.address in holding
     is_blocked = (
         view.now_ms < view.loads.of(prompt_store_incarnation(store)).blocked_until_ms
     )
     return "" if is_stored or is_blocked else store.address
 
 
+def _prompt_store(
+    demand: Demand, upstream: Upstream, stores: tuple[PromptStore, ...]
+) -> PromptStore | None:
+    """Return the store for the shared parts of a prompt that an engine computes.
+
+    It is one in the engine's failure domain, or any one if there is none. Among
+    several, rendezvous hashing of the leading part chooses, so that all instances agree
+    and the parts that continue it are found beside it.
+    """
+    if len(stores) < 2:
+        return stores[0] if stores else None
+    near = [s for s in stores if s.failure_domain == upstream.failure_domain]
+    by_address = {store.address: store for store in near or stores}
+    prompt = demand.prompt
+    key = f"{demand.cache_scope}/{prompt.model}/{prompt.shared[0].part_id}"
+    return by_address[rendezvous.owner(key.encode(), list(by_address))]
+
+
 def _distance_ms(upstream: Upstream, view: SchedulingView) -> float:
     is_same_domain = upstream.failure_domain == view.failure_domain
     return 0.0 if is_same_domain else CROSS_DOMAIN_COST_MS
--- a/buckthornrock/scheduling/prefill.py
+++ b/buckthornrock/scheduling/prefill.py
@@ -24,7 +24,8 @@
 FETCH_SETUP_MS = 4.0
 #: Factor on the transfer time between failure domains.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
-#: Transfer rate of a prompt store's link, as a share of an engine's.
+#: Assumed transfer rate of a prompt store's link where the configuration has none, as
+#: a share of an engine's.
 STORE_LINK_SHARE = 0.15
 
 
@@ -203,10 +204,17 @@
 ) -> CacheSource:
     salt = cache_salt(shared_prompt.cache_scope, shared_prompt.prompt.model, version)
     n_ready = _n_ready(shared_prompt, salt, prompt_store_incarnation(store), view)
-    link_mbps = shared_prompt.engine.link_mbps * STORE_LINK_SHARE
+    link_mbps = _store_link_mbps(store, shared_prompt.engine)
     return CacheSource(store.address, store.failure_domain, salt, n_ready, link_mbps)
 
 
+def _store_link_mbps(store: PromptStore, engine: EngineSpec) -> float:
+    """Return the rate of a transfer from a store, which the engine's link bounds."""
+    if not store.link_mbps:
+        return engine.link_mbps * STORE_LINK_SHARE
+    return min(store.link_mbps, engine.link_mbps)
+
+
 def _n_ready(
     shared_prompt: SharedPrompt, salt: str, incarnation: Incarnation, view: CacheView
 ) -> int:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -139,6 +139,24 @@
     assert set(configuration.services) == {"s", "t"}
 
 
+@pytest.mark.parametrize(
+    ("link", "link_mbps"),
+    [("120000", 120_000.0), ("1.5", 1.5), ("1e9", 1e9), ("0", 0.0), ("-1", 0.0),
+     ("null", 0.0), ("true", 0.0), ('"9"', 0.0), ("[1]", 0.0), ("1e10", 0.0),
+     ("1e999", 0.0), ("9" * 400, 0.0), ("9" * 5_000, 0.0)],
+    ids=lambda value: str(value)[:9],
+)  # fmt: skip
+def test_odd_link_of_a_prompt_store_counts_as_absent(link, link_mbps):
+    """Guards against a configuration that one odd figure of a cache rejects."""
+    store = {"name": "odd", "kvStoreAddr": "10.9.0.2:1", "zone": "b", "kvCapacity": 5}
+    store["linkMbps"] = 77_777
+    services = [store, *DOCUMENT["services"]]
+    encoded = msgspec.json.encode({**DOCUMENT, "services": services})
+    decoded = decode_configuration(encoded.replace(b"77777", link.encode()))
+    rates = [store.link_mbps for store in decoded.ok.prompt_stores]
+    assert rates == [link_mbps, 0.0]
+
+
 class Listening:
     """A store listener on a loop that runs its callbacks when it is told to."""
 
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -15,11 +15,18 @@
     with_capacity,
 )
 from buckthornrock.scheduling.loads import FleetLoads, LoadReport, Work
-from buckthornrock.scheduling.prefill import prompt_store_incarnation
+from buckthornrock.scheduling.prefill import (
+    SharedPrompt,
+    find_cache_sources,
+    prefill_planner,
+    prompt_store_incarnation,
+)
+from buckthornrock.scheduling.prompt import PromptPart
 from buckthornrock.scheduling.weights import WeightsView
 from buckthornrock.wire.numeric_ids import incarnation_number, part_number
 from tests.scheduling.world import (
     CAPACITY,
+    ENGINES,
     STORE,
     engine,
     long,
@@ -167,6 +174,93 @@
     assert (second.kv_target, second.kv_source) == ("", STORE.address)
 
 
+def held_by(*stores):
+    loads = FleetLoads()
+    for store in stores:
+        parts = loads.of(prompt_store_incarnation(store)).parts
+        parts.use(part_number(SALT, "contract"), 13_300, 0.0, store.capacity_tokens)
+    return loads
+
+
+NEAR = STORE._replace(name="near", address="10.9.9.8:1", failure_domain="a")
+FAR = STORE._replace(name="far", address="10.9.9.7:1", failure_domain="c")
+
+#: Prompt stores, those that hold the part, and the target of an engine in domain "a".
+STORE_CASES = {
+    "only one": ((STORE,), (), STORE),
+    "only one, holds the part": ((STORE,), (STORE,), None),
+    "own domain": ((STORE, NEAR, FAR), (), NEAR),
+    "own domain, another holds the part": ((STORE, NEAR), (STORE,), NEAR),
+    "own domain, it holds the part": ((STORE, NEAR), (NEAR,), None),
+    "other domains, one holds the part": ((STORE, FAR), (FAR,), None),
+    "other domains, the other holds the part": ((STORE, FAR), (STORE,), None),
+}
+
+
+@pytest.mark.parametrize(
+    ("stores", "holders", "target"), STORE_CASES.values(), ids=STORE_CASES
+)
+def test_shared_parts_go_to_the_store_of_the_failure_domain(stores, holders, target):
+    """Guards against one store for all: the others were empty, their links unused."""
+    placement = choose(
+        long(), [engine(0)], view(stores=stores, loads=held_by(*holders))
+    )
+    assert placement.kv_target == (target.address if target else "")
+
+
+@pytest.mark.parametrize(
+    ("stores", "n_targets"), [((STORE,), 1), ((STORE, FAR), 2), ((STORE, FAR, NEAR), 1)]
+)
+def test_instances_agree_on_the_store_of_a_part(stores, n_targets):
+    """Load: 60 prompts at an engine, placed by instances that list stores otherwise."""
+    targets = [
+        {
+            choose(long(f"c{n}"), [engine(0)], view(stores=order)).kv_target
+            for order in (stores, stores[::-1])
+        }
+        for n in range(60)
+    ]
+    assert all(len(chosen) == 1 for chosen in targets)
+    assert len(set().union(*targets)) == n_targets
+
+
+def test_prompts_that_continue_one_part_share_a_store():
+    """Guards against a leading part that each store must hold once more."""
+    parts = long().prompt.parts
+    targets = set()
+    for number in range(20):
+        continued = (parts[0], PromptPart(f"lot{number}", 900), parts[1])
+        demand = long()
+        demand = demand._replace(prompt=demand.prompt._replace(parts=continued))
+        placement = choose(demand, [engine(0)], view(stores=(STORE, FAR)))
+        targets.add(placement.kv_target)
+    assert len(targets) == 1
+
+
+#: The link of a store in domain "b", the time to fetch from it to domain "a", in ms.
+#: 13,300 tokens of 35,136 bytes are 3,738 Mbit; the engine's link has 550,000 Mbit/s.
+LINK_CASES = [
+    (0.0, 4.0 + 2 * 3_738.5 / (550.0 * 0.15)),
+    (110_000.0, 4.0 + 2 * 3_738.5 / 110.0),
+    (40_000.0, 4.0 + 2 * 3_738.5 / 40.0),
+    (900_000.0, 4.0 + 2 * 3_738.5 / 550.0),
+    # Slower than computing the parts.
+    (9_000.0, 0.0),
+]
+
+
+@pytest.mark.parametrize(("link_mbps", "fetch_ms"), LINK_CASES)
+def test_time_to_fetch_follows_the_link_of_the_store(link_mbps, fetch_ms):
+    """Guards against the assumed share of an engine's link where the rate is known."""
+    store = STORE._replace(link_mbps=link_mbps)
+    state = view(stores=(store,), loads=held_by(store))
+    prompt = SharedPrompt(long().prompt, "shared", ENGINES.engine)
+    sources = find_cache_sources(prompt, [engine(0)], state.caches)
+    plan = prefill_planner(prompt, sources, state.caches)(engine(0))
+    assert plan.kv_source == (store.address if fetch_ms else "")
+    assert plan.fetch_ms == pytest.approx(fetch_ms, abs=0.5)
+
+
 def test_parts_of_outdated_weights_are_not_stored():
     engines = [engine(0, version=1)]
     weights = WeightsView(20_000.0)
