Scale queue estimates with the pace that upstreams report

Cause: upstreams may add a fourth figure to the header of their load: how long work takes on their machine now, in percent of the usual. It was ignored, so that requests waited at slow machines.

Change: the figure is decoded and kept in the load report. While the report is fresh, it multiplies the estimate of plain services and the queue part of the estimate of engines, within 0.1 to 10. For plain services it also changes the request's own time, as the estimate of an idle upstream was 0 at any pace. Three figures, an odd fourth one and 100 give the estimate as before.

Ruled out: scaling the limits of queued prefill and of the time left on replaced weights, which decide whether an engine is used at all and would change many times a second.

The two rows of test_load_of_an_upstream_is_decoded with a fourth figure now expect it, and each row also checks the pace.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -27,6 +27,7 @@
     WaitQueue,
     will_miss_deadline,
 )
+from .ports import ReportedLoad
 from .requests import AdmittedRequest, QueueSnapshot, Refusal
 
 #: Period of looking for capacity that peers released. An instance's own releases wake
@@ -163,10 +164,16 @@
             return 0.0
         return notices.time_to_return_ms(ready, self._now_ms())
 
-    def on_load_report(self, upstream: Upstream, load: tuple[int, int, int]) -> None:
+    def on_load_report(self, upstream: Upstream, load: ReportedLoad) -> None:
         """Record the load that an upstream reported in a response header."""
         state = self.loads.of(upstream.incarnation)
-        state.report = LoadReport(*load, self._now_ms())
+        state.report = LoadReport(
+            load.n_running,
+            load.n_waiting,
+            load.n_slots,
+            self._now_ms(),
+            load.pace_percent,
+        )
 
     def block(self, upstream: Upstream, duration_ms: float) -> None:
         """Send no new requests to an upstream for ``duration_ms``."""
--- a/buckthornrock/gateway/ports.py
+++ b/buckthornrock/gateway/ports.py
@@ -9,6 +9,7 @@
 from ..catalog.upstream_notices import Notice
 from ..catalog.upstreams import Upstream
 from ..errors import Failure
+from ..scheduling.loads import USUAL_PACE_PERCENT
 
 Headers = list[tuple[bytes, bytes]]
 #: Decodes the operators' configuration.
@@ -28,14 +29,25 @@
     last_event_id: str
 
 
+class ReportedLoad(NamedTuple):
+    """Load of an upstream, as a response states it.
+
+    ``pace_percent`` is how long work takes on its machine now; 100 is the usual time.
+    """
+
+    n_running: int
+    n_waiting: int
+    n_slots: int
+    pace_percent: int = USUAL_PACE_PERCENT
+
+
 class ResponseFields(NamedTuple):
     """Values of an upstream's response headers.
 
     ``has_server_stamp`` tells a response of the upstream itself from others.
     ``is_not_executed`` says that the upstream did not and will not run the request.
     ``is_event_stream`` is False if the response states another content type.
-    ``load`` is (running requests, waiting requests, slots). ``notice`` is what the
-    upstream says of itself.
+    ``notice`` is what the upstream says of itself.
     """
 
     request_id: str
@@ -43,7 +55,7 @@
     is_not_executed: bool
     has_content_encoding: bool
     is_event_stream: bool
-    load: tuple[int, int, int] | None
+    load: ReportedLoad | None
     weights_version: int | None
     notice: Notice = Notice()
 
--- a/buckthornrock/platform/headers.py
+++ b/buckthornrock/platform/headers.py
@@ -6,11 +6,13 @@
 from ..gateway.ports import (
     HeaderCodec,
     Headers,
+    ReportedLoad,
     RequestFields,
     ResponseFields,
     UpstreamRequestFields,
 )
 from ..runtime.decoding import parse_count
+from ..scheduling.loads import USUAL_PACE_PERCENT
 
 _PREFIX = b"x-buckthornrock-"
 REQUEST_ID = _PREFIX + b"request-id"
@@ -35,7 +37,7 @@
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 
-#: Figures of the load header that are used. Some services add a fourth one, the time
+#: Figures that the load header has at least. Some services add a fourth one, the time
 #: that work takes on the server's machine in percent of the usual.
 N_LOAD_FIGURES = 3
 
@@ -213,13 +215,17 @@
     return seconds if seconds >= 0.0 else None
 
 
-def _load(text: str) -> tuple[int, int, int] | None:
-    """Return running and waiting requests and slots; further figures are ignored."""
-    fields = text.split(",")[:N_LOAD_FIGURES]
-    figures = [parse_count(field) for field in fields]
+def _load(text: str) -> ReportedLoad | None:
+    """Return the load, at the usual pace if that is missing, zero or no count.
+
+    Further figures are ignored.
+    """
+    fields = text.split(",")
+    figures = [parse_count(field) for field in fields[:N_LOAD_FIGURES]]
     if len(figures) != N_LOAD_FIGURES or None in figures:
         return None
-    return tuple(figures)
+    pace_percent = parse_count(",".join(fields[N_LOAD_FIGURES : N_LOAD_FIGURES + 1]))
+    return ReportedLoad(*figures, pace_percent or USUAL_PACE_PERCENT)
 
 
 def _named_by_connection(headers: Headers) -> frozenset[bytes]:
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -343,8 +343,8 @@
         return _plain_option(demand, upstream, load, total, view)
     is_penalized = demand.is_urgent and upstream.upstream_id in context.long_engines
     queue_ms = (
-        total.prefill_ms
-        + total.n_requests * STEP_MS_PER_REQUEST
+        (total.prefill_ms + total.n_requests * STEP_MS_PER_REQUEST)
+        * load.pace(view.now_ms)
         + load.failure_rate(view.now_ms) * FAILURE_COST_MS
         + _distance_ms(upstream, view)
         + (LONG_PROMPT_ENGINE_COST_MS if is_penalized else 0.0)
@@ -361,8 +361,12 @@
     total: Work,
     view: SchedulingView,
 ) -> Placement:
+    pace = load.pace(view.now_ms)
+    # The request's own time counts only as far as it differs from the usual, so that
+    # idle upstreams are told apart and the estimate at the usual pace has no such term.
+    n_requests = total.n_requests * pace + (pace - 1.0)
     estimate_ms = (
-        total.n_requests / max(1, upstream.n_slots) * demand.route.objective_ms * 0.5
+        n_requests / max(1, upstream.n_slots) * demand.route.objective_ms * 0.5
         + load.failure_rate(view.now_ms) * FAILURE_COST_MS
         + _distance_ms(upstream, view)
     )
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -17,6 +17,10 @@
 DIGEST_LIFETIME_MS = 1_000.0
 #: An upstream's load report expires after this time.
 REPORT_LIFETIME_MS = 400.0
+USUAL_PACE_PERCENT = 100
+#: Bounds of a reported pace, so that one odd figure doesn't decide alone.
+MIN_PACE = 0.1
+MAX_PACE = 10.0
 #: Initial backoff for an upstream to which connecting failed, and how often it may
 #: double.
 CONNECT_BACKOFF_MS = 500.0
@@ -54,12 +58,16 @@
 
 
 class LoadReport(NamedTuple):
-    """Load of an upstream, as it reported it."""
+    """Load of an upstream, as it reported it.
+
+    ``pace_percent`` is how long work takes on its machine now; 100 is the usual time.
+    """
 
     n_running: int
     n_waiting: int
     n_slots: int
     at_ms: float
+    pace_percent: int = USUAL_PACE_PERCENT
 
 
 class UpstreamLoad:
@@ -111,6 +119,23 @@
         self._decay(now_ms)
         return self._failures / (self._outcomes + 3.0)
 
+    def fresh_report(self, now_ms: float) -> LoadReport | None:
+        """Return the last load report, None if there is none or it has expired."""
+        report = self.report
+        if report is None or now_ms - report.at_ms > REPORT_LIFETIME_MS:
+            return None
+        return report
+
+    def pace(self, now_ms: float) -> float:
+        """Return how long work takes there now, as a multiple of the usual time.
+
+        It changes many times a second, so it is the usual one without a fresh report.
+        """
+        report = self.fresh_report(now_ms)
+        if report is None:
+            return 1.0
+        return min(MAX_PACE, max(MIN_PACE, report.pace_percent / USUAL_PACE_PERCENT))
+
     def _decay(self, now_ms: float) -> None:
         passed_ms = max(0.0, now_ms - self._counted_at_ms)
         factor = 0.5 ** (passed_ms / FAILURE_HALF_LIFE_MS)
@@ -203,8 +228,8 @@
         load = self._loads[incarnation]
         reported = self._peer_totals_at(now_ms).get(incarnation_number(*incarnation))
         total = load.own if reported is None else load.own.plus(reported)
-        report = load.report
-        if report is None or now_ms - report.at_ms > REPORT_LIFETIME_MS:
+        report = load.fresh_report(now_ms)
+        if report is None:
             return total
         n_reported = report.n_running + report.n_waiting
         return total._replace(n_requests=max(total.n_requests, n_reported))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -189,12 +189,20 @@
 @pytest.mark.parametrize(
     ("text", "load"),
     [
-        (b"3,0,8", (3, 0, 8)),
+        (b"3,0,8", (3, 0, 8, 100)),
         (b"3,0", None),
         (b"a,b,c", None),
         # Where servers tell how fast their machine works, all loads were ignored.
-        (b"2,1,128,130", (2, 1, 128)),
-        (b"2,1,128,", (2, 1, 128)),
+        (b"2,1,128,130", (2, 1, 128, 130)),
+        (b"2, 1, 128, 70", (2, 1, 128, 70)),
+        (b"2,1,128,130,9", (2, 1, 128, 130)),
+        # Three figures stay valid, and an odd pace doesn't cost them.
+        (b"2,1,128,", (2, 1, 128, 100)),
+        (b"2,1,128,0", (2, 1, 128, 100)),
+        (b"2,1,128,-5", (2, 1, 128, 100)),
+        (b"2,1,128,1.5", (2, 1, 128, 100)),
+        (b"2,1,128,x", (2, 1, 128, 100)),
+        (b"2,1,128," + b"9" * 5_000, (2, 1, 128, 100)),
     ],
 )
 def test_load_of_an_upstream_is_decoded(text, load):
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -261,6 +261,50 @@
     assert plan.fetch_ms == pytest.approx(fetch_ms, abs=0.5)
 
 
+#: Reports of two upstreams at 0 ms as running requests and pace, the time of the
+#: placement, and the chosen upstream. The first upstream is chosen if both are equal.
+PACES = {
+    "usual": ((0, 100), (0, 100), 10.0, 0),
+    "slow": ((0, 130), (0, 100), 10.0, 1),
+    "fast": ((0, 100), (0, 70), 10.0, 1),
+    "slow and idle, the other is busy": ((0, 130), (3, 100), 10.0, 0),
+    "very slow and idle, the other is busy": ((0, 600), (3, 100), 10.0, 1),
+    "slow and busy": ((2, 200), (3, 100), 10.0, 1),
+    "less busy": ((2, 110), (3, 100), 10.0, 0),
+    "expired": ((0, 600), (0, 100), 500.0, 0),
+    "beyond the bound": ((0, 10**17), (10, 100), 10.0, 0),
+}
+
+
+@pytest.mark.parametrize(("one", "two", "now_ms", "chosen"), PACES.values(), ids=PACES)
+def test_plain_requests_avoid_slow_machines(one, two, now_ms, chosen):
+    """Load: single requests at services whose machines are slowed down by others."""
+    upstreams, loads = [engine(n, n_slots=12) for n in range(2)], FleetLoads()
+    for upstream, (n_running, pace) in zip(upstreams, (one, two), strict=True):
+        report = LoadReport(n_running, 0, 12, 0.0, pace)
+        loads.of(upstream.incarnation).report = report
+    placement = choose(plain(), upstreams, view(now_ms, loads=loads))
+    assert placement.upstream == upstreams[chosen]
+
+
+@pytest.mark.parametrize(
+    ("pace", "now_ms", "added_ms"),
+    [(100, 10.0, 0.0), (150, 10.0, 100.5), (50, 10.0, -100.5), (150, 401.0, 0.0),
+     (5_000, 10.0, 9 * 201.0), (1, 10.0, -0.9 * 201.0)],
+)  # fmt: skip
+def test_queue_of_an_engine_takes_as_long_as_its_machine_needs(pace, now_ms, added_ms):
+    """An engine with 200 ms of prefill queued and 10 requests, which add 1 ms."""
+    upstream, loads = engine(0), FleetLoads()
+    loads.of(upstream.incarnation).own = Work(10, 200.0, 1_000)
+    usual = choose(short(), [upstream], view(now_ms, loads=loads))
+    loads.of(upstream.incarnation).report = LoadReport(10, 0, 32, 0.0, pace)
+    placement = choose(short(), [upstream], view(now_ms, loads=loads))
+    # A late response costs the objective besides, so both are kept within it.
+    late_ms = 500.0 if placement.estimate_ms > 500.0 else 0.0
+    difference_ms = placement.estimate_ms - late_ms - usual.estimate_ms
+    assert difference_ms == pytest.approx(added_ms)
+
+
 def test_parts_of_outdated_weights_are_not_stored():
     engines = [engine(0, version=1)]
     weights = WeightsView(20_000.0)
