Let long prompts overflow to engines that urgent requests don't need

While the half of the engines that long prompts use was full, long prompts waited although the others were nearly idle. They may now use those others, in a ranking that all instances share, but for a share of 0.4 of them and for as many as the running urgent requests need. While there is room in the half, placement is that of before.

Each shared part is stored at one prompt store only, in the failure domain of the engine that computes it: three stores then hold three times as much.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -60,6 +60,11 @@
 RESERVED_ENGINE_COST_MS = 150.0
 #: Cost for an urgent request of an engine used for long prompts.
 LONG_PROMPT_ENGINE_COST_MS = 80.0
+#: Share of the other engines that long prompts never use, so that urgent requests
+#: always find engines without long prefill.
+KEPT_FOR_URGENT_SHARE = 0.4
+#: Share of their slots that the running requests may fill on the engines kept for them.
+URGENT_SLOT_SHARE = 0.5
 #: Requests per slot that an upstream may have.
 MAX_REQUESTS_PER_SLOT = 1.0
 #: Shares of an engine's KV memory that its requests may fill. The difference is
@@ -256,14 +261,18 @@
 ) -> Placement | None:
     """Return the best placement, favouring the engines used for long prompts.
 
-    Another engine is taken only if it is clearly faster, and none is while these
-    are full or any of the others has much prefill queued.
+    While these are full, or the answer would be late there, long prompts overflow to
+    engines that urgent requests don't need. Else another engine is taken only if it is
+    clearly faster, and none is while any of the others has much prefill queued.
     """
     engines = context.long_engines
     best = _best(demand, context, list(engines.values()), view)
-    if best is None:
-        return None
     others = [u for u in upstreams if u.upstream_id not in engines]
+    if best is None or _is_late(best.estimate_ms, demand):
+        overflow = _best(demand, context, _overflow_engines(others, view), view)
+        if best is None or overflow is None:
+            return best or overflow
+        return min(best, overflow, key=lambda option: option.estimate_ms)
     if any(_queued_prefill_ms(upstream, view) > LONG_PREFILL_MS for upstream in others):
         return best
     other = _best(demand, context, others, view)
@@ -272,6 +281,27 @@
     return other
 
 
+def _overflow_engines(others: list[Upstream], view: SchedulingView) -> list[Upstream]:
+    """Return the engines outside the long-prompt engines that may take a long prompt.
+
+    Each has little prefill queued. The last ones of the ranking are kept for urgent
+    requests: a share of all, and as many as the requests running on these engines need.
+    """
+    if not others:
+        return []
+    totals = [view.loads.total(u.incarnation, view.now_ms) for u in others]
+    n_long = sum(total.prefill_ms > LONG_PREFILL_MS for total in totals)
+    n_urgent = sum(total.n_requests for total in totals) - n_long
+    n_slots = max(1, max(upstream.n_slots for upstream in others))
+    n_needed = math.ceil(n_urgent / (n_slots * URGENT_SLOT_SHARE))
+    n_kept = max(n_needed, math.ceil(len(others) * KEPT_FOR_URGENT_SHARE))
+    by_id = {upstream.upstream_id: upstream for upstream in others}
+    ranked = _rank_for_long_prompts(tuple(by_id))
+    n_usable = max(0, len(others) - n_kept)
+    usable = [by_id[upstream_id] for upstream_id in ranked[:n_usable]]
+    return [u for u in usable if _queued_prefill_ms(u, view) <= LONG_PREFILL_MS]
+
+
 def _best(
     demand: Demand,
     context: _PromptContext | None,
@@ -400,7 +430,7 @@
     objective_ms = demand.route.objective_ms
     if lag_ms > OUTDATED_WEIGHTS_GRACE_MS:
         estimate_ms += objective_ms * OUTDATED_WEIGHTS_COST_SHARE
-    if estimate_ms > objective_ms * ON_TIME_SHARE:
+    if _is_late(estimate_ms, demand):
         estimate_ms += objective_ms * LATE_COST_SHARE
     return Placement(
         upstream,
@@ -414,6 +444,11 @@
     )
 
 
+def _is_late(estimate_ms: float, demand: Demand) -> bool:
+    """Return whether an answer with this estimate is expected to be late."""
+    return estimate_ms > demand.route.objective_ms * ON_TIME_SHARE
+
+
 def _fits(demand: Demand, total: Work, n_memory: int) -> bool:
     """Return whether the request fits into the memory that is left.
 
@@ -442,12 +477,10 @@
         # The weights may be replaced during prefill, and the store could not
         # distinguish the new parts from those of the previous weights.
         return ""
+    # One copy is enough: fetching from another failure domain takes far less time than
+    # prefill, and the capacities of the stores add up.
     holding = {source.address for source in context.cache_sources}
-    if store.failure_domain != upstream.failure_domain:
-        # A second copy in another failure domain would be no closer to this engine.
-        is_stored = any(other.address in holding for other in view.prompt_stores)
-    else:
-        is_stored = store.address in holding
+    is_stored = any(other.address in holding for other in view.prompt_stores)
     is_blocked = (
         view.now_ms < view.loads.of(prompt_store_incarnation(store)).blocked_until_ms
     )
--- /dev/null
+++ b/tests/scheduling/test_overflow.py
@@ -0,0 +1,79 @@
+"""Long prompts overflow to engines that urgent requests don't need."""
+
+import math
+
+import pytest
+
+from buckthornrock.scheduling.choice import (
+    KEPT_FOR_URGENT_SHARE,
+    LONG_PREFILL_MS,
+    MAX_QUEUED_PREFILL_MS,
+    NoCapacity,
+    choose,
+)
+from buckthornrock.scheduling.loads import FleetLoads, Work
+from tests.scheduling.world import engine, long, short, view
+
+N_ENGINES = 20
+N_OTHERS = N_ENGINES // 2
+N_KEPT = math.ceil(N_OTHERS * KEPT_FOR_URGENT_SHARE)
+#: Work of a long prompt whose shared part is not cached.
+LONG_WORK = Work(1, MAX_QUEUED_PREFILL_MS + 1.0, 17_000)
+ENGINES = [engine(number) for number in range(N_ENGINES)]
+
+
+def place_long_prompts(loads, n_prompts):
+    """Place prompts without a common part; return the engines' ids, None for none."""
+    chosen = []
+    for number in range(n_prompts):
+        placement = choose(long(f"contract-{number}"), ENGINES, view(loads=loads))
+        if isinstance(placement, NoCapacity):
+            chosen.append(None)
+            continue
+        load = loads.of(placement.upstream.incarnation)
+        load.own = load.own.plus(LONG_WORK)
+        chosen.append(placement.upstream.upstream_id)
+    return chosen
+
+
+# Load: a burst of long prompts, which waited while engines were nearly idle.
+def test_burst_of_long_prompts_uses_engines_that_others_leave_idle():
+    chosen = place_long_prompts(FleetLoads(), N_ENGINES)
+    placed = [upstream_id for upstream_id in chosen if upstream_id is not None]
+    assert len(set(placed)) == len(placed) == N_ENGINES - N_KEPT
+
+
+# Load: the same burst beside urgent requests, which must find engines without long
+# prefill at any time.
+def test_urgent_requests_find_engines_without_long_prefill_in_a_burst():
+    loads = FleetLoads()
+    place_long_prompts(loads, N_ENGINES)
+    for number in range(4 * N_KEPT):
+        placement = choose(short(f"short-{number}"), ENGINES, view(loads=loads))
+        assert placement.queued_prefill_ms <= LONG_PREFILL_MS
+        load = loads.of(placement.upstream.incarnation)
+        load.own = load.own.plus(placement.work)
+
+
+# Load: urgent requests that need most of the engines beside the long-prompt ones. The
+# number kept for them follows their running requests.
+@pytest.mark.parametrize(
+    ("n_running", "n_kept"), [(0, 4), (6, 4), (10, 7), (14, 9), (16, 10), (30, 10)]
+)
+def test_number_of_kept_engines_follows_the_running_urgent_requests(n_running, n_kept):
+    loads = FleetLoads()
+    long_engines = set(place_long_prompts(loads, N_OTHERS))
+    for upstream in ENGINES:
+        if upstream.upstream_id not in long_engines:
+            loads.of(upstream.incarnation).own = Work(n_running, 5.0, 300 * n_running)
+    n_placed = sum(map(bool, place_long_prompts(loads, N_ENGINES)))
+    assert n_placed == N_OTHERS - n_kept
+
+
+# Load: a quiet hour. Long prompts stay on their engines while there is room.
+def test_long_prompts_stay_on_their_engines_while_there_is_room():
+    loads = FleetLoads()
+    chosen = place_long_prompts(loads, N_OTHERS)
+    again = place_long_prompts(FleetLoads(), N_OTHERS)
+    assert set(chosen) == set(again)
+    assert None not in chosen
