Show the cost terms of every option in the choice of an upstream

Cause: an explanation of a choice needs the terms of each estimate, and why an upstream is out, from the code that chooses.

Change: a placement holds the terms of its estimate, and an upstream that can't take the request gives an obstacle in place of None. options() returns both for all upstreams; choose() uses the same function with its early exit. An upstream's work is summed up once per option, not twice.

Ruled out: computing the terms again in the explanation, which would differ after the next change of the estimate.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -6,6 +6,7 @@
 that instances send equal prompts to the same engine without coordination.
 """
 
+import enum
 import functools
 import math
 from collections.abc import Callable, Iterable
@@ -125,6 +126,51 @@
         return CacheView(self.loads, self.weights, self.prompt_stores, self.now_ms)
 
 
+class CostTerms(NamedTuple):
+    """Terms of an estimate; their sum is the estimate.
+
+    ``queue_ms`` is the work that is already there, ``prefill_ms`` the time to fetch
+    and prefill the prompt. The others are costs that make an upstream less preferred.
+    """
+
+    queue_ms: float
+    failures_ms: float
+    distance_ms: float
+    long_prompts_ms: float = 0.0
+    prefill_ms: float = 0.0
+    no_affinity_ms: float = 0.0
+    outdated_weights_ms: float = 0.0
+    late_ms: float = 0.0
+
+    @property
+    def estimate_ms(self) -> float:
+        """The sum of all terms."""
+        return (
+            self.queue_ms
+            + self.failures_ms
+            + self.distance_ms
+            + self.long_prompts_ms
+            + self.prefill_ms
+            + self.no_affinity_ms
+            + self.outdated_weights_ms
+            + self.late_ms
+        )
+
+
+class Obstacle(enum.Enum):
+    """Why an upstream isn't an option for a request; the values are shown."""
+
+    NO_WEIGHTS = "the model is not loaded"
+    OUTDATED_WEIGHTS = "its weights have been outdated for too long"
+    BLOCKED = "blocked after a failed or refused request"
+    LOADING = "loading weights"
+    NO_SLOT = "no free slot"
+    QUEUED_PREFILL = "too much queued prefill"
+    NO_MEMORY = "not enough free memory"
+    LATE_START = "its weights would be too old at the start"
+    DEARER = "dearer than another one"
+
+
 class Placement(NamedTuple):
     """The chosen upstream and the work that the request adds there.
 
@@ -134,6 +180,7 @@
     ``kv_source`` is the address of the engine or prompt store from which shared parts
     that are not cached at the chosen engine are fetched. ``kv_target`` is the address
     of the prompt store that should store the shared parts. Both are "" for none.
+    ``terms`` are those of the estimate.
     """
 
     upstream: Upstream
@@ -145,6 +192,7 @@
     kv_target: str = ""
     weights_lag_ms: float | None = None
     queued_prefill_ms: float = 0.0
+    terms: CostTerms | None = None
 
 
 class NoCapacity(NamedTuple):
@@ -208,6 +256,37 @@
     return best or NoCapacity(len(usable))
 
 
+def options(
+    demand: Demand, upstreams: Iterable[Upstream], view: SchedulingView
+) -> list[tuple[Upstream, Placement | Obstacle]]:
+    """Return each upstream with its placement, or why it isn't an option.
+
+    These are the placements that ``choose`` takes one of.
+    """
+    upstreams = list(upstreams)
+    found = {u.upstream_id: _unavailable(demand, u, view) for u in upstreams}
+    accepting = [u for u in upstreams if found[u.upstream_id] is None]
+    context = _prompt_context(demand, accepting, view)
+    for upstream in accepting:
+        option = _option(demand, context, upstream, view, math.inf)
+        found[upstream.upstream_id] = option
+    return [(u, found[u.upstream_id]) for u in upstreams]
+
+
+def _unavailable(
+    demand: Demand, upstream: Upstream, view: SchedulingView
+) -> Obstacle | None:
+    """Return why an upstream takes no such request, None if it does."""
+    if not may_serve(demand, upstream, view):
+        is_loaded = view.weights.loaded(upstream, demand.prompt.model) is not None
+        return Obstacle.OUTDATED_WEIGHTS if is_loaded else Obstacle.NO_WEIGHTS
+    if _accepts_work(upstream, view):
+        return None
+    load = view.loads.of(upstream.incarnation)
+    is_blocked = view.now_ms < load.blocked_until_ms
+    return Obstacle.BLOCKED if is_blocked else Obstacle.LOADING
+
+
 def with_capacity(
     upstreams: Iterable[Upstream], view: SchedulingView
 ) -> list[Upstream]:
@@ -244,8 +323,16 @@
 
 def _has_free_slot(upstream: Upstream, view: SchedulingView) -> bool:
     total = view.loads.total(upstream.incarnation, view.now_ms)
-    n_places = max(1, upstream.n_slots) * MAX_REQUESTS_PER_SLOT
-    return total.n_requests < n_places and total.prefill_ms <= MAX_QUEUED_PREFILL_MS
+    return _shortage(upstream, total) is None
+
+
+def _shortage(upstream: Upstream, total: Work) -> Obstacle | None:
+    """Return what an upstream lacks for one more request, None if nothing."""
+    if total.n_requests >= max(1, upstream.n_slots) * MAX_REQUESTS_PER_SLOT:
+        return Obstacle.NO_SLOT
+    if total.prefill_ms > MAX_QUEUED_PREFILL_MS:
+        return Obstacle.QUEUED_PREFILL
+    return None
 
 
 def _best_for_long(
@@ -282,7 +369,7 @@
     for upstream in upstreams:
         limit_ms = best.estimate_ms if best is not None else math.inf
         option = _option(demand, context, upstream, view, limit_ms)
-        if option is not None and option.estimate_ms < limit_ms:
+        if isinstance(option, Placement) and option.estimate_ms < limit_ms:
             best = option
     if best is None:
         return None
@@ -329,29 +416,31 @@
     upstream: Upstream,
     view: SchedulingView,
     limit_ms: float,
-) -> Placement | None:
-    """Return a placement, or None if the upstream can't take the request.
+) -> Placement | Obstacle:
+    """Return a placement, or why the upstream can't take the request.
 
-    None may also be returned if the estimate is at least ``limit_ms``, which saves
+    ``DEARER`` may be returned if the estimate is at least ``limit_ms``, which saves
     computing the prefill plan.
     """
-    if not _has_free_slot(upstream, view):
-        return None
-    load = view.loads.of(upstream.incarnation)
-    total = view.loads.total(upstream.incarnation, view.now_ms)
+    incarnation = upstream.incarnation
+    total = view.loads.total(incarnation, view.now_ms)
+    shortage = _shortage(upstream, total)
+    if shortage is not None:
+        return shortage
+    load = view.loads.of(incarnation)
     if context is None:
         return _plain_option(demand, upstream, load, total, view)
     is_penalized = demand.is_urgent and upstream.upstream_id in context.long_engines
-    queue_ms = (
-        (total.prefill_ms + total.n_requests * STEP_MS_PER_REQUEST)
-        * load.pace(view.now_ms)
-        + load.failure_rate(view.now_ms) * FAILURE_COST_MS
-        + _distance_ms(upstream, view)
-        + (LONG_PROMPT_ENGINE_COST_MS if is_penalized else 0.0)
-    )
-    if queue_ms + context.shared_prompt.min_prefill_ms >= limit_ms:
-        return None
-    return _engine_option(demand, context, upstream, queue_ms, total, view)
+    work_ms = total.prefill_ms + total.n_requests * STEP_MS_PER_REQUEST
+    queue_ms = work_ms * load.pace(view.now_ms)
+    failures_ms = load.failure_rate(view.now_ms) * FAILURE_COST_MS
+    distance_ms = _distance_ms(upstream, view)
+    long_prompts_ms = LONG_PROMPT_ENGINE_COST_MS if is_penalized else 0.0
+    before_ms = queue_ms + failures_ms + distance_ms + long_prompts_ms
+    if before_ms + context.shared_prompt.min_prefill_ms >= limit_ms:
+        return Obstacle.DEARER
+    terms = CostTerms(queue_ms, failures_ms, distance_ms, long_prompts_ms)
+    return _engine_option(demand, context, upstream, terms, total, view)
 
 
 def _plain_option(
@@ -365,43 +454,51 @@
     # The request's own time counts only as far as it differs from the usual, so that
     # idle upstreams are told apart and the estimate at the usual pace has no such term.
     n_requests = total.n_requests * pace + (pace - 1.0)
-    estimate_ms = (
-        n_requests / max(1, upstream.n_slots) * demand.route.objective_ms * 0.5
-        + load.failure_rate(view.now_ms) * FAILURE_COST_MS
-        + _distance_ms(upstream, view)
+    terms = CostTerms(
+        n_requests / max(1, upstream.n_slots) * demand.route.objective_ms * 0.5,
+        load.failure_rate(view.now_ms) * FAILURE_COST_MS,
+        _distance_ms(upstream, view),
     )
-    return Placement(upstream, estimate_ms, Work(n_requests=1))
+    return Placement(upstream, terms.estimate_ms, Work(n_requests=1), terms=terms)
 
 
 def _engine_option(
     demand: Demand,
     context: _PromptContext,
     upstream: Upstream,
-    queue_ms: float,
+    terms: CostTerms,
     total: Work,
     view: SchedulingView,
-) -> Placement | None:
+) -> Placement | Obstacle:
+    """Return a placement; ``terms`` are those without the prompt's own work."""
     prompt = demand.prompt
     prefill_plan = context.plan(upstream)
     n_memory = prompt.n_total_tokens - prefill_plan.n_cached
     if not _fits(demand, total, n_memory):
-        return None
+        return Obstacle.NO_MEMORY
     lag_ms = view.weights.lag_ms(upstream, prompt.model, view.now_ms)
     if lag_ms:
         starts_in_ms = total.prefill_ms + prefill_plan.duration_ms
         usable_ms = view.weights.usable_for_ms(upstream, prompt.model, view.now_ms)
         if starts_in_ms >= usable_ms:
-            return None
+            return Obstacle.LATE_START
     is_preferred = context.preferred_id in ("", upstream.upstream_id)
     lacks_affinity = not is_preferred and prefill_plan.n_cached < MIN_SHARED_TOKENS
-    estimate_ms = queue_ms + prefill_plan.duration_ms
-    if lacks_affinity:
-        estimate_ms += NO_AFFINITY_COST_MS
     objective_ms = demand.route.objective_ms
-    if lag_ms > OUTDATED_WEIGHTS_GRACE_MS:
-        estimate_ms += objective_ms * OUTDATED_WEIGHTS_COST_SHARE
+    is_outdated = lag_ms > OUTDATED_WEIGHTS_GRACE_MS
+    terms = CostTerms(
+        terms.queue_ms,
+        terms.failures_ms,
+        terms.distance_ms,
+        terms.long_prompts_ms,
+        prefill_plan.duration_ms,
+        NO_AFFINITY_COST_MS if lacks_affinity else 0.0,
+        objective_ms * OUTDATED_WEIGHTS_COST_SHARE if is_outdated else 0.0,
+    )
+    estimate_ms = terms.estimate_ms
     if estimate_ms > objective_ms * ON_TIME_SHARE:
-        estimate_ms += objective_ms * LATE_COST_SHARE
+        terms = terms._replace(late_ms=objective_ms * LATE_COST_SHARE)
+        estimate_ms += terms.late_ms
     return Placement(
         upstream,
         estimate_ms,
@@ -411,6 +508,7 @@
         prefill_plan.kv_source,
         weights_lag_ms=lag_ms,
         queued_prefill_ms=total.prefill_ms,
+        terms=terms,
     )
 
 
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -10,8 +10,10 @@
 from buckthornrock.scheduling.choice import (
     LONG_PROMPT_SHARE,
     NoCapacity,
+    Obstacle,
     Placement,
     choose,
+    options,
     with_capacity,
 )
 from buckthornrock.scheduling.loads import FleetLoads, LoadReport, Work
@@ -435,6 +437,39 @@
     assert loads.total(engine(0).incarnation, 2_000.0).n_requests == 0
 
 
+#: State of the only engine, and why it is no option for a long prompt.
+OBSTACLES = {
+    "none": ({}, {}, None),
+    "other model": ({"weights_versions": {"x": 1}}, {}, Obstacle.NO_WEIGHTS),
+    "old weights": ({"weights_versions": {"m": 0}}, {}, Obstacle.OUTDATED_WEIGHTS),
+    "blocked": ({}, {"blocked_until_ms": 20_001.0}, Obstacle.BLOCKED),
+    "loading": ({}, {"loading_until_ms": 20_001.0}, Obstacle.LOADING),
+    "slots": ({"n_slots": 3}, {"own": Work(3)}, Obstacle.NO_SLOT),
+    "prefill": ({}, {"own": Work(1, 351.0)}, Obstacle.QUEUED_PREFILL),
+    "memory": ({}, {"own": Work(1, 0.0, 140_000)}, Obstacle.NO_MEMORY),
+}
+
+
+@pytest.mark.parametrize(
+    ("entry", "state", "obstacle"), OBSTACLES.values(), ids=OBSTACLES
+)
+def test_options_say_why_an_engine_is_out(entry, state, obstacle):
+    """Guards against an explanation that differs from what is chosen."""
+    upstream, loads = engine(0)._replace(**entry), FleetLoads()
+    for name, value in state.items():
+        setattr(loads.of(upstream.incarnation), name, value)
+    weights = WeightsView(20_000.0)
+    weights.on_wanted("m", 1, 0.0)
+    seen = view(20_000.0, weights=weights, loads=loads)
+    ((_, option),) = options(long(), [upstream], seen)
+    chosen = choose(long(), [upstream], seen)
+    if obstacle is None:
+        assert option == chosen._replace(kv_target="")
+        assert option.estimate_ms == option.terms.estimate_ms
+    else:
+        assert (option, type(chosen)) == (obstacle, NoCapacity)
+
+
 WORKS = st.builds(
     Work, st.integers(0, 34), st.floats(0.0, 450.0), st.integers(0, CAPACITY)
 )
@@ -460,5 +495,9 @@
     context = choice._prompt_context(demand, engines, seen)
     best = choice._best(demand, context, engines, seen)
     every = [choice._option(demand, context, u, seen, math.inf) for u in engines]
-    estimates_ms = [option.estimate_ms for option in every if option is not None]
+    estimates_ms = [o.estimate_ms for o in every if isinstance(o, Placement)]
     assert (best.estimate_ms if best else None) == min(estimates_ms, default=None)
+    shown = [option for _, option in choice.options(demand, engines, seen)]
+    assert [o for o in shown if isinstance(o, Placement)] == [
+        o for o in every if isinstance(o, Placement)
+    ]
