Let the dispatcher preview a decision on a copy of its state

Cause: to say where a request would go, the code that decides on real requests must be asked without a reservation. Reading the state changes it too: failure rates decay, rates forget what they counted, states of new upstreams are created.

Admission can be asked for one service of a route and for an account by name, without a random choice and without a key. Quarantined parts can be read without judging suspects.

Ruled out: passing a view through all functions of the dispatcher, which left the queue's rates; a deep copy, which would copy the cached parts of all engines.

--- a/buckthornrock/catalog/route_table.py
+++ b/buckthornrock/catalog/route_table.py
@@ -51,9 +51,22 @@
         self, route: Route, authorization: str
     ) -> Result[ClientAccount | None, UnknownKey]:
         """Return the account of the request's key, None if it may go without."""
+        key = _bearer_key(authorization)
+        return self._authenticated(route, self.configuration.accounts.get(key))
+
+    def authenticate_as(
+        self, route: Route, account_name: str
+    ) -> Result[ClientAccount | None, UnknownKey]:
+        """Return what ``authenticate`` does for a key of the named account."""
+        accounts = self.configuration.accounts.values()
+        named = (account for account in accounts if account.name == account_name)
+        return self._authenticated(route, next(named, None))
+
+    def _authenticated(
+        self, route: Route, account: ClientAccount | None
+    ) -> Result[ClientAccount | None, UnknownKey]:
         if not self.configuration.requires_keys:
             return Ok(None)
-        account = self.configuration.accounts.get(_bearer_key(authorization))
         if account is None and not route.is_public:
             return Error(UnknownKey(self.configuration.version))
         return Ok(account)
--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -9,11 +9,16 @@
 from expression import Error, Ok, Result
 
 from ..catalog.configuration import ClientAccount, Route
-from ..catalog.route_table import RouteTable
+from ..catalog.route_table import RouteTable, UnknownKey
 from ..scheduling.choice import Demand
 from ..scheduling.prompt import parse_prompt
 from .requests import AdmittedRequest, ClientRequest, Refusal
 
+NO_CONFIGURATION = Refusal(
+    503, "no-configuration", "no configuration is known yet", 500.0
+)
+UNKNOWN_KEY = Refusal(401, UnknownKey.code, "the API key is not known")
+
 
 class AdmissionInputs(NamedTuple):
     """Inputs of admission; ``table`` is None until a configuration is known."""
@@ -27,19 +32,37 @@
 ) -> Result[AdmittedRequest, Refusal]:
     """Return the request with its route, client account and demand, or a refusal."""
     if inputs.table is None:
-        return Error(
-            Refusal(503, "no-configuration", "no configuration is known yet", 500.0)
-        )
-    path = request.target.decode("latin-1").partition("?")[0]
-    matched = inputs.table.match(request.fields.host, path)
-    if matched.is_error():
-        return Error(Refusal(404, matched.error.code, "no route matches this path"))
-    route = matched.ok
+        return Error(NO_CONFIGURATION)
+    found = find_route(request, inputs.table)
+    if found.is_error():
+        return found
+    route = found.ok
     account = inputs.table.authenticate(route, request.fields.authorization)
     if account.is_error():
-        return Error(Refusal(401, account.error.code, "the API key is not known"))
-    return _demand(request, route, account.ok, inputs).map(
-        lambda demand: _admitted(request, route, account.ok, demand)
+        return Error(UNKNOWN_KEY)
+    service = _pick_service(route, inputs.rng)
+    return admit_to(request, route, account.ok, service, inputs.table)
+
+
+def find_route(request: ClientRequest, table: RouteTable) -> Result[Route, Refusal]:
+    """Return the route of a request, or a refusal without one."""
+    path = request.target.decode("latin-1").partition("?")[0]
+    matched = table.match(request.fields.host, path)
+    return matched.map_error(
+        lambda error: Refusal(404, error.code, "no route matches this path")
+    )
+
+
+def admit_to(
+    request: ClientRequest,
+    route: Route,
+    account: ClientAccount | None,
+    service: str,
+    table: RouteTable,
+) -> Result[AdmittedRequest, Refusal]:
+    """Return the request with its demand on one of the route's services."""
+    return _demand(request, route, account, service, table).map(
+        lambda demand: _admitted(request, route, account, demand)
     )
 
 
@@ -47,11 +70,10 @@
     request: ClientRequest,
     route: Route,
     account: ClientAccount | None,
-    inputs: AdmissionInputs,
+    service_name: str,
+    table: RouteTable,
 ) -> Result[Demand, Refusal]:
-    configuration = inputs.table.configuration
-    name = _pick_service(route, inputs.rng)
-    service = configuration.services.get(name)
+    service = table.configuration.services.get(service_name)
     if service is None:
         return Error(
             Refusal(503, "no-service", "the route's service does not exist", 500.0)
@@ -69,7 +91,7 @@
     rank = route.rank
     if account is not None and account.rank is not None:
         rank = account.rank
-    scope = inputs.table.cache_scope(account)
+    scope = table.cache_scope(account)
     return Ok(Demand(request.fields.request_id, route, rank, service, scope, prompt))
 
 
--- a/buckthornrock/gateway/crash_findings.py
+++ b/buckthornrock/gateway/crash_findings.py
@@ -98,6 +98,17 @@
         self._judge()
         return self._suspects.find_quarantined(parts, self._now_ms())
 
+    def peek_quarantined(self, parts: Iterable[int]) -> QuarantinedPart | None:
+        """Return what ``find_quarantined`` does, as of the last time it was judged.
+
+        It changes nothing. Digests judge too, so that is at most a period ago.
+        """
+        return self._suspects.find_quarantined(parts, self._now_ms())
+
+    def quarantined(self) -> list[QuarantinedPart]:
+        """Return all quarantined parts, as of the last time they were judged."""
+        return self._suspects.active(self._now_ms())
+
     def on_sending(self, request_id: str, parts: Iterable[int]) -> None:
         """Record that a request is sent, which may probe quarantined parts."""
         probed = self._suspects.begin_probe(parts, self._now_ms())
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable
+from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
@@ -13,11 +14,13 @@
 from ..scheduling.choice import (
     Demand,
     NoCapacity,
+    Obstacle,
     Placement,
     SchedulingView,
     choose,
     may_fit,
     may_serve,
+    options,
     with_capacity,
 )
 from ..scheduling.loads import FleetLoads, LoadReport, Work
@@ -74,6 +77,29 @@
         self._on_released()
 
 
+class ExpectedWait(NamedTuple):
+    """A request waits in the queue, for about ``wait_ms``."""
+
+    wait_ms: float
+
+
+#: What is decided on a request when it arrives.
+Decision = Placement | ExpectedWait | Refusal
+
+
+class Preview(NamedTuple):
+    """What would be decided on a request now.
+
+    ``options`` are the upstreams that requests may be sent to. ``view`` is the copy of
+    the state that the decision was made on.
+    """
+
+    decision: Decision
+    options: list[tuple[Upstream, Placement | Obstacle]]
+    n_waiting: int
+    view: SchedulingView
+
+
 class Dispatcher:
     """Reserves upstream capacity for requests, with a wait queue for each service."""
 
@@ -113,21 +139,61 @@
         now_ms = self._now_ms()
         queued = QueuedRequest(next(self._numbers), demand, now_ms, admitted.ends_at_ms)
         queue.on_arrived(demand, now_ms)
+        decision = self._decide(queued, excluded, queue)
+        if isinstance(decision, Placement):
+            queue.on_placed(demand, now_ms)
+            return Ok(self._reserve_at(decision))
+        if isinstance(decision, Refusal):
+            return Error(decision)
+        return await self._wait(queued, excluded, queue)
+
+    def preview(self, demand: Demand, ends_at_ms: float) -> Preview:
+        """Return what would be decided on a request that arrives now.
+
+        It is decided on a copy, so that nothing here changes.
+        """
+        return self._snapshot(demand.service.name)._preview(demand, ends_at_ms)
+
+    def _snapshot(self, service: str) -> "Dispatcher":
+        """Return a copy of the state that decisions on one service use."""
+        view = self._view()
+        view = view._replace(loads=view.loads.snapshot())
+        copied = Dispatcher(
+            self._directory, view.loads, lambda: view, lambda: view.now_ms
+        )
+        if service in self._queues:
+            copied._queues[service] = self._queues[service].snapshot()
+        return copied
+
+    def _preview(self, demand: Demand, ends_at_ms: float) -> Preview:
+        queue, view = self._queues[demand.service.name], self._view()
+        queued = QueuedRequest(next(self._numbers), demand, view.now_ms, ends_at_ms)
+        return Preview(
+            self._decide(queued, frozenset(), queue),
+            options(demand, self._sendable(demand.service.name), view),
+            len(queue),
+            view,
+        )
+
+    def _decide(
+        self, queued: QueuedRequest, excluded: frozenset[str], queue: WaitQueue
+    ) -> Decision:
+        """Return whether a request that arrives is placed, waits or is refused."""
+        demand, now_ms = queued.demand, queued.enqueued_at_ms
         if not queue.has_ahead_of(demand):
             placement = self._choose(demand, excluded)
             if isinstance(placement, Placement):
-                queue.on_placed(demand, now_ms)
-                return Ok(self._reserve_at(placement))
+                return placement
             if not placement.n_usable and not self._serving(demand):
                 snapshot = QueueSnapshot(0, len(queue), NO_UPSTREAM_RETRY_MS)
-                return Error(_refusal("no upstream is in service", snapshot))
+                return _refusal("no upstream is in service", snapshot)
         quiet_ms = self._quiet_ms(demand)
         wait_ms = max(quiet_ms, queue.expected_wait_ms(queued, now_ms))
         if will_miss_deadline(queued, wait_ms, now_ms):
             snapshot = self._queue_snapshot(demand, wait_ms)
             reason = "no capacity is expected before the deadline"
-            return Error(_refusal(reason, snapshot, quiet_ms))
-        return await self._wait(queued, excluded, queue)
+            return _refusal(reason, snapshot, quiet_ms)
+        return ExpectedWait(wait_ms)
 
     def has_usable(self, demand: Demand, excluded: frozenset[str]) -> bool:
         """Return whether an upstream that is not excluded could serve the request."""
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -42,7 +42,7 @@
 )
 from .pool import ConnectionPool
 from .ports import HeaderCodec, UpstreamRequestFields
-from .requests import AdmittedRequest, Refusal
+from .requests import AdmittedRequest, Refusal, quarantine_refusal
 from .stopping import NOT_FINISHED, NOT_SENT, Stopping
 from .stream_relay import StreamRelay
 from .upstream_connection import ResponseHead, UpstreamConnection
@@ -200,9 +200,7 @@
         found = findings.find_quarantined(self._crash_parts)
         if found is None:
             return False
-        reason = f"engines crash on part {found.part} of the prompt"
-        retry_after_ms = found.retry_after_ms
-        self._refuse(Refusal(503, "quarantined-part", reason, retry_after_ms))
+        self._refuse(quarantine_refusal(found))
         return True
 
     def _update_cache_scope(self) -> None:
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -4,6 +4,7 @@
 
 from ..catalog.configuration import ClientAccount, Route
 from ..scheduling.choice import Demand
+from ..scheduling.crash_suspects import QuarantinedPart
 from .ports import Headers, RequestFields
 
 
@@ -59,3 +60,9 @@
     reason: str
     retry_after_ms: float | None = None
     queue_snapshot: QueueSnapshot | None = None
+
+
+def quarantine_refusal(found: QuarantinedPart) -> Refusal:
+    """Return the refusal of a request with a part that crashes engines."""
+    reason = f"engines crash on part {found.part} of the prompt"
+    return Refusal(503, "quarantined-part", reason, found.retry_after_ms)
--- a/buckthornrock/scheduling/crash_suspects.py
+++ b/buckthornrock/scheduling/crash_suspects.py
@@ -195,6 +195,14 @@
                 found = QuarantinedPart(part, retry_after_ms)
         return found
 
+    def active(self, now_ms: float) -> list[QuarantinedPart]:
+        """Return the quarantined parts, with the time until each may be probed."""
+        return [
+            QuarantinedPart(part, self._probe_wait_ms(part, now_ms))
+            for part, quarantine in self._quarantines.items()
+            if quarantine.is_active
+        ]
+
     def begin_probe(self, parts: Iterable[int], now_ms: float) -> list[int]:
         """Record that a request is sent; return the quarantined parts that it probes.
 
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -4,6 +4,7 @@
 and the upstream's own load reports. Pure: the caller passes the time.
 """
 
+import copy
 import math
 from collections import defaultdict
 from collections.abc import Iterable
@@ -178,6 +179,18 @@
         """Return the state of an upstream; it is created on first use."""
         return self._loads[incarnation]
 
+    def snapshot(self) -> "FleetLoads":
+        """Return a copy whose use changes nothing here; the cached parts are shared.
+
+        Reading the loads decays failure rates and creates the states of new upstreams.
+        """
+        copied = FleetLoads()
+        copied._loads.update({key: copy.copy(x) for key, x in self._loads.items()})
+        copied._peers = dict(self._peers)
+        copied._peer_totals = self._peer_totals
+        copied._peer_totals_valid_until_ms = self._peer_totals_valid_until_ms
+        return copied
+
     def on_digest(
         self, peer: str, works: dict[int, Work], now_ms: float, age_ms: float = 0.0
     ) -> None:
--- a/buckthornrock/scheduling/wait_queue.py
+++ b/buckthornrock/scheduling/wait_queue.py
@@ -44,6 +44,14 @@
         self._n_units = 0
         self._restarted_at_ms = -math.inf
 
+    def snapshot(self) -> "RecentRate":
+        """Return a copy whose use changes nothing here."""
+        copied = RecentRate()
+        copied._counted = self._counted.copy()
+        copied._n_units = self._n_units
+        copied._restarted_at_ms = self._restarted_at_ms
+        return copied
+
     def add(self, n_units: int, now_ms: float) -> None:
         """Count a request of ``n_units``."""
         self._forget(now_ms)
@@ -81,6 +89,17 @@
     def __len__(self) -> int:
         return len(self._queued)
 
+    def snapshot(self) -> "WaitQueue":
+        """Return a copy whose use changes nothing here.
+
+        Reading a rate forgets what it has counted before its window.
+        """
+        copied = WaitQueue()
+        copied._queued = dict(self._queued)
+        copied._placed.update({k: r.snapshot() for k, r in self._placed.items()})
+        copied._arrived.update({k: r.snapshot() for k, r in self._arrived.items()})
+        return copied
+
     def enqueue(self, request: QueuedRequest) -> None:
         """Add a request to the queue."""
         self._queued[request.number] = request
--- a/tests/scheduling/test_wait_queue.py
+++ b/tests/scheduling/test_wait_queue.py
@@ -23,6 +23,29 @@
     return order
 
 
+def test_use_of_a_snapshot_changes_nothing_in_the_queue():
+    """Guards the rates: reading one forgets what was counted before its window."""
+    queue = WaitQueue()
+    for number in range(4):
+        queue.on_arrived(long(), 0.0)
+        queue.on_placed(long(), 0.0)
+        queue.enqueue(QueuedRequest(number, long(), 0.0, 9e3))
+    waiting = QueuedRequest(9, long(), 0.0, 9.5e3)
+    expected_ms = queue.expected_wait_ms(waiting, 0.0)
+    assert expected_ms > 0.0
+    copied = queue.snapshot()
+    assert copied.expected_wait_ms(waiting, 0.0) == expected_ms
+    copied.predict_missed_deadlines(60_000.0)
+    copied.expected_wait_ms(waiting, 60_000.0)
+    copied.on_placed(short(), 60_000.0)
+    copied.end_by(1.0)
+    copied.remove(0)
+    assert len(queue) == 4
+    assert not queue.ending_at(9.1e3)
+    assert len(queue.ending_at(9e3)) == 4
+    assert queue.expected_wait_ms(waiting, 0.0) == expected_ms
+
+
 @pytest.mark.parametrize(
     ("members", "expected"),
     [
