Add the command "where": where a request would go now

Cause: operators could explain a request only after it was sent, and only for what its log line holds.

Change: GET /where at the metrics address of an instance on the platform returns a document with the chosen upstream and the expected time, every upstream of the service with its cost terms or why it is out, the wait queue, what refuses the request, quarantined parts, the configuration's version and the ages of the inputs. "buckthornrock where" prints it. The decision is that of real requests, on a copy of the state. All services of a route with shares are shown, so that no random number is drawn. The query is bounded (8,192 bytes, 64 parts) and names an account, never a key.

Ruled out: the address of callers, which clients outside reach; a POST, as nothing is changed.

--- a/buckthornrock/commands/__init__.py
+++ b/buckthornrock/commands/__init__.py
@@ -18,6 +18,7 @@
     "explain",
     "order",
     "upstreams",
+    "where",
 )
 
 
--- a/buckthornrock/commands/reference_pages.py
+++ b/buckthornrock/commands/reference_pages.py
@@ -1,7 +1,8 @@
 """Renders the reference pages whose source is the code itself."""
 
 from collections.abc import Callable, Iterator
-from typing import NamedTuple, get_type_hints
+from types import NoneType, UnionType
+from typing import NamedTuple, get_args, get_origin, get_type_hints
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from ..conf.settings import Settings
 from ..entry.problems import RULES
 from ..events import CATALOGUE
+from ..gateway.explanation_document import QUERY_FIELDS, WHERE_PATH, Explanation
 from ..telemetry import metrics
 
 _NOT_RUN = {
@@ -97,6 +99,48 @@
     return _page("Settings checks", "checks", intro, ("Id", "Meaning"), rows)
 
 
+def render_where() -> str:
+    """Return the query and the document of an explanation."""
+    rows = [(f"`?{name}`", "query", text) for name, text in QUERY_FIELDS.items()]
+    rows += _document_rows(Explanation, "")
+    intro = (
+        "`buckthornrock where HOST PATH --instance IP:PORT` asks an instance on the\n"
+        f"platform where a request would go now. It reads `GET {WHERE_PATH}` at the\n"
+        "instance's metrics address with the query fields below, and prints the JSON\n"
+        "document as text (`--json`: as it is). The instance decides with the code of\n"
+        "real requests on a copy of its state: it reserves, counts and sends nothing.\n"
+        "The document holds no API key. A query that can't be read, is longer than\n"
+        "8,192 bytes or names more than 64 parts gets a 400."
+    )
+    head = ("Field", "Type", "Meaning")
+    return _page("Where a request would go", "where", intro, head, rows)
+
+
+def _document_rows(kind: type, prefix: str) -> Iterator[tuple[str, str, str]]:
+    """Return a row for each field of a document, with those of nested ones below."""
+    for key, hint in get_type_hints(kind, include_extras=True).items():
+        name = f"{prefix}{key}"
+        inner, meta = get_args(hint)
+        nested, suffix, type_name = _document_type(inner)
+        yield f"`{name}{suffix}`", type_name, meta.description
+        if nested is not None:
+            yield from _document_rows(nested, f"{name}{suffix}.")
+
+
+def _document_type(hint: type) -> tuple[type | None, str, str]:
+    """Return the nested document, if any, the suffix of its path, and the type name."""
+    if get_origin(hint) is list:
+        nested, _, item_name = _document_type(get_args(hint)[0])
+        return nested, "[]", f"list of {item_name}s"
+    if get_origin(hint) is UnionType:
+        (inner,) = (kind for kind in get_args(hint) if kind is not NoneType)
+        nested, suffix, type_name = _document_type(inner)
+        return nested, suffix, f"{type_name} or null"
+    if issubclass(hint, msgspec.Struct):
+        return hint, "", "object"
+    return None, "", {str: "string", bool: "boolean"}.get(hint, "number")
+
+
 def _setting_rows(section: type, prefix: str) -> Iterator[tuple[str, str, str]]:
     for key, hint in get_type_hints(section).items():
         path = f"{prefix}{key}"
@@ -149,5 +193,6 @@
     "metrics": Page("ref/metrics.md", render_metrics),
     "problems": Page("ref/problems.md", render_problems),
     "settings": Page("ref/settings.md", render_settings),
+    "where": Page("ref/where.md", render_where),
     "checks": Page("ref/checks.md", render_checks),
 }
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -16,6 +16,7 @@
 from .client_connection import ClientConnection, ClientConnectionContext
 from .dispatcher import Dispatcher
 from .exchange import Exchange, ExchangeContext
+from .explanation import ExplanationInputs, explain_encoded, is_where_request
 from .fleet_state import FleetState
 from .peers import PeerExchange
 from .pool import ConnectionPool
@@ -240,6 +241,9 @@
     async def _serve_metrics(
         self, request: ClientRequest, client: ClientConnection
     ) -> None:
+        if is_where_request(request):
+            self._serve_explanation(request, client)
+            return
         metrics = self._telemetry.metrics
         metrics.gauge(GATEWAY_WAITING, self._dispatcher.n_waiting())
         metrics.gauge(GATEWAY_CONNECTIONS, len(self._connections))
@@ -247,6 +251,24 @@
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         client.send_response(200, headers, self._render_metrics().encode())
 
+    def _serve_explanation(
+        self, request: ClientRequest, client: ClientConnection
+    ) -> None:
+        inputs = ExplanationInputs(
+            self._settings.instance_id,
+            self._fleet_state,
+            self._dispatcher,
+            self._exchange_context.stopping,
+            self._peers.n_instances,
+            self._now_ms,
+        )
+        explained = explain_encoded(request, inputs)
+        if explained.is_error():
+            client.refuse(explained.error)
+            return
+        headers = [(b"content-type", b"application/json")]
+        client.send_response(200, headers, explained.ok)
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_MS / 1000.0)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -161,6 +161,7 @@
     stop: asyncio.Event
     task: asyncio.Task
     logged: list[tuple[str, dict]]
+    metrics_address: str
 
 
 def now_ms() -> float:
@@ -189,8 +190,8 @@
     dispatcher = Dispatcher(
         fleet_state.directory, fleet_state.loads, fleet_state.view, now_ms
     )
-    client_address, ready_address, peer = (
-        f"127.0.0.1:{port}" for port in free_ports(3)
+    client_address, ready_address, peer, metrics_address = (
+        f"127.0.0.1:{port}" for port in free_ports(4)
     )
     peers = PeerExchange(
         PeerSettings("i1", "a", peer, (), 1), fleet_state, now_ms, telemetry
@@ -211,7 +212,13 @@
     )
     state_sync = StateSync(peer, fleet_state, decode_configuration, telemetry, now_ms)
     settings = GatewaySettings(
-        "i1", "a", client_address, ready_address, peer, shutdown_limit_ms
+        "i1",
+        "a",
+        client_address,
+        ready_address,
+        peer,
+        shutdown_limit_ms,
+        metrics_address,
     )
     gateway = Gateway(
         settings, fleet_state, context, pool, peers, state_sync, now_ms, telemetry
@@ -226,7 +233,14 @@
         listening.cancel()
         task.result()
     return GatewayHarness(
-        gateway, fleet_state, client_address, ready_address, stop, task, logged
+        gateway,
+        fleet_state,
+        client_address,
+        ready_address,
+        stop,
+        task,
+        logged,
+        metrics_address,
     )
 
 
