Prefer engines that prefill faster than others of their service

Engines of a service may differ in speed by a multiple. The estimate took one rate for all, so that long prompts went to engines on which they couldn't be on time while faster ones had room. Instances now compare expected with observed times to the first event, add them up over the fleet in digests, and multiply prefill by an engine's factor against the mean.

Ruled out: the pace that upstreams report, which one instance seldom has fresh. tests/scheduling, tests/wire, test_peers.py, test_dispatcher.py pass.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -61,16 +61,24 @@
         self._on_released = on_released
         self._load.own = self._load.own.plus(placement.work)
 
-    def on_first_event(self) -> None:
-        """Release the prefill work: the first event shows that it is done."""
-        self._subtract(Work(prefill_ms=self._remaining.prefill_ms))
+    def on_first_event(self, elapsed_ms: float, now_ms: float) -> None:
+        """Release the prefill work: the first event shows that it is done.
+
+        The request was sent ``elapsed_ms`` ago.
+        """
+        prefill_ms = self._remaining.prefill_ms
+        if not prefill_ms:
+            return
+        expected_ms = self.placement.queued_prefill_ms + prefill_ms
+        self._load.times.add(expected_ms, elapsed_ms, now_ms)
+        self._subtract(Work(prefill_ms=prefill_ms))
 
     def release(self) -> None:
         """Release all remaining work; the request has left the upstream."""
         self._subtract(self._remaining)
 
     def _subtract(self, work: Work) -> None:
-        if not any(work):
+        if work == Work():
             return
         self._remaining = self._remaining.minus(work)
         self._load.own = self._load.own.minus(work)
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -119,6 +119,7 @@
         self._has_sent = False
         self._upstream_id = ""
         self._waited_ms = 0.0
+        self._sent_at_ms = 0.0
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
         self._n_crashes = 0
@@ -263,6 +264,7 @@
             len(request.body),
         )
         self._has_sent = True
+        self._sent_at_ms = self._now_ms()
         self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
@@ -339,7 +341,8 @@
         return Ok(None)
 
     def _on_event(self, reservation: Reservation, watched: WatchedAttempt) -> None:
-        reservation.on_first_event()
+        now_ms = self._now_ms()
+        reservation.on_first_event(now_ms - self._sent_at_ms, now_ms)
         self._context.crash_watch.on_event(watched)
 
     def _report_end(self, head: ResponseHead, watched: WatchedAttempt) -> None:
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -12,6 +12,7 @@
 from ..catalog.upstreams import Incarnation, Upstream, UpstreamChange
 from ..scheduling.cached_parts import PartKey
 from ..scheduling.loads import CombinedWork, Work
+from ..scheduling.prefill_speed import PrefillTimes
 from ..telemetry import Telemetry
 from ..wire.digests import (
     CachedPartReport,
@@ -22,6 +23,7 @@
     Scope,
     StoreCalls,
     UpstreamEntry,
+    UpstreamTimes,
     UpstreamWork,
     decode_digest,
     encode_digest,
@@ -269,6 +271,7 @@
             base,
             scope=contact.scope,
             works=_encode_works(covered.works),
+            prefill_times=_encode_times(covered.works),
             age_ms=round(covered.age_ms),
         )
         self._transmit(digest, address)
@@ -337,6 +340,10 @@
             work.upstream: Work(work.n_requests, work.prefill_ms, work.n_memory_tokens)
             for work in digest.works
         }
+        for reported in digest.prefill_times:
+            times = PrefillTimes(reported.expected_ms, reported.observed_ms)
+            work = works.get(reported.upstream, Work())
+            works[reported.upstream] = work._replace(times=times)
         loads = self._fleet_state.loads
         loads.on_digest(digest.instance_id, works, now_ms, digest.age_ms)
 
@@ -501,6 +508,15 @@
     ]
 
 
+def _encode_times(works: dict[int, Work]) -> list[UpstreamTimes]:
+    timed = [
+        UpstreamTimes(number, *(round(time_ms) for time_ms in work.times))
+        for number, work in works.items()
+        if work.times.expected_ms >= 1.0
+    ]
+    return timed[:MAX_WORK_ENTRIES]
+
+
 def _encode_updates(
     updates: list[Update], now_ms: float
 ) -> tuple[list[LoadedWeights], list[CachedPartReport]]:
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -462,15 +462,17 @@
         return _plain_option(demand, upstream, load, total, view)
     is_penalized = demand.is_urgent and upstream.upstream_id in context.long_engines
     work_ms = total.prefill_ms + total.n_requests * STEP_MS_PER_REQUEST
-    queue_ms = work_ms * load.pace(view.now_ms)
+    prefill_factor = view.loads.prefill_factor(incarnation, view.now_ms)
+    queue_ms = work_ms * load.pace(view.now_ms) * prefill_factor
     failures_ms = load.failure_rate(view.now_ms) * FAILURE_COST_MS
     distance_ms = _distance_ms(upstream, view)
     long_prompts_ms = LONG_PROMPT_ENGINE_COST_MS if is_penalized else 0.0
     before_ms = queue_ms + failures_ms + distance_ms + long_prompts_ms
-    if before_ms + context.shared_prompt.min_prefill_ms >= limit_ms:
+    min_prefill_ms = context.shared_prompt.min_prefill_ms * prefill_factor
+    if before_ms + min_prefill_ms >= limit_ms:
         return Obstacle.DEARER
     terms = CostTerms(queue_ms, failures_ms, distance_ms, long_prompts_ms)
-    return _engine_option(demand, context, upstream, terms, total, view)
+    return _engine_option(demand, context, upstream, terms, total, prefill_factor, view)
 
 
 def _plain_option(
@@ -498,6 +500,7 @@
     upstream: Upstream,
     terms: CostTerms,
     total: Work,
+    prefill_factor: float,
     view: SchedulingView,
 ) -> Placement | Obstacle:
     """Return a placement; ``terms`` are those without the prompt's own work."""
@@ -521,7 +524,7 @@
         terms.failures_ms,
         terms.distance_ms,
         terms.long_prompts_ms,
-        prefill_plan.duration_ms,
+        prefill_plan.fetch_ms + prefill_plan.prefill_ms * prefill_factor,
         NO_AFFINITY_COST_MS if lacks_affinity else 0.0,
         objective_ms * OUTDATED_WEIGHTS_COST_SHARE if is_outdated else 0.0,
     )
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -46,6 +46,17 @@
     n_memory_tokens: ExactInt
 
 
+class UpstreamTimes(msgspec.Struct, array_like=True):
+    """Times to the first event that recent requests at an upstream took.
+
+    ``expected_ms`` and ``observed_ms`` are sums over the requests.
+    """
+
+    upstream: int
+    expected_ms: ExactInt
+    observed_ms: ExactInt
+
+
 class LoadingEngine(msgspec.Struct, array_like=True):
     """An engine that will finish loading a version of a model in about ``left_ms``."""
 
@@ -148,9 +159,9 @@
 class Digest(msgspec.Struct, array_like=True):
     """The state of one instance that other instances base their decisions on.
 
-    ``works`` covers the instances that ``scope`` names; the oldest digest that it was
-    computed from was received ``age_ms`` ago. ``relay`` is the relay of the sender, ""
-    if it has none.
+    ``works`` and ``prefill_times`` cover the instances that ``scope`` names; the oldest
+    digest that they were computed from was received ``age_ms`` ago. ``relay`` is the
+    relay of the sender, "" if it has none.
 
     ``incarnation`` rises with each start of the instance and ``number`` with each
     digest, so that an outdated digest is detected. ``revision`` is the store revision
@@ -192,6 +203,7 @@
     sound_parts: list[SoundPart] = []
     quarantines: list[PartQuarantine] = []
     removed_isolated_accounts: list[str] = []
+    prefill_times: list[UpstreamTimes] = []
 
 
 def encode_digest(digest: Digest) -> bytes:
--- /dev/null
+++ b/tests/scheduling/test_prefill_speed.py
@@ -0,0 +1,97 @@
+"""Engines of one service that differ in speed."""
+
+import random
+
+import pytest
+
+from buckthornrock.scheduling.choice import choose
+from buckthornrock.scheduling.loads import FleetLoads, Work
+from buckthornrock.scheduling.prefill_speed import (
+    HALF_LIFE_MS,
+    MAX_FACTOR,
+    MIN_EXPECTED_MS,
+    PrefillTimes,
+    RecentTimes,
+    prefill_factors,
+)
+from buckthornrock.wire.numeric_ids import incarnation_number
+from tests.scheduling.world import engine, long, view
+
+ENGINES = [engine(number) for number in range(6)]
+EXPECTED_MS = 300.0
+
+
+def times(expected_ms, factor):
+    return PrefillTimes(expected_ms, expected_ms * factor)
+
+
+@pytest.mark.parametrize(
+    ("by_engine", "slow", "fast"),
+    [
+        # All take half as long again as estimated: none differs from the others.
+        ({"a": times(9e3, 1.5), "b": times(9e3, 1.5)}, set(), set()),
+        (
+            {"a": times(9e3, 0.6), "b": times(9e3, 1.0), "c": times(9e3, 1.6)},
+            {"c"},
+            {"a"},
+        ),
+        # Too little is known of an engine, or of all.
+        ({"a": times(9e3, 1.0), "b": times(100.0, 2.0)}, set(), set()),
+        ({"a": times(800.0, 0.6), "b": times(800.0, 1.6)}, set(), set()),
+        ({"a": PrefillTimes(9e3, 0.0)}, set(), set()),
+        ({}, set(), set()),
+    ],
+)
+def test_factors_tell_slow_and_fast_engines_from_chance(by_engine, slow, fast):
+    factors = prefill_factors(by_engine)
+    assert {key for key, factor in factors.items() if factor > 1.0} == slow
+    assert {key for key, factor in factors.items() if factor < 1.0} == fast
+
+
+@pytest.mark.parametrize("odd", [times(1e18, 1e6), PrefillTimes(-1e9, 5e9)])
+def test_factors_are_bounded_whatever_peers_report(odd):
+    factors = prefill_factors({"a": times(9e3, 1.0), "b": odd})
+    assert all(1.0 / MAX_FACTOR <= factor <= MAX_FACTOR for factor in factors.values())
+
+
+def test_old_times_count_less_and_short_prompts_not_at_all():
+    recent = RecentTimes()
+    recent.add(EXPECTED_MS, 3.0 * EXPECTED_MS, 0.0)
+    recent.add(MIN_EXPECTED_MS - 1.0, 9e3, 0.0)
+    assert recent.at(HALF_LIFE_MS) == (EXPECTED_MS / 2.0, 1.5 * EXPECTED_MS)
+
+
+# Load: long prompts whose objective leaves time for one prefill on a usual engine. Half
+# of them went to engines that take 1.6 times as long, while faster ones had room.
+def test_long_prompts_prefer_fast_engines_once_times_are_known():
+    loads, rng = FleetLoads(), random.Random(1)
+    slowness = {u.upstream_id: (0.6, 1.0, 1.6)[n % 3] for n, u in enumerate(ENGINES)}
+    chosen = []
+    for number in range(90):
+        now_ms = number * 100.0
+        placement = choose(
+            long(f"c{number}"), ENGINES, view(now_ms=now_ms, loads=loads)
+        )
+        upstream = placement.upstream
+        chosen.append(slowness[upstream.upstream_id])
+        noise = rng.uniform(0.8, 1.2)
+        loads.of(upstream.incarnation).times.add(
+            EXPECTED_MS, EXPECTED_MS * chosen[-1] * noise, now_ms
+        )
+    assert sum(chosen[60:]) < 0.8 * sum(chosen[:30])
+
+
+# An instance sends few requests to each engine, and learns the rest from its peers.
+def test_times_that_peers_observed_count():
+    loads = FleetLoads()
+    works = {
+        incarnation_number(*upstream.incarnation): Work(
+            times=times(2_000.0, 2.0 if number == 0 else 1.0)
+        )
+        for number, upstream in enumerate(ENGINES)
+    }
+    loads.on_digest("peer", works, 0.0)
+    for upstream in ENGINES:
+        loads.of(upstream.incarnation)
+    assert loads.prefill_factor(ENGINES[0].incarnation, 0.0) > 1.0
+    assert loads.prefill_factor(ENGINES[1].incarnation, 0.0) == 1.0
