--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -42,7 +42,7 @@
 )
 from .pool import ConnectionPool
 from .ports import HeaderCodec, UpstreamRequestFields
-from .requests import AdmittedRequest, Refusal
+from .requests import AdmittedRequest, Refusal, quarantine_refusal
 from .stopping import NOT_FINISHED, NOT_SENT, Stopping
 from .stream_relay import StreamRelay
 from .upstream_connection import ResponseHead, UpstreamConnection
@@ -119,6 +119,7 @@
         self._has_sent = False
         self._upstream_id = ""
         self._waited_ms = 0.0
+        self._sent_at_ms = 0.0
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
         self._n_crashes = 0
@@ -200,9 +201,7 @@
         found = findings.find_quarantined(self._crash_parts)
         if found is None:
             return False
-        reason = f"engines crash on part {found.part} of the prompt"
-        retry_after_ms = found.retry_after_ms
-        self._refuse(Refusal(503, "quarantined-part", reason, retry_after_ms))
+        self._refuse(quarantine_refusal(found))
         return True
 
     def _update_cache_scope(self) -> None:
@@ -265,6 +264,7 @@
             len(request.body),
         )
         self._has_sent = True
+        self._sent_at_ms = self._now_ms()
         self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
@@ -341,7 +341,8 @@
         return Ok(None)
 
     def _on_event(self, reservation: Reservation, watched: WatchedAttempt) -> None:
-        reservation.on_first_event()
+        now_ms = self._now_ms()
+        reservation.on_first_event(now_ms - self._sent_at_ms, now_ms)
         self._context.crash_watch.on_event(watched)
 
     def _report_end(self, head: ResponseHead, watched: WatchedAttempt) -> None:
