Enforce quotas of client accounts over all instances

Cause: the configuration names a rate and a burst for each client account (ratePerS, burst, unit, plainTokens), which nothing enforced.

Change: admission/fleet_quota.py keeps one token bucket per account for the whole fleet. Digests carry cumulative charges per account and the running time that they cover, so that refill and charges of the same period arrive together. gateway/account_quotas.py charges a request after admission and before the wait queue, answers 429 over-quota with the time until the bucket can pay, and takes a charge back wherever no upstream may have run the request. Without quotaWindowS in the settings there are no quotas; without limits in the configuration the digests have no new field.

Ruled out: refill by the own clock with a grace time of 1 s for silent senders, as each part of a divided fleet would earn the whole rate for that time; numbers of instances passed on for ever, as they never decrease.

--- a/buckthornrock/catalog/configuration.py
+++ b/buckthornrock/catalog/configuration.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from ..admission.fleet_quota import AccountLimit
+
 
 class RouteKind(Enum):
     """Whether a route's requests may be retried, and how."""
@@ -81,6 +83,7 @@
 
     name: str
     rank: int | None
+    limit: AccountLimit | None = None
 
 
 class ClientLimits(NamedTuple):
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -9,8 +9,10 @@
 
 import pykka
 
+from ..admission.fleet_quota import FleetQuota, QuotaBound
 from ..conf import Problem
 from ..events import gateway as events
+from ..gateway.account_quotas import AccountQuotas
 from ..gateway.crash_watch import CrashWatch
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.exchange import ExchangeContext
@@ -102,7 +104,10 @@
     store = open_store(settings.platform.addr, telemetry, now_ms)
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
-    peers = PeerExchange(_peer_settings(settings), fleet_state, now_ms, telemetry)
+    quotas = _open_quotas(settings, fleet_state, now_ms, telemetry)
+    peers = PeerExchange(
+        _peer_settings(settings), fleet_state, now_ms, telemetry, quotas
+    )
     is_watch_wanted = threading.Event()
     StoreWatcher.start(
         store,
@@ -130,6 +135,7 @@
         now_ms=now_ms,
         telemetry=telemetry,
         stopping=Stopping(),
+        quotas=quotas,
     )
     state_sync = StateSync(
         _peer_address(settings), fleet_state, decode_configuration, telemetry, now_ms
@@ -157,6 +163,24 @@
     await gateway.run(stop, on_draining=lambda: rollout.tell("stop"))
 
 
+def _open_quotas(
+    settings: NodeSettings,
+    fleet_state: FleetState,
+    now_ms: Callable[[], float],
+    telemetry: Telemetry,
+) -> AccountQuotas | None:
+    """Return the quotas of client accounts, None where the settings have no window."""
+    bounds = settings.bounds
+    if bounds.quota_window_s <= 0.0:
+        return None
+    window_ms = bounds.quota_window_s * 1000.0
+    bound = QuotaBound(window_ms, bounds.quota_overage, bounds.quota_slack)
+    peers = _peer_settings(settings)
+    n_seeds = len({peers.address, *peers.seeds})
+    quota = FleetQuota(bound, n_seeds, now_ms())
+    return AccountQuotas(quota, fleet_state, now_ms, telemetry)
+
+
 def _set(event: threading.Event, is_set: bool) -> None:
     if is_set:
         event.set()
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -292,3 +292,26 @@
     ("n_bytes", "max_bytes"),
     "A snapshot for a peer exceeds its limit; the part of it that fits is sent.",
 )
+OVER_QUOTA = Event(
+    2230,
+    "gateway.over_quota",
+    "warning",
+    (
+        "request_id",
+        "account",
+        "n_refused",
+        "cost",
+        "level",
+        "rate_per_s",
+        "burst",
+        "retry_after_ms",
+        "covered_share",
+        "n_instances",
+        "oldest_report_ms",
+        "configuration_version",
+    ),
+    "Requests of a client account were refused with status 429: the last of the "
+    "n_refused since the account's previous line here, at most one in 10 s, would have "
+    "cost more than the level of its bucket. This instance knew the charges of "
+    "covered_share of n_instances; the oldest report of them was oldest_report_ms old.",
+)
--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -19,6 +19,7 @@
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -16,6 +16,7 @@
 from ..scheduling.loads import UpstreamLoad
 from ..scheduling.retry_budget import RetryBudget
 from ..telemetry import Telemetry
+from .account_quotas import AccountQuotas
 from .client_connection import ClientConnection
 from .crash_watch import CrashWatch, WatchedAttempt, crash_parts
 from .dispatcher import Dispatcher, Reservation
@@ -95,6 +96,7 @@
     now_ms: Callable[[], float]
     telemetry: Telemetry
     stopping: Stopping
+    quotas: AccountQuotas | None = None
 
 
 class Exchange:
@@ -117,6 +119,8 @@
         self._n_may_have_run = 0
         self._n_unexecuted = 0
         self._has_sent = False
+        # Whether the upstream of the current attempt stated that it runs nothing.
+        self._is_declined = False
         self._upstream_id = ""
         self._waited_ms = 0.0
         self._head_at_ms = 0.0
@@ -140,6 +144,15 @@
         except asyncio.CancelledError:
             log_client_left(self._context.telemetry, self._admitted, self._progress())
             raise
+        finally:
+            self._refund_not_run()
+
+    def _refund_not_run(self) -> None:
+        """Refund the request's charge if provably no upstream ran it."""
+        may_run = self._has_sent and not self._is_declined
+        if may_run or self._n_may_have_run or self._admitted.charge is None:
+            return
+        self._context.quotas.refund(self._admitted.charge)
 
     def _on_timeout(self) -> None:
         stopping = self._context.stopping
@@ -264,7 +277,7 @@
             self._upstream_request_fields(reservation),
             len(request.body),
         )
-        self._has_sent = True
+        self._has_sent, self._is_declined = True, False
         self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
@@ -303,6 +316,7 @@
         if head.fields.load is not None:
             self._context.dispatcher.on_load_report(upstream, head.fields.load)
         if head.fields.is_not_executed:
+            self._is_declined = True
             await self._drain_refusal(connection)
             record_weights_version(
                 self._context.fleet_state,
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from expression import Result
+from expression import Ok, Result
 
 from ..events import gateway as events
 from ..events import lifecycle as lifecycle_events
@@ -20,7 +20,7 @@
 from .peers import PeerExchange
 from .pool import ConnectionPool
 from .ports import HeaderCodec
-from .requests import ClientRequest, Refusal
+from .requests import AdmittedRequest, ClientRequest, Refusal
 from .resources import ResourceInputs, ResourceMonitor
 from .state_sync import StateSync
 from .stopping import NOT_SENT
@@ -191,7 +191,7 @@
 
     async def _serve(self, request: ClientRequest, client: ClientConnection) -> None:
         try:
-            admitted = self._admit(request)
+            admitted = self._admit(request).bind(self._charge)
             if admitted.is_error():
                 client.refuse(admitted.error)
                 return
@@ -215,6 +215,11 @@
         )
         return admitted
 
+    def _charge(self, admitted: AdmittedRequest) -> Result[AdmittedRequest, Refusal]:
+        """Charge the client account, before the request takes a place anywhere."""
+        quotas = self._exchange_context.quotas
+        return Ok(admitted) if quotas is None else quotas.charge(admitted)
+
     def _on_internal_error(
         self, request: ClientRequest, client: ClientConnection, error: Exception
     ) -> None:
@@ -244,6 +249,8 @@
         metrics.gauge(GATEWAY_WAITING, self._dispatcher.n_waiting())
         metrics.gauge(GATEWAY_CONNECTIONS, len(self._connections))
         metrics.gauge(MEMBERS_LIVE, self._peers.n_instances())
+        if self._exchange_context.quotas is not None:
+            self._exchange_context.quotas.update_gauges()
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         client.send_response(200, headers, self._render_metrics().encode())
 
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -19,6 +19,7 @@
     EntryChange,
     LoadedWeights,
     LoadingEngine,
+    QuotaCounters,
     Scope,
     StoreCalls,
     UpstreamEntry,
@@ -27,6 +28,7 @@
     encode_digest,
 )
 from ..wire.numeric_ids import incarnation_number
+from .account_quotas import AccountQuotas
 from .crash_gossip import CrashGossip
 from .fleet_state import FleetState, Loading
 from .gossip_queue import GossipQueue, LeavingUpdate, PartUpdate, Update
@@ -85,6 +87,7 @@
         fleet_state: FleetState,
         now_ms: Callable[[], float],
         telemetry: Telemetry,
+        quotas: AccountQuotas | None = None,
     ) -> None:
         self.on_peer_versions: Callable[[PeerVersions], None] = lambda _: None
         self.is_stopping = False
@@ -93,6 +96,7 @@
         self._fleet_state = fleet_state
         self._now_ms = now_ms
         self._telemetry = telemetry
+        self._quotas = quotas
         self._view = PeerView(settings.instance_id, settings.failure_domain)
         self._topology = RelayTopology(settings.instance_id, settings.failure_domain)
         self._transport: asyncio.DatagramTransport | None = None
@@ -185,6 +189,10 @@
         self._n_instances = len(members)
         self._topology.update(members, now_ms)
         self._fleet_state.loads.retain_peers(self._topology.sources())
+        if self._quotas is not None:
+            self._quotas.on_period(
+                self._n_instances, self.period_ms(), self._topology.sources()
+            )
         self._discover_peers(now_ms)
         contacts = self._topology.contacts(now_ms)
         if not contacts:
@@ -241,9 +249,17 @@
             scope=contact.scope,
             works=_encode_works(covered.works),
             age_ms=round(covered.age_ms),
+            quota=self._quota_counters(contact),
         )
         self._transmit(digest, address)
 
+    def _quota_counters(self, contact: Contact) -> QuotaCounters | None:
+        if self._quotas is None:
+            return None
+        if contact.scope is Scope.OTHERS:
+            return self._quotas.counters_for(contact.instance_id)
+        return self._quotas.group_counters(self._topology.followers())
+
     def _transmit(self, digest: Digest, address: str) -> None:
         data = encode_digest(digest)
         host, _, port = address.rpartition(":")
@@ -262,6 +278,7 @@
             peer_list.peers += self._view.entries_of([self._topology.relay], now_ms)
             self._transmit(peer_list, digest.address)
         self._apply_works(digest, now_ms)
+        self._apply_quota(digest)
         self._fleet_state.on_wanted_ages(
             digest.weights, digest.older_weights, digest.instance_id
         )
@@ -308,6 +325,14 @@
         loads = self._fleet_state.loads
         loads.on_digest(digest.instance_id, works, now_ms, digest.age_ms)
 
+    def _apply_quota(self, digest: Digest) -> None:
+        is_source = digest.instance_id in self._topology.sources()
+        if self._quotas is None or digest.quota is None or not is_source:
+            return
+        self._quotas.on_counters(
+            digest.instance_id, digest.incarnation, digest.scope, digest.quota
+        )
+
     def _apply_updates(self, digest: Digest, now_ms: float) -> None:
         """Apply and forward reports on the upstreams that this instance knows."""
         fleet_state = self._fleet_state
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -18,10 +18,18 @@
     received_at_ms: float
 
 
+class Charge(NamedTuple):
+    """What a request was charged to its client account, in the unit of its limit."""
+
+    account_number: int
+    cost: int
+
+
 class AdmittedRequest(NamedTuple):
     """A request that admission allowed.
 
     ``ends_at_ms`` is the earlier of the client's deadline and the route's timeout.
+    ``charge`` is None for an account without a limit.
     """
 
     request: ClientRequest
@@ -29,6 +37,7 @@
     account: ClientAccount | None
     demand: Demand
     ends_at_ms: float
+    charge: Charge | None = None
 
     @property
     def request_id(self) -> str:
--- a/buckthornrock/platform/configuration.py
+++ b/buckthornrock/platform/configuration.py
@@ -1,8 +1,12 @@
 """Decodes the configuration that operators write to the platform's store."""
 
+import math
+from typing import Any
+
 import msgspec
 from expression import Error, Ok, Result
 
+from ..admission.fleet_quota import MAX_COST, AccountLimit
 from ..catalog.configuration import (
     ClientAccount,
     ClientLimits,
@@ -23,6 +27,8 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
+#: The unit of an account's limit that counts tokens; all others count requests.
+_TOKEN_UNIT = "token_meter"
 
 
 class _Share(msgspec.Struct, rename="camel"):
@@ -75,6 +81,10 @@
     api_keys: list[str] = []
     priority: ExactInt | None = None
     isolated: bool = False
+    rate_per_s: float | None = None
+    burst: float | None = None
+    unit: Any = None
+    plain_tokens: float | None = None
 
 
 class _Document(msgspec.Struct, rename="camel"):
@@ -149,12 +159,25 @@
 
 def _accounts(tenants: list[_Tenant]) -> dict[str, ClientAccount]:
     return {
-        key: ClientAccount(tenant.name, tenant.priority)
+        key: ClientAccount(tenant.name, tenant.priority, _limit(tenant))
         for tenant in tenants
         for key in tenant.api_keys
     }
 
 
+def _limit(tenant: _Tenant) -> AccountLimit | None:
+    """Return an account's limit, None without a rate that is above 0 and finite."""
+    rate_per_s = tenant.rate_per_s or 0.0
+    if not 0.0 < rate_per_s < math.inf:
+        return None
+    return AccountLimit(
+        rate_per_s=rate_per_s,
+        burst=min(MAX_COST, max(0.0, tenant.burst or 0.0)),
+        counts_tokens=tenant.unit == _TOKEN_UNIT,
+        n_plain_tokens=int(min(MAX_COST, max(0.0, tenant.plain_tokens or 0.0))),
+    )
+
+
 def _isolated_accounts(tenants: list[_Tenant]) -> frozenset[str]:
     return frozenset(tenant.name for tenant in tenants if tenant.isolated)
 
--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -53,6 +53,11 @@
     lease_ms: float
     #: Time for which requests may still start on replaced weights.
     version_ms: float
+    #: Window, relative and absolute excess of the bound on client accounts. Without a
+    #: window no quota is in force.
+    quota_window_s: float = 0.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 class Store(msgspec.Struct, rename="camel"):
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -39,6 +39,10 @@
 DIGEST_BYTES = "digest_bytes"
 CONFIGURATION_VERSION = "configuration_version"
 STORE_AGE_MS = "store_age_ms"
+QUOTA_REFUSALS = "quota_refusals"
+QUOTA_LEVEL = "quota_level"
+QUOTA_COVERED_SHARE = "quota_covered_share"
+QUOTA_REPORT_AGE_MS = "quota_report_age_ms"
 
 #: Metric name -> (kind, meaning).
 CATALOGUE: dict[str, tuple[str, str]] = {
@@ -75,6 +79,10 @@
     DIGEST_BYTES: ("counter", "bytes of digests, by direction"),
     CONFIGURATION_VERSION: ("gauge", "version of the configuration in force"),
     STORE_AGE_MS: ("gauge", "time since the store confirmed the known state"),
+    QUOTA_REFUSALS: ("counter", "requests over a quota, by client account"),
+    QUOTA_LEVEL: ("gauge", "what a quota's bucket can pay, by client account"),
+    QUOTA_COVERED_SHARE: ("gauge", "share of the fleet whose charges are known"),
+    QUOTA_REPORT_AGE_MS: ("gauge", "age of the oldest report of charges in use"),
     MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
 }
 
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -145,6 +145,21 @@
     age_ms: int
 
 
+class QuotaCounters(msgspec.Struct, array_like=True):
+    """Cumulative charges of client accounts at the instances that the scope names.
+
+    ``charges`` is keyed by the numeric id of the account's name; refunds are
+    subtracted. ``covered_ms`` is the time that these instances have been running,
+    summed up. ``n_covered`` of them were heard lately, and the sender knows
+    ``n_known`` instances.
+    """
+
+    charges: dict[int, ExactInt]
+    covered_ms: ExactInt
+    n_covered: ExactInt
+    n_known: ExactInt
+
+
 class Digest(msgspec.Struct, array_like=True):
     """The state of one instance that other instances base their decisions on.
 
@@ -161,7 +176,7 @@
     ``changes`` are all changes of upstreams' entries after ``base_revision``, up to
     ``revision``; -1 if the digest lists none. The store confirmed ``store_age_ms`` ago
     that there are no others; -1 if it never did. ``leaving`` names upstreams that said
-    that they leave.
+    that they leave. ``quota`` is None where no account has a limit.
     """
 
     instance_id: str
@@ -190,10 +205,16 @@
     suspicions: list[CrashSuspicion] = []
     sound_parts: list[SoundPart] = []
     quarantines: list[PartQuarantine] = []
+    quota: QuotaCounters | None = None
 
 
 def encode_digest(digest: Digest) -> bytes:
-    """Return a digest encoded as a datagram."""
+    """Return a digest encoded as a datagram.
+
+    One without quota counters has no field for them, as in older builds.
+    """
+    if digest.quota is None:
+        return msgspec.msgpack.encode(msgspec.structs.astuple(digest)[:-1])
     return msgspec.msgpack.encode(digest)
 
 
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -4,15 +4,18 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
+from buckthornrock.admission.fleet_quota import AccountLimit, FleetQuota, QuotaBound
 from buckthornrock.catalog.configuration import (
+    ClientAccount,
     ClientLimits,
     Configuration,
     EngineSpec,
     Service,
 )
 from buckthornrock.catalog.upstreams import Upstream, UpstreamDirectory
+from buckthornrock.gateway.account_quotas import AccountQuotas
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.peers import PeerExchange, PeerSettings
 from buckthornrock.gateway.relays import MIN_PERIOD_MS
@@ -30,6 +33,7 @@
 #: Retransmission timeout of a lost segment; it doubles with each retry.
 INITIAL_RETRANSMIT_MS = 200.0
 N_SEEDS = 3
+QUOTA_BOUND = QuotaBound(8_000.0, 0.1, 190_000.0)
 
 
 class Link:
@@ -82,7 +86,9 @@
             self._fleet.seeds,
             self._n_starts,
         )
-        self.peers = PeerExchange(settings, self.fleet_state, now_ms, TELEMETRY)
+        self.quota = FleetQuota(self._fleet.quota_bound, N_SEEDS, now_ms())
+        quotas = AccountQuotas(self.quota, self.fleet_state, now_ms, TELEMETRY)
+        self.peers = PeerExchange(settings, self.fleet_state, now_ms, TELEMETRY, quotas)
         self.peers.connection_made(_Transport(self._fleet, self))
         start_delay_ms = self._fleet.rng.uniform(0.0, MIN_PERIOD_MS)
         self._fleet.after(start_delay_ms, self._tick, self._n_starts)
@@ -116,7 +122,7 @@
     """The instances, the network between them and a simulated clock.
 
     ``is_partitioned(sender, receiver)`` tells whether all packets between two instances
-    are lost.
+    are lost. ``limits`` are those of client accounts, by name.
     """
 
     def __init__(
@@ -126,10 +132,13 @@
         mbps: float | None = None,
         seed: int = 1,
         loss: float = 0.0,
+        limits: Mapping[str, AccountLimit] | None = None,
+        quota_bound: QuotaBound = QUOTA_BOUND,
     ) -> None:
+        self.quota_bound = quota_bound
         self.rng = random.Random(seed)
         self.is_partitioned: Callable[[Node, Node], bool] = lambda a, b: False
-        self.configuration = (_configuration(), b"")
+        self.configuration = (_configuration(limits or {}), b"")
         self.upstreams = [_upstream(number) for number in range(n_upstreams)]
         self._loss = loss
         self._now_ms = 1_000_000.0
@@ -256,10 +265,17 @@
     )
 
 
-def _configuration() -> Configuration:
+def _configuration(limits: Mapping[str, AccountLimit]) -> Configuration:
     engines = Service("engines", 100, EngineSpec(16, 160_000, 35_000, 5e5))
+    accounts = {name: ClientAccount(name, None, limits[name]) for name in limits}
     return Configuration(
-        1, (), {"engines": engines}, (), {}, requires_keys=False, limits=ClientLimits()
+        1,
+        (),
+        {"engines": engines},
+        (),
+        accounts,
+        requires_keys=False,
+        limits=ClientLimits(),
     )
 
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from benchmarks.settings_files import free_ports
+from buckthornrock.admission.fleet_quota import FleetQuota, QuotaBound
 from buckthornrock.catalog.configuration import (
     ClientAccount,
     ClientLimits,
@@ -17,6 +18,7 @@
     ServiceShare,
 )
 from buckthornrock.catalog.upstreams import Upstream
+from buckthornrock.gateway.account_quotas import AccountQuotas
 from buckthornrock.gateway.crash_watch import CrashWatch
 from buckthornrock.gateway.dispatcher import Dispatcher
 from buckthornrock.gateway.exchange import ExchangeContext
@@ -161,6 +163,7 @@
     stop: asyncio.Event
     task: asyncio.Task
     logged: list[tuple[str, dict]]
+    quota: FleetQuota
 
 
 def now_ms() -> float:
@@ -192,8 +195,10 @@
     client_address, ready_address, peer = (
         f"127.0.0.1:{port}" for port in free_ports(3)
     )
+    quota = FleetQuota(QuotaBound(8_000.0, 0.1, 190_000.0), 1, now_ms())
+    quotas = AccountQuotas(quota, fleet_state, now_ms, telemetry)
     peers = PeerExchange(
-        PeerSettings("i1", "a", peer, (), 1), fleet_state, now_ms, telemetry
+        PeerSettings("i1", "a", peer, (), 1), fleet_state, now_ms, telemetry, quotas
     )
     context = ExchangeContext(
         dispatcher=dispatcher,
@@ -208,6 +213,7 @@
         now_ms=now_ms,
         telemetry=telemetry,
         stopping=Stopping(),
+        quotas=quotas,
     )
     state_sync = StateSync(peer, fleet_state, decode_configuration, telemetry, now_ms)
     settings = GatewaySettings(
@@ -226,7 +232,7 @@
         listening.cancel()
         task.result()
     return GatewayHarness(
-        gateway, fleet_state, client_address, ready_address, stop, task, logged
+        gateway, fleet_state, client_address, ready_address, stop, task, logged, quota
     )
 
 
