--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -17,6 +17,8 @@
         "estimate_ms",
         "queued_prefill_ms",
         "n_cached_tokens",
+        "is_overflow",
+        "prefill_factor",
         "weights_version",
         "weights_lag_ms",
         "n_attempts",
@@ -30,6 +32,8 @@
     "and its response began after first_event_ms. The choice of the upstream was based "
     "on estimate_ms, queued_prefill_ms (the prefill queued at the upstream before it), "
     "n_cached_tokens and peer digests, the oldest of which was digests_age_ms old. "
+    "is_overflow tells that a long prompt found no place in time on the engines used "
+    "for long prompts; prefill_factor is the engine's prefill time against the mean. "
     "The upstream's weights had been outdated for weights_lag_ms, as far as the "
     "instance knew; null without a prompt. The store last confirmed the known state "
     "store_age_ms ago; null if it never did.",
--- a/buckthornrock/gateway/exchange_log.py
+++ b/buckthornrock/gateway/exchange_log.py
@@ -8,6 +8,7 @@
 from ..telemetry.metrics import (
     GATEWAY_ATTEMPTS_FAILED,
     GATEWAY_FIRST_EVENT_MS,
+    GATEWAY_OVERFLOWS,
     GATEWAY_REQUESTS,
     GATEWAY_WAITED_MS,
 )
@@ -47,6 +48,8 @@
     telemetry.metrics.timing(
         GATEWAY_FIRST_EVENT_MS, progress.first_event_ms, label=kind
     )
+    if placement.is_overflow:
+        telemetry.metrics.incr(GATEWAY_OVERFLOWS)
     telemetry.log(
         events.SERVED,
         request_id=admitted.request_id,
@@ -59,6 +62,8 @@
         estimate_ms=round(placement.estimate_ms, 1),
         queued_prefill_ms=round(placement.queued_prefill_ms, 1),
         n_cached_tokens=placement.n_cached_tokens,
+        is_overflow=placement.is_overflow,
+        prefill_factor=round(placement.prefill_factor, 2),
         weights_version=placement.weights_version,
         weights_lag_ms=_rounded(placement.weights_lag_ms),
         n_attempts=progress.n_may_have_run + progress.n_unexecuted + 1,
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -185,7 +185,9 @@
     ``kv_source`` is the address of the engine or prompt store from which shared parts
     that are not cached at the chosen engine are fetched. ``kv_target`` is the address
     of the prompt store that should store the shared parts. Both are "" for none.
-    ``terms`` are those of the estimate.
+    ``terms`` are those of the estimate. ``is_overflow`` tells that a long prompt found
+    no place in time on the engines used for long prompts. ``prefill_factor`` is the
+    engine's prefill time as a multiple of the mean.
     """
 
     upstream: Upstream
@@ -198,6 +200,8 @@
     weights_lag_ms: float | None = None
     queued_prefill_ms: float = 0.0
     terms: CostTerms | None = None
+    is_overflow: bool = False
+    prefill_factor: float = 1.0
 
 
 class NoCapacity(NamedTuple):
@@ -357,9 +361,9 @@
     others = [u for u in upstreams if u.upstream_id not in engines]
     if best is None or _is_late(best.estimate_ms, demand):
         overflow = _best(demand, context, _overflow_engines(others, view), view)
-        if best is None or overflow is None:
-            return best or overflow
-        return min(best, overflow, key=lambda option: option.estimate_ms)
+        if overflow is None or (best and best.estimate_ms <= overflow.estimate_ms):
+            return best
+        return overflow._replace(is_overflow=True)
     if any(_queued_prefill_ms(upstream, view) > LONG_PREFILL_MS for upstream in others):
         return best
     other = _best(demand, context, others, view)
@@ -541,6 +545,7 @@
         prefill_plan.kv_source,
         weights_lag_ms=lag_ms,
         queued_prefill_ms=total.prefill_ms,
+        prefill_factor=prefill_factor,
         terms=terms,
     )
 
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -31,6 +31,7 @@
 GATEWAY_REQUESTS = "gateway_requests"
 GATEWAY_FIRST_EVENT_MS = "gateway_first_event_ms"
 GATEWAY_WAITED_MS = "gateway_waited_ms"
+GATEWAY_OVERFLOWS = "gateway_overflows"
 GATEWAY_ATTEMPTS_FAILED = "gateway_attempts_failed"
 GATEWAY_WAITING = "gateway_waiting"
 GATEWAY_CONNECTIONS = "gateway_connections"
@@ -71,6 +72,7 @@
     GATEWAY_REQUESTS: ("counter", "requests at the gateway, by kind and outcome"),
     GATEWAY_FIRST_EVENT_MS: ("timing", "time to a response's first bytes, by kind"),
     GATEWAY_WAITED_MS: ("timing", "time before a request was forwarded, by kind"),
+    GATEWAY_OVERFLOWS: ("counter", "long prompts served outside their usual engines"),
     GATEWAY_ATTEMPTS_FAILED: ("counter", "failed attempts, by upstream and failure"),
     GATEWAY_WAITING: ("gauge", "requests that wait for capacity"),
     GATEWAY_CONNECTIONS: ("gauge", "open connections of clients"),
