Bound what clients can make an instance hold

Cause: nothing bounded the memory and the descriptors that clients occupy.

Change: memory_budget.py accounts for each connection and client address and picks the connection to give way; client_limits.py refuses or closes it, counts and logs. Settings table limits (memoryMb, maxFds) with ranges and defaults. Connections parse in turns (parse_queue.py), pause reading while a request is served, drop bodies that no request needs, and linger after a refusal so that it arrives. Reading from an upstream pauses while the client takes nothing; an upstream that breaks off after such a pause counts as neither failed nor crashed.

Found on the way, by the test with large pipelined responses: - glibc kept gaps between growing buffers: 37 MB in use (tracemalloc) took 199 MB; runtime/allocator.py fixes the size from which blocks go back to the system. - a cancelled task's error kept the response through its frames, and the exchange and its relay referred to each other: both stayed until a garbage collection. - a response whose last piece was unsent counted as that piece, but occupied all of it. - an idle upstream connection kept the last request's body.

Ruled out: MALLOC_MMAP_THRESHOLD_ of 131072 alone (peak 141 MB in that trial).

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -16,6 +16,7 @@
 from ..gateway.exchange import ExchangeContext
 from ..gateway.fleet_state import FleetState
 from ..gateway.gateway import Gateway, GatewaySettings
+from ..gateway.memory_budget import budget_limits, n_upstream_connections
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
 from ..gateway.state_sync import StateSync
@@ -35,6 +36,7 @@
 from ..rollout.port import RolloutCallbacks, RolloutInputs
 from ..rollout.rollout_lease import RolloutLease
 from ..runtime import system_clock
+from ..runtime.allocator import return_large_blocks
 from ..scheduling.retry_budget import RetryBudget
 from ..scheduling.weights import WeightsView
 from ..store.kv_port import StorePort
@@ -47,6 +49,7 @@
 #: on, and one that was may start until this long before it.
 WEIGHTS_MARGIN_MS = 1_500.0
 START_MARGIN_MS = 500.0
+BYTES_PER_MB = 1_000_000
 #: Time at the end for lines that are not written yet.
 LOG_FLUSH_LIMIT_S = 0.3
 
@@ -72,6 +75,7 @@
     settings = load_node_settings(path)
     if settings.is_error():
         return settings.error
+    return_large_blocks()
     exposition = open_exposition()
     writer = LogWriter(log_stream)
     telemetry = Telemetry(open_log(writer), exposition.metrics)
@@ -101,7 +105,8 @@
     fleet_state = FleetState(settings.zone, weights, now_ms, telemetry)
     store = open_store(settings.platform.addr, telemetry, now_ms)
     codec = open_header_codec()
-    pool = ConnectionPool(codec, now_ms)
+    n_upstream = n_upstream_connections(settings.limits.max_fds)
+    pool = ConnectionPool(codec, now_ms, n_upstream)
     peers = PeerExchange(_peer_settings(settings), fleet_state, now_ms, telemetry)
     is_watch_wanted = threading.Event()
     StoreWatcher.start(
@@ -208,6 +213,9 @@
         ready_address=settings.listen.ready_addr,
         peer_address=_peer_address(settings),
         shutdown_limit_ms=settings.bounds.grace_s * 1000.0,
+        client_limits=budget_limits(
+            settings.limits.memory_mb * BYTES_PER_MB, settings.limits.max_fds
+        ),
     )
 
 
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -21,6 +21,8 @@
 BAD_UPSTREAM = "SET-E017"
 BAD_SHARE = "SET-E030"
 SHORT_LEASE = "SET-E040"
+#: A limit of the platform's file that is out of its range.
+BAD_LIMIT = "SET-E050"
 
 MIN_SECRET_BYTES = 16
 _SHA256 = re.compile(r"[0-9a-f]{64}")
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -292,3 +292,14 @@
     ("n_bytes", "max_bytes"),
     "A snapshot for a peer exceeds its limit; the part of it that fits is sent.",
 )
+CLIENTS_LIMITED = Event(
+    2240,
+    "gateway.clients_limited",
+    "warning",
+    ("limit", "n_clients", "address", "n_held_bytes", "n_connections"),
+    "A limit on what clients send or hold was met. Since its last line, n_clients were "
+    "refused or their connections closed, the last of them at address. limit is memory "
+    "or connections (both of all clients together), head_bytes, body_bytes, "
+    "arrival_time or unread_response. All clients held n_held_bytes then. One line for "
+    "each limit in 5 s at most.",
+)
--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -26,21 +26,36 @@
     request: ClientRequest, inputs: AdmissionInputs
 ) -> Result[AdmittedRequest, Refusal]:
     """Return the request with its route, client account and demand, or a refusal."""
-    if inputs.table is None:
+    found = _match(request, inputs.table)
+    if found.is_error():
+        return Error(found.error)
+    route, account = found.ok
+    return _demand(request, route, account, inputs).map(
+        lambda demand: _admitted(request, route, account, demand)
+    )
+
+
+def refuse_at_head(request: ClientRequest, table: RouteTable | None) -> Refusal | None:
+    """Return the refusal of a request whose head shows that it isn't allowed."""
+    found = _match(request, table)
+    return found.error if found.is_error() else None
+
+
+def _match(
+    request: ClientRequest, table: RouteTable | None
+) -> Result[tuple[Route, ClientAccount | None], Refusal]:
+    if table is None:
         return Error(
             Refusal(503, "no-configuration", "no configuration is known yet", 500.0)
         )
     path = request.target.decode("latin-1").partition("?")[0]
-    matched = inputs.table.match(request.fields.host, path)
+    matched = table.match(request.fields.host, path)
     if matched.is_error():
         return Error(Refusal(404, matched.error.code, "no route matches this path"))
-    route = matched.ok
-    account = inputs.table.authenticate(route, request.fields.authorization)
+    account = table.authenticate(matched.ok, request.fields.authorization)
     if account.is_error():
         return Error(Refusal(401, account.error.code, "the API key is not known"))
-    return _demand(request, route, account.ok, inputs).map(
-        lambda demand: _admitted(request, route, account.ok, demand)
-    )
+    return Ok((matched.ok, account.ok))
 
 
 def _demand(
--- a/buckthornrock/gateway/event_stream.py
+++ b/buckthornrock/gateway/event_stream.py
@@ -35,6 +35,11 @@
         """Bytes of the last, incomplete event."""
         return bytes(self._rest)
 
+    @property
+    def n_rest_bytes(self) -> int:
+        """Size of the last, incomplete event."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
 
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -122,9 +122,11 @@
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
         self._n_crashes = 0
+        #: Whether the last attempt broke off after its response wasn't read here.
+        self._is_own_fault = False
         self._crash_parts = crash_parts(admitted.demand.prompt)
         self._used_connections: list[UpstreamConnection] = []
-        self._upstream_failure: tuple[ResponseHead, bytes] | None = None
+        self._upstream_failure: tuple[ResponseHead, bytearray] | None = None
 
     async def run(self) -> None:
         """Respond to the client within the deadline of the request."""
@@ -140,6 +142,10 @@
         except asyncio.CancelledError:
             log_client_left(self._context.telemetry, self._admitted, self._progress())
             raise
+        finally:
+            # The relay refers to the exchange. Without this, the request's body would
+            # stay in memory until the garbage collector finds the cycle.
+            del self._relay
 
     def _on_timeout(self) -> None:
         stopping = self._context.stopping
@@ -265,6 +271,7 @@
             len(request.body),
         )
         self._has_sent = True
+        self._is_own_fault = False
         self._context.crash_watch.begin(watched, connection.close)
         try:
             connection.send(request.method, request.target, headers, request.body)
@@ -280,7 +287,8 @@
                     reservation, connection, head, watched
                 )
         except ConnectionBrokenError as error:
-            if self._admitted.demand.prompt is not None:
+            self._is_own_fault = connection.was_held_back
+            if self._admitted.demand.prompt is not None and not self._is_own_fault:
                 self._n_crashes += await self._context.crash_watch.on_broken(watched)
             return Error(Interrupted(str(error)))
         except h11.LocalProtocolError as error:
@@ -327,7 +335,7 @@
             self._report_end(head, watched)
             self._record_outcome(reservation, is_failure=False)
             return Ok(None)
-        body = await connection.read_body()
+        body = await connection.read_body(self._hold_body)
         if head.status == 200:
             self._report_end(head, watched)
         is_failure = head.status >= 500
@@ -340,6 +348,12 @@
         self._send_response(head, body)
         return Ok(None)
 
+    def _hold_body(self, n_bytes: int) -> None:
+        """Account for a response's body, and for that of an earlier failure."""
+        if self._upstream_failure is not None:
+            n_bytes += len(self._upstream_failure[1])
+        self._client.hold_response(n_bytes)
+
     def _on_event(self, reservation: Reservation, watched: WatchedAttempt) -> None:
         reservation.on_first_event()
         self._context.crash_watch.on_event(watched)
@@ -373,7 +387,7 @@
         is_event_stream = head.status == 200 and head.fields.is_event_stream
         return self._admitted.route.kind is RouteKind.STREAM and is_event_stream
 
-    def _send_response(self, head: ResponseHead, body: bytes) -> None:
+    def _send_response(self, head: ResponseHead, body: bytearray) -> None:
         headers = self._context.codec.encode_response(head.status, head.headers)
         self._client.send_response(head.status, headers, body)
 
@@ -417,7 +431,9 @@
             self._context.dispatcher.block(upstream, BLOCK_AFTER_REFUSAL_MS)
             return self._apply_retry_budget(self._next_after_unexecuted(), now_ms)
         self._n_may_have_run += 1
-        self._record_outcome(reservation, is_failure=self._upstream_failure is None)
+        if not self._is_own_fault:
+            is_failure = self._upstream_failure is None
+            self._record_outcome(reservation, is_failure)
         if not self._admitted.route.is_repeatable:
             return NextStep.NOT_REPEATABLE
         if self._n_crashes >= MAX_CRASHES:
@@ -470,7 +486,7 @@
             return
         self._forward_failure(*self._upstream_failure)
 
-    def _forward_failure(self, head: ResponseHead, body: bytes) -> None:
+    def _forward_failure(self, head: ResponseHead, body: bytearray) -> None:
         """Send an upstream's own error response to the client."""
         self._send_response(head, body)
         reason = "all attempts ended with an error response"
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -6,27 +6,38 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from expression import Result
+from expression import Error, Result
 
 from ..events import gateway as events
 from ..events import lifecycle as lifecycle_events
 from ..telemetry import Telemetry
 from ..telemetry.metrics import GATEWAY_CONNECTIONS, GATEWAY_WAITING, MEMBERS_LIVE
-from .admission import AdmissionInputs, admit
-from .client_connection import ClientConnection, ClientConnectionContext
+from .admission import AdmissionInputs, admit, refuse_at_head
+from .client_connection import (
+    RECEIVE_BYTES,
+    ClientConnection,
+    ClientConnectionContext,
+)
+from .client_limits import ClientLimitsEnforcer
 from .dispatcher import Dispatcher
 from .exchange import Exchange, ExchangeContext
 from .fleet_state import FleetState
+from .memory_budget import BudgetLimits, MemoryBudget
+from .parse_queue import ParseQueue
 from .peers import PeerExchange
 from .pool import ConnectionPool
 from .ports import HeaderCodec
 from .requests import ClientRequest, Refusal
 from .resources import ResourceInputs, ResourceMonitor
+from .sockets import listening_socket
 from .state_sync import StateSync
 from .stopping import NOT_SENT
 from .store_watch import StoreWatch
 
 LISTEN_BACKLOG = 1_024
+#: Connections accepted in one iteration of the event loop. More of them could exceed
+#: the limit of descriptors before any is refused.
+MAX_ACCEPTS_PER_ITERATION = 16
 HOUSEKEEPING_PERIOD_MS = 500.0
 #: An expired upstream is removed, and a new watcher of the store begins, at most this
 #: late.
@@ -55,6 +66,7 @@
     peer_address: str
     shutdown_limit_ms: float
     metrics_address: str = ""
+    client_limits: BudgetLimits = BudgetLimits()
 
 
 class Gateway:
@@ -89,6 +101,10 @@
         self._store_watch = StoreWatch(self._rng)
         self._is_draining = False
         self._connections: set[ClientConnection] = set()
+        self._limits_enforcer = ClientLimitsEnforcer(
+            MemoryBudget(settings.client_limits), now_ms, telemetry
+        )
+        self._receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
         self._resources = ResourceMonitor(self._resource_inputs(), telemetry)
 
     async def run(
@@ -99,8 +115,12 @@
         ``on_draining`` is called when the shutdown begins.
         """
         codec = self._exchange_context.codec
+        self._parse_queue = ParseQueue(asyncio.get_running_loop().call_soon)
         client_listener = await self._listen(
-            self._settings.front_address, self._serve, codec
+            self._settings.front_address,
+            self._serve,
+            codec,
+            refuse_at_head=self._refuse_at_head,
         )
         ready_listener = await self._listen(
             self._settings.ready_address, self._serve_ready, codec, set()
@@ -171,6 +191,7 @@
         serve: Callable,
         codec: HeaderCodec,
         connections: set[ClientConnection] | None = None,
+        refuse_at_head: Callable[[ClientRequest], Refusal | None] | None = None,
     ) -> asyncio.Server:
         context = ClientConnectionContext(
             serve=serve,
@@ -179,15 +200,20 @@
             codec=codec,
             now_ms=self._now_ms,
             connections=self._connections if connections is None else connections,
+            limits_enforcer=self._limits_enforcer,
+            parse_queue=self._parse_queue,
+            receive_buffer=self._receive_buffer,
+            refuse_at_head=refuse_at_head,
         )
-        host, _, port = address.rpartition(":")
-        return await asyncio.get_running_loop().create_server(
+        listener = listening_socket(address)
+        server = await asyncio.get_running_loop().create_server(
             lambda: ClientConnection(context),
-            host,
-            int(port),
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+            sock=listener,
+            backlog=MAX_ACCEPTS_PER_ITERATION,
         )
+        # asyncio takes the length of the queue for the number of accepts as well.
+        listener.listen(LISTEN_BACKLOG)
+        return server
 
     async def _serve(self, request: ClientRequest, client: ClientConnection) -> None:
         try:
@@ -201,7 +227,7 @@
 
     def _admit(self, request: ClientRequest) -> Result:
         inputs = AdmissionInputs(self._fleet_state.table, self._rng)
-        admitted = admit(request, inputs)
+        admitted = Error(request.refusal) if request.refusal else admit(request, inputs)
         if admitted.is_ok():
             return admitted
         self._telemetry.log(
@@ -215,6 +241,9 @@
         )
         return admitted
 
+    def _refuse_at_head(self, request: ClientRequest) -> Refusal | None:
+        return refuse_at_head(request, self._fleet_state.table)
+
     def _on_internal_error(
         self, request: ClientRequest, client: ClientConnection, error: Exception
     ) -> None:
@@ -243,6 +272,7 @@
         metrics = self._telemetry.metrics
         metrics.gauge(GATEWAY_WAITING, self._dispatcher.n_waiting())
         metrics.gauge(GATEWAY_CONNECTIONS, len(self._connections))
+        self._limits_enforcer.record_metrics()
         metrics.gauge(MEMBERS_LIVE, self._peers.n_instances())
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         client.send_response(200, headers, self._render_metrics().encode())
@@ -251,6 +281,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_MS / 1000.0)
             self._pool.retain(self._fleet_state.retain_live())
+            self._limits_enforcer.report()
 
     async def _follow_store(self) -> None:
         """Decide who watches the store, and drop upstreams that are gone."""
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -1,6 +1,7 @@
 """Pool of idle keep-alive connections to upstreams, by incarnation."""
 
 import asyncio
+import math
 from collections import defaultdict
 from collections.abc import Callable, Collection
 
@@ -10,7 +11,7 @@
 from .errors import NotReached
 from .ports import HeaderCodec
 from .sockets import configure_socket
-from .upstream_connection import UpstreamConnection
+from .upstream_connection import RECEIVE_BYTES, UpstreamConnection
 
 CONNECT_TIMEOUT_MS = 250.0
 #: Idle limit of a connection whose upstream sent no Keep-Alive timeout.
@@ -21,11 +22,22 @@
 
 
 class ConnectionPool:
-    """Idle connections to upstreams, the most recently used one reused first."""
+    """Idle connections to upstreams, the most recently used one reused first.
 
-    def __init__(self, codec: HeaderCodec, now_ms: Callable[[], float]) -> None:
+    With ``max_connections`` of them, an idle one is closed before another is opened.
+    """
+
+    def __init__(
+        self,
+        codec: HeaderCodec,
+        now_ms: Callable[[], float],
+        max_connections: float = math.inf,
+    ) -> None:
         self._codec = codec
         self._now_ms = now_ms
+        self._max_connections = max_connections
+        self._receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
+        self._open_connections: set[UpstreamConnection] = set()
         self._idle: dict[Incarnation, list[UpstreamConnection]] = defaultdict(list)
 
     async def acquire(
@@ -89,7 +101,7 @@
         connections = self._idle[upstream.incarnation]
         for connection in reversed(list(connections)):
             # A client may come back with the id of a request that was refused.
-            if connection in excluded or request_id in connection.request_ids:
+            if connection in excluded or hash(request_id) in connection.request_ids:
                 continue
             connections.remove(connection)
             if connection.is_open and self._is_fresh(connection):
@@ -109,13 +121,27 @@
     ) -> Result[UpstreamConnection, NotReached]:
         host, _, port = upstream.address.rpartition(":")
         loop = asyncio.get_running_loop()
+        if len(self._open_connections) >= self._max_connections:
+            self._close_oldest_idle()
         try:
             async with asyncio.timeout(limit_ms / 1000.0):
                 transport, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._codec), host, int(port)
+                    self._new_connection, host, int(port)
                 )
         except (OSError, ValueError, OverflowError) as error:
             # The latter two: nothing can be connected to at such an address.
             return Error(NotReached(type(error).__name__))
+        self._open_connections.add(connection)
         configure_socket(transport.get_extra_info("socket"))
         return Ok(connection)
+
+    def _new_connection(self) -> UpstreamConnection:
+        return UpstreamConnection(
+            self._codec, self._receive_buffer, self._open_connections.discard
+        )
+
+    def _close_oldest_idle(self) -> None:
+        idle = [c for connections in self._idle.values() for c in connections]
+        oldest = min(idle, key=lambda c: c.idle_since_ms, default=None)
+        if oldest is not None:
+            oldest.close()
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -8,14 +8,18 @@
 
 
 class ClientRequest(NamedTuple):
-    """A complete request as a client sent it; ``target`` is the path with its query."""
+    """A complete request as a client sent it; ``target`` is the path with its query.
+
+    ``refusal`` was decided at its head; the body was discarded then.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     fields: RequestFields
     received_at_ms: float
+    refusal: "Refusal | None" = None
 
 
 class AdmittedRequest(NamedTuple):
--- a/buckthornrock/gateway/sockets.py
+++ b/buckthornrock/gateway/sockets.py
@@ -9,6 +9,21 @@
 N_KEEPALIVE_PROBES = 2
 
 
+def listening_socket(address: str) -> socket.socket:
+    """Return a socket that is bound to IP:PORT."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host.strip("[]"), int(port)))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
 def configure_socket(sock: socket.socket) -> None:
     """Disable Nagle's algorithm, and detect a dead peer within a few seconds."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/buckthornrock/gateway/stream_relay.py
+++ b/buckthornrock/gateway/stream_relay.py
@@ -14,7 +14,7 @@
 from .errors import ConnectionBrokenError
 from .event_stream import EventSplitter, StreamEvent
 from .ports import Headers
-from .upstream_connection import UpstreamConnection
+from .upstream_connection import MAX_HELD_BACK_BYTES, UpstreamConnection
 
 #: Time without an event after which a stream is abandoned, if it can be resumed.
 EVENT_TIMEOUT_MS = 1_500.0
@@ -72,12 +72,14 @@
         self._restart_stall_timer()
         while data := await self._read_chunk(connection):
             events = splitter.feed(data)
+            self._client.hold_response(splitter.n_rest_bytes)
             if any(not event.is_comment for event in events):
                 has_event = True
                 on_event()
                 self._restart_stall_timer()
             for event in events:
                 n_forwarded += self._forward(event, headers, is_resumed)
+            await self._wait_for_client(splitter.n_rest_bytes)
         if splitter.rest.strip():
             raise ConnectionBrokenError("the stream ended within an event")
         if must_have_event and not has_event:
@@ -92,6 +94,18 @@
         now_s = asyncio.get_running_loop().time()
         self._stalls_at_s = now_s + EVENT_TIMEOUT_MS / 1000.0
 
+    async def _wait_for_client(self, n_rest_bytes: int) -> None:
+        """Read no more from the upstream while the client doesn't take the events.
+
+        The route's timeout ends this. The upstream isn't stalled meanwhile.
+        """
+        if not self._client.is_congested:
+            return
+        self._client.hold_response(n_rest_bytes + MAX_HELD_BACK_BYTES)
+        await self._client.wait_writable()
+        if self._stalls_at_s is not None:
+            self._restart_stall_timer()
+
     async def _read_chunk(self, connection: UpstreamConnection) -> bytes:
         """Return the next bytes of the stream, b"" at its end."""
         try:
--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..conf.checks import BAD_LIMIT
 from ..conf.decoding import MISSING_KEY, WRONG_TYPE, Problem
 from ..conf.loading import UNREADABLE
 
@@ -62,6 +63,17 @@
     ttl_min_ms: int
 
 
+class Limits(msgspec.Struct, rename="camel"):
+    """What the process may use; the defaults are those of the largest machines."""
+
+    memory_mb: float = 552.0
+    max_fds: int = 4_100
+
+
+#: Least and greatest value of each limit.
+LIMIT_RANGES = {"memoryMb": (128, 65_536), "maxFds": (300, 1_048_576)}
+
+
 class NodeSettings(msgspec.Struct, rename="camel"):
     """The fields that the router uses; all others are ignored."""
 
@@ -73,6 +85,7 @@
     listen: Listen
     bounds: Bounds
     platform: Store
+    limits: Limits = msgspec.field(default_factory=Limits)
     zones: dict[str, str] = {}
     #: Path of the file that the settings were read from.
     path: str = ""
@@ -94,7 +107,7 @@
     except ValueError as error:
         problem = Problem(UNREADABLE, "$", str(error), "write valid TOML")
         return Error(SettingsUnreadable(path, (problem,)))
-    problems = tuple(_problems(document, NodeSettings, "$"))
+    problems = (*_problems(document, NodeSettings, "$"), *_limit_problems(document))
     if problems:
         return Error(SettingsUnreadable(path, problems))
     known = {field.encode_name for field in msgspec.structs.fields(NodeSettings)}
@@ -118,6 +131,19 @@
         yield from _field_problems(value[name], field.type, f"{path}.{name}")
 
 
+def _limit_problems(document: dict) -> Iterator[Problem]:
+    """Yield a problem for every limit that is out of its range."""
+    limits = document.get("limits")
+    if not isinstance(limits, dict):
+        return
+    for name, (least, most) in LIMIT_RANGES.items():
+        value = limits.get(name, least)
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if is_number and not least <= value <= most:
+            hint = f"give a number from {least} to {most}"
+            yield Problem(BAD_LIMIT, f"$.limits.{name}", str(value), hint)
+
+
 def _field_problems(value: object, shape: type, path: str) -> Iterator[Problem]:
     if isinstance(shape, type) and issubclass(shape, msgspec.Struct):
         yield from _problems(value, shape, path)
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -34,6 +34,8 @@
 GATEWAY_ATTEMPTS_FAILED = "gateway_attempts_failed"
 GATEWAY_WAITING = "gateway_waiting"
 GATEWAY_CONNECTIONS = "gateway_connections"
+GATEWAY_HELD_BYTES = "gateway_held_bytes"
+GATEWAY_LIMITED = "gateway_limited"
 LOOP_LAG_MS = "loop_lag_ms"
 DIGESTS = "digests"
 DIGEST_BYTES = "digest_bytes"
@@ -70,6 +72,8 @@
     GATEWAY_ATTEMPTS_FAILED: ("counter", "failed attempts, by upstream and failure"),
     GATEWAY_WAITING: ("gauge", "requests that wait for capacity"),
     GATEWAY_CONNECTIONS: ("gauge", "open connections of clients"),
+    GATEWAY_HELD_BYTES: ("gauge", "memory that connections of clients hold"),
+    GATEWAY_LIMITED: ("counter", "clients refused or closed by a limit, by limit"),
     LOOP_LAG_MS: ("timing", "lateness of the event loop"),
     DIGESTS: ("counter", "digests between instances, by direction"),
     DIGEST_BYTES: ("counter", "bytes of digests, by direction"),
