--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -63,7 +63,7 @@
     ttl_min_ms: int
 
 
-class Limits(msgspec.Struct, rename="camel"):
+class Limits(msgspec.Struct, rename="camel", frozen=True):
     """What the process may use; the defaults are those of the largest machines."""
 
     memory_mb: float = 552.0
@@ -74,7 +74,7 @@
 LIMIT_RANGES = {"memoryMb": (128, 65_536), "maxFds": (300, 1_048_576)}
 
 
-class NodeSettings(msgspec.Struct, rename="camel"):
+class NodeSettings(msgspec.Struct, rename="camel", omit_defaults=True):
     """The fields that the router uses; all others are ignored."""
 
     node_name: str
@@ -85,7 +85,8 @@
     listen: Listen
     bounds: Bounds
     platform: Store
-    limits: Limits = msgspec.field(default_factory=Limits)
+    #: Left out where it is absent, as files of earlier releases have it.
+    limits: Limits = Limits()
     zones: dict[str, str] = {}
     #: Path of the file that the settings were read from.
     path: str = ""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -62,6 +62,11 @@
         ([("portRange = [9000, 9010]", "portRange = 9000")], ["$.portRange"]),
         ([("[platform]", "[more]")], ["$.platform"]),
         ([("nodeName", "= nonsense")], ["$"]),
+        (
+            [("[zones]", "[limits]\nmemoryMb = 127\nmaxFds = 299\n[zones]")],
+            ["$.limits.memoryMb", "$.limits.maxFds"],
+        ),
+        ([("[zones]", '[limits]\nmemoryMb = "much"\n[zones]')], ["$.limits.memoryMb"]),
     ],
 )
 def test_every_problem_is_reported(tmp_path, changes, paths):
@@ -80,3 +85,18 @@
 def test_check_accepts_a_valid_file(tmp_path):
     result = CliRunner().invoke(main, ["check", write(tmp_path, VALID)])
     assert (result.exit_code, result.output) == (0, "0 problems\n")
+
+
+@pytest.mark.parametrize(
+    ("table", "expected"),
+    [
+        # Files of earlier releases have no limits.
+        ("", (552.0, 4_100)),
+        ("[limits]\n", (552.0, 4_100)),
+        ("[limits]\nmemoryMb = 128\nmaxFds = 300\n", (128.0, 300)),
+        ("[limits]\nmemoryMb = 300.5\ncores = 2\n", (300.5, 4_100)),
+    ],
+)
+def test_limits_have_defaults(tmp_path, table, expected):
+    limits = load_node_settings(write(tmp_path, VALID + table)).ok.limits
+    assert (limits.memory_mb, limits.max_fds) == expected
