--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -327,3 +327,14 @@
     "cost more than the level of its bucket. This instance knew the charges of "
     "covered_share of n_instances; the oldest report of them was oldest_report_ms old.",
 )
+CLIENTS_LIMITED = Event(
+    2241,
+    "gateway.clients_limited",
+    "warning",
+    ("limit", "n_clients", "address", "n_held_bytes", "n_connections"),
+    "A limit on what clients send or hold was met. Since its last line, n_clients were "
+    "refused or their connections closed, the last of them at address. limit is memory "
+    "or connections (both of all clients together), head_bytes, body_bytes, "
+    "arrival_time or unread_response. All clients held n_held_bytes then. One line for "
+    "each limit in 5 s at most.",
+)
--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -33,15 +33,32 @@
     """Return the request with its route, client account and demand, or a refusal."""
     if inputs.table is None:
         return Error(NO_CONFIGURATION)
-    found = find_route(request, inputs.table)
+    found = _match(request, inputs.table)
     if found.is_error():
-        return found
-    route = found.ok
-    account = inputs.table.authenticate(route, request.fields.authorization)
+        return Error(found.error)
+    route, account = found.ok
+    service = _pick_service(route, inputs.rng)
+    return admit_to(request, route, account, service, inputs.table)
+
+
+def refuse_at_head(request: ClientRequest, table: RouteTable | None) -> Refusal | None:
+    """Return the refusal of a request whose head shows that it isn't allowed."""
+    if table is None:
+        return NO_CONFIGURATION
+    found = _match(request, table)
+    return found.error if found.is_error() else None
+
+
+def _match(
+    request: ClientRequest, table: RouteTable
+) -> Result[tuple[Route, ClientAccount | None], Refusal]:
+    found = find_route(request, table)
+    if found.is_error():
+        return Error(found.error)
+    account = table.authenticate(found.ok, request.fields.authorization)
     if account.is_error():
         return Error(UNKNOWN_KEY)
-    service = _pick_service(route, inputs.rng)
-    return admit_to(request, route, account.ok, service, inputs.table)
+    return Ok((found.ok, account.ok))
 
 
 def find_route(request: ClientRequest, table: RouteTable) -> Result[Route, Refusal]:
