--- a/buckthornrock/telemetry/log_writer.py
+++ b/buckthornrock/telemetry/log_writer.py
@@ -1,8 +1,8 @@
 """Writes log lines in a background thread, so that no request waits for log output.
 
-Lines wait in a bounded queue. While it is more than half full, lines of level info
-are dropped; while it is full, all lines are dropped. The number of dropped lines is
-logged as soon as a line can be written again.
+Lines wait in a queue that is bounded by their number and their size. While it is more
+than half full, lines of level info are dropped; while it is full, all are. The number
+of dropped lines is logged as soon as a line can be written again.
 """
 
 import json
@@ -13,6 +13,8 @@
 from ..events import lifecycle as events
 
 MAX_QUEUED_LINES = 4_000
+#: Clients choose request ids, so that a line may have 16,384 characters and more.
+MAX_QUEUED_CHARS = 4_000_000
 #: Marks lines of level info, which are dropped first.
 _INFO_MARK = '"level":"info"'
 
@@ -33,6 +35,7 @@
         self._lines: queue.Queue[str] = queue.Queue(max_queued)
         self._half = max_queued // 2
         self._lock = threading.Lock()
+        self._n_queued_chars = 0
         self._n_dropped = 0
         thread = threading.Thread(target=self._run, name="log-writer", daemon=True)
         thread.start()
@@ -52,14 +55,20 @@
         """
         if not isinstance(line, str):
             raise TypeError("a log line must be str")
-        is_over_half = self._lines.qsize() > self._half
-        if is_over_half and _INFO_MARK in line:
+        n_chars = self._n_queued_chars + len(line)
+        is_over_half = (
+            self._lines.qsize() > self._half or n_chars > MAX_QUEUED_CHARS // 2
+        )
+        is_info = _INFO_MARK in line
+        if n_chars > MAX_QUEUED_CHARS or (is_over_half and is_info):
             self._count_dropped()
             return
         try:
             self._lines.put_nowait(line)
         except queue.Full:
             self._count_dropped()
+            return
+        self._count_queued(len(line))
 
     def flush(self) -> None:
         """Do nothing: the thread writes as fast as the destination accepts lines."""
@@ -76,6 +85,7 @@
     def _run(self) -> None:
         while True:
             line = self._lines.get()
+            self._count_queued(-len(line))
             try:
                 self._write_line(line)
             finally:
@@ -113,6 +123,10 @@
         }
         self._stream.write(json.dumps(summary, separators=(",", ":")) + "\n")
 
+    def _count_queued(self, n_chars: int) -> None:
+        with self._lock:
+            self._n_queued_chars += n_chars
+
     def _count_dropped(self, n_lines: int = 1) -> None:
         with self._lock:
             self._n_dropped += n_lines
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -4,7 +4,7 @@
 
 from buckthornrock.events import gateway as events
 from buckthornrock.telemetry import open_log
-from buckthornrock.telemetry.log_writer import LogWriter
+from buckthornrock.telemetry.log_writer import MAX_QUEUED_CHARS, LogWriter
 
 INFO = '{"level":"info"}\n'
 WARNING = '{"level":"warning"}\n'
@@ -97,3 +97,16 @@
     assert len(summaries) == 1
     assert f'"n_lines":{n_dropped}' in summaries[0]
     assert writer.n_dropped == 0
+
+
+def test_long_lines_fill_the_queue_before_their_number_does():
+    """Request ids that clients choose would otherwise take 64 MB of memory."""
+    stream = BlockedStream()
+    writer = LogWriter(stream)
+    line = '{"level":"warning","request_id":"%s"}\n' % ("x" * 16_384)
+    for _ in range(1_000):
+        writer.write(line)
+    stream.released.set()
+    writer.close(10.0)
+    n_written = stream.lines.count(line)
+    assert MAX_QUEUED_CHARS * 0.9 < n_written * len(line) <= MAX_QUEUED_CHARS * 1.1
