Accept machines with 96 MB of memory

The range began at 128 MB, the smallest machine known, so that a process on a smaller one refused to start. 96 MB hold a process and one request of full size with its response.

--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -76,7 +76,7 @@
 
 
 #: Least and greatest value of each limit.
-LIMIT_RANGES = {"memoryMb": (128, 65_536), "maxFds": (300, 1_048_576)}
+LIMIT_RANGES = {"memoryMb": (96, 65_536), "maxFds": (300, 1_048_576)}
 
 
 class NodeSettings(msgspec.Struct, rename="camel", omit_defaults=True):
