Divide levels among the parts of a divided fleet, test quotas under faults

Cause: instances cut off from each other with full buckets spent up to a second of demand and a share of the bucket after it.

Change: once instances fall silent, the part of a level that they may be spending is held, less what this instance spent itself; it is returned if they are heard within 1 s. Seeds count as instances for 120 s after each start. Odd limits in the configuration count as absent.

Ruled out: cutting levels for good as soon as reports are late, as one late relay would cost its followers their buckets.

--- a/buckthornrock/admission/fleet_quota.py
+++ b/buckthornrock/admission/fleet_quota.py
@@ -35,8 +35,8 @@
 CONTRIBUTION_LIFETIME_MS = 10_000.0
 #: Maximum age of the coverage that a decision uses.
 COVERAGE_LIFETIME_MS = 100.0
-#: An instance that heard nobody since its start counts its seed addresses as instances
-#: for as long as silent instances count.
+#: The seed addresses count as instances for this long after the start, as long as
+#: silent instances do.
 SEEDS_LIFETIME_MS = 120_000.0
 #: An instance passes on the largest number of instances that it heard for this long
 #: after its start. Instances that start together would otherwise take the few that
@@ -172,38 +172,86 @@
 
 
 class _Bucket:
-    """Level of an account's bucket, and the earned time that it includes."""
+    """Level of an account's bucket, and the earned time that it includes.
 
-    def __init__(self, limit: AccountLimit, earned_ms: float) -> None:
+    ``held`` is the part of the level that belongs to instances that have just fallen
+    silent. A debt beyond what the rate yields in one window isn't kept: after it
+    nothing is admitted for a whole window, so that no window includes both the excess
+    and what follows.
+    """
+
+    def __init__(
+        self, limit: AccountLimit, bound: QuotaBound, earned_ms: float
+    ) -> None:
         self.limit = limit
         self.level = 0.0
+        self.held = 0.0
         self.earned_ms = earned_ms
+        self._rate_per_ms = limit.rate_per_s / 1_000.0
+        self._lowest = -self._rate_per_ms * bound.window_ms
+        self._spent = 0.0
+        self._spent_before = 0.0
+        self._n_periods = 0
 
     def refill(self, earned_ms: float, share: float) -> None:
         """Add what was earned, up to the share of the bucket that may be stored."""
-        self.level = min(self.level + self._gain(earned_ms), self.limit.burst * share)
+        gain = self._rate_per_ms * (earned_ms - self.earned_ms)
+        self.level = min(self.level + gain, self.limit.burst * share)
         self.earned_ms = earned_ms
 
-    def apply(self, amount: int, earned_ms: float, bound: QuotaBound) -> None:
-        """Apply what others were charged while the time up to ``earned_ms`` passed.
+    def apply(
+        self, amount: int, from_ms: float, earned_ms: float, share: float
+    ) -> None:
+        """Apply what others were charged between two earned times.
 
-        Both are one step: a full bucket would otherwise lose the time.
+        What is earned in between is added in the same step: a full bucket would lose
+        it otherwise.
         """
-        self.level += self._gain(earned_ms)
+        rate_per_ms, capacity = self._rate_per_ms, self.limit.burst * share
+        level = self.level + rate_per_ms * (from_ms - self.earned_ms)
+        if level > capacity:
+            level = capacity
+        level += rate_per_ms * (earned_ms - from_ms) - amount
+        if level > capacity:
+            level = capacity
+        self.level = level if level > self._lowest else self._lowest
         self.earned_ms = earned_ms
-        self.subtract(amount, bound)
 
-    def _gain(self, earned_ms: float) -> float:
-        return self.limit.rate_per_s * (earned_ms - self.earned_ms) / 1000.0
+    def spend(self, cost: int, now_ms: float, recent_ms: float) -> None:
+        """Charge the bucket for a request of this instance."""
+        self._count_spent(cost, now_ms, recent_ms)
+        self.level = max(self._lowest, self.level - cost)
 
-    def subtract(self, cost: float, bound: QuotaBound) -> None:
-        """Charge the bucket; a debt beyond one window's rate isn't kept.
+    def start_from(self, level: float) -> None:
+        """Take over the level that the bucket had under another limit."""
+        self.level = max(self._lowest, level)
 
-        After such a debt nothing is admitted for a whole window, so that no window
-        includes both the excess and what follows.
+    def hold(self, ratio: float, now_ms: float, recent_ms: float) -> None:
+        """Keep only a part of the level, as other instances may spend the rest.
+
+        They have been able to since their last reports, and so has this one, whose
+        charges of that time count against its part.
         """
-        floor = -self.limit.rate_per_s * bound.window_ms / 1000.0
-        self.level = max(floor, self.level - cost)
+        self._count_spent(0, now_ms, recent_ms)
+        spent = self._spent + self._spent_before
+        kept = min(self.level, (self.level + spent) * ratio - spent)
+        if self.level > 0.0:
+            self.held += self.level - kept
+            self.level = kept
+
+    def return_held(self, share: float) -> None:
+        """Take back what was held: the silent instances were heard in time."""
+        self.level = min(self.level + self.held, self.limit.burst * share)
+        self.held = 0.0
+
+    def _count_spent(self, cost: int, now_ms: float, recent_ms: float) -> None:
+        """Add to the charges since any report that has just stopped being recent."""
+        n_periods = int(now_ms // (recent_ms + COVERAGE_LIFETIME_MS))
+        if n_periods != self._n_periods:
+            is_next = n_periods == self._n_periods + 1
+            self._spent_before = self._spent if is_next else 0.0
+            self._spent, self._n_periods = 0.0, n_periods
+        self._spent += cost
 
 
 class _Counters:
@@ -213,12 +261,17 @@
         self.values: dict[int, int] = {}
         self._changed_at_ms: dict[int, float] = {}
 
-    def add(self, number: int, amount: int, now_ms: float) -> None:
-        if number not in self.values and len(self.values) >= MAX_ACCOUNTS:
-            return
-        value = self.values.get(number, 0) + amount
-        self.values[number] = value if abs(value) <= MAX_COUNT else amount
+    def add(self, number: int, amount: int, now_ms: float) -> bool:
+        """Add to a counter; return False if there are too many."""
+        value = self.values.get(number)
+        if value is None:
+            if len(self.values) >= MAX_ACCOUNTS:
+                return False
+            value = 0
+        value += amount
+        self.values[number] = value if -MAX_COUNT <= value <= MAX_COUNT else amount
         self._changed_at_ms[number] = now_ms
+        return True
 
     def reset_quiet(self, now_ms: float) -> list[int]:
         """Drop the counters that haven't changed for a while; return their accounts."""
@@ -273,6 +326,7 @@
         self._started_at_ms = now_ms
         self._advanced_at_ms = now_ms
         self._coverage_at_ms = -math.inf
+        self._held_at_ms = math.inf
         self._n_members = 1
         self._period_ms = 0.0
         self._buckets: dict[int, _Bucket] = {}
@@ -302,13 +356,12 @@
         before = self._buckets
         self._buckets = {}
         for number, limit in limits.items():
-            bucket = _Bucket(limit, self._earned_ms)
+            bucket = _Bucket(limit, self._bound, self._earned_ms)
             known = before.get(number)
             if known and known.limit.counts_tokens == limit.counts_tokens:
-                known.refill(self._earned_ms, self.coverage.share)
-                bucket.level = known.level
-                bucket.refill(self._earned_ms, self.coverage.share)
-                bucket.subtract(0.0, self._bound)
+                known.refill(self._earned_ms, self.coverage.recent_share)
+                bucket.start_from(known.level)
+                bucket.refill(self._earned_ms, self.coverage.recent_share)
             self._buckets[number] = bucket
 
     def charge(self, number: int, cost: int, now_ms: float) -> Result[None, float]:
@@ -320,7 +373,7 @@
         available = self._available(bucket)
         decision = decide(bucket.limit, self._bound, available, cost, self.coverage)
         if decision.is_ok():
-            bucket.subtract(cost, self._bound)
+            bucket.spend(cost, now_ms, self._recent_ms())
             self._count_own(number, cost, now_ms)
         return decision
 
@@ -330,10 +383,9 @@
         if bucket is None:
             return
         self._refresh_coverage(now_ms)
-        bucket.refill(self._earned_ms, self.coverage.share)
-        bucket.level = min(
-            bucket.level + cost, bucket.limit.burst * self.coverage.share
-        )
+        share = self.coverage.recent_share
+        bucket.refill(self._earned_ms, share)
+        bucket.level = min(bucket.level + cost, bucket.limit.burst * share)
         self._count_own(number, -cost, now_ms)
 
     def view(self, number: int, now_ms: float) -> AccountView | None:
@@ -419,16 +471,16 @@
             contribution.at_ms = now_ms
         earned_before_ms = self._earned_ms
         self._earn(report.covered_ms - known.report.covered_ms, contribution, now_ms)
+        buckets, share = self._buckets, self.coverage.recent_share
+        charges_before = known.report.charges
         for number, value in report.charges.items():
-            step = value - known.report.charges.get(number, 0)
-            if not step or abs(step) > MAX_STEP:
+            step = value - charges_before.get(number, 0)
+            if not step or not -MAX_STEP <= step <= MAX_STEP:
                 continue
             amount = self._count_other(number, step, heard, contribution, now_ms)
-            bucket = self._buckets.get(number)
+            bucket = buckets.get(number)
             if amount and bucket is not None:
-                bucket.refill(earned_before_ms, self.coverage.share)
-                bucket.apply(amount, self._earned_ms, self._bound)
-                bucket.refill(self._earned_ms, self.coverage.share)
+                bucket.apply(amount, earned_before_ms, self._earned_ms, share)
 
     def _n_known_for_peers(self, now_ms: float) -> int:
         """Return the number of known instances for a report.
@@ -457,12 +509,15 @@
         missed would raise the level above what was paid.
         """
         before = heard.get(number, 0)
-        after = min(MAX_COUNT, max(0, before + step))
+        if not before and len(heard) >= MAX_ACCOUNTS and number not in heard:
+            return 0
+        after = before + step
+        if not 0 <= after <= MAX_COUNT:
+            after = 0 if after < 0 else MAX_COUNT
         amount = after - before
-        if not amount or (number not in heard and len(heard) >= MAX_ACCOUNTS):
+        if not amount or not self._total.add(number, amount, now_ms):
             return 0
         heard[number] = after
-        self._total.add(number, amount, now_ms)
         if contribution is not None:
             self._group.add(number, amount, now_ms)
             own = contribution.charges
@@ -501,7 +556,7 @@
     def _available(self, bucket: _Bucket) -> float:
         """Return what the bucket can pay, with the refill that is on its way."""
         coverage = self.coverage
-        bucket.refill(self._earned_ms, coverage.share)
+        bucket.refill(self._earned_ms, coverage.recent_share)
         lag_ms = self._advanced_at_ms - self._origin_ms - self._earned_ms
         transit_ms = min(lag_ms, N_PERIODS_IN_TRANSIT * self._period_ms)
         ahead = bucket.limit.rate_per_s * transit_ms / 1000.0 * coverage.recent_share
@@ -516,11 +571,9 @@
         self._coverage_at_ms = now_ms
         heard = [s for s in self._senders.values() if now_ms - s.at_ms <= SILENCE_MS]
         n_known = max(self._n_members, *(_n(s.report.n_known) for s in heard), 1)
-        is_new = now_ms - self._started_at_ms < SEEDS_LIFETIME_MS
-        if not heard and is_new:
+        if now_ms - self._started_at_ms < SEEDS_LIFETIME_MS:
             n_known = max(n_known, self._n_seeds)
-        recent_ms = max(MIN_RECENT_MS, N_RECENT_PERIODS * self._period_ms)
-        n_recent = 1 + self._n_covered(self._senders, recent_ms, now_ms)
+        n_recent = 1 + self._n_covered(self._senders, self._recent_ms(), now_ms)
         n_covered = 1 + self._n_covered(self._senders, SILENCE_MS, now_ms)
         before = self.coverage
         self.coverage = Coverage(
@@ -530,10 +583,33 @@
             share=min(1.0, n_covered / n_known),
             oldest_report_ms=max((now_ms - s.at_ms for s in heard), default=0.0),
         )
-        if self.coverage.share < before.share:
-            # Also buckets that aren't used meanwhile lose what exceeds the share.
+        self._divide_levels(before, now_ms)
+
+    def _divide_levels(self, before: Coverage, now_ms: float) -> None:
+        """Hold the part of all levels that instances out of contact may spend.
+
+        It is taken back if they are heard again within ``SILENCE_MS``, with their
+        charges of that time, and dropped otherwise.
+        """
+        share, share_before = self.coverage.recent_share, before.recent_share
+        if share < share_before:
             for bucket in self._buckets.values():
-                bucket.refill(self._earned_ms, self.coverage.share)
+                bucket.refill(self._earned_ms, share_before)
+                bucket.hold(share / share_before, now_ms, self._recent_ms())
+            self._held_at_ms = min(now_ms, self._held_at_ms)
+        is_silent = self.coverage.n_covered < before.n_covered
+        if is_silent or now_ms - self._held_at_ms > SILENCE_MS:
+            self._held_at_ms = math.inf
+            for bucket in self._buckets.values():
+                bucket.held = 0.0
+        elif share > share_before and share >= self.coverage.share:
+            for bucket in self._buckets.values():
+                bucket.refill(self._earned_ms, share)
+                bucket.return_held(share)
+            self._held_at_ms = math.inf
+
+    def _recent_ms(self) -> float:
+        return max(MIN_RECENT_MS, N_RECENT_PERIODS * self._period_ms)
 
     def _n_covered(
         self, senders: Iterable[str], lifetime_ms: float, now_ms: float
--- a/buckthornrock/platform/configuration.py
+++ b/buckthornrock/platform/configuration.py
@@ -1,6 +1,5 @@
 """Decodes the configuration that operators write to the platform's store."""
 
-import math
 from typing import Any
 
 import msgspec
@@ -81,10 +80,12 @@
     api_keys: list[str] = []
     priority: ExactInt | None = None
     isolated: bool = False
-    rate_per_s: float | None = None
-    burst: float | None = None
+    #: Odd values of these fields count as absent: a configuration that was accepted
+    #: before the router knew them must not be rejected.
+    rate_per_s: Any = None
+    burst: Any = None
     unit: Any = None
-    plain_tokens: float | None = None
+    plain_tokens: Any = None
 
 
 class _Document(msgspec.Struct, rename="camel"):
@@ -166,18 +167,26 @@
 
 
 def _limit(tenant: _Tenant) -> AccountLimit | None:
-    """Return an account's limit, None without a rate that is above 0 and finite."""
-    rate_per_s = tenant.rate_per_s or 0.0
-    if not 0.0 < rate_per_s < math.inf:
+    """Return an account's limit, None without a rate above 0."""
+    rate_per_s = _quantity(tenant.rate_per_s)
+    if not rate_per_s:
         return None
     return AccountLimit(
         rate_per_s=rate_per_s,
-        burst=min(MAX_COST, max(0.0, tenant.burst or 0.0)),
+        burst=_quantity(tenant.burst),
         counts_tokens=tenant.unit == _TOKEN_UNIT,
-        n_plain_tokens=int(min(MAX_COST, max(0.0, tenant.plain_tokens or 0.0))),
+        n_plain_tokens=int(_quantity(tenant.plain_tokens)),
     )
 
 
+def _quantity(value: Any) -> float:
+    """Return a number of tokens or requests, 0.0 for any value that is none."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0.0
+    # Not a number compares as False.
+    return float(min(value, MAX_COST)) if value > 0 else 0.0
+
+
 def _isolated_accounts(tenants: list[_Tenant]) -> frozenset[str]:
     return frozenset(tenant.name for tenant in tenants if tenant.isolated)
 
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -86,7 +86,7 @@
             self._fleet.seeds,
             self._n_starts,
         )
-        self.quota = FleetQuota(self._fleet.quota_bound, N_SEEDS, now_ms())
+        self.quota = FleetQuota(self._fleet.quota_bound, self._fleet.n_seeds, now_ms())
         quotas = AccountQuotas(self.quota, self.fleet_state, now_ms, TELEMETRY)
         self.peers = PeerExchange(settings, self.fleet_state, now_ms, TELEMETRY, quotas)
         self.peers.connection_made(_Transport(self._fleet, self))
@@ -136,6 +136,7 @@
         quota_bound: QuotaBound = QUOTA_BOUND,
     ) -> None:
         self.quota_bound = quota_bound
+        self.n_seeds = min(N_SEEDS, n_instances)
         self.rng = random.Random(seed)
         self.is_partitioned: Callable[[Node, Node], bool] = lambda a, b: False
         self.configuration = (_configuration(limits or {}), b"")
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from buckthornrock.admission.fleet_quota import AccountLimit
 from buckthornrock.catalog.configuration import RouteKind
 from buckthornrock.catalog.upstream_notices import Notice
 from buckthornrock.gateway.ports import UpstreamRequestFields
@@ -76,6 +77,32 @@
     assert configuration.limits.idle_timeout_ms == 4
 
 
+@pytest.mark.parametrize(
+    ("fields", "limit"),
+    [
+        ({}, None),
+        ({"ratePerS": 0, "burst": 9}, None),
+        ({"ratePerS": -1, "burst": 9}, None),
+        ({"ratePerS": "9", "burst": 9}, None),
+        ({"ratePerS": True}, None),
+        ({"ratePerS": None, "burst": None, "unit": None}, None),
+        ({"ratePerS": 2.5, "burst": 9}, AccountLimit(2.5, 9)),
+        ({"ratePerS": 2, "unit": "calls"}, AccountLimit(2, 0)),
+        ({"ratePerS": 2, "burst": [], "unit": 5}, AccountLimit(2, 0)),
+        ({"ratePerS": 1e300, "burst": -2}, AccountLimit(1e9, 0)),
+        ({"ratePerS": 5e4, "burst": 1e5, "unit": "token_meter", "plainTokens": 70},
+         AccountLimit(5e4, 1e5, True, 70)),
+        ({"ratePerS": 5e4, "burst": 1e5, "unit": "token_meter", "plainTokens": "x"},
+         AccountLimit(5e4, 1e5, True, 0)),
+    ],
+)  # fmt: skip
+def test_limit_of_an_account_is_decoded(fields, limit):
+    """A value that is no number is no reason to keep an older configuration."""
+    tenants = [{"name": "one", "apiKeys": ["k1"], **fields}]
+    value = msgspec.json.encode({**DOCUMENT, "tenants": tenants})
+    assert decode_configuration(value).ok.accounts["k1"].limit == limit
+
+
 @pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b'{"version": "7"}'])
 def test_malformed_configuration_is_rejected(value):
     assert decode_configuration(value).is_error()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,17 @@
     assert settings.ignored_fields == ("region",)
 
 
+def test_quotas_are_in_force_only_with_a_window(tmp_path):
+    """Deployments whose settings lack the fields behave as before."""
+    bounds = load_node_settings(write(tmp_path, VALID)).ok.bounds
+    assert bounds.quota_window_s == 0.0
+    fields = "versionMs = 20000\nquotaWindowS = 8\nquotaOverage = 0.1\nquotaSlack = 9"
+    text = VALID.replace("versionMs = 20000", fields)
+    bounds = load_node_settings(write(tmp_path, text)).ok.bounds
+    found = (bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack)
+    assert found == (8.0, 0.1, 9.0)
+
+
 @pytest.mark.parametrize(
     ("changes", "paths"),
     [
@@ -61,6 +72,10 @@
         ),
         ([("portRange = [9000, 9010]", "portRange = 9000")], ["$.portRange"]),
         ([("[platform]", "[more]")], ["$.platform"]),
+        (
+            [("versionMs = 20000", 'versionMs = 20000\nquotaWindowS = "8"')],
+            ["$.bounds.quotaWindowS"],
+        ),
         ([("nodeName", "= nonsense")], ["$"]),
     ],
 )
