--- a/buckthornrock/admission/fleet_quota.py
+++ b/buckthornrock/admission/fleet_quota.py
@@ -366,16 +366,21 @@
 
     def charge(self, number: int, cost: int, now_ms: float) -> Result[None, float]:
         """Charge an account, or return the time in ms until it can be charged."""
+        decision = self.check(number, cost, now_ms)
+        bucket = self._buckets.get(number)
+        if decision.is_ok() and bucket is not None:
+            bucket.spend(cost, now_ms, self._recent_ms())
+            self._count_own(number, cost, now_ms)
+        return decision
+
+    def check(self, number: int, cost: int, now_ms: float) -> Result[None, float]:
+        """Return what ``charge`` would, without charging anything."""
         bucket = self._buckets.get(number)
         if bucket is None:
             return Ok(None)
         self._refresh_coverage(now_ms)
         available = self._available(bucket)
-        decision = decide(bucket.limit, self._bound, available, cost, self.coverage)
-        if decision.is_ok():
-            bucket.spend(cost, now_ms, self._recent_ms())
-            self._count_own(number, cost, now_ms)
-        return decision
+        return decide(bucket.limit, self._bound, available, cost, self.coverage)
 
     def refund(self, number: int, cost: int, now_ms: float) -> None:
         """Take back a charge of this instance."""
--- a/buckthornrock/gateway/account_quotas.py
+++ b/buckthornrock/gateway/account_quotas.py
@@ -86,10 +86,19 @@
         charged = self._quota.charge(number, cost, now_ms)
         if charged.is_ok():
             return Ok(admitted._replace(charge=Charge(number, cost)))
-        retry_after_ms = charged.error
-        self._report_refusal(admitted, cost, retry_after_ms)
-        reason = "the client account is over its quota"
-        return Error(Refusal(429, "over-quota", reason, retry_after_ms))
+        self._report_refusal(admitted, cost, charged.error)
+        return Error(_refusal(account.name, charged.error))
+
+    def check(self, admitted: AdmittedRequest) -> Refusal | None:
+        """Return the refusal that a request would get now; nothing is charged."""
+        account = admitted.account
+        if account is None or account.limit is None:
+            return None
+        self._follow_configuration()
+        cost = request_cost(account.limit, admitted.request.fields.token_counts)
+        number = account_number(account.name)
+        checked = self._quota.check(number, cost, self._now_ms())
+        return None if checked.is_ok() else _refusal(account.name, checked.error)
 
     def refund(self, charge: Charge) -> None:
         """Take back the charge of a request that provably did not run."""
@@ -200,5 +209,10 @@
         return self._n_lines <= MAX_LINES_PER_PERIOD
 
 
+def _refusal(account: str, retry_after_ms: float) -> Refusal:
+    reason = f"the client account {account} is over its quota"
+    return Refusal(429, "over-quota", reason, retry_after_ms)
+
+
 def _encode(report: CounterReport) -> QuotaCounters:
     return QuotaCounters(*report)
--- a/buckthornrock/gateway/explanation.py
+++ b/buckthornrock/gateway/explanation.py
@@ -16,6 +16,7 @@
 from ..catalog.configuration import Route
 from ..catalog.upstreams import Upstream
 from ..scheduling.choice import Obstacle, Placement
+from .account_quotas import AccountQuotas
 from .admission import NO_CONFIGURATION, UNKNOWN_KEY, admit_to, find_route
 from .crash_watch import crash_parts
 from .dispatcher import Dispatcher, ExpectedWait, Preview
@@ -59,6 +60,7 @@
     stopping: Stopping
     n_instances: Callable[[], int]
     now_ms: Callable[[], float]
+    quotas: AccountQuotas | None = None
 
 
 def _find_stopping(
@@ -76,12 +78,18 @@
     return [] if found is None else [quarantine_refusal(found)]
 
 
+def _find_over_quota(
+    admitted: AdmittedRequest, inputs: ExplanationInputs
+) -> list[Refusal]:
+    refusal = inputs.quotas.check(admitted) if inputs.quotas else None
+    return [] if refusal is None else [refusal]
+
+
 #: What may refuse a request before it is placed. Each function returns the refusals
-#: that the request would get now and charges nothing. Quotas of client accounts belong
-#: here.
+#: that the request would get now and charges nothing.
 BLOCKER_FINDERS: tuple[
     Callable[[AdmittedRequest, ExplanationInputs], list[Refusal]], ...
-] = (_find_stopping, _find_quarantined)
+] = (_find_over_quota, _find_stopping, _find_quarantined)
 
 
 def is_where_request(request: ClientRequest) -> bool:
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -220,27 +220,28 @@
         try:
             admitted = self._admit(request).bind(self._charge)
             if admitted.is_error():
+                self._log_turned_away(request, admitted.error)
                 client.refuse(admitted.error)
                 return
             await Exchange(self._exchange_context, admitted.ok, client).run()
         except Exception as error:
             self._on_internal_error(request, client, error)
 
-    def _admit(self, request: ClientRequest) -> Result:
-        inputs = AdmissionInputs(self._fleet_state.table, self._rng)
-        admitted = Error(request.refusal) if request.refusal else admit(request, inputs)
-        if admitted.is_ok():
-            return admitted
+    def _admit(self, request: ClientRequest) -> Result[AdmittedRequest, Refusal]:
+        if request.refusal is not None:
+            return Error(request.refusal)
+        return admit(request, AdmissionInputs(self._fleet_state.table, self._rng))
+
+    def _log_turned_away(self, request: ClientRequest, refusal: Refusal) -> None:
         self._telemetry.log(
             events.TURNED_AWAY,
             request_id=request.fields.request_id,
-            status=admitted.error.status,
-            failure=admitted.error.code,
-            reason=admitted.error.reason,
+            status=refusal.status,
+            failure=refusal.code,
+            reason=refusal.reason,
             configuration_version=self._fleet_state.configuration_version,
             store_age_ms=self._fleet_state.store_age_ms(),
         )
-        return admitted
 
     def _charge(self, admitted: AdmittedRequest) -> Result[AdmittedRequest, Refusal]:
         """Charge the client account, before the request takes a place anywhere."""
@@ -298,6 +299,7 @@
             self._exchange_context.stopping,
             self._peers.n_instances,
             self._now_ms,
+            self._exchange_context.quotas,
         )
         try:
             explained = explain_encoded(request, inputs)
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -10,6 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
+from buckthornrock.admission.fleet_quota import AccountLimit
 from buckthornrock.catalog.configuration import ClientAccount, RouteKind, ServiceShare
 from buckthornrock.catalog.upstream_notices import Notice
 from buckthornrock.catalog.upstreams import Upstream
@@ -91,6 +92,7 @@
         gateway._exchange_context.stopping,
         lambda: 1,
         now_ms,
+        gateway._exchange_context.quotas,
     )
 
 
@@ -335,6 +337,21 @@
     run(main)
 
 
+def test_explanation_names_a_quota_that_refuses_and_charges_nothing():
+    async def main():
+        harness, _ = await start()
+        limited = ClientAccount("shop", None, AccountLimit(0.001, 2.0))
+        table = harness.fleet_state.table.configuration
+        changed = table._replace(version=99, accounts={KEY: limited})
+        harness.fleet_state.on_configuration(changed, b"", "test")
+        shown = explained(harness, *REQUESTS["plain"])
+        (blocker,) = shown.services[0].blockers
+        assert (blocker.status, blocker.code) == (429, "over-quota")
+        assert harness.quota.group_report([], now_ms()).charges == {}
+
+    run(main)
+
+
 def test_explanation_names_a_quarantined_part():
     async def main():
         harness, _ = await start()
