Log refusals over a quota without a field that the log reserves

Cause: the event gateway.over_quota had a field "level", which eliot's lines have too: with the real log every logged refusal ended in a TypeError and a 502. A test of all events then found the same in membership.handler_failed ("message_type"), whose handler failures raised.

Change: the fields are named "available" and "message".

Ruled out: renaming the fields of every line, which operators' tools read.

--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -301,7 +301,7 @@
         "account",
         "n_refused",
         "cost",
-        "level",
+        "available",
         "rate_per_s",
         "burst",
         "retry_after_ms",
@@ -312,6 +312,7 @@
     ),
     "Requests of a client account were refused with status 429: the last of the "
     "n_refused since the account's previous line here, at most one in 10 s, would have "
-    "cost more than the level of its bucket. This instance knew the charges of "
-    "covered_share of n_instances; the oldest report of them was oldest_report_ms old.",
+    "cost more than available, what its bucket could pay. This instance knew the "
+    "charges of covered_share of n_instances; the oldest report of them was "
+    "oldest_report_ms old.",
 )
--- a/buckthornrock/events/membership.py
+++ b/buckthornrock/events/membership.py
@@ -28,6 +28,6 @@
     1403,
     "membership.handler_failed",
     "error",
-    ("message_type", "sender", "error_type", "reason"),
+    ("message", "sender", "error_type", "reason"),
     "The handler of a peer's message raised an exception.",
 )
--- a/buckthornrock/gateway/account_quotas.py
+++ b/buckthornrock/gateway/account_quotas.py
@@ -183,7 +183,7 @@
             account=account.name,
             n_refused=count.n_refused,
             cost=cost,
-            level=round(view.level, 1),
+            available=round(view.level, 1),
             rate_per_s=view.limit.rate_per_s,
             burst=view.limit.burst,
             retry_after_ms=retry_after_ms,
--- a/buckthornrock/wire/transport.py
+++ b/buckthornrock/wire/transport.py
@@ -324,7 +324,7 @@
         except Exception as error:  # noqa: BLE001 - a failing handler must not end the thread
             self._telemetry.log(
                 events.HANDLER_FAILED,
-                message_type=type(body).__name__,
+                message=type(body).__name__,
                 sender=sender_id,
                 error_type=type(error).__name__,
                 reason=str(error),
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -1,7 +1,11 @@
 """The log never blocks its writers, and reports how many lines it dropped."""
 
+import io
 import threading
 
+import pytest
+
+from buckthornrock.events import CATALOGUE
 from buckthornrock.events import gateway as events
 from buckthornrock.telemetry import open_log
 from buckthornrock.telemetry.log_writer import LogWriter
@@ -97,3 +101,14 @@
     assert len(summaries) == 1
     assert f'"n_lines":{n_dropped}' in summaries[0]
     assert writer.n_dropped == 0
+
+
+@pytest.fixture(scope="module")
+def log():
+    return open_log(io.StringIO())
+
+
+@pytest.mark.parametrize("event", CATALOGUE.values(), ids=lambda event: event.name)
+def test_every_event_can_be_logged(log, event):
+    """A field with the name of a part of each line made its request end in a 502."""
+    log(event, **dict.fromkeys(event.fields, 1))
