--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -1,7 +1,11 @@
 """The log never blocks its writers, and reports how many lines it dropped."""
 
+import io
 import threading
 
+import pytest
+
+from buckthornrock.events import CATALOGUE
 from buckthornrock.events import gateway as events
 from buckthornrock.telemetry import open_log
 from buckthornrock.telemetry.log_writer import MAX_QUEUED_CHARS, LogWriter
@@ -110,3 +114,14 @@
     writer.close(10.0)
     n_written = stream.lines.count(line)
     assert MAX_QUEUED_CHARS * 0.9 < n_written * len(line) <= MAX_QUEUED_CHARS * 1.1
+
+
+@pytest.fixture(scope="module")
+def log():
+    return open_log(io.StringIO())
+
+
+@pytest.mark.parametrize("event", CATALOGUE.values(), ids=lambda event: event.name)
+def test_every_event_can_be_logged(log, event):
+    """A field with the name of a part of each line made its request end in a 502."""
+    log(event, **dict.fromkeys(event.fields, 1))
