Count connections that are being opened, and finish responses of half-closed clients

Cause, found on reading the change again: connections to upstreams that were being opened weren't counted, so that many at once could exceed the descriptors; a client that ended its side while the rest of its response waited here lost that rest, which asyncio used to flush; while an instance drains, a connection with whole requests in the parse queue counted as idle.

Change: the pool counts them, and picks only open idle connections to close. A response that is being flushed is written to its end.

--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -152,6 +152,11 @@
             return False
         return n_unsent > self._context.limits_enforcer.budget.unsent_limit()
 
+    @property
+    def _is_receiving(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._head is not None or self._has_partial_head
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection and start the idle timeout."""
         self._transport = transport
@@ -173,8 +178,13 @@
             self._task.cancel()
 
     def eof_received(self) -> bool:
-        """Close the connection; a half-closed client is treated as disconnected."""
-        return False
+        """Close the connection; a half-closed client is treated as disconnected.
+
+        It gets what is left of a complete response.
+        """
+        if self._is_flushing:
+            self._writer.close()
+        return self._is_flushing
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes, which all connections share."""
@@ -222,8 +232,7 @@
 
     def give_way(self) -> None:
         """Release what the connection holds; refuse its request if it isn't served."""
-        is_receiving = self._head is not None or self._has_partial_head
-        if self._is_rejected or self.is_busy or not is_receiving:
+        if self._is_rejected or self.is_busy or not self._is_receiving:
             self.close_now()
             return
         self._reject(503, TOO_MUCH_HELD)
@@ -237,7 +246,7 @@
 
     def close_idle(self) -> None:
         """Close the connection unless a request is being received or served."""
-        is_receiving = self._head is not None or self._has_partial_head
+        is_receiving = self._is_receiving or self._is_in_queue
         if not self.is_busy and (self._is_rejected or not is_receiving):
             self._writer.close()
 
@@ -528,7 +537,7 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._head is None and not self._has_partial_head:
+        if not self._is_receiving:
             self._transport.close()
             return
         self._reject(408, "the request did not arrive in time")
--- a/buckthornrock/gateway/pool.py
+++ b/buckthornrock/gateway/pool.py
@@ -38,6 +38,7 @@
         self._max_connections = max_connections
         self._receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
         self._open_connections: set[UpstreamConnection] = set()
+        self._n_connecting = 0
         self._idle: dict[Incarnation, list[UpstreamConnection]] = defaultdict(list)
 
     async def acquire(
@@ -121,8 +122,10 @@
     ) -> Result[UpstreamConnection, NotReached]:
         host, _, port = upstream.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        if len(self._open_connections) >= self._max_connections:
+        n_connections = len(self._open_connections) + self._n_connecting
+        if n_connections >= self._max_connections:
             self._close_oldest_idle()
+        self._n_connecting += 1
         try:
             async with asyncio.timeout(limit_ms / 1000.0):
                 transport, connection = await loop.create_connection(
@@ -131,6 +134,8 @@
         except (OSError, ValueError, OverflowError) as error:
             # The latter two: nothing can be connected to at such an address.
             return Error(NotReached(type(error).__name__))
+        finally:
+            self._n_connecting -= 1
         self._open_connections.add(connection)
         configure_socket(transport.get_extra_info("socket"))
         return Ok(connection)
@@ -141,7 +146,7 @@
         )
 
     def _close_oldest_idle(self) -> None:
-        idle = [c for connections in self._idle.values() for c in connections]
+        idle = [c for of_one in self._idle.values() for c in of_one if c.is_open]
         oldest = min(idle, key=lambda c: c.idle_since_ms, default=None)
         if oldest is not None:
             oldest.close()
