Limit what clients make the product's own ports hold

Cause: a worker thread read each body, so bodies that stop one byte short held a thread and their bytes until a read timed out, and nothing bounded connections, the memory of whole bodies or unread responses.

Change: one thread receives heads and bodies; a worker gets whole requests. A budget for each port counts connections, heads by field, bodies, decoded bodies and unsent response bytes. At its end a connection of the client address that holds most is refused (503, not run) or closed. Bodies, and what is sent at once, have time limits; unread responses that hold all threads are cut. Requests that are refused for their head don't wait for their body. Settings with checked ranges, metrics, bounded log lines, pages.

Ruled out: counting in the reading threads (a drip of bytes holds them), reserving stated lengths (costs the client nothing), bodies in bytearrays (301,432,832 bytes resident where 299,797,504 were allowed), mmap.resize() (SIGBUS), a limit on fields. See docs/design/client-limits.md.

tests/httpd/test_threads.py uses the new parameter of start_server; what it checks is unchanged.

--- a/buckthornrock/compose/instance.py
+++ b/buckthornrock/compose/instance.py
@@ -6,12 +6,14 @@
 
 from ..conf import Settings
 from ..dispatch.continuation import EventIds
-from ..entry import EntryContext, build_entry_handler
+from ..entry import EntryContext, build_body_check, build_entry_handler
 from ..entry.auth import CallerKeys
+from ..entry.client_reports import MAX_REFUSALS_PER_S, LineBudget
 from ..entry.draining import DrainState, close_when_draining
 from ..events import lifecycle as events
-from ..httpd import Handler, HttpServer, start_server
+from ..httpd import HttpServer
 from .admission import build_admission
+from .client_limits import ClientPort, start_port
 from .completions import build_completions
 from .core import build_core
 from .deferred import build_deferred
@@ -83,6 +85,7 @@
         clock=core.clock,
         default_profile=settings.default_profile,
         event_ids=event_ids,
+        refusal_lines=LineBudget(MAX_REFUSALS_PER_S, 1_000.0, core.clock.now_ms),
     )
     # Deferred jobs run through the other parts, so that port is filled in last.
     entry_context = entry_context._replace(
@@ -90,8 +93,14 @@
     )
     orders = build_orders(core, fleet, membership)
     draining = DrainState()
-    entry = _start_entry(
-        settings, close_when_draining(build_entry_handler(entry_context), draining)
+    entry = start_port(
+        core,
+        ClientPort(
+            "entry",
+            settings.entry,
+            close_when_draining(build_entry_handler(entry_context), draining),
+            build_body_check(entry_context.keys),
+        ),
     )
     operator = start_operator(
         core, entry_context, membership, draining.is_ready, orders.routes
@@ -110,15 +119,3 @@
         n_open=entry.n_busy,
         stop=lambda: stop_gracefully(core, servers, draining),
     )
-
-
-def _start_entry(settings: Settings, handler: Handler) -> HttpServer:
-    section = settings.entry
-    return start_server(
-        section.host,
-        section.port,
-        handler,
-        section.n_threads,
-        section.max_body_bytes,
-        section.read_timeout_ms,
-    )
--- a/buckthornrock/compose/operator.py
+++ b/buckthornrock/compose/operator.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 
 from ..entry import EntryContext
-from ..httpd import HttpServer, start_server
+from ..httpd import HttpServer
 from ..membership import MembershipPort
-from ..operator import OperatorContext, OperatorRoute, build_operator
+from ..operator import OperatorContext, OperatorRoute, build_body_check, build_operator
 from ..operator.profiles import profile_routes
 from ..operator.reports import report_routes
 from ..telemetry.burn import BurnDocument
+from .client_limits import ClientPort, start_port
 from .core import Core
 
 
@@ -32,7 +33,10 @@
         ),
     )
     handler = build_operator(operator_context)
-    return start_server(section.host, section.port, handler, section.n_threads)
+    return start_port(
+        core,
+        ClientPort("operator", section, handler, build_body_check(operator_context)),
+    )
 
 
 def _report_routes(core: Core) -> tuple[OperatorRoute, ...]:
--- a/buckthornrock/conf/checks.py
+++ b/buckthornrock/conf/checks.py
@@ -20,6 +20,7 @@
 EMPTY_NAME = "SET-E016"
 BAD_UPSTREAM = "SET-E017"
 BAD_SHARE = "SET-E030"
+OUT_OF_RANGE = "SET-E031"
 SHORT_LEASE = "SET-E040"
 
 MIN_SECRET_BYTES = 16
@@ -40,6 +41,25 @@
     "orders.n_load_slots",
     "deferred.kv_write_share",
 )
+#: Lowest and highest value of the limits on what clients make a port hold.
+_RANGES = {
+    "entry.max_body_bytes": (1_024, 1_073_741_824),
+    "entry.max_held_bytes": (8_388_608, 1_099_511_627_776),
+    "entry.max_connections": (32, 65_536),
+    "entry.read_timeout_ms": (100, 600_000),
+    "entry.body_timeout_ms": (100, 3_600_000),
+    "entry.send_timeout_ms": (100, 3_600_000),
+    "operator.max_body_bytes": (1_024, 1_073_741_824),
+    "operator.max_held_bytes": (8_388_608, 1_099_511_627_776),
+    "operator.max_connections": (8, 65_536),
+    "operator.read_timeout_ms": (100, 600_000),
+    "operator.body_timeout_ms": (100, 3_600_000),
+    "operator.send_timeout_ms": (100, 3_600_000),
+}
+#: The largest request must fit into 7/8 of ``max_held_bytes``: 66 times its body, and
+#: the fields of its head. A test compares the two with ``httpd/budget.py``.
+HELD_PER_BODY_BYTE = 76
+HELD_PER_HEAD_BYTES = 8_000_000
 _POSITIVE_SUFFIXES = ("_ms", "_s", "_bytes", "_per_s", "n_threads", "n_contexts")
 
 
@@ -141,6 +161,25 @@
             yield Problem(BAD_POSITIVE, f"$.{path}", str(value), hint)
 
 
+def _check_ranges(settings: Settings) -> Iterator[Problem]:
+    for path, (low, high) in _RANGES.items():
+        value = attrgetter(path)(settings)
+        if not low <= value <= high:
+            yield Problem(
+                OUT_OF_RANGE, f"$.{path}", str(value), f"write {low} to {high}"
+            )
+
+
+def _check_held_bytes(settings: Settings) -> Iterator[Problem]:
+    for name in ("entry", "operator"):
+        section = getattr(settings, name)
+        needed = HELD_PER_BODY_BYTE * section.max_body_bytes + HELD_PER_HEAD_BYTES
+        if section.max_held_bytes < needed:
+            found = str(section.max_held_bytes)
+            hint = f"write at least {needed}, so that the largest request is served"
+            yield Problem(OUT_OF_RANGE, f"$.{name}.max_held_bytes", found, hint)
+
+
 def _check_telemetry(settings: Settings) -> Iterator[Problem]:
     section = settings.telemetry
     if not 0.0 < section.objective < 1.0:
@@ -172,5 +211,7 @@
     _check_upstreams,
     _check_orders,
     _check_shares,
+    _check_ranges,
+    _check_held_bytes,
     _check_telemetry,
 )
--- a/buckthornrock/conf/defaults.py
+++ b/buckthornrock/conf/defaults.py
@@ -5,7 +5,15 @@
 #: Threads that serve callers; an open stream holds one.
 ENTRY_N_THREADS = 256
 ENTRY_MAX_BODY_BYTES = 8_000_000
+#: What requests and unread responses may take. One request may take 7/8 of it, and
+#: decoding the largest body may take 66 times the body's size.
+ENTRY_MAX_HELD_BYTES = 671_088_640
+#: Fewer if the process may open fewer descriptors.
+ENTRY_MAX_CONNECTIONS = 4_096
 ENTRY_READ_TIMEOUT_MS = 10_000
+#: Time for the whole body, and for a client to take a whole response or part of it.
+ENTRY_BODY_TIMEOUT_MS = 120_000
+ENTRY_SEND_TIMEOUT_MS = 120_000
 #: Deadline of a request that states none.
 ENTRY_DEADLINE_MS = 60_000
 #: How long a stopping instance still accepts, while the balancer hears of it.
@@ -16,6 +24,13 @@
 # Operator port
 OPERATOR_HOST = "127.0.0.1"
 OPERATOR_N_THREADS = 4
+#: A profile of 1,700 client accounts takes about 200 KB.
+OPERATOR_MAX_BODY_BYTES = 2_000_000
+OPERATOR_MAX_HELD_BYTES = 167_772_160
+OPERATOR_MAX_CONNECTIONS = 256
+OPERATOR_READ_TIMEOUT_MS = 10_000
+OPERATOR_BODY_TIMEOUT_MS = 120_000
+OPERATOR_SEND_TIMEOUT_MS = 120_000
 
 # The platform's key-value service
 KV_TIMEOUT_MS = 1_000
--- a/buckthornrock/conf/settings.py
+++ b/buckthornrock/conf/settings.py
@@ -16,7 +16,11 @@
     host: str = defaults.ENTRY_HOST
     n_threads: int = defaults.ENTRY_N_THREADS
     max_body_bytes: int = defaults.ENTRY_MAX_BODY_BYTES
+    max_held_bytes: int = defaults.ENTRY_MAX_HELD_BYTES
+    max_connections: int = defaults.ENTRY_MAX_CONNECTIONS
     read_timeout_ms: int = defaults.ENTRY_READ_TIMEOUT_MS
+    body_timeout_ms: int = defaults.ENTRY_BODY_TIMEOUT_MS
+    send_timeout_ms: int = defaults.ENTRY_SEND_TIMEOUT_MS
     deadline_ms: int = defaults.ENTRY_DEADLINE_MS
     drain_grace_ms: int = defaults.ENTRY_DRAIN_GRACE_MS
     drain_limit_ms: int = defaults.ENTRY_DRAIN_LIMIT_MS
@@ -29,6 +33,12 @@
     keys_sha256: tuple[str, ...]
     host: str = defaults.OPERATOR_HOST
     n_threads: int = defaults.OPERATOR_N_THREADS
+    max_body_bytes: int = defaults.OPERATOR_MAX_BODY_BYTES
+    max_held_bytes: int = defaults.OPERATOR_MAX_HELD_BYTES
+    max_connections: int = defaults.OPERATOR_MAX_CONNECTIONS
+    read_timeout_ms: int = defaults.OPERATOR_READ_TIMEOUT_MS
+    body_timeout_ms: int = defaults.OPERATOR_BODY_TIMEOUT_MS
+    send_timeout_ms: int = defaults.OPERATOR_SEND_TIMEOUT_MS
 
 
 class KvSettings(NamedTuple):
--- a/buckthornrock/entry/__init__.py
+++ b/buckthornrock/entry/__init__.py
@@ -1,5 +1,5 @@
 """HTTP interface for callers: completions, deferred jobs, plain services."""
 
-from .app import EntryContext, build_entry_handler
+from .app import EntryContext, build_body_check, build_entry_handler
 
-__all__ = ["EntryContext", "build_entry_handler"]
+__all__ = ["EntryContext", "build_body_check", "build_entry_handler"]
--- a/buckthornrock/entry/app.py
+++ b/buckthornrock/entry/app.py
@@ -4,7 +4,8 @@
 
 from ..dispatch import Caller
 from ..events import entry as events
-from ..httpd import Exchange, Handler
+from ..httpd import Exchange, Handler, RequestHead
+from .auth import CallerKeys
 from .completions import new_request_id, serve_completion
 from .context import EntryContext, refuse
 from .deferred import PATH_PREFIX as DEFERRED_PREFIX
@@ -39,6 +40,21 @@
     return handle
 
 
+def build_body_check(keys: CallerKeys) -> Callable[[RequestHead], bool]:
+    """Return the function that tells whether a request's body is read.
+
+    A request that is refused for its head is answered without waiting for its body.
+    """
+
+    def needs_body(head: RequestHead) -> bool:
+        serve = _serve_function(head.path)
+        if serve is None or (serve is serve_completion and head.method != "POST"):
+            return False
+        return keys.authenticate(head.authorization).is_ok()
+
+    return needs_body
+
+
 def _handle(context: EntryContext, exchange: Exchange, request_id: str) -> None:
     serve = _serve_function(exchange.path)
     if serve is None:
--- a/buckthornrock/entry/completions.py
+++ b/buckthornrock/entry/completions.py
@@ -62,7 +62,7 @@
     request_id: str,
     is_chat: bool,
 ) -> Result[tuple[CompletionRequest, CompletionFields], Failure]:
-    raw = exchange.read_body()
+    raw = exchange.read_body(is_decoded=True)
     if raw.is_error():
         return raw
     body = parse_object(raw.ok)
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -7,7 +7,7 @@
 from ..dispatch import errors as dispatch
 from ..errors import CallerGone, DeadlineExceeded, Failure, NotRun, Unavailable
 from ..fleet.placement_store import PlacementConflict, PlacementUndecided
-from ..httpd import BodyProblem, Exchange
+from ..httpd import BodyProblem, Exchange, Overloaded
 from ..idempotency import errors as idempotency
 from ..profiles import errors as profiles
 from ..routing.errors import NoEngine
@@ -36,6 +36,7 @@
     entry.MethodNotAllowed: ProblemRule(405, "Method not allowed", "true"),
     entry.InternalError: ProblemRule(500, "Internal error", "unknown"),
     BodyProblem: ProblemRule(400, "Unreadable body", "true"),
+    Overloaded: ProblemRule(503, "Clients hold too much memory", "true"),
     profiles.UnknownProfile: ProblemRule(422, "Unknown profile", "true"),
     profiles.InvalidProfile: ProblemRule(422, "Invalid profile", "true"),
     profiles.ProfileConflict: ProblemRule(409, "Another change came first", "true"),
--- a/buckthornrock/httpd/exchange.py
+++ b/buckthornrock/httpd/exchange.py
@@ -4,10 +4,12 @@
 import socket
 from typing import NamedTuple
 
-import cheroot.errors
 import msgspec
 from cheroot.server import HTTPRequest
-from expression import Error, Ok, Result
+from expression import Error, Result
+
+from .bodies import BodyProblem
+from .budget import decoded_cost_bytes
 
 _REASONS = {
     200: "OK",
@@ -32,13 +34,12 @@
 }
 
 
-class BodyProblem(NamedTuple):
-    """The request body could not be read."""
+class Overloaded(NamedTuple):
+    """The clients' requests hold more memory than the settings allow."""
 
-    reason: str
-    status: int
+    retry_after_ms: int = 1_000
 
-    code = "bad-body"
+    code = "overloaded"
 
 
 class Exchange:
@@ -73,21 +74,24 @@
         """The caller's socket, for polling and for writing a streamed body."""
         return self._request.conn.socket
 
-    def read_body(self) -> Result[bytes, BodyProblem]:
-        """Return the whole request body."""
-        try:
-            body = self._request.rfile.read()
-            if len(body) < int(self.headers.get("content-length", 0)):
-                # cheroot returns what it has read, without an error, if the
-                # connection ends early.
-                raise ValueError("the body is shorter than Content-Length")
-            return Ok(body)
-        except cheroot.errors.MaxSizeExceeded:
-            self.close_after_response()
-            return Error(BodyProblem("the body is too large", 413))
-        except (ValueError, OSError):
-            self.close_after_response()
-            return Error(BodyProblem("the body ended early or is malformed", 400))
+    def read_body(
+        self, is_decoded: bool = False
+    ) -> Result[bytes, BodyProblem | Overloaded]:
+        """Return the whole request body.
+
+        Parameters
+        ----------
+        is_decoded : bool
+            Whether the caller decodes the body as JSON, which takes a multiple of its
+            size.
+        """
+        connection = self._request.conn
+        body = connection.read_body()
+        if body.is_error() or not is_decoded:
+            return body
+        if connection.hold_decoded(decoded_cost_bytes(body.ok)):
+            return body
+        return Error(Overloaded())
 
     def respond(
         self, status: int, body: bytes, headers: dict[str, str] | None = None
@@ -134,14 +138,14 @@
         return part
 
     def send_part(self, part: bytes) -> None:
-        """Send a part of a streamed body directly to the socket.
+        """Send a part of a streamed body.
 
         Raises
         ------
-        OSError
-            If the caller has closed the connection.
+        ConnectionError
+            If the caller has closed the connection, or doesn't read in time.
         """
-        self.socket.sendall(self.frame_part(part))
+        self._request.conn.wfile.write(self.frame_part(part))
 
     def abort(self) -> None:
         """Close the connection without the last chunk, so that truncation shows."""
--- a/buckthornrock/operator/app.py
+++ b/buckthornrock/operator/app.py
@@ -7,7 +7,9 @@
 from ..entry.completions import new_request_id
 from ..entry.errors import NoSuchPath, Unauthenticated
 from ..entry.problems import respond_problem
-from ..httpd import Exchange, Handler
+from ..httpd import Exchange, Handler, RequestHead
+
+_METHODS_WITH_BODY = frozenset({"POST", "PUT"})
 
 
 class OperatorRoute(NamedTuple):
@@ -34,7 +36,8 @@
         if exchange.path == "/healthz":
             exchange.respond_json(200, {"status": "ok"})
             return
-        if not _is_operator(exchange, context.keys_sha256):
+        authorization = exchange.headers.get("authorization", "")
+        if not _is_operator(authorization, context.keys_sha256):
             respond_problem(exchange, Unauthenticated(), new_request_id())
             return
         if exchange.path == "/readyz":
@@ -53,14 +56,26 @@
     return handle
 
 
-def _is_operator(exchange: Exchange, digests: tuple[str, ...]) -> bool:
-    authorization = exchange.headers.get("authorization", "")
+def build_body_check(context: OperatorContext) -> Callable[[RequestHead], bool]:
+    """Return the function that tells whether a request's body is read."""
+
+    def needs_body(head: RequestHead) -> bool:
+        return (
+            head.method in _METHODS_WITH_BODY
+            and any(_matches(route, head) for route in context.routes)
+            and _is_operator(head.authorization, context.keys_sha256)
+        )
+
+    return needs_body
+
+
+def _is_operator(authorization: str, digests: tuple[str, ...]) -> bool:
     if not authorization.startswith(BEARER):
         return False
     return is_known_key(authorization.removeprefix(BEARER).strip(), digests)
 
 
-def _matches(route: OperatorRoute, exchange: Exchange) -> bool:
+def _matches(route: OperatorRoute, exchange: Exchange | RequestHead) -> bool:
     if route.method != exchange.method:
         return False
     if route.path.endswith("/"):
--- a/buckthornrock/operator/orders.py
+++ b/buckthornrock/operator/orders.py
@@ -154,9 +154,11 @@
     return Ok(msgspec.convert(wanted, WantedEngine))
 
 
-def _decode(exchange: Exchange, target: type) -> Result[Any, BadRequest]:
-    raw = exchange.read_body().default_value(b"")
-    return decode_json(raw, target).map_error(
+def _decode(exchange: Exchange, target: type) -> Result[Any, Failure]:
+    raw = exchange.read_body(is_decoded=True)
+    if raw.is_error():
+        return raw
+    return decode_json(raw.ok, target).map_error(
         lambda error: BadRequest("$", error.reason)
     )
 
--- a/buckthornrock/operator/profiles.py
+++ b/buckthornrock/operator/profiles.py
@@ -90,7 +90,7 @@
 
 
 def _read_body(exchange: Exchange, target: type) -> Result[Any, Failure]:
-    raw = exchange.read_body()
+    raw = exchange.read_body(is_decoded=True)
     if raw.is_error():
         return raw
     return decode_json(raw.ok, target).map_error(
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -28,6 +28,9 @@
 WIRE_BYTES = "wire_bytes"
 WIRE_FRAMES_DROPPED = "wire_frames_dropped"
 MEMBERS_LIVE = "members_live"
+CLIENT_LIMITS = "client_limits"
+CLIENT_CONNECTIONS = "client_connections"
+CLIENT_HELD_BYTES = "client_held_bytes"
 GATEWAY_REQUESTS = "gateway_requests"
 GATEWAY_FIRST_EVENT_MS = "gateway_first_event_ms"
 GATEWAY_WAITED_MS = "gateway_waited_ms"
@@ -75,6 +78,9 @@
     DIGEST_BYTES: ("counter", "bytes of digests, by direction"),
     CONFIGURATION_VERSION: ("gauge", "version of the configuration in force"),
     STORE_AGE_MS: ("gauge", "time since the store confirmed the known state"),
+    CLIENT_LIMITS: ("counter", "refused or closed clients, by port and limit"),
+    CLIENT_CONNECTIONS: ("gauge", "open connections of clients, by port"),
+    CLIENT_HELD_BYTES: ("gauge", "bytes held for clients, by port"),
     MEMBERS_LIVE: ("gauge", "instances in the view of live instances"),
 }
 
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -39,6 +39,25 @@
         {"orders": {"load_time_ms": 60_000}},
         {("SET-E040", "$.orders.load_time_ms")},
     ),
+    (
+        {
+            "entry": {"port": 0, "max_connections": 1, "body_timeout_ms": 10},
+            "operator": {
+                "port": 0,
+                "keys_sha256": ["0" * 64],
+                "send_timeout_ms": 4_000_000,
+            },
+        },
+        {
+            ("SET-E031", "$.entry.max_connections"),
+            ("SET-E031", "$.entry.body_timeout_ms"),
+            ("SET-E031", "$.operator.send_timeout_ms"),
+        },
+    ),
+    (
+        {"entry": {"port": 0, "max_body_bytes": 100_000_000}},
+        {("SET-E031", "$.entry.max_held_bytes")},
+    ),
     ({"isolation_secret": "short"}, {("SET-E015", "$.isolation_secret")}),
     (
         {"caller_keys": [CALLER, CALLER | {"client_account": "b"}]},
--- a/tests/httpd/test_threads.py
+++ b/tests/httpd/test_threads.py
@@ -2,12 +2,14 @@
 
 import socket
 import time
+from contextlib import suppress
 
 import pytest
 
-from buckthornrock.httpd import start_server
+from buckthornrock.httpd import ServerLimits, start_server
 
 WAIT_S = 10.0
+LONG_TIMEOUT = ServerLimits(read_timeout_ms=60_000)
 SETTLING_S = 0.3
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
 
@@ -19,7 +21,7 @@
     A stalled caller that held the thread would hold it beyond the test.
     """
     server = start_server(
-        "127.0.0.1", 0, lambda exchange: exchange.respond(200, b""), 1, 0, 60_000
+        "127.0.0.1", 0, lambda exchange: exchange.respond(200, b""), 1, LONG_TIMEOUT
     )
     yield server.port
     server.stop()
@@ -78,7 +80,9 @@
 
 @pytest.mark.parametrize(("partial", "response"), [(b"", b""), (b"GET", b" 408 ")])
 def test_head_that_times_out_is_refused(partial, response):
-    server = start_server("127.0.0.1", 0, lambda exchange: None, 1, 0, 300)
+    server = start_server(
+        "127.0.0.1", 0, lambda exchange: None, 1, ServerLimits(read_timeout_ms=300)
+    )
     try:
         received = send_raw(server.port, partial)
     finally:
@@ -87,7 +91,7 @@
 
 
 def test_incomplete_head_counts_as_busy_until_it_is_closed():
-    server = start_server("127.0.0.1", 0, lambda exchange: None, 1, 0, 60_000)
+    server = start_server("127.0.0.1", 0, lambda exchange: None, 1, LONG_TIMEOUT)
     with (
         socket.create_connection(("127.0.0.1", server.port), timeout=WAIT_S) as partial,
         socket.create_connection(("127.0.0.1", server.port), timeout=WAIT_S) as idle,
@@ -106,3 +110,34 @@
 def test_endless_head_is_refused(port):
     head = REQUEST + b"X-Long: " + b"x" * 200_000
     assert send_raw(port, head).startswith(b"HTTP/1.1 413 ")
+
+
+def test_refused_connections_beyond_the_lingering_ones_are_closed():
+    """A connection closed by two threads once ended the thread that receives heads.
+
+    Clients that go on sending after a refusal keep their connections lingering; more
+    of them than may linger let the oldest be closed while others end by themselves.
+    """
+    limits = ServerLimits(max_body_bytes=1_000)
+    server = start_server(
+        "127.0.0.1",
+        0,
+        lambda exchange: exchange.respond(exchange.read_body().error.status, b""),
+        2,
+        limits,
+    )
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 500000\r\n\r\n"
+    address = ("127.0.0.1", server.port)
+    try:
+        for _ in range(3):
+            callers = [socket.create_connection(address) for _ in range(100)]
+            for caller in callers:
+                caller.sendall(head + b"x" * 1_000)
+            for caller in callers:
+                with suppress(OSError):
+                    caller.sendall(b"x" * 1_000)
+                caller.close()
+        time.sleep(SETTLING_S)
+        assert send_raw(server.port, head).startswith(b"HTTP/1.1 413 ")
+    finally:
+        server.stop()
