Answer requests that are open at the drain limit

Change: requests that are still arriving or wait for a thread get 503. For those whose handler runs, the stopping thread sends 504 instance-stopped, not_run "unknown", without blocking; a lock in Exchange decides whether it or the handler responds. Responses that have begun are cut as before.

Ruled out: 503 for running requests (they may have run); waiting longer (drain_limit_ms is the operator's bound).

With the change tests/compose, tests/httpd and tests/docs pass. The expected order in test_shutdown_order.py has one step more where requests are cut.

--- a/buckthornrock/entry/app.py
+++ b/buckthornrock/entry/app.py
@@ -23,7 +23,7 @@
     """Return the handler of the HTTP port that callers use."""
 
     def handle(exchange: Exchange) -> None:
-        request_id = new_request_id()
+        request_id = exchange.request_id = new_request_id()
         try:
             _handle(context, exchange, request_id)
         except ConnectionError:
--- a/buckthornrock/entry/draining.py
+++ b/buckthornrock/entry/draining.py
@@ -1,8 +1,15 @@
 """Drain state of an instance that shuts down gracefully."""
 
 import threading
+from collections.abc import Callable
 
+import msgspec
+
+from ..events import entry as events
 from ..httpd import Exchange, Handler
+from ..telemetry import Telemetry
+from .errors import InstanceStopped
+from .problems import problem_document
 
 
 class DrainState:
@@ -33,3 +40,26 @@
         handler(exchange)
 
     return handle
+
+
+def answer_when_stopped(telemetry: Telemetry) -> Callable[[Exchange], None]:
+    """Return a function that answers a running request of an instance that stops."""
+
+    def respond(exchange: Exchange) -> None:
+        document = problem_document(InstanceStopped(), exchange.request_id)
+        headers = {
+            "Content-Type": "application/problem+json",
+            "X-Request-Id": exchange.request_id,
+        }
+        body = msgspec.json.encode(document)
+        if not exchange.take_over(document["status"], body, headers):
+            return
+        telemetry.log(
+            events.REQUEST_REFUSED,
+            request_id=exchange.request_id,
+            client_account="",
+            failure=InstanceStopped.code,
+            not_run=document["not_run"],
+        )
+
+    return respond
--- a/buckthornrock/entry/errors.py
+++ b/buckthornrock/entry/errors.py
@@ -64,3 +64,9 @@
     request_id: str
 
     code = "unknown-request"
+
+
+class InstanceStopped(NamedTuple):
+    """The instance stopped while the request was running."""
+
+    code = "instance-stopped"
--- a/buckthornrock/entry/problems.py
+++ b/buckthornrock/entry/problems.py
@@ -35,6 +35,8 @@
     entry.NoSuchPath: ProblemRule(404, "No such path", "true"),
     entry.MethodNotAllowed: ProblemRule(405, "Method not allowed", "true"),
     entry.InternalError: ProblemRule(500, "Internal error", "unknown"),
+    # Its status is none of those that promise that nothing was run.
+    entry.InstanceStopped: ProblemRule(504, "The instance stopped", "unknown"),
     BodyProblem: ProblemRule(400, "Unreadable body", "true"),
     Overloaded: ProblemRule(503, "Clients hold too much memory", "true"),
     profiles.UnknownProfile: ProblemRule(422, "Unknown profile", "true"),
--- a/buckthornrock/httpd/arrivals.py
+++ b/buckthornrock/httpd/arrivals.py
@@ -195,6 +195,19 @@
         for arrival in self._take(lambda arrival: not arrival.has_begun):
             arrival.connection.close()
 
+    def refuse_begun(self) -> None:
+        """Refuse the requests that are partly received."""
+        with self._lock:
+            for arrival in list(self._arrivals.values()):
+                if arrival.has_begun and not arrival.is_lingering:
+                    with arrival.lock:
+                        self._refuse(arrival, OVERLOADED_RESPONSE)
+
+    def refuse_queued(self, connection: Connection) -> None:
+        """Refuse a request that was taken out of the queue of the worker threads."""
+        _send_refusal(connection, OVERLOADED_RESPONSE)
+        self.linger(connection)
+
     def stop(self) -> None:
         """Stop the thread and close every connection whose request is pending."""
         with self._lock:
--- a/buckthornrock/httpd/exchange.py
+++ b/buckthornrock/httpd/exchange.py
@@ -1,7 +1,10 @@
 """The exchange of one request and its response."""
 
 import io
+import select
 import socket
+import threading
+from contextlib import suppress
 from typing import NamedTuple
 
 import msgspec
@@ -55,6 +58,8 @@
         Names are in lower case.
     is_started : bool
         Whether a response head was sent.
+    request_id : str
+        Set by the handler, for a response that another thread sends in its place.
     """
 
     def __init__(self, request: HTTPRequest) -> None:
@@ -68,6 +73,10 @@
             for name, value in request.inheaders.items()
         }
         self.is_started = False
+        self.request_id = ""
+        self._lock = threading.Lock()
+        self._is_responding = False
+        self._is_taken_over = False
 
     @property
     def socket(self) -> socket.socket:
@@ -147,6 +156,32 @@
         """
         self._request.conn.wfile.write(self.frame_part(part))
 
+    def take_over(self, status: int, body: bytes, headers: dict[str, str]) -> bool:
+        """Respond in place of the handler's thread, and end the connection.
+
+        Return False if the handler has begun to respond. If it begins later, its first
+        attempt raises ``ConnectionError``. This never blocks.
+        """
+        with self._lock:
+            if self._is_responding:
+                return False
+            self._is_taken_over = True
+            # Nothing else may be sent on this connection.
+            self._request.sent_headers = True
+        fields = {
+            **headers,
+            "Content-Length": str(len(body)),
+            "Connection": "close",
+        }
+        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Status')}"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        with suppress(OSError):
+            if _is_writable(self.socket):
+                self.socket.send(head + body)
+            self.socket.shutdown(socket.SHUT_WR)
+        return True
+
     def abort(self) -> None:
         """Close the connection without the last chunk, so that truncation shows."""
         self._request.chunked_write = False
@@ -157,6 +192,10 @@
         self._request.close_connection = True
 
     def _set_head(self, status: int, headers: dict[str, str]) -> None:
+        with self._lock:
+            if self._is_taken_over:
+                raise ConnectionAbortedError("another thread has responded")
+            self._is_responding = True
         reason = _REASONS.get(status, "Status")
         self._request.status = f"{status} {reason}".encode()
         pairs = headers.items() if isinstance(headers, dict) else headers
@@ -168,3 +207,9 @@
         self.is_started = True
         self._request.sent_headers = True
         self._request.send_headers()
+
+
+def _is_writable(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    return bool(poll.poll(0))
--- a/buckthornrock/httpd/server.py
+++ b/buckthornrock/httpd/server.py
@@ -1,10 +1,12 @@
 """Starts and stops cheroot servers that call a handler function."""
 
 import errno
+import queue
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import suppress
 from typing import NamedTuple
 
 from cheroot.server import Gateway, HTTPServer
@@ -63,6 +65,29 @@
     return True
 
 
+class OpenExchanges:
+    """The exchanges whose handler runs."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._exchanges: set[Exchange] = set()
+
+    def handle(self, handler: Handler, exchange: Exchange) -> None:
+        """Call ``handler`` and count the exchange until it returns."""
+        with self._lock:
+            self._exchanges.add(exchange)
+        try:
+            handler(exchange)
+        finally:
+            with self._lock:
+                self._exchanges.remove(exchange)
+
+    def all(self) -> list[Exchange]:
+        """Return the exchanges at this moment."""
+        with self._lock:
+            return list(self._exchanges)
+
+
 class HttpServer:
     """A running server.
 
@@ -73,9 +98,14 @@
     """
 
     def __init__(
-        self, server: HTTPServer, arrivals: ArrivalReceiver, n_threads: int
+        self,
+        server: HTTPServer,
+        arrivals: ArrivalReceiver,
+        open_exchanges: OpenExchanges,
+        n_threads: int,
     ) -> None:
         self._server = server
+        self._open_exchanges = open_exchanges
         self._arrivals = arrivals
         self._n_threads = n_threads
         self.port: int = server.bind_addr[1]
@@ -117,6 +147,26 @@
         """Close the connections on which no part of a request was received."""
         self._arrivals.close_idle()
 
+    def answer_open(self, respond: Callable[[Exchange], None]) -> None:
+        """Answer every request that is open, before :meth:`stop` aborts it.
+
+        Requests in arrival or waiting for a thread get 503, as they were not run.
+        ``respond`` is called for each whose handler runs; it uses
+        :meth:`Exchange.take_over`.
+        """
+        self._arrivals.refuse_begun()
+        for connection in self._take_queued():
+            self._arrivals.refuse_queued(connection)
+        for exchange in self._open_exchanges.all():
+            respond(exchange)
+
+    def _take_queued(self) -> Iterator[Connection]:
+        with suppress(queue.Empty):
+            while True:
+                connection = self._server.requests._queue.get_nowait()
+                if isinstance(connection, Connection):
+                    yield connection
+
     def stop(self) -> None:
         """Close all connections; requests in progress are aborted.
 
@@ -213,10 +263,11 @@
     OSError
         If the port can't be bound.
     """
+    open_exchanges = OpenExchanges()
 
     class _HandlerGateway(Gateway):
         def respond(self) -> None:
-            handler(Exchange(self.req))
+            open_exchanges.handle(handler, Exchange(self.req))
 
     server = HTTPServer(
         (host, port),
@@ -266,4 +317,4 @@
     server.put_conn = lambda connection: receivers[connection.next_step](connection)
     _prepare(server)
     _survive_lack_of_descriptors(server, arrivals.make_descriptor)
-    return HttpServer(server, arrivals, n_threads)
+    return HttpServer(server, arrivals, open_exchanges, n_threads)
--- a/tests/compose/test_shutdown.py
+++ b/tests/compose/test_shutdown.py
@@ -139,3 +139,46 @@
         assert instance.stop() == 1
         release.set()
         read.result()
+
+
+def read_problem(world, path):
+    response = world.call(0, f"/services/orders/{path}", b"", method="GET")
+    return response.status, response.json()
+
+
+def test_requests_open_at_the_drain_limit_are_answered(start):
+    """They were once cut with no response, so that callers learned nothing.
+
+    One runs at its server, one waits for the thread that it holds, and one has not
+    arrived whole. Only what was not run may get 503.
+    """
+    release = threading.Event()
+
+    def block(server, connection):
+        server.read_request(connection)
+        release.wait(20)
+
+    world, _ = start(block, n_threads=1, drain_limit_ms=1_500, drain_grace_ms=50)
+    instance = world.instances[0]
+    head = b"POST /services/orders/2 HTTP/1.1\r\nAuthorization: Bearer key-a\r\n"
+    address = ("127.0.0.1", instance.entry.port)
+    with (
+        ThreadPoolExecutor(1) as pool,
+        socket.create_connection(address, timeout=WAIT_S) as partial,
+        socket.create_connection(address, timeout=WAIT_S) as queued,
+    ):
+        partial.sendall(head + b"Content-Length: 5\r\n\r\nfour")
+        wait_for(instance.n_open)
+        running = pool.submit(read_problem, world, "stuck")
+        wait_for(lambda: instance.n_open() >= 2)
+        queued.sendall(head + b"Content-Length: 4\r\n\r\nfour")
+        wait_for(lambda: instance.n_open() >= 3)
+        assert instance.stop() == 3
+        release.set()
+        status, document = running.result()
+        assert (status, document["code"]) == (504, "instance-stopped")
+        assert document["not_run"] == "unknown"
+        for caller in (partial, queued):
+            assert caller.makefile("rb").readline() == (
+                b"HTTP/1.1 503 Service Unavailable\r\n"
+            )
--- a/tests/compose/test_shutdown_order.py
+++ b/tests/compose/test_shutdown_order.py
@@ -27,6 +27,9 @@
     def close_idle(self):
         self._notes.append("close idle")
 
+    def answer_open(self, respond):
+        self._notes.append("answer open")
+
     def stop(self):
         self._notes.append(f"stop {self._name}")
 
@@ -80,6 +83,7 @@
         "drain",
         "stop accepting",
         "close idle",
+        *(["answer open"] if n_cut else []),
         "stop loop",
         "stop timer",
         "close 2",
