Test refusals of the HTTP servers, and keep room for them

Cause: a refusal for lack of room was written while what it refused was still charged, so that it could be chosen itself to make room.

Change: what is refused is released before, and up to 4,096 bytes are sent without making room. Tests at a real server for each limit, for refusals that must be read, and a seeded one for fragments, chunks, fields and pipelining; one at both ports for heads that decide the response.

--- a/buckthornrock/httpd/connection.py
+++ b/buckthornrock/httpd/connection.py
@@ -25,6 +25,11 @@
 _CONTINUE = re.compile(rb"(?im)^expect:[ \t]*100-continue[ \t]*\r$")
 
 
+#: What is smaller is sent without making room for it, so that a refusal can always be
+#: written.
+SMALL_BYTES = 4_096
+
+
 class NextStep(Enum):
     """What happens to a connection after a worker thread has handled it.
 
@@ -119,7 +124,8 @@
         deadline_at_s = time.monotonic() + limits.send_timeout_ms / 1000.0
         left = memoryview(data)
         self._connection.hold(len(data), Phase.SENDING)
-        limits.make_room(self._connection.holder)
+        if len(data) > SMALL_BYTES:
+            limits.make_room(self._connection.holder)
         try:
             while left:
                 left = left[sock.send(left) :]
@@ -198,7 +204,13 @@
         """Account for a decoded body; return False if there is no room for it."""
         self._n_body_bytes += n_bytes
         self.hold(0, Phase.SERVED)
-        return self.limits.make_room(self.holder)
+        if self.limits.make_room(self.holder):
+            return True
+        # The refusal must not be chosen to make room for this body.
+        self._n_body_bytes = 0
+        self.hold(0, Phase.SERVED)
+        self.limits.on_limit(Limit.HELD_BYTES)
+        return False
 
     def drop_request(self) -> None:
         """Free what was received."""
@@ -244,6 +256,7 @@
         self.hold(0, Phase.SERVED)
         request = Request(self.server, self)
         if not self.limits.make_room(self.holder):
+            self.head_cost_bytes = 0
             self.limits.on_limit(Limit.HELD_BYTES)
             request.simple_response("503 Service Unavailable")
             return None
--- a/tests/entry/test_bad_callers.py
+++ b/tests/entry/test_bad_callers.py
@@ -132,3 +132,31 @@
         for response in (plain, overridden)
     ]
     assert texts[0] == texts[1]
+
+
+OPERATOR = b"Authorization: Bearer demo-operator-key\r\n"
+#: Port, request line and fields, status of the refusal.
+REFUSED_HEADS = [
+    ("entry", b"POST /nowhere HTTP/1.1\r\n" + KEY, b"404"),
+    ("entry", b"POST /readyz HTTP/1.1\r\n" + KEY, b"404"),
+    ("entry", b"PUT /v1/completions HTTP/1.1\r\n" + KEY, b"405"),
+    ("entry", b"POST /v1/completions HTTP/1.1\r\n", b"401"),
+    ("entry", b"POST /services/orders/1 HTTP/1.1\r\n", b"401"),
+    ("operator", b"GET /healthz HTTP/1.1\r\n", b"200"),
+    ("operator", b"GET /readyz HTTP/1.1\r\n" + OPERATOR, b"200"),
+    ("operator", b"PUT /v1/profiles/default HTTP/1.1\r\n", b"401"),
+    ("operator", b"PUT /nowhere HTTP/1.1\r\n" + OPERATOR, b"404"),
+]
+
+
+@pytest.mark.parametrize(("port", "head", "status"), REFUSED_HEADS)
+def test_head_that_decides_the_response_does_not_wait_for_a_body(
+    world, port, head, status
+):
+    """Such a body, never sent, held a thread until its read timed out."""
+    url = world.entry_url if port == "entry" else world.operator_url
+    host, number = url.removeprefix("http://").split(":")
+    # Shorter than the read timeout, after which the response came before.
+    with socket.create_connection((host, int(number)), timeout=8.0) as caller:
+        caller.sendall(head + b"Host: x\r\nContent-Length: 500000\r\n\r\n")
+        assert caller.recv(65_536)[9:12] == status
--- /dev/null
+++ b/tests/httpd/test_client_limits.py
@@ -0,0 +1,239 @@
+"""What a server refuses at its limits, and that the refusals are true and are read."""
+
+import socket
+import time
+from contextlib import contextmanager
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from buckthornrock.httpd import Limit, ServerLimits, start_server
+
+WAIT_S = 20.0
+HEAD = b"POST /%b HTTP/1.1\r\nHost: x\r\n"
+LARGE_BYTES = 4_000_000
+
+
+class Served:
+    """A server that notes its calls, and answers with what it has read."""
+
+    def __init__(self, **limits):
+        self.paths = []
+        self.limits = []
+        self.server = start_server(
+            "127.0.0.1",
+            0,
+            self._handle,
+            4,
+            ServerLimits(**limits),
+            lambda head: head.path != "/refused",
+            self.limits.append,
+        )
+        self.port = self.server.port
+
+    def _handle(self, exchange):
+        self.paths.append(exchange.path)
+        if exchange.path == "/refused":
+            exchange.respond(404, b"")
+            return
+        if exchange.path == "/large":
+            exchange.respond(200, b"x" * LARGE_BYTES)
+            return
+        body = exchange.read_body(is_decoded=exchange.path == "/decoded")
+        if body.is_error():
+            status = getattr(body.error, "status", 503)
+            exchange.respond(status, body.error.code.encode())
+            return
+        exchange.respond(200, body.ok)
+
+    @contextmanager
+    def connect(self):
+        with socket.create_connection(("127.0.0.1", self.port), WAIT_S) as caller:
+            yield caller
+
+    def wait_for(self, condition):
+        give_up_at_s = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < give_up_at_s
+            time.sleep(0.01)
+
+
+@pytest.fixture
+def serve():
+    started = []
+
+    def serve(**limits):
+        started.append(Served(**limits))
+        return started[-1]
+
+    yield serve
+    for served in started:
+        served.server.stop()
+
+
+@pytest.fixture(scope="module")
+def plain():
+    served = Served()
+    yield served
+    served.server.stop()
+
+
+def with_length(path, n_bytes, body=b""):
+    return HEAD % path + b"Content-Length: %d\r\n\r\n" % n_bytes + body
+
+
+def read_status(caller):
+    return caller.makefile("rb").readline().split(b" ")[1]
+
+
+def test_request_that_is_refused_for_its_head_does_not_wait_for_its_body(serve):
+    """The thread once waited for the body that it then dropped."""
+    served = serve(read_timeout_ms=60_000)
+    with served.connect() as caller:
+        caller.sendall(with_length(b"refused", 1_000_000, b"x" * 10))
+        assert read_status(caller) == b"404"
+
+
+def test_refusal_is_read_by_a_client_that_sends_on(serve):
+    """Closing with unread data would make the kernel discard the response."""
+    served = serve(max_body_bytes=1_000)
+    with served.connect() as caller:
+        caller.sendall(with_length(b"x", 3_000_000, b"x" * 1_000_000))
+        assert read_status(caller) == b"413"
+    assert served.limits == [Limit.BODY_BYTES]
+
+
+def test_body_that_stops_gets_408_and_is_not_run(serve):
+    served = serve(read_timeout_ms=300)
+    with served.connect() as caller:
+        caller.sendall(with_length(b"x", 10, b"four"))
+        assert read_status(caller) == b"408"
+    assert served.limits == [Limit.BODY_TIMEOUT]
+
+
+def test_body_that_drips_gets_408(serve):
+    """Each part once gave the client another read timeout."""
+    served = serve(read_timeout_ms=5_000, body_timeout_ms=500)
+    with served.connect() as caller:
+        caller.sendall(with_length(b"x", 1_000))
+        for _ in range(8):
+            caller.sendall(b"x")
+            time.sleep(0.1)
+        assert read_status(caller) == b"408"
+
+
+def test_client_that_expects_it_is_told_to_continue_once(plain):
+    with plain.connect() as caller:
+        caller.sendall(
+            HEAD % b"x" + b"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+        )
+        reader = caller.makefile("rb")
+        assert reader.readline() == b"HTTP/1.1 100 Continue\r\n"
+        assert reader.readline() == b"\r\n"
+        caller.sendall(b"four")
+        assert reader.readline() == b"HTTP/1.1 200 OK\r\n"
+
+
+def test_held_bytes_are_taken_from_the_client_that_holds_most(serve):
+    served = serve(max_held_bytes=1_000_000)
+    with served.connect() as large, served.connect() as small:
+        large.sendall(with_length(b"large-body", 2_000_000, b"x" * 700_000))
+        served.wait_for(lambda: served.server.n_held_bytes() > 700_000)
+        small.sendall(with_length(b"small-body", 300_000, b"x" * 299_999))
+        assert read_status(large) == b"503"
+        small.sendall(b"x")
+        assert read_status(small) == b"200"
+    assert served.paths == ["/small-body"]
+    assert served.limits == [Limit.HELD_BYTES]
+
+
+def test_body_that_would_take_too_much_decoded_gets_503(serve):
+    served = serve(max_held_bytes=1_000_000)
+    with served.connect() as caller:
+        body = b"[" + b"[]," * 20_000 + b"[]]"
+        caller.sendall(with_length(b"decoded", len(body), body))
+        assert read_status(caller) == b"503"
+    with served.connect() as caller:
+        caller.sendall(with_length(b"decoded", 2, b"{}"))
+        assert read_status(caller) == b"200"
+
+
+def test_connections_above_the_limit_close_idle_ones(serve):
+    served = serve(max_connections=3)
+    with served.connect() as idle, served.connect() as busy:
+        busy.sendall(with_length(b"x", 4, b"fou"))
+        served.wait_for(lambda: served.server.n_busy() == 1)
+        for _ in range(3):
+            with served.connect() as caller:
+                caller.sendall(with_length(b"x", 2, b"{}"))
+                assert read_status(caller) == b"200"
+        assert idle.recv(1) == b""
+    assert Limit.CONNECTIONS in served.limits
+
+
+def test_unread_responses_that_hold_all_threads_are_cut(serve):
+    """Four clients that don't read once held all four threads for a read timeout."""
+    served = serve(read_timeout_ms=60_000, send_timeout_ms=60_000)
+    unread = [socket.socket() for _ in range(4)]
+    try:
+        for caller in unread:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            caller.connect(("127.0.0.1", served.port))
+            caller.sendall(with_length(b"large", 0))
+        served.wait_for(lambda: served.paths.count("/large") == 4)
+        with served.connect() as ordinary:
+            ordinary.sendall(with_length(b"x", 2, b"{}"))
+            assert read_status(ordinary) == b"200"
+    finally:
+        for caller in unread:
+            caller.close()
+    assert Limit.THREADS in served.limits
+
+
+def test_response_that_is_not_taken_in_time_is_cut(serve):
+    served = serve(read_timeout_ms=300)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.connect(("127.0.0.1", served.port))
+        caller.sendall(with_length(b"large", 0))
+        served.wait_for(lambda: Limit.SEND_TIMEOUT in served.limits)
+
+
+@st.composite
+def requests(draw):
+    """Return bodies and the pipelined requests that carry them."""
+    bodies = draw(st.lists(st.binary(max_size=5_000), min_size=1, max_size=5))
+    raw = b""
+    for body in bodies:
+        fields = b"".join(b"X-%d: v\r\n" % n for n in range(draw(st.integers(0, 300))))
+        if draw(st.booleans()):
+            raw += HEAD % b"x" + fields
+            raw += b"Content-Length: %d\r\n\r\n" % len(body) + body
+            continue
+        size = draw(st.integers(1, 700))
+        parts = [body[n : n + size] for n in range(0, len(body), size)]
+        raw += HEAD % b"x" + fields + b"Transfer-Encoding: chunked\r\n\r\n"
+        raw += b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
+    return bodies, raw
+
+
+@settings(max_examples=60)
+@given(requests(), st.lists(st.integers(0, 50_000), max_size=8))
+def test_pipelined_requests_in_any_fragments_are_answered_in_order(
+    plain, pipelined, cuts
+):
+    bodies, raw = pipelined
+    edges = sorted({0, len(raw), *(cut % (len(raw) + 1) for cut in cuts)})
+    with plain.connect() as caller:
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for begin, end in zip(edges, edges[1:], strict=False):
+            caller.sendall(raw[begin:end])
+        reader = caller.makefile("rb")
+        for body in bodies:
+            assert reader.readline() == b"HTTP/1.1 200 OK\r\n"
+            length = 0
+            while (line := reader.readline()) != b"\r\n":
+                if line.lower().startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+            assert reader.read(length) == body
