--- a/buckthornrock/httpd/exchange.py
+++ b/buckthornrock/httpd/exchange.py
@@ -1,13 +1,18 @@
 """The exchange of one request and its response."""
 
 import io
+import select
 import socket
+import threading
+from contextlib import suppress
 from typing import NamedTuple
 
-import cheroot.errors
 import msgspec
 from cheroot.server import HTTPRequest
-from expression import Error, Ok, Result
+from expression import Error, Result
+
+from .bodies import BodyProblem
+from .budget import decoded_cost_bytes
 
 _REASONS = {
     200: "OK",
@@ -32,13 +37,12 @@
 }
 
 
-class BodyProblem(NamedTuple):
-    """The request body could not be read."""
+class Overloaded(NamedTuple):
+    """The clients' requests hold more memory than the settings allow."""
 
-    reason: str
-    status: int
+    retry_after_ms: int = 1_000
 
-    code = "bad-body"
+    code = "overloaded"
 
 
 class Exchange:
@@ -54,6 +58,8 @@
         Names are in lower case.
     is_started : bool
         Whether a response head was sent.
+    request_id : str
+        Set by the handler, for a response that another thread sends in its place.
     """
 
     def __init__(self, request: HTTPRequest) -> None:
@@ -67,27 +73,34 @@
             for name, value in request.inheaders.items()
         }
         self.is_started = False
+        self.request_id = ""
+        self._lock = threading.Lock()
+        self._is_responding = False
+        self._is_taken_over = False
 
     @property
     def socket(self) -> socket.socket:
         """The caller's socket, for polling and for writing a streamed body."""
         return self._request.conn.socket
 
-    def read_body(self) -> Result[bytes, BodyProblem]:
-        """Return the whole request body."""
-        try:
-            body = self._request.rfile.read()
-            if len(body) < int(self.headers.get("content-length", 0)):
-                # cheroot returns what it has read, without an error, if the
-                # connection ends early.
-                raise ValueError("the body is shorter than Content-Length")
-            return Ok(body)
-        except cheroot.errors.MaxSizeExceeded:
-            self.close_after_response()
-            return Error(BodyProblem("the body is too large", 413))
-        except (ValueError, OSError):
-            self.close_after_response()
-            return Error(BodyProblem("the body ended early or is malformed", 400))
+    def read_body(
+        self, is_decoded: bool = False
+    ) -> Result[bytes, BodyProblem | Overloaded]:
+        """Return the whole request body.
+
+        Parameters
+        ----------
+        is_decoded : bool
+            Whether the caller decodes the body as JSON, which takes a multiple of its
+            size.
+        """
+        connection = self._request.conn
+        body = connection.read_body()
+        if body.is_error() or not is_decoded:
+            return body
+        if connection.hold_decoded(decoded_cost_bytes(body.ok)):
+            return body
+        return Error(Overloaded())
 
     def respond(
         self, status: int, body: bytes, headers: dict[str, str] | None = None
@@ -134,14 +147,40 @@
         return part
 
     def send_part(self, part: bytes) -> None:
-        """Send a part of a streamed body directly to the socket.
+        """Send a part of a streamed body.
 
         Raises
         ------
-        OSError
-            If the caller has closed the connection.
+        ConnectionError
+            If the caller has closed the connection, or doesn't read in time.
         """
-        self.socket.sendall(self.frame_part(part))
+        self._request.conn.wfile.write(self.frame_part(part))
+
+    def take_over(self, status: int, body: bytes, headers: dict[str, str]) -> bool:
+        """Respond in place of the handler's thread, and end the connection.
+
+        Return False if the handler has begun to respond. If it begins later, its first
+        attempt raises ``ConnectionError``. This never blocks.
+        """
+        with self._lock:
+            if self._is_responding:
+                return False
+            self._is_taken_over = True
+            # Nothing else may be sent on this connection.
+            self._request.sent_headers = True
+        fields = {
+            **headers,
+            "Content-Length": str(len(body)),
+            "Connection": "close",
+        }
+        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Status')}"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        with suppress(OSError):
+            if _is_writable(self.socket):
+                self.socket.send(head + body)
+            self.socket.shutdown(socket.SHUT_WR)
+        return True
 
     def abort(self) -> None:
         """Close the connection without the last chunk, so that truncation shows."""
@@ -153,6 +192,10 @@
         self._request.close_connection = True
 
     def _set_head(self, status: int, headers: dict[str, str]) -> None:
+        with self._lock:
+            if self._is_taken_over:
+                raise ConnectionAbortedError("another thread has responded")
+            self._is_responding = True
         reason = _REASONS.get(status, "Status")
         self._request.status = f"{status} {reason}".encode()
         pairs = headers.items() if isinstance(headers, dict) else headers
@@ -164,3 +207,9 @@
         self.is_started = True
         self._request.sent_headers = True
         self._request.send_headers()
+
+
+def _is_writable(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    return bool(poll.poll(0))
