Add the fault soak's thin path: processes, stand-ins, proxy, checks

Cause: section 4 of docs/design/load-and-limits.md; faults that overlap had no test that runs the real processes. Ruled out: refusing connections by accepting and resetting them. The router must take that as an attempt that may have run, unlike a closed port.

--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real processes; see docs/design/soak.md."""
--- /dev/null
+++ b/tests/soak/test_short_run.py
@@ -0,0 +1,29 @@
+"""A short seeded run of the whole soak against the program of deploy/system.toml.
+
+It guards against a soak that no longer runs, and against faults of the product that
+already show in the calm and under one fault of each group.
+"""
+
+import pytest
+
+from benchmarks.soak import checks, run
+from benchmarks.soak.record import Answered, Disturbed
+from benchmarks.soak.schedule import Fault
+
+FAULTS = [
+    Fault("kill.1", "kill", 1.0, 0.5, 0),
+    Fault("link-reset.2", "link-reset", 1.2, 0.3, 1),
+    Fault("store-silence.3", "store-silence", 1.5, 0.3, 1),
+    Fault("isolate.4", "isolate", 2.0, 0.3),
+]
+
+
+def test_a_short_run_shows_no_violation():
+    played = run.play(run.Options("ci", FAULTS, duration_s=10.0))
+    verdict = checks.judge(played.record, played.void_reason)
+    if verdict.outcome == "void":
+        pytest.xfail(f"nothing can be judged: {verdict.void_reason}")
+    assert verdict.violations == []
+    n_served = sum(a.status == 200 for a in played.record.all_of(Answered))
+    assert n_served > 100
+    assert len(played.record.all_of(Disturbed)) == len(FAULTS)
