Add kept cases, shortening and quiet leaving to the fault soak

Upstreams may leave with an entry that says draining, or while no client sends. The first cases are the review's. Ruled out: two engines; the crash bound needs five crashes within seconds.

--- /dev/null
+++ b/benchmarks/soak/cases.py
@@ -0,0 +1,41 @@
+"""Schedules that showed a fault once; each has a line on its cause.
+
+The first four are the cases of the review, with the soak's own clients.
+"""
+
+from typing import NamedTuple
+
+from .schedule import Fault
+
+
+class Case(NamedTuple):
+    """A schedule that is kept; ``seed`` names the clients' randomness."""
+
+    cause: str
+    faults: list[Fault]
+    seed: str = "1"
+
+
+CASES = {
+    "review-1": Case(
+        "an event of a response counted as proof that its prompt's parts are sound",
+        [Fault("crash-part.1", "crash-part", 5.0, 16.0, 0, "after-event")],
+    ),
+    "review-2": Case(
+        "crashes within 100 ms of each other counted as one, whatever engines ran",
+        [Fault("crash-part.1", "crash-part", 5.0, 13.0, 0, "batch")],
+    ),
+    "review-3": Case(
+        "the cache salt of shared accounts stayed when one of them became isolated",
+        [Fault("isolate.1", "isolate", 4.0, 0.3)],
+    ),
+    "review-4": Case(
+        "one failed call counted as an outage, so that a removed entry lasted longer",
+        [
+            Fault("store-silence.1", "store-silence", 5.0, 0.3, 0),
+            Fault("store-silence.2", "store-silence", 5.0, 0.3, 1),
+            Fault("store-silence.3", "store-silence", 5.0, 0.3, 2),
+            Fault("leave.4", "leave", 5.72, 2.4, 0, "quiet"),
+        ],
+    ),
+}
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -136,6 +136,7 @@
     record: Record,
     make: Callable[[int, random.Random], Call],
     is_over: asyncio.Event,
+    is_quiet: Callable[[], bool],
     seed: str,
     pause_s: float = PAUSE_S,
 ) -> None:
@@ -145,6 +146,8 @@
     connection, position = None, first
     while not is_over.is_set():
         await asyncio.sleep(rng.uniform(0.5, 1.5) * pause_s)
+        if is_quiet():
+            continue
         instance = instances[position % len(instances)]
         try:
             connection = connection or await connect(instance.addresses.front)
--- a/benchmarks/soak/upstreams.py
+++ b/benchmarks/soak/upstreams.py
@@ -63,6 +63,7 @@
         self.on_crash = lambda: None
         self.is_gone = False
         self.says_leaving = False
+        self._born_ms = int(time.time() * 1000)
         self._shared = shared
         self._rng = random.Random(upstream_id)
         self._writers: set = set()
@@ -76,15 +77,21 @@
         self._shared.caches[self.proxy.address] = self._cache
         self._shared.store.write_json(f"servers/{self.upstream_id}", self._entry())
 
-    def leave(self) -> None:
-        """Remove the entry and go on serving, as an upstream that is replaced does."""
+    def leave(self, is_draining: bool) -> None:
+        """Go on serving, with an entry that says ``draining`` or without one."""
         self.says_leaving = True
-        self._shared.store.delete(f"servers/{self.upstream_id}")
+        key = f"servers/{self.upstream_id}"
+        if is_draining:
+            self._shared.store.write_json(key, self._entry() | {"state": "draining"})
+        else:
+            self._shared.store.delete(key)
         self._shared.record.note(Left(time.monotonic(), self.upstream_id))
 
     def close(self) -> None:
         """End as a process does: the listener and all connections are closed."""
         self.is_gone = True
+        if self.says_leaving:
+            self._shared.store.delete(f"servers/{self.upstream_id}")
         self._server.close()
         self.proxy.refuse()
         for writer in list(self._writers):
@@ -108,7 +115,7 @@
             "slots": 32,
             "state": "ready",
             "sequence": 1,
-            "born": int(time.time() * 1000),
+            "born": self._born_ms,
         }
         if not self.model:
             return entry
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -38,8 +38,11 @@
 class World:
     """Everything that runs beside the clients."""
 
-    def __init__(self, folder: Path, record: Record, has_quota: bool) -> None:
+    def __init__(
+        self, folder: Path, record: Record, product: Path, has_quota: bool
+    ) -> None:
         self.record = record
+        self.is_quiet = False
         self.store = SoakStore()
         self.shared = Shared(self.store, record, {})
         self.slots = [
@@ -55,6 +58,7 @@
         self.state = deployment.State(limits=limits)
         self.crash_mode = CRASH_BEFORE_EVENT
         self._folder, self._has_quota = folder, has_quota
+        self._product = product
         self._network = network()
         self._tasks: set[asyncio.Task] = set()
 
@@ -77,7 +81,9 @@
             await link.start(store_ip)
             self.store_links.append(link)
             own = deployment.addresses(ip, PORT)
-            instance = Instance(f"edge-{n}", own, self._folder, self.record)
+            instance = Instance(
+                f"edge-{n}", own, self._folder, self.record, self._product
+            )
             instance.settings_path.write_text(
                 deployment.settings_text(
                     instance.name, own, ips, link.address, self._has_quota
