Let the soak's faults meet requests that run

Change: services work for 80 ms, engines pause 30 ms between events, and resets go on for the fault's length.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -22,6 +22,7 @@
 BATCH, BATCH_PAUSE_S = 6, 0.01
 ROLL_PAUSE_S = 0.5
 BATCHES_APART_S = 3.0
+RESETS_APART_S = 0.15
 #: Clients send nothing from before a quiet leaving until after the drain time.
 QUIET_BEFORE_S, QUIET_AFTER_S = 0.3, 2.1
 #: Limit of the account with a quota after the fault "limit".
@@ -108,7 +109,10 @@
 
 async def _reset(world: World, fault: Fault, _) -> str:
     proxy, target = _link(world, fault)
-    proxy.reset()
+    until_s = time.monotonic() + fault.length_s
+    while time.monotonic() < until_s:
+        proxy.reset()
+        await asyncio.sleep(RESETS_APART_S)
     return target
 
 
--- a/benchmarks/soak/upstreams.py
+++ b/benchmarks/soak/upstreams.py
@@ -22,8 +22,9 @@
 
 PREFIX = "x-buckthornrock-"
 CRASHING_PART = "0badbad0"
-WORK_S = 0.01
-EVENT_PAUSE_S = 0.015
+#: Long enough that each fault of a connection meets requests that run.
+WORK_S = 0.08
+EVENT_PAUSE_S = 0.03
 #: A late response comes within this time; routes' time limits lie inside it.
 MAX_LATE_S = 6.0
 LAPSES_AFTER_S = 3.6
