--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -19,6 +19,8 @@
 #: Some 90 requests a second in all, so that the tool needs a third of a core.
 PAUSE_S = 0.25
 RECONNECT_PAUSE_S = 0.1
+#: Share of requests whose client leaves within this time.
+LEAVING_SHARE, LEAVES_WITHIN_S = 0.03, 0.1
 SHARED_PARTS = {"note": ("5c1e07a2", 92), "long": ("71aa0031", 13_300)}
 #: (route, account) of one client at each instance.
 CLIENTS = (
@@ -43,6 +45,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     n_response_tokens: int = 15
     body: bytes = b""
+    patience_s: float = RESPONSE_LIMIT_S
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers of the request."""
@@ -89,7 +92,10 @@
         crashing = ((bad, 50),) if bad else ()
         parts = (SHARED_PARTS[route], *crashing, own)
     body = rng.randbytes(rng.randrange(1, 2_000))
-    return Call(request_id, route, account, key, parts, body=body)
+    call = Call(request_id, route, account, key, parts, body=body)
+    if rng.random() < LEAVING_SHARE:
+        return call._replace(patience_s=rng.uniform(0.0, LEAVES_WITHIN_S))
+    return call
 
 
 async def send(
@@ -98,9 +104,9 @@
     """Send a request and note what becomes of it."""
     record.note(call.sent(time.monotonic(), instance))
     status, body, echoed_id, stamp, error = 0, bytearray(), "", "", ""
-    is_whole = False
+    is_whole = has_left = False
     try:
-        async with asyncio.timeout(RESPONSE_LIMIT_S):
+        async with asyncio.timeout(call.patience_s):
             head = h11.Request(
                 method="POST", target=f"/{call.route}/x", headers=call.headers()
             )
@@ -116,6 +122,8 @@
             is_whole = isinstance(event, h11.EndOfMessage)
     except (OSError, TimeoutError, h11.ProtocolError) as failure:
         error = f"{type(failure).__name__}: {failure}"
+        has_left = isinstance(failure, TimeoutError)
+        has_left &= call.patience_s < RESPONSE_LIMIT_S
     answered = Answered(
         time.monotonic(),
         call.request_id,
@@ -125,6 +133,7 @@
         echoed_id,
         stamp,
         error,
+        has_left,
     )
     record.note(answered)
     return answered
--- a/benchmarks/soak/record.py
+++ b/benchmarks/soak/record.py
@@ -35,6 +35,8 @@
     echoed_id: str = ""
     stamp: str = ""
     error: str = ""
+    #: Whether the client left before the end.
+    has_left: bool = False
 
 
 class Arrived(NamedTuple):
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -65,14 +65,15 @@
     try:
         if not await world.start():
             return Played(record, folder, "an instance was not ready in time")
-        await _play_faults(world, options)
+        void_reason = await _play_faults(world, options)
     finally:
         lag.cancel()
         world.stop()
-    return Played(record, folder)
+    return Played(record, folder, void_reason)
 
 
-async def _play_faults(world: World, options: Options) -> None:
+async def _play_faults(world: World, options: Options) -> str:
+    """Play the faults beside the clients; return why the run is void, if it is."""
     is_over = asyncio.Event()
     started = [
         asyncio.create_task(work) for work in _client_runs(world, options, is_over)
@@ -82,6 +83,7 @@
         asyncio.create_task(_apply_at(world, fault, start_s, options.seed))
         for fault in options.faults
     ]
+    late: set[asyncio.Task] = set()
     if applied:
         done, late = await asyncio.wait(applied, timeout=FAULTS_LIMIT_S)
         for task in late:
@@ -97,6 +99,7 @@
         if task.done():
             task.result()
         task.cancel()
+    return "a fault did not end in time" if late else ""
 
 
 async def _apply_at(world: World, fault: Fault, start_s: float, seed: str) -> None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -84,6 +84,7 @@
     ("not-run", [sent(), answered(status=429), ran(at_s=25.0)], {"a"}),
     ("not-run", [sent(), answered(status=408), ran()], {"a"}),
     ("not-run", [sent(), answered(status=421), ran()], {"a"}),
+    ("not-run", [sent(), answered(status=503, is_whole=False), ran()], {"a"}),
     ("whole-and-own", [sent(), answered(body=BODY[:-1])], {"a"}),
     ("whole-and-own", [sent(), answered(echoed_id="b")], {"a"}),
     ("whole-and-own", [sent(), answered(stamp="")], {"a"}),
@@ -166,6 +167,7 @@
     ),
     ("resources", [Sampled(20.3, "edge-0", 299.0, 3_000)]),
     ("answered-in-calm", [sent(), answered(status=502), PAUSED]),
+    ("answered-in-calm", [sent(), answered(status=0, is_whole=False, has_left=True)]),
     ("answered-in-calm", [sent(), answered(), Disturbed(9.0, 10.0, "all", "roll.1")]),
 ]
 
