--- a/benchmarks/soak/cases.py
+++ b/benchmarks/soak/cases.py
@@ -1,6 +1,6 @@
 """Schedules that showed a fault once; each has a line on its cause.
 
-The first four are the cases of the review, with the soak's own clients.
+Those of the review are played with the soak's own clients.
 """
 
 from typing import NamedTuple
@@ -40,4 +40,12 @@
             Fault("leave.5", "leave", 6.02, 2.6, 0, "quiet"),
         ],
     ),
+    "seed-43": Case(
+        "the tool's: a wait for a process's end went on to its successor and killed it",
+        [
+            Fault("roll.3", "roll", 3.1, 0.96),
+            Fault("kill.4", "kill", 3.15, 0.51, 0),
+        ],
+        "43",
+    ),
 }
--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -34,7 +34,7 @@
         self.addresses = own
         self.settings_path = folder / f"{name}.toml"
         self.log_path = folder / f"{name}.log"
-        self._record = record
+        self.record = record
         self._process: subprocess.Popen | None = None
         self._is_end_expected = False
         #: None until the first sample; how long a start takes is judged by no check.
@@ -52,7 +52,7 @@
             )
         self._is_end_expected = False
         self._starved_ns = None
-        self._record.note(Started(time.monotonic(), self.name))
+        self.record.note(Started(time.monotonic(), self.name))
 
     def is_running(self) -> bool:
         """Return whether the process runs."""
@@ -67,15 +67,19 @@
         self._process.send_signal(number)
 
     async def wait_ended(self) -> None:
-        """Wait until the process is gone; kill it if that takes too long."""
+        """Wait until the process is gone; kill it if that takes too long.
+
+        Another fault may have started the next process by then.
+        """
+        process = self._process
         until_s = time.monotonic() + EXIT_LIMIT_S
-        while self.is_running() and time.monotonic() < until_s:
+        while process.poll() is None and time.monotonic() < until_s:
             await asyncio.sleep(0.02)
-        if self.is_running():
+        if process.poll() is None:
             # A process that hangs at its end is found by the check of endings.
-            self._record.note(Ended(time.monotonic(), self.name, -signal.SIGKILL))
-            self.send(signal.SIGKILL)
-            self._process.wait()
+            self.record.note(Ended(time.monotonic(), self.name, -signal.SIGKILL))
+            process.kill()
+            process.wait()
 
     async def is_ready(self) -> bool:
         """Ask as the platform does whether the instance is ready."""
@@ -107,11 +111,11 @@
             await asyncio.sleep(SAMPLE_PERIOD_S)
             if self.is_running():
                 with contextlib.suppress(OSError, ValueError, StopIteration):
-                    self._record.note(self._sample())
+                    self.record.note(self._sample())
             elif not self._is_end_expected and noted is not self._process:
                 noted = self._process
                 code = self._process.returncode
-                self._record.note(Ended(time.monotonic(), self.name, code))
+                self.record.note(Ended(time.monotonic(), self.name, code))
 
     def _sample(self) -> Sampled:
         folder = Path(f"/proc/{self._process.pid}")
