Bound prefill factors of engines with negative reported times

A peer's digest that gave an engine an expected time of -500 ms made the factor's denominator zero, so that every choice of an engine raised for as long as the digest was in use.

--- a/buckthornrock/scheduling/prefill_speed.py
+++ b/buckthornrock/scheduling/prefill_speed.py
@@ -86,7 +86,8 @@
 
 def _factor(times: PrefillTimes, mean: float) -> float:
     observed_ms = times.observed_ms / mean + PRIOR_EXPECTED_MS
-    return observed_ms / (times.expected_ms + PRIOR_EXPECTED_MS)
+    # Peers may report negative sums, which could cancel the prior.
+    return observed_ms / (max(0.0, times.expected_ms) + PRIOR_EXPECTED_MS)
 
 
 def _bounded(factor: float) -> float:
--- a/tests/scheduling/test_prefill_speed.py
+++ b/tests/scheduling/test_prefill_speed.py
@@ -10,6 +10,7 @@
     HALF_LIFE_MS,
     MAX_FACTOR,
     MIN_EXPECTED_MS,
+    PRIOR_EXPECTED_MS,
     PrefillTimes,
     RecentTimes,
     prefill_factors,
@@ -48,7 +49,15 @@
     assert {key for key, factor in factors.items() if factor < 1.0} == fast
 
 
-@pytest.mark.parametrize("odd", [times(1e18, 1e6), PrefillTimes(-1e9, 5e9)])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        times(1e18, 1e6),
+        PrefillTimes(-1e9, 5e9),
+        # Cancels the prior: dividing by the sum made every choice of an engine raise.
+        PrefillTimes(-PRIOR_EXPECTED_MS, 0.0),
+    ],
+)
 def test_factors_are_bounded_whatever_peers_report(odd):
     factors = prefill_factors({"a": times(9e3, 1.0), "b": odd})
     assert all(1.0 / MAX_FACTOR <= factor <= MAX_FACTOR for factor in factors.values())
