--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -200,6 +200,8 @@
         copied._peers = dict(self._peers)
         copied._peer_totals = self._peer_totals
         copied._peer_totals_valid_until_ms = self._peer_totals_valid_until_ms
+        copied._factors = self._factors
+        copied._factors_valid_until_ms = self._factors_valid_until_ms
         return copied
 
     def on_digest(
--- a/tests/scheduling/test_prefill_speed.py
+++ b/tests/scheduling/test_prefill_speed.py
@@ -5,7 +5,7 @@
 import pytest
 
 from buckthornrock.scheduling.choice import choose
-from buckthornrock.scheduling.loads import FleetLoads, Work
+from buckthornrock.scheduling.loads import FACTORS_LIFETIME_MS, FleetLoads, Work
 from buckthornrock.scheduling.prefill_speed import (
     HALF_LIFE_MS,
     MAX_FACTOR,
@@ -104,3 +104,18 @@
         loads.of(upstream.incarnation)
     assert loads.prefill_factor(ENGINES[0].incarnation, 0.0) > 1.0
     assert loads.prefill_factor(ENGINES[1].incarnation, 0.0) == 1.0
+
+
+def test_snapshot_uses_the_factors_in_use():
+    """Guards against a preview by newer factors than the next decision's."""
+    loads = FleetLoads()
+    for upstream in ENGINES:
+        loads.of(upstream.incarnation).times.add(9_000.0, 9_000.0, 0.0)
+    slow = ENGINES[0].incarnation
+    assert loads.prefill_factor(slow, 0.0) == 1.0
+    loads.of(slow).times.add(20_000.0, 60_000.0, 10.0)
+    later_ms = FACTORS_LIFETIME_MS + 1.0
+    for now_ms, is_slow in ((20.0, False), (later_ms, True)):
+        expected = loads.snapshot().prefill_factor(slow, now_ms)
+        assert loads.prefill_factor(slow, now_ms) == expected
+        assert (expected > 1.0) == is_slow
