Keep held levels of quotas when the configuration changes

A change while other instances were silent dropped the part of each level that was held for them, and the count of recent own charges that a later division of the level needs.

--- a/buckthornrock/admission/fleet_quota.py
+++ b/buckthornrock/admission/fleet_quota.py
@@ -222,9 +222,12 @@
         self._count_spent(cost, now_ms, recent_ms)
         self.level = max(self._lowest, self.level - cost)
 
-    def start_from(self, level: float) -> None:
-        """Take over the level that the bucket had under another limit."""
-        self.level = max(self._lowest, level)
+    def continue_from(self, known: "_Bucket") -> None:
+        """Take over the state that the bucket had under another limit."""
+        self.level = max(self._lowest, known.level)
+        self.held = known.held
+        self._spent, self._spent_before = known._spent, known._spent_before
+        self._n_periods = known._n_periods
 
     def hold(self, ratio: float, now_ms: float, recent_ms: float) -> None:
         """Keep only a part of the level, as other instances may spend the rest.
@@ -360,7 +363,7 @@
             known = before.get(number)
             if known and known.limit.counts_tokens == limit.counts_tokens:
                 known.refill(self._earned_ms, self.coverage.recent_share)
-                bucket.start_from(known.level)
+                bucket.continue_from(known)
                 bucket.refill(self._earned_ms, self.coverage.recent_share)
             self._buckets[number] = bucket
 
--- a/tests/admission/test_fleet_quota.py
+++ b/tests/admission/test_fleet_quota.py
@@ -281,6 +281,24 @@
     assert level(quota, 1_900.0) == pytest.approx(1_850, abs=1)
 
 
+def test_change_of_the_configuration_keeps_what_is_held():
+    """Guards against a change that takes a part of the quota for good."""
+    limit = LIMIT._replace(rate_per_s=0.001)
+    quota = started(limit=limit)
+    for at_ms in (60.0, 120.0):
+        hear(quota, 0, at_ms)
+        quota.on_period(2, 60.0, ["peer"], at_ms)
+    quota.charge(LIMITED, 1_000, 120.0)
+    quota.replace_limits({LIMITED: limit}, 130.0)
+    quota.on_period(2, 60.0, ["peer"], 480.0)
+    # As without the change: half of 5,000, less what this instance spent of it.
+    assert level(quota, 480.0) == 1_500
+    quota.replace_limits({LIMITED: limit}, 490.0)
+    hear(quota, 0, 700.0)
+    quota.on_period(2, 60.0, ["peer"], 700.0)
+    assert level(quota, 700.0) == pytest.approx(4_000, abs=1)
+
+
 def test_relay_tells_each_follower_the_charges_of_all_others():
     quota = started()
     quota.charge(LIMITED, 500, 0.0)
