Count a declined request as not run if the refusal's body is late

The limit of the first attempt could end while the body of a refusal was read. The request then counted as one that may have run: it stayed charged, and got 502.

--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -294,7 +294,10 @@
                 head = await connection.read_head(self._admitted.request_id)
                 self._head_at_ms = self._now_ms()
                 self._context.fleet_state.on_notice(upstream, head.fields.notice)
-                limit.reschedule(None if self._is_stream(head) else ends_at_s)
+                # The body of a refusal has a limit of its own, so that the attempt's
+                # doesn't hide that the request did not run.
+                is_limited = not (self._is_stream(head) or head.fields.is_not_executed)
+                limit.reschedule(ends_at_s if is_limited else None)
                 return await self._handle_response(
                     reservation, connection, head, watched
                 )
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -117,6 +117,23 @@
     run(main)
 
 
+def test_refusal_whose_body_outlasts_the_attempt_is_refunded():
+    """Guards against a declined request that counts as one that may have run.
+
+    The limit of the first attempt, half of the deadline, ends before that of the body.
+    """
+
+    async def main():
+        harness = await start_limited(ScriptedUpstream(declined_slowly))
+        deadline = b"X-Buckthornrock-Deadline-Ms: 380\r\n"
+        reply = await ask(harness.client_address, request("/read/1", extra=deadline))
+        # On a slow machine, the deadline may end before the limit of the body.
+        assert reply.status in (503, 504)
+        assert level(harness) == N_PAID
+
+    run(main)
+
+
 @pytest.mark.parametrize("is_leaving", [True, False], ids=["leaves", "deadline"])
 def test_request_that_ends_in_the_wait_queue_is_refunded(is_leaving):
     """The only upstream takes no request, so that one waits until it ends."""
