--- a/buckthornrock/admission/fleet_quota.py
+++ b/buckthornrock/admission/fleet_quota.py
@@ -3,7 +3,7 @@
 Every instance keeps one token bucket per account for the whole fleet. It subtracts its
 own charges at once and those of other instances as their counters arrive in digests.
 
-Time is told in the same way as charges: an instance's counters include the time that it
+Running time is reported like charges: an instance's counters include the time that it
 has run, and a bucket earns the time that the counters cover, divided by the number of
 instances. Refill therefore never arrives without the charges of the same period, and
 an instance that hears only a part of the fleet earns only that part of the rate. The
@@ -30,7 +30,7 @@
 N_PERIODS_IN_TRANSIT = 3
 #: A counter that hasn't changed for this long is reset and no longer listed. It exceeds
 #: the silence after which receivers set a new base, so that none misses the last value.
-QUIET_MS = 3_000.0
+COUNTER_LIFETIME_MS = 3_000.0
 #: A follower's share of the total is kept for this long after its last report.
 CONTRIBUTION_LIFETIME_MS = 10_000.0
 #: Maximum age of the coverage that a decision uses.
@@ -258,7 +258,7 @@
 
 
 class _Counters:
-    """Cumulative charges by account; those that stay the same are reset in the end."""
+    """Cumulative charges by account, without those that haven't changed lately."""
 
     def __init__(self) -> None:
         self.values: dict[int, int] = {}
@@ -276,16 +276,16 @@
         self._changed_at_ms[number] = now_ms
         return True
 
-    def reset_quiet(self, now_ms: float) -> list[int]:
+    def reset_unchanged(self, now_ms: float) -> list[int]:
         """Drop the counters that haven't changed for a while; return their accounts."""
-        quiet = [
+        unchanged = [
             number
             for number, at_ms in self._changed_at_ms.items()
-            if now_ms - at_ms > QUIET_MS
+            if now_ms - at_ms > COUNTER_LIFETIME_MS
         ]
-        for number in quiet:
+        for number in unchanged:
             del self._changed_at_ms[number], self.values[number]
-        return quiet
+        return unchanged
 
 
 class _Sender(NamedTuple):
@@ -417,8 +417,8 @@
             del self._senders[sender]
         self._advance(now_ms)
         self._update_coverage(now_ms)
-        self._group.reset_quiet(now_ms)
-        for number in self._total.reset_quiet(now_ms):
+        self._group.reset_unchanged(now_ms)
+        for number in self._total.reset_unchanged(now_ms):
             for contribution in self._contributions.values():
                 contribution.charges.pop(number, None)
         for sender, contribution in list(self._contributions.items()):
@@ -617,6 +617,7 @@
             self._held_at_ms = math.inf
 
     def _recent_ms(self) -> float:
+        """Return for how long a report counts towards ``recent_share``."""
         return max(MIN_RECENT_MS, N_RECENT_PERIODS * self._period_ms)
 
     def _n_covered(
--- a/buckthornrock/catalog/cache_scopes.py
+++ b/buckthornrock/catalog/cache_scopes.py
@@ -18,17 +18,17 @@
 
 
 def merge_isolated(
-    known: frozenset[str], told: Iterable[str], configuration: Configuration
+    known: frozenset[str], reported: Iterable[str], configuration: Configuration
 ) -> frozenset[str]:
     """Return the accounts that are isolated, or were when they were removed.
 
-    ``known`` is the result for the configuration before, ``told`` are further names
-    that a peer knows.
+    ``known`` is the result for the configuration before, ``reported`` are names that a
+    peer sent.
     """
     shared = {account.name for account in configuration.accounts.values()}
     shared -= configuration.isolated_accounts
-    told = {name for name in told if len(name) <= MAX_NAME_CHARS}
-    removed = (known | told) - configuration.isolated_accounts - shared
+    reported = {name for name in reported if len(name) <= MAX_NAME_CHARS}
+    removed = (known | reported) - configuration.isolated_accounts - shared
     kept = sorted(removed)[:MAX_REMOVED_ACCOUNTS]
     return configuration.isolated_accounts.union(kept)
 
--- a/buckthornrock/commands/serve.py
+++ b/buckthornrock/commands/serve.py
@@ -38,7 +38,8 @@
     # Loading this takes most of a start on the platform, which doesn't need it.
     from ..compose.instance import start_instance
 
-    # Ignored since the start of the process, for instances on the platform.
+    # Instances on the platform need SIGHUP ignored from the start of the process;
+    # this one isn't on the platform.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
     settings = load_settings(settings_path)
     if settings.is_error():
--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -127,7 +127,8 @@
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
         self._n_crashes = 0
-        #: Whether the last attempt broke off after its response wasn't read here.
+        # Whether the last attempt broke off after this instance had paused reading its
+        # response, so that the upstream isn't at fault.
         self._is_own_fault = False
         self._crash_parts = crash_parts(admitted.demand.prompt)
         self._used_connections: list[UpstreamConnection] = []
--- a/buckthornrock/gateway/explanation.py
+++ b/buckthornrock/gateway/explanation.py
@@ -41,7 +41,7 @@
 MAX_PARTS = 64
 #: Most quarantined parts of the document.
 MAX_QUARANTINED_SHOWN = 64
-#: What an explanation says nothing of.
+#: What an explanation doesn't cover.
 NOT_COVERED = (
     "requests and deferred jobs at the product's own interface, which has other "
     "queues, limits and choices of an engine",
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -243,8 +243,8 @@
     def _send_urgent(self) -> None:
         """Send a digest ahead of the period, or once the interval has passed.
 
-        Calls within the interval share one digest. Dropping it instead left peers up to
-        a period without news of a long prompt.
+        Calls within the interval share one digest. If it were dropped, peers wouldn't
+        know of a long prompt for up to a period.
         """
         if self._transport is None or self._urgent_timer is not None:
             return
--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -90,7 +90,7 @@
     listen: Listen
     bounds: Bounds
     platform: Store
-    #: Left out where it is absent, as files of earlier releases have it.
+    #: Absent from the settings files of earlier releases.
     limits: Limits = Limits()
     zones: dict[str, str] = {}
     #: Path of the file that the settings were read from.
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -43,7 +43,7 @@
 OUTDATED_WEIGHTS_COST_SHARE = 0.5
 #: An estimate above this share of the latency objective is expected to be late.
 ON_TIME_SHARE = 0.8
-#: Cost of an answer expected to be late, as a share of the latency objective.
+#: Cost of a response expected to be late, as a share of the latency objective.
 LATE_COST_SHARE = 1.0
 #: Outdated weights cost nothing for this long after a newer version is wanted.
 OUTDATED_WEIGHTS_GRACE_MS = 1_400.0
@@ -185,7 +185,7 @@
     ``kv_source`` is the address of the engine or prompt store from which shared parts
     that are not cached at the chosen engine are fetched. ``kv_target`` is the address
     of the prompt store that should store the shared parts. Both are "" for none.
-    ``terms`` are those of the estimate. ``is_overflow`` tells that a long prompt found
+    ``terms`` are those of the estimate. ``is_overflow`` says that a long prompt found
     no place in time on the engines used for long prompts. ``prefill_factor`` is the
     engine's prefill time as a multiple of the mean.
     """
@@ -352,7 +352,7 @@
 ) -> Placement | None:
     """Return the best placement, favouring the engines used for long prompts.
 
-    While these are full, or the answer would be late there, long prompts overflow to
+    While these are full, or the response would be late there, long prompts overflow to
     engines that urgent requests don't need. Else another engine is taken only if it is
     clearly faster, and none is while any of the others has much prefill queued.
     """
@@ -381,6 +381,7 @@
     if not others:
         return []
     totals = [view.loads.total(u.incarnation, view.now_ms) for u in others]
+    # An engine with much prefill queued is taken to run one long prompt.
     n_long = sum(total.prefill_ms > LONG_PREFILL_MS for total in totals)
     n_urgent = sum(total.n_requests for total in totals) - n_long
     n_slots = max(1, max(upstream.n_slots for upstream in others))
@@ -551,7 +552,7 @@
 
 
 def _is_late(estimate_ms: float, demand: Demand) -> bool:
-    """Return whether an answer with this estimate is expected to be late."""
+    """Return whether a response with this estimate is expected to be late."""
     return estimate_ms > demand.route.objective_ms * ON_TIME_SHARE
 
 
--- a/buckthornrock/scheduling/prefill_speed.py
+++ b/buckthornrock/scheduling/prefill_speed.py
@@ -1,8 +1,8 @@
 """Estimates how fast each engine prefills, relative to the others.
 
 Engines of one service may differ in speed by a multiple, which the configuration does
-not tell. The load that shows it: long prompts whose objective leaves time for one
-prefill on a usual engine, and none on a slow one. Pure: the caller passes the time.
+not state. It matters for long prompts whose objective leaves time for one prefill on a
+usual engine, and none on a slow one. Pure: the caller passes the time.
 """
 
 from collections.abc import Hashable, Mapping
@@ -10,7 +10,7 @@
 
 #: Half-life of the observed times, since an engine may turn slow.
 HALF_LIFE_MS = 6_000.0
-#: Requests expected to take less tell more of network and decoding than of prefill.
+#: Times of shorter requests depend more on network and decoding than on prefill.
 MIN_EXPECTED_MS = 100.0
 #: Expected time that must be observed over all engines before any is judged, and the
 #: one that an engine must have had for half of its deviation to count.
--- a/tests/admission/test_fleet_quota.py
+++ b/tests/admission/test_fleet_quota.py
@@ -5,11 +5,11 @@
 import pytest
 
 from buckthornrock.admission.fleet_quota import (
+    COUNTER_LIFETIME_MS,
     MAX_ACCOUNTS,
     MAX_COST,
     MAX_RETRY_AFTER_MS,
     MAX_STEP,
-    QUIET_MS,
     SILENCE_MS,
     AccountLimit,
     CounterReport,
@@ -317,13 +317,13 @@
     assert group.covered_ms == others == 5_000 + 160 + 2 * 60
 
 
-def test_quiet_counter_is_reset_without_a_refund():
+def test_unchanged_counter_is_reset_without_a_refund():
     quota = started()
     quota.charge(LIMITED, 500, 0.0)
-    quota.on_period(1, 60.0, (), QUIET_MS)
-    assert quota.group_report((), QUIET_MS).charges == {LIMITED: 500}
-    quota.on_period(1, 60.0, (), QUIET_MS + 1.0)
-    assert quota.group_report((), QUIET_MS).charges == {}
+    quota.on_period(1, 60.0, (), COUNTER_LIFETIME_MS)
+    assert quota.group_report((), COUNTER_LIFETIME_MS).charges == {LIMITED: 500}
+    quota.on_period(1, 60.0, (), COUNTER_LIFETIME_MS + 1.0)
+    assert quota.group_report((), COUNTER_LIFETIME_MS).charges == {}
     receiver = started(limit=LIMIT._replace(rate_per_s=0.001))
     for at_ms, charges in (
         (100.0, {}),
