Don't refund tokens to a bucket that counts requests

A request that was charged in tokens and left the wait queue after its account's limit had changed to requests filled the new, empty bucket.

--- a/buckthornrock/gateway/account_quotas.py
+++ b/buckthornrock/gateway/account_quotas.py
@@ -85,7 +85,8 @@
         cost = request_cost(account.limit, admitted.request.fields.token_counts)
         charged = self._quota.charge(number, cost, now_ms)
         if charged.is_ok():
-            return Ok(admitted._replace(charge=Charge(number, cost)))
+            charge = Charge(number, cost, account.limit.counts_tokens)
+            return Ok(admitted._replace(charge=charge))
         self._report_refusal(admitted, cost, charged.error)
         return Error(_refusal(account.name, charged.error))
 
@@ -101,9 +102,15 @@
         return None if checked.is_ok() else _refusal(account.name, checked.error)
 
     def refund(self, charge: Charge) -> None:
-        """Take back the charge of a request that provably did not run."""
+        """Take back the charge of a request that provably did not run.
+
+        A bucket that has changed its unit since then doesn't include the charge.
+        """
         self._follow_configuration()
-        self._quota.refund(charge.account_number, charge.cost, self._now_ms())
+        number, now_ms = charge.account_number, self._now_ms()
+        view = self._quota.view(number, now_ms)
+        if view is not None and view.limit.counts_tokens == charge.counts_tokens:
+            self._quota.refund(number, charge.cost, now_ms)
 
     def on_period(
         self, n_members: int, period_ms: float, sources: Iterable[str]
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -28,6 +28,7 @@
 
     account_number: int
     cost: int
+    counts_tokens: bool
 
 
 class AdmittedRequest(NamedTuple):
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -152,6 +152,24 @@
     run(main)
 
 
+def test_charge_of_tokens_is_not_refunded_as_requests():
+    """Guards against a refund that fills the bucket of a limit with another unit."""
+
+    async def main():
+        tokens = AccountLimit(0.001, 500, counts_tokens=True, n_plain_tokens=30)
+        harness = await start_limited(ScriptedUpstream(completed), limit=tokens)
+        block_upstreams(harness)
+        _, waiting = await connect(harness.client_address)
+        waiting.write(request("/read/1"))
+        await until(lambda: level(harness) == 470)
+        harness.fleet_state.on_configuration(with_limit(4, SLOW), b"", "test")
+        waiting.close()
+        await until(lambda: "gateway.client_left" in dict(harness.logged))
+        assert level(harness) == 0
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     ("script", "n_charged"),
     [(silent, 1), (declined_slowly, 0)],
