--- a/buckthornrock/gateway/exchange.py
+++ b/buckthornrock/gateway/exchange.py
@@ -127,7 +127,8 @@
         self._head_at_ms = 0.0
         self._excluded: frozenset[str] = frozenset()
         self._n_crashes = 0
-        #: Whether the last attempt broke off after its response wasn't read here.
+        # Whether the last attempt broke off after this instance had paused reading its
+        # response, so that the upstream isn't at fault.
         self._is_own_fault = False
         self._crash_parts = crash_parts(admitted.demand.prompt)
         self._used_connections: list[UpstreamConnection] = []
@@ -294,7 +295,10 @@
                 head = await connection.read_head(self._admitted.request_id)
                 self._head_at_ms = self._now_ms()
                 self._context.fleet_state.on_notice(upstream, head.fields.notice)
-                limit.reschedule(None if self._is_stream(head) else ends_at_s)
+                # The body of a refusal has a limit of its own, so that the attempt's
+                # doesn't hide that the request did not run.
+                is_limited = not (self._is_stream(head) or head.fields.is_not_executed)
+                limit.reschedule(ends_at_s if is_limited else None)
                 return await self._handle_response(
                     reservation, connection, head, watched
                 )
--- a/tests/admission/test_fleet_quota.py
+++ b/tests/admission/test_fleet_quota.py
@@ -5,11 +5,11 @@
 import pytest
 
 from buckthornrock.admission.fleet_quota import (
+    COUNTER_LIFETIME_MS,
     MAX_ACCOUNTS,
     MAX_COST,
     MAX_RETRY_AFTER_MS,
     MAX_STEP,
-    QUIET_MS,
     SILENCE_MS,
     AccountLimit,
     CounterReport,
@@ -281,6 +281,24 @@
     assert level(quota, 1_900.0) == pytest.approx(1_850, abs=1)
 
 
+def test_change_of_the_configuration_keeps_what_is_held():
+    """Guards against a change that takes a part of the quota for good."""
+    limit = LIMIT._replace(rate_per_s=0.001)
+    quota = started(limit=limit)
+    for at_ms in (60.0, 120.0):
+        hear(quota, 0, at_ms)
+        quota.on_period(2, 60.0, ["peer"], at_ms)
+    quota.charge(LIMITED, 1_000, 120.0)
+    quota.replace_limits({LIMITED: limit}, 130.0)
+    quota.on_period(2, 60.0, ["peer"], 480.0)
+    # As without the change: half of 5,000, less what this instance spent of it.
+    assert level(quota, 480.0) == 1_500
+    quota.replace_limits({LIMITED: limit}, 490.0)
+    hear(quota, 0, 700.0)
+    quota.on_period(2, 60.0, ["peer"], 700.0)
+    assert level(quota, 700.0) == pytest.approx(4_000, abs=1)
+
+
 def test_relay_tells_each_follower_the_charges_of_all_others():
     quota = started()
     quota.charge(LIMITED, 500, 0.0)
@@ -299,13 +317,13 @@
     assert group.covered_ms == others == 5_000 + 160 + 2 * 60
 
 
-def test_quiet_counter_is_reset_without_a_refund():
+def test_unchanged_counter_is_reset_without_a_refund():
     quota = started()
     quota.charge(LIMITED, 500, 0.0)
-    quota.on_period(1, 60.0, (), QUIET_MS)
-    assert quota.group_report((), QUIET_MS).charges == {LIMITED: 500}
-    quota.on_period(1, 60.0, (), QUIET_MS + 1.0)
-    assert quota.group_report((), QUIET_MS).charges == {}
+    quota.on_period(1, 60.0, (), COUNTER_LIFETIME_MS)
+    assert quota.group_report((), COUNTER_LIFETIME_MS).charges == {LIMITED: 500}
+    quota.on_period(1, 60.0, (), COUNTER_LIFETIME_MS + 1.0)
+    assert quota.group_report((), COUNTER_LIFETIME_MS).charges == {}
     receiver = started(limit=LIMIT._replace(rate_per_s=0.001))
     for at_ms, charges in (
         (100.0, {}),
