Let connections that wait for a head or a body give way to others

A connection that a worker thread gave back counted as being served until more of its data arrived, and such connections are never refused or closed for others. Clients that stopped after one response, or after the first part of a body, could so hold all connections or all memory of a port until their read timeout.

--- a/buckthornrock/httpd/arrivals.py
+++ b/buckthornrock/httpd/arrivals.py
@@ -132,6 +132,9 @@
                 self._on_limit(Limit.CONNECTIONS)
                 connection.close()
                 return
+        else:
+            # While it counts as served, it is never chosen to make room for others.
+            self._hold(connection)
         arrival = _Arrival(connection, self._limits.read_timeout_ms / 1000.0)
         if arrival.has_whole_head() or self._receive_head(arrival):
             self._pass_on(connection)
@@ -144,7 +147,11 @@
         connection.body_deadline_at_s = (
             time.monotonic() + self._limits.body_timeout_ms / 1000.0
         )
+        # The worker thread has received a part, which may exceed the limits already.
+        self._hold(connection)
+        holder = connection.holder
         self._await(_Arrival(connection, self._limits.read_timeout_ms / 1000.0))
+        self.make_room(holder)
 
     def linger(self, connection: Connection) -> None:
         """Close a connection on which the last response was sent."""
--- a/tests/httpd/test_client_limits.py
+++ b/tests/httpd/test_client_limits.py
@@ -172,6 +172,33 @@
     assert Limit.CONNECTIONS in served.limits
 
 
+def test_connections_above_the_limit_close_those_idle_after_a_response(serve):
+    """They counted as being served, so that nobody else could connect."""
+    served = serve(max_connections=2, read_timeout_ms=60_000)
+    with served.connect() as first, served.connect() as second:
+        for caller in (first, second):
+            caller.sendall(with_length(b"x", 0))
+            assert read_status(caller) == b"200"
+        served.wait_for(lambda: served.server.n_busy() == 0)
+        with served.connect() as third:
+            third.sendall(with_length(b"x", 0))
+            assert read_status(third) == b"200"
+    assert Limit.CONNECTIONS in served.limits
+
+
+def test_body_that_stops_after_its_first_part_gives_way_to_others(serve):
+    """The part read with the head counted as being served, and was never given up."""
+    served = serve(max_held_bytes=100_000, read_timeout_ms=60_000)
+    with served.connect() as large, served.connect() as small:
+        large.sendall(with_length(b"large-body", 70_000, b"x" * 60_000))
+        served.wait_for(lambda: served.server.n_held_bytes() > 60_000)
+        small.sendall(with_length(b"small-body", 40_000, b"x" * 39_999))
+        assert read_status(large) == b"503"
+        small.sendall(b"x")
+        assert read_status(small) == b"200"
+    assert served.paths == ["/small-body"]
+
+
 def test_unread_responses_that_hold_all_threads_are_cut(serve):
     """Four clients that don't read once held all four threads for a read timeout."""
     served = serve(read_timeout_ms=60_000, send_timeout_ms=60_000)
