--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -464,6 +464,8 @@
         request = self._request._replace(body=self._body)
         self._request = None
         self._n_head_bytes += REQUEST_BYTES
+        # The parser may have received a part of the next request with this body.
+        self._n_partial_bytes = len(self._h11.trailing_data[0])
         self._task = asyncio.create_task(self._serve(request))
 
     async def _serve(self, request: ClientRequest) -> None:
--- a/tests/gateway/test_request_parsing.py
+++ b/tests/gateway/test_request_parsing.py
@@ -246,6 +246,23 @@
     asyncio.run(main())
 
 
+def test_pipelined_bytes_that_the_parser_has_are_accounted_for():
+    """They arrive with the end of a body, up to 64 KB for each connection."""
+
+    async def main():
+        message = encode(b"POST", b"/p", [], b"x" * 20_000, None)
+        pipelined = encode(b"GET", b"/p", [], b"", None) * 2_000
+        held = []
+        for data in (message, message + pipelined[:40_000]):
+            world = World()
+            await world.receive(data)
+            assert world.connection.is_busy
+            held.append(world.budget.n_bytes)
+        assert held[1] - held[0] >= 40_000
+
+    asyncio.run(main())
+
+
 def test_a_request_that_gives_way_is_refused_with_503_and_not_run():
     async def main():
         world = World(limits=BudgetLimits(max_bytes=40_000))
