Close connections whose clients leave the end of a response unread

A transport that is closed keeps its socket until what it buffers is sent, and no timer watched the last 64 KB of a response. A client that never read them kept its connection open after "Connection: close", an idle timeout or its own end of output.

--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -329,7 +329,7 @@
                     self._wait_for_more()
                     break
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                    self._writer.close()
+                    self._close_when_sent()
                     return
                 self._handle_event(event)
                 if self._task is not None or self._is_rejected:
@@ -491,6 +491,12 @@
         self._account()
         self._start_flush_timer()
 
+    def _close_when_sent(self) -> None:
+        """Close the connection once the client has taken what is left to send."""
+        self._writer.close()
+        if self._writer.n_unsent_bytes:
+            self._start_flush_timer()
+
     def _start_flush_timer(self) -> None:
         """Abort the connection if the client takes nothing of its response."""
         n_unsent = self._writer.n_unsent_bytes
@@ -499,8 +505,6 @@
         )
 
     def _check_flush(self, n_unsent_before: int) -> None:
-        if not self._is_flushing or self._transport.is_closing():
-            return
         if self._writer.n_unsent_bytes >= n_unsent_before:
             enforcer = self._context.limits_enforcer
             enforcer.count(UNREAD_RESPONSE, self._holding.address)
@@ -511,13 +515,14 @@
     def _continue(self) -> None:
         """Start the next request cycle of the connection, or close it."""
         if self._transport.is_closing():
+            self._close_when_sent()
             return
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             self._request_id = b""
             self._advance()
             return
-        self._writer.close()
+        self._close_when_sent()
 
     def _wait_for_more(self) -> None:
         limits = self._context.limits()
@@ -541,7 +546,7 @@
 
     def _on_timeout(self) -> None:
         if not self._is_receiving:
-            self._transport.close()
+            self._close_when_sent()
             return
         self._reject(408, "the request did not arrive in time")
 
--- a/tests/gateway/test_request_parsing.py
+++ b/tests/gateway/test_request_parsing.py
@@ -34,8 +34,10 @@
     def __init__(self):
         self.written = bytearray()
         self.is_reading = True
+        self.is_closed = False
         self.is_aborted = False
         self.has_ended = False
+        self.n_unsent_bytes = 0
 
     def get_extra_info(self, name):
         return ("127.0.0.1", 1) if name == "peername" else FakeSocket()
@@ -44,7 +46,7 @@
         self.written += data
 
     def get_write_buffer_size(self):
-        return 0
+        return self.n_unsent_bytes
 
     def pause_reading(self):
         self.is_reading = False
@@ -56,12 +58,13 @@
         self.has_ended = True
 
     def is_closing(self):
-        return self.is_aborted
+        return self.is_closed
 
     def close(self):
-        self.is_aborted = True
+        self.is_closed = True
 
-    abort = close
+    def abort(self):
+        self.is_closed = self.is_aborted = True
 
 
 class FakeSocket:
@@ -72,14 +75,19 @@
 class World:
     """One connection, and the requests that its application sees."""
 
-    def __init__(self, refuse_at_head=lambda request: None, limits=None):
+    def __init__(
+        self,
+        refuse_at_head=lambda request: None,
+        limits=None,
+        client_limits=LIMITS,
+    ):
         self.seen = []
         self.transport = FakeTransport()
         self.budget = MemoryBudget(limits or BudgetLimits())
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
         context = ClientConnectionContext(
             serve=self._serve,
-            limits=lambda: LIMITS,
+            limits=lambda: client_limits,
             is_draining=lambda: False,
             codec=open_header_codec(),
             now_ms=now_ms,
@@ -274,3 +282,22 @@
         assert not world.seen
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("field", [(b"connection", b"close"), (b"x-f0", b"v")])
+def test_client_that_leaves_the_end_of_a_response_unread_is_closed(field):
+    """A transport that is closed waits without limit for its client to read."""
+
+    async def main():
+        world = World(client_limits=LIMITS._replace(idle_timeout_ms=30.0))
+        world.transport.n_unsent_bytes = 10_000
+        await world.receive(encode(b"GET", b"/p", [field], b"", None))
+        await world.settle(1)
+        assert not world.transport.is_aborted
+        for _ in range(500):
+            if world.transport.is_aborted:
+                return
+            await asyncio.sleep(0.01)
+        pytest.fail("the connection stays open")
+
+    asyncio.run(main())
