Encode account limits and quota settings only where they are set

Encoded again, an account and the settings' bounds had the new fields with their defaults (4 failed).

Change: fields with their default are omitted from these two structures.

Ruled out: listing them as extended in the test; nothing needs the fields.

After it: tests/platform, tests/wire, tests/docs and tests/admission/test_fleet_quota.py, 563 passed.

--- a/buckthornrock/platform/configuration.py
+++ b/buckthornrock/platform/configuration.py
@@ -75,7 +75,7 @@
     idle_timeout_ms: float
 
 
-class _Tenant(msgspec.Struct, rename="camel"):
+class _Tenant(msgspec.Struct, rename="camel", omit_defaults=True):
     name: str
     api_keys: list[str] = []
     priority: ExactInt | None = None
--- a/buckthornrock/platform/settings.py
+++ b/buckthornrock/platform/settings.py
@@ -41,7 +41,7 @@
     control_addr: str = ""
 
 
-class Bounds(msgspec.Struct, rename="camel"):
+class Bounds(msgspec.Struct, rename="camel", omit_defaults=True):
     """Time bounds that the platform sets."""
 
     drain_ms: float
