Let tests follow the digest's fields and the body's decoding

test_quota_fleet.py counted 26 fields, which other merged parts extended; it now counts those before the quota's. test_deep_nesting.py's stand-in of an exchange takes the argument that says whether a body will be decoded.

--- a/tests/gateway/test_quota_fleet.py
+++ b/tests/gateway/test_quota_fleet.py
@@ -6,6 +6,7 @@
 from buckthornrock.admission.fleet_quota import AccountLimit
 from buckthornrock.scheduling.loads import Work
 from buckthornrock.wire.digests import (
+    Digest,
     QuotaCounters,
     Scope,
     decode_digest,
@@ -21,6 +22,9 @@
 DISCOVERY_MS = 16_000.0
 WINDOW_MS = QUOTA_BOUND.window_ms
 MAX_DATAGRAM_BYTES = 65_507
+N_FIELDS_WITHOUT_QUOTA = [field.name for field in msgspec.structs.fields(Digest)].index(
+    "quota"
+)
 
 
 class Demand:
@@ -166,14 +170,17 @@
     fleet.send = lambda *arguments: (sent.append(arguments[1]), original(*arguments))
     fleet.run(2_000.0)
     assert sent
-    assert {len(msgspec.msgpack.decode(data)) for data in sent} == {26}
+    n_fields = {len(msgspec.msgpack.decode(data)) for data in sent}
+    assert n_fields == {N_FIELDS_WITHOUT_QUOTA}
 
 
 def test_digest_with_counters_is_decoded_by_older_builds():
     counters = QuotaCounters({1: 5, 2**32 - 1: -(2**53)}, 9_000, 4, 81)
     encoded = encode_digest(digest(quota=counters))
     assert decode_digest(encoded).ok.quota == counters
-    older = msgspec.msgpack.encode(msgspec.msgpack.decode(encoded)[:26])
+    older = msgspec.msgpack.encode(
+        msgspec.msgpack.decode(encoded)[:N_FIELDS_WITHOUT_QUOTA]
+    )
     assert older == encode_digest(digest())
 
 
--- a/tests/wire/test_deep_nesting.py
+++ b/tests/wire/test_deep_nesting.py
@@ -18,7 +18,7 @@
 JSON = b"[" * 100_000
 OBJECT = b'{"a":' * 50_000
 MSGPACK = b"\x91" * 100_000
-EXCHANGE = SimpleNamespace(read_body=lambda: Ok(OBJECT))
+EXCHANGE = SimpleNamespace(read_body=lambda is_decoded=False: Ok(OBJECT))
 
 
 def decode_envelope():
