--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -494,6 +494,7 @@
     def _close_when_sent(self) -> None:
         """Close the connection once the client has taken what is left to send."""
         self._writer.close()
+        self._account()
         if self._writer.n_unsent_bytes:
             self._start_flush_timer()
 
--- a/tests/gateway/test_request_parsing.py
+++ b/tests/gateway/test_request_parsing.py
@@ -17,7 +17,11 @@
     ClientConnectionContext,
 )
 from buckthornrock.gateway.client_limits import ClientLimitsEnforcer
-from buckthornrock.gateway.memory_budget import BudgetLimits, MemoryBudget
+from buckthornrock.gateway.memory_budget import (
+    CONNECTION_BYTES,
+    BudgetLimits,
+    MemoryBudget,
+)
 from buckthornrock.gateway.parse_queue import ParseQueue
 from buckthornrock.gateway.requests import Refusal
 from buckthornrock.platform.headers import open_header_codec
@@ -301,3 +305,20 @@
         pytest.fail("the connection stays open")
 
     asyncio.run(main())
+
+
+def test_connection_that_is_closing_holds_no_request():
+    """What the finished request held would count until the last bytes are taken."""
+
+    async def main():
+        world = World()
+        world.transport.n_unsent_bytes = 10_000
+        message = encode(
+            b"POST", b"/p", [(b"connection", b"close")], b"x" * 9_000, None
+        )
+        await world.receive(message)
+        await world.settle(1)
+        assert world.transport.is_closed
+        assert world.budget.n_bytes == CONNECTION_BYTES + 10_000
+
+    asyncio.run(main())
