--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -135,10 +135,10 @@
             continue
         from_s = request.at_s - record.bounds.config_s
         isolated = _isolated_between(record, from_s, used.at_s)
-        if wall := isolated & {used.account, used.maker}:
+        if separated := isolated & {used.account, used.maker}:
             reason = (
                 f"{used.account} used part {used.part} of {used.maker}, while"
-                f" {', '.join(sorted(wall))} was isolated"
+                f" {', '.join(sorted(separated))} was isolated"
             )
             ids = (used.request_id, used.maker_id)
             found.append(Violation("cache-salt", reason, ids))
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -46,7 +46,8 @@
     parts: tuple[tuple[str, int], ...] = ()
     n_response_tokens: int = 15
     body: bytes = b""
-    patience_s: float = RESPONSE_LIMIT_S
+    #: The client leaves if it has no whole response then.
+    response_limit_s: float = RESPONSE_LIMIT_S
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers of the request."""
@@ -95,7 +96,7 @@
     body = rng.randbytes(rng.randrange(1, 2_000))
     call = Call(request_id, route, account, key, parts, body=body)
     if rng.random() < LEAVING_SHARE:
-        return call._replace(patience_s=rng.uniform(0.0, LEAVES_WITHIN_S))
+        return call._replace(response_limit_s=rng.uniform(0.0, LEAVES_WITHIN_S))
     return call
 
 
@@ -107,7 +108,7 @@
     status, body, echoed_id, stamp, error = 0, bytearray(), "", "", ""
     is_whole = has_left = False
     try:
-        async with asyncio.timeout(call.patience_s):
+        async with asyncio.timeout(call.response_limit_s):
             head = h11.Request(
                 method="POST", target=f"/{call.route}/x", headers=call.headers()
             )
@@ -124,7 +125,7 @@
     except (OSError, TimeoutError, h11.ProtocolError) as failure:
         error = f"{type(failure).__name__}: {failure}"
         has_left = isinstance(failure, TimeoutError)
-        has_left &= call.patience_s < RESPONSE_LIMIT_S
+        has_left &= call.response_limit_s < RESPONSE_LIMIT_S
     answered = Answered(
         time.monotonic(),
         call.request_id,
--- a/buckthornrock/compose/shutdown.py
+++ b/buckthornrock/compose/shutdown.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ..entry.draining import DrainState, answer_when_stopped
+from ..entry.draining import DrainState, respond_when_stopped
 from ..events import lifecycle as events
 from ..httpd import HttpServer
 from .core import Core
@@ -42,7 +42,7 @@
     servers.entry.close_idle()
     n_cut = n_cut or _finish_requests(core, servers.entry, started_at_ms)
     if n_cut:
-        servers.entry.answer_open(answer_when_stopped(core.telemetry))
+        servers.entry.respond_to_open(respond_when_stopped(core.telemetry))
     _close(core, servers)
     core.telemetry.log(
         events.INSTANCE_STOPPED,
--- a/buckthornrock/entry/draining.py
+++ b/buckthornrock/entry/draining.py
@@ -42,8 +42,8 @@
     return handle
 
 
-def answer_when_stopped(telemetry: Telemetry) -> Callable[[Exchange], None]:
-    """Return a function that answers a running request of an instance that stops."""
+def respond_when_stopped(telemetry: Telemetry) -> Callable[[Exchange], None]:
+    """Return a function that responds to a running request when the instance stops."""
 
     def respond(exchange: Exchange) -> None:
         document = problem_document(InstanceStopped(), exchange.request_id)
--- a/buckthornrock/httpd/bodies.py
+++ b/buckthornrock/httpd/bodies.py
@@ -134,13 +134,13 @@
 
     def take(self, received: bytearray) -> None:
         """Move what belongs to the body from the front of ``received``."""
-        view_start = 0
+        n_used = 0
         while not self.is_complete:
-            n_taken = self._expects(received, view_start)
+            n_taken = self._expects(received, n_used)
             if n_taken == 0:
                 break
-            view_start += n_taken
-        del received[:view_start]
+            n_used += n_taken
+        del received[:n_used]
 
     def result(self) -> Result[bytes, BodyProblem]:
         """Return the complete body once, and drop it here."""
@@ -212,9 +212,8 @@
     """
     if is_chunked:
         return BodyCollector(None, max_bytes)
-    collector = BodyCollector(max(0, n := int(fields.get(b"Content-Length", 0))), 0)
-    if n < 0:
+    n_bytes = int(fields.get(b"Content-Length", 0))
+    collector = BodyCollector(max(0, n_bytes), max_bytes)
+    if n_bytes < 0:
         collector.fail(MALFORMED)
-    elif max_bytes and n > max_bytes:
-        collector.fail(TOO_LARGE)
     return collector
--- a/buckthornrock/httpd/connection.py
+++ b/buckthornrock/httpd/connection.py
@@ -23,8 +23,6 @@
 
 HEAD_END = re.compile(rb"\n\r?\n")
 _CONTINUE = re.compile(rb"(?im)^expect:[ \t]*100-continue[ \t]*\r$")
-
-
 READ_BYTES = 65_536
 #: Reads of a body by the thread that has parsed its head. They save most bodies the way
 #: to the receiving thread and back.
@@ -88,6 +86,8 @@
 
 
 class _HeadFields(HeaderReader):
+    """Reads header fields, but leaves ``Expect`` to :class:`Connection`."""
+
     def _allow_header(self, key_name: bytes) -> bool:
         # cheroot would answer it before it is known whether the body is wanted.
         return key_name != b"Expect"
--- a/buckthornrock/httpd/server.py
+++ b/buckthornrock/httpd/server.py
@@ -147,8 +147,8 @@
         """Close the connections on which no part of a request was received."""
         self._arrivals.close_idle()
 
-    def answer_open(self, respond: Callable[[Exchange], None]) -> None:
-        """Answer every request that is open, before :meth:`stop` aborts it.
+    def respond_to_open(self, respond: Callable[[Exchange], None]) -> None:
+        """Respond to every request that is open, before :meth:`stop` aborts it.
 
         Requests in arrival or waiting for a thread get 503, as they were not run.
         ``respond`` is called for each whose handler runs; it uses
--- a/tests/compose/test_shutdown_order.py
+++ b/tests/compose/test_shutdown_order.py
@@ -27,7 +27,7 @@
     def close_idle(self):
         self._notes.append("close idle")
 
-    def answer_open(self, respond):
+    def respond_to_open(self, respond):
         self._notes.append("answer open")
 
     def stop(self):
