Test that long prompts stay on the engines used for them

The test compared two equal runs with each other, so that it also passed on a scratch copy in which every long prompt overflowed to other engines.

--- a/tests/scheduling/test_overflow.py
+++ b/tests/scheduling/test_overflow.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from buckthornrock.scheduling import choice
 from buckthornrock.scheduling.choice import (
     KEPT_FOR_URGENT_SHARE,
     LONG_PREFILL_MS,
@@ -72,8 +73,5 @@
 
 # Load: a quiet hour. Long prompts stay on their engines while there is room.
 def test_long_prompts_stay_on_their_engines_while_there_is_room():
-    loads = FleetLoads()
-    chosen = place_long_prompts(loads, N_OTHERS)
-    again = place_long_prompts(FleetLoads(), N_OTHERS)
-    assert set(chosen) == set(again)
-    assert None not in chosen
+    chosen = place_long_prompts(FleetLoads(), N_OTHERS)
+    assert set(chosen) == choice._long_prompt_engines(ENGINES).keys()
