Count the time limit of a request head from its first byte

A client that sent a byte now and then kept its head incomplete and its connection open for as long as it liked, as each byte restarted the limit, although the limit is documented for the head. The new test failed before: no response within 3 s at a limit of 0.2 s.

--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -130,6 +130,7 @@
         self._n_partial_bytes = 0
         self._n_response_bytes = 0
         self._has_partial_head = False
+        self._head_began_at_ms: float | None = None
         self._is_rejected = False
         self._is_flushing = False
         self._is_in_queue = False
@@ -416,6 +417,7 @@
         limits = self._context.limits()
         self._head = head
         self._has_partial_head = False
+        self._head_began_at_ms = None
         self._n_partial_bytes = 0
         self._body, self._n_body_bytes = bytearray(), 0
         self._n_response_bytes = 0
@@ -531,8 +533,13 @@
         self._n_partial_bytes = len(buffered)
         self._has_partial_head = bool(buffered) and self._head is None
         if self._has_partial_head:
-            self._start_timer(limits.header_timeout_ms, self._on_timeout)
+            now_ms = self._context.now_ms()
+            if self._head_began_at_ms is None:
+                self._head_began_at_ms = now_ms
+            ends_at_ms = self._head_began_at_ms + limits.header_timeout_ms
+            self._start_timer(max(0.0, ends_at_ms - now_ms), self._on_timeout)
             return
+        self._head_began_at_ms = None
         self._start_timer(limits.idle_timeout_ms, self._on_timeout)
 
     def _start_timer(self, limit_ms: float, handle: Callable, *args: object) -> None:
--- a/tests/gateway/test_client_connection.py
+++ b/tests/gateway/test_client_connection.py
@@ -34,6 +34,24 @@
     run(main)
 
 
+# Each byte restarted the time limit, so that a client could keep a head incomplete and
+# its connection open for as long as it liked.
+def test_head_that_arrives_byte_by_byte_is_refused_at_its_time_limit():
+    async def main():
+        harness = await start_gateway(ScriptedUpstream(complete_response), limits=SMALL)
+        reader, writer = await connect(harness.client_address)
+        reply = asyncio.create_task(read_reply(reader))
+        for byte in b"GET /read/1 HTTP/1.1\r\nHost: shop.example.of.a.slow.client":
+            if reply.done():
+                break
+            writer.write(bytes([byte]))
+            await asyncio.sleep(SMALL.header_timeout_ms / 4_000.0)
+        assert reply.done()
+        assert reply.result().status == 408
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     ("message", "status"),
     [
