Let long prompts overflow only where their objective leaves no time to wait

Overflow is now for routes whose objective is at most four times the prefill that may be queued at an engine; others are placed as before.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -61,6 +61,9 @@
 RESERVED_ENGINE_COST_MS = 150.0
 #: Cost for an urgent request of an engine used for long prompts.
 LONG_PROMPT_ENGINE_COST_MS = 80.0
+#: Longest objective of a route whose long prompts overflow. Others can wait for an
+#: engine to finish its queued prefill, and overflow would delay urgent requests.
+MAX_OVERFLOW_OBJECTIVE_MS = 4.0 * MAX_QUEUED_PREFILL_MS
 #: Share of the other engines that long prompts never use, so that urgent requests
 #: always find engines without long prefill.
 KEPT_FOR_URGENT_SHARE = 0.4
@@ -354,18 +357,22 @@
 ) -> Placement | None:
     """Return the best placement, favouring the engines used for long prompts.
 
-    While these are full, or the response would be late there, long prompts overflow to
-    engines that urgent requests don't need. Else another engine is taken only if it is
-    clearly faster, and none is while any of the others has much prefill queued.
+    While these are full, or the response would be late there, prompts whose objective
+    leaves no time to wait overflow to engines that urgent requests don't need. Else
+    another engine is taken only if it is clearly faster, and none is while any of the
+    others has much prefill queued.
     """
     engines = context.long_engines
     best = _best(demand, context, list(engines.values()), view)
     others = [u for u in upstreams if u.upstream_id not in engines]
-    if best is None or _is_late(best.estimate_ms, demand):
+    is_in_time = best is not None and not _is_late(best.estimate_ms, demand)
+    if demand.route.objective_ms <= MAX_OVERFLOW_OBJECTIVE_MS and not is_in_time:
         overflow = _best(demand, context, _overflow_engines(others, view), view)
         if overflow is None or not _is_worth_overflowing(best, overflow, demand):
             return best
         return overflow._replace(is_overflow=True)
+    if best is None:
+        return None
     if any(_queued_prefill_ms(upstream, view) > LONG_PREFILL_MS for upstream in others):
         return best
     other = _best(demand, context, others, view)
