Report prefill times once a second, apart from the work at upstreams

By reading, each digest computed the decayed times of all upstreams twice, sums of work carried them along, and factors were computed four times a second. Times change slowly: they are listed in one digest a second, kept beside the work, and factors hold for a second. tests/scheduling, test_peers.py, test_dispatcher.py, test_explanation.py, tests/wire and tests/docs pass.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -57,6 +57,7 @@
     ) -> None:
         self.placement = placement
         self._load = loads.of(placement.upstream.incarnation)
+        self._times = loads.times
         self._remaining = placement.work
         self._on_released = on_released
         self._load.own = self._load.own.plus(placement.work)
@@ -71,7 +72,7 @@
             return
         placement = self.placement
         expected_ms = placement.queued_prefill_ms + placement.fetch_ms + prefill_ms
-        self._load.times.add(expected_ms, elapsed_ms, now_ms)
+        self._times.add(placement.upstream.incarnation, expected_ms, elapsed_ms, now_ms)
         self._subtract(Work(prefill_ms=prefill_ms))
 
     def release(self) -> None:
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -43,6 +43,8 @@
 
 #: Minimum interval between the last digest and one sent ahead of the next period.
 MIN_URGENT_INTERVAL_MS = 20.0
+#: Period of listing prefill times, which change slowly.
+TIMES_PERIOD_MS = 1_000.0
 #: Period at which a seed address is asked for its known instances: while this instance
 #: receives no digests, and afterwards.
 ISOLATED_DISCOVERY_PERIOD_MS = 1_000.0
@@ -119,6 +121,7 @@
         self._n_instances = 1
         self._number = 0
         self._sent_at_ms = -math.inf
+        self._times_sent_at_ms = -math.inf
         self._discovery_sent_at_ms = -math.inf
         self._n_discoveries = 0
         self._updates = GossipQueue()
@@ -219,12 +222,31 @@
         fleet = loads.combined_work(topology.sources(), now_ms)
         base = self._digest(now_ms)
         for_followers = self._digest_for_followers(base, now_ms)
+        times_for = self._prefill_times(now_ms)
         for contact in contacts:
+            times = times_for(contact)
             if contact.scope is Scope.OTHERS:
                 covered = loads.excluding_peer(fleet, contact.instance_id, now_ms)
-                self._send_to(contact, for_followers, covered)
+                self._send_to(contact, for_followers, covered, times)
             else:
-                self._send_to(contact, base, group)
+                self._send_to(contact, base, group, times)
+
+    def _prefill_times(self, now_ms: float) -> Callable[[Contact], list[UpstreamTimes]]:
+        """Return what a digest to a contact lists: nothing unless times are due."""
+        if now_ms - self._times_sent_at_ms < TIMES_PERIOD_MS:
+            return lambda contact: []
+        self._times_sent_at_ms = now_ms
+        times, topology = self._fleet_state.loads.times, self._topology
+        group = times.combined(topology.followers(), now_ms)
+        fleet = times.combined(topology.sources(), now_ms)
+
+        def times_for(contact: Contact) -> list[UpstreamTimes]:
+            if contact.scope is not Scope.OTHERS:
+                return _encode_times(group)
+            peer = contact.instance_id
+            return _encode_times(times.excluding_peer(fleet, peer, now_ms))
+
+        return times_for
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode a peer's digest and apply it, unless it is outdated."""
@@ -271,7 +293,13 @@
         digest = self._empty_digest(Scope.PEER_REQUEST, MIN_PEERS_LISTED, now_ms)
         self._transmit(digest, seeds[self._n_discoveries % len(seeds)])
 
-    def _send_to(self, contact: Contact, base: Digest, covered: CombinedWork) -> None:
+    def _send_to(
+        self,
+        contact: Contact,
+        base: Digest,
+        covered: CombinedWork,
+        times: list[UpstreamTimes],
+    ) -> None:
         address = self._view.address(contact.instance_id)
         if address is None:
             return
@@ -279,7 +307,7 @@
             base,
             scope=contact.scope,
             works=_encode_works(covered.works),
-            prefill_times=_encode_times(covered.works),
+            prefill_times=times,
             age_ms=round(covered.age_ms),
             quota=self._quota_counters(contact),
         )
@@ -357,12 +385,16 @@
             work.upstream: Work(work.n_requests, work.prefill_ms, work.n_memory_tokens)
             for work in digest.works
         }
-        for reported in digest.prefill_times:
-            times = PrefillTimes(reported.expected_ms, reported.observed_ms)
-            work = works.get(reported.upstream, Work())
-            works[reported.upstream] = work._replace(times=times)
         loads = self._fleet_state.loads
         loads.on_digest(digest.instance_id, works, now_ms, digest.age_ms)
+        if digest.prefill_times:
+            times = {
+                reported.upstream: PrefillTimes(
+                    reported.expected_ms, reported.observed_ms
+                )
+                for reported in digest.prefill_times
+            }
+            loads.times.on_report(digest.instance_id, times, now_ms)
 
     def _apply_quota(self, digest: Digest) -> None:
         is_source = digest.instance_id in self._topology.sources()
@@ -533,13 +565,12 @@
     ]
 
 
-def _encode_times(works: dict[int, Work]) -> list[UpstreamTimes]:
-    timed = [
-        UpstreamTimes(number, *(round(time_ms) for time_ms in work.times))
-        for number, work in works.items()
-        if work.times.expected_ms >= 1.0
+def _encode_times(times: dict[int, PrefillTimes]) -> list[UpstreamTimes]:
+    encoded = [
+        UpstreamTimes(number, *(round(time_ms) for time_ms in sums))
+        for number, sums in times.items()
     ]
-    return heapq.nlargest(MAX_WORK_ENTRIES, timed, key=lambda item: item.expected_ms)
+    return heapq.nlargest(MAX_WORK_ENTRIES, encoded, key=lambda x: x.expected_ms)
 
 
 def _encode_updates(
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -490,7 +490,7 @@
         return _plain_option(demand, upstream, load, total, view)
     is_penalized = demand.is_urgent and upstream.upstream_id in context.long_engines
     work_ms = total.prefill_ms + total.n_requests * STEP_MS_PER_REQUEST
-    prefill_factor = view.loads.prefill_factor(incarnation, view.now_ms)
+    prefill_factor = view.loads.times.factor(incarnation, view.now_ms)
     queue_ms = work_ms * load.pace(view.now_ms) * prefill_factor
     failures_ms = load.failure_rate(view.now_ms) * FAILURE_COST_MS
     distance_ms = _distance_ms(upstream, view)
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -13,7 +13,7 @@
 from ..catalog.upstreams import Incarnation
 from ..wire.numeric_ids import incarnation_number
 from .cached_parts import CachedParts
-from .prefill_speed import PrefillTimes, RecentTimes, prefill_factors
+from .prefill_speed import FleetPrefillTimes
 
 #: A peer's digest expires this long after it was received.
 DIGEST_LIFETIME_MS = 1_000.0
@@ -29,21 +29,18 @@
 MAX_BACKOFF_DOUBLINGS = 3
 #: Half-life of failures and of all outcomes in the failure rate.
 FAILURE_HALF_LIFE_MS = 2_000.0
-#: How long computed prefill factors are used.
-FACTORS_LIFETIME_MS = 250.0
 
 
 class Work(NamedTuple):
     """Work of one or several requests at an upstream.
 
     ``prefill_ms`` is the prefill time of the prompts. A request's share is counted
-    until its first event arrives. ``times`` are those of recent first events.
+    until its first event arrives.
     """
 
     n_requests: int = 0
     prefill_ms: float = 0.0
     n_memory_tokens: int = 0
-    times: PrefillTimes = PrefillTimes()
 
     def plus(self, other: "Work") -> "Work":
         """Return the sum."""
@@ -51,7 +48,6 @@
             self.n_requests + other.n_requests,
             self.prefill_ms + other.prefill_ms,
             self.n_memory_tokens + other.n_memory_tokens,
-            self.times.plus(other.times),
         )
 
     def minus(self, other: "Work") -> "Work":
@@ -60,7 +56,6 @@
             self.n_requests - other.n_requests,
             self.prefill_ms - other.prefill_ms,
             self.n_memory_tokens - other.n_memory_tokens,
-            self.times.minus(other.times),
         )
 
 
@@ -92,8 +87,6 @@
         Estimated time until which the engine loads weights and takes no new work.
     parts : CachedParts
         Shared parts expected to be cached there.
-    times : RecentTimes
-        Times to the first event of this instance's requests.
     """
 
     def __init__(self) -> None:
@@ -102,7 +95,6 @@
         self.blocked_until_ms = 0.0
         self.loading_until_ms = 0.0
         self.parts = CachedParts()
-        self.times = RecentTimes()
         self._n_connect_failures = 0
         self._failures = 0.0
         self._outcomes = 0.0
@@ -176,15 +168,20 @@
 
 
 class FleetLoads:
-    """Loads of all upstreams, from this instance and its peers."""
+    """Loads of all upstreams, from this instance and its peers.
+
+    Attributes
+    ----------
+    times : FleetPrefillTimes
+        Times to the first event at the engines.
+    """
 
     def __init__(self) -> None:
+        self.times = FleetPrefillTimes()
         self._loads: dict[Incarnation, UpstreamLoad] = defaultdict(UpstreamLoad)
         self._peers: dict[str, PeerWorks] = {}
         self._peer_totals: dict[int, Work] = {}
         self._peer_totals_valid_until_ms = -math.inf
-        self._factors: dict[Incarnation, float] = {}
-        self._factors_valid_until_ms = -math.inf
 
     def of(self, incarnation: Incarnation) -> UpstreamLoad:
         """Return the state of an upstream; it is created on first use."""
@@ -200,8 +197,7 @@
         copied._peers = dict(self._peers)
         copied._peer_totals = self._peer_totals
         copied._peer_totals_valid_until_ms = self._peer_totals_valid_until_ms
-        copied._factors = self._factors
-        copied._factors_valid_until_ms = self._factors_valid_until_ms
+        copied.times = self.times.snapshot()
         return copied
 
     def on_digest(
@@ -213,6 +209,7 @@
 
     def retain_peers(self, peers: set[str]) -> None:
         """Discard the digests of all peers except these."""
+        self.times.retain_peers(peers)
         for peer in self._peers.keys() - peers:
             del self._peers[peer]
             self._peer_totals_valid_until_ms = -math.inf
@@ -222,23 +219,17 @@
         unexpired = self._unexpired(self._peers, now_ms)
         return max((now_ms - p.at_ms + p.age_ms for p in unexpired), default=0.0)
 
-    def digest(self, now_ms: float) -> dict[int, Work]:
+    def digest(self) -> dict[int, Work]:
         """Return this instance's work by upstream number, without idle upstreams."""
-        works = {
-            incarnation_number(*incarnation): load.own._replace(
-                times=load.times.at(now_ms)
-            )
-            for incarnation, load in self._loads.items()
-        }
         return {
-            number: work
-            for number, work in works.items()
-            if work.n_requests or work.times.expected_ms >= 1.0
+            incarnation_number(*incarnation): load.own
+            for incarnation, load in self._loads.items()
+            if load.own.n_requests
         }
 
     def combined_work(self, peers: Iterable[str], now_ms: float) -> CombinedWork:
         """Return the total work of this instance and ``peers``."""
-        sums = self.digest(now_ms)
+        sums = self.digest()
         age_ms = 0.0
         for peer in self._unexpired(peers, now_ms):
             age_ms = max(age_ms, now_ms - peer.at_ms + peer.age_ms)
@@ -259,29 +250,13 @@
         """Return the work of all instances at an upstream."""
         load = self._loads[incarnation]
         reported = self._peer_totals_at(now_ms).get(incarnation_number(*incarnation))
-        total = load.own if reported is None else _sum_of_work(load.own, reported)
+        total = load.own if reported is None else load.own.plus(reported)
         report = load.fresh_report(now_ms)
         if report is None:
             return total
         n_reported = report.n_running + report.n_waiting
         return total._replace(n_requests=max(total.n_requests, n_reported))
 
-    def prefill_factor(self, incarnation: Incarnation, now_ms: float) -> float:
-        """Return an engine's prefill time as a multiple of the engines' mean."""
-        if now_ms > self._factors_valid_until_ms:
-            self._factors = prefill_factors(self._times(now_ms))
-            self._factors_valid_until_ms = now_ms + FACTORS_LIFETIME_MS
-        return self._factors.get(incarnation, 1.0)
-
-    def _times(self, now_ms: float) -> dict[Incarnation, PrefillTimes]:
-        reported = self._peer_totals_at(now_ms)
-        times = {}
-        for incarnation, load in self._loads.items():
-            work = reported.get(incarnation_number(*incarnation))
-            own = load.times.at(now_ms)
-            times[incarnation] = own if work is None else own.plus(work.times)
-        return times
-
     def _peer_totals_at(self, now_ms: float) -> dict[int, Work]:
         """Return the peers' total work, cached until a digest arrives or expires."""
         if now_ms <= self._peer_totals_valid_until_ms:
@@ -301,24 +276,13 @@
 
     def retain(self, incarnations: set[Incarnation]) -> None:
         """Discard other upstreams unless this instance still has work there."""
+        self.times.retain(incarnations)
         for incarnation in list(self._loads):
             load = self._loads[incarnation]
             if incarnation not in incarnations and not load.own.n_requests:
                 del self._loads[incarnation]
 
 
-def _sum_of_work(one: Work, other: Work) -> Work:
-    """Return the sum without the observed times, which placements don't use.
-
-    It is computed for every engine and request.
-    """
-    return Work(
-        one.n_requests + other.n_requests,
-        one.prefill_ms + other.prefill_ms,
-        one.n_memory_tokens + other.n_memory_tokens,
-    )
-
-
 def _add_works(sums: dict[int, Work], works: dict[int, Work]) -> None:
     for number, work in works.items():
         known = sums.get(number)
--- a/buckthornrock/scheduling/prefill_speed.py
+++ b/buckthornrock/scheduling/prefill_speed.py
@@ -5,9 +5,14 @@
 usual engine, and none on a slow one. Pure: the caller passes the time.
 """
 
-from collections.abc import Hashable, Mapping
+import math
+from collections import defaultdict
+from collections.abc import Hashable, Iterable, Mapping
 from typing import NamedTuple
 
+from ..catalog.upstreams import Incarnation
+from ..wire.numeric_ids import incarnation_number
+
 #: Half-life of the observed times, since an engine may turn slow.
 HALF_LIFE_MS = 6_000.0
 #: Times of shorter requests depend more on network and decoding than on prefill.
@@ -18,6 +23,12 @@
 PRIOR_EXPECTED_MS = 500.0
 #: Deviations within this factor are chance, and change nothing.
 CHANCE_FACTOR = 1.25
+#: A peer's report expires this long after it was received; it comes once a second.
+REPORT_LIFETIME_MS = 5_000.0
+#: How long computed factors are used.
+FACTORS_LIFETIME_MS = 1_000.0
+#: Sums below this are not kept.
+MIN_KEPT_MS = 1.0
 #: Bound of the factors, so that no engine is judged by a few delayed requests alone.
 MAX_FACTOR = 2.5
 
@@ -66,6 +77,94 @@
         return self._times.decayed(now_ms - self._at_ms)
 
 
+class _Report(NamedTuple):
+    """Times that a peer reported, by upstream number."""
+
+    at_ms: float
+    times: dict[int, PrefillTimes]
+
+
+class FleetPrefillTimes:
+    """Times to the first event at all engines, from this instance and its peers."""
+
+    def __init__(self) -> None:
+        self._own: dict[Incarnation, RecentTimes] = defaultdict(RecentTimes)
+        self._reports: dict[str, _Report] = {}
+        self._factors: dict[int, float] = {}
+        self._factors_valid_until_ms = -math.inf
+
+    def add(
+        self,
+        incarnation: Incarnation,
+        expected_ms: float,
+        observed_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Count the first event of a request of this instance."""
+        self._own[incarnation].add(expected_ms, observed_ms, now_ms)
+
+    def on_report(
+        self, peer: str, times: dict[int, PrefillTimes], now_ms: float
+    ) -> None:
+        """Replace the times that a peer reported, by upstream number."""
+        self._reports[peer] = _Report(now_ms, times)
+
+    def combined(self, peers: Iterable[str], now_ms: float) -> dict[int, PrefillTimes]:
+        """Return the sums of this instance and ``peers``, by upstream number."""
+        own = {
+            incarnation_number(*incarnation): recent.at(now_ms)
+            for incarnation, recent in self._own.items()
+        }
+        sums = {n: times for n, times in own.items() if times.expected_ms > MIN_KEPT_MS}
+        for report in self._unexpired(peers, now_ms):
+            for number, times in report.times.items():
+                known = sums.get(number)
+                sums[number] = times if known is None else known.plus(times)
+        return sums
+
+    def excluding_peer(
+        self, total: dict[int, PrefillTimes], peer: str, now_ms: float
+    ) -> dict[int, PrefillTimes]:
+        """Return ``total``, computed just now, without the times of one peer."""
+        sums = dict(total)
+        for report in self._unexpired([peer], now_ms):
+            for number, times in report.times.items():
+                sums[number] = sums[number].minus(times)
+        return sums
+
+    def factor(self, incarnation: Incarnation, now_ms: float) -> float:
+        """Return an engine's prefill time as a multiple of the engines' mean."""
+        if now_ms > self._factors_valid_until_ms:
+            self._factors = prefill_factors(self.combined(self._reports, now_ms))
+            self._factors_valid_until_ms = now_ms + FACTORS_LIFETIME_MS
+        if not self._factors:
+            return 1.0
+        return self._factors.get(incarnation_number(*incarnation), 1.0)
+
+    def retain(self, incarnations: set[Incarnation]) -> None:
+        """Forget the times of other engines."""
+        for incarnation in self._own.keys() - incarnations:
+            del self._own[incarnation]
+
+    def retain_peers(self, peers: set[str]) -> None:
+        """Discard the reports of all peers except these."""
+        for peer in self._reports.keys() - peers:
+            del self._reports[peer]
+
+    def snapshot(self) -> "FleetPrefillTimes":
+        """Return a copy with the factors in use, whose use changes nothing here."""
+        copied = FleetPrefillTimes()
+        copied._own.update(self._own)
+        copied._reports = dict(self._reports)
+        copied._factors = self._factors
+        copied._factors_valid_until_ms = self._factors_valid_until_ms
+        return copied
+
+    def _unexpired(self, peers: Iterable[str], now_ms: float) -> list[_Report]:
+        reports = [self._reports[peer] for peer in peers if peer in self._reports]
+        return [r for r in reports if now_ms - r.at_ms <= REPORT_LIFETIME_MS]
+
+
 def prefill_factors(times: Mapping[Hashable, PrefillTimes]) -> dict[Hashable, float]:
     """Return each engine's prefill time as a multiple of the mean over all engines.
 
--- a/buckthornrock/wire/digests.py
+++ b/buckthornrock/wire/digests.py
@@ -174,9 +174,10 @@
 class Digest(msgspec.Struct, array_like=True):
     """The state of one instance that other instances base their decisions on.
 
-    ``works`` and ``prefill_times`` cover the instances that ``scope`` names; the oldest
-    digest that they were computed from was received ``age_ms`` ago. ``relay`` is the
-    relay of the sender, "" if it has none.
+    ``works`` covers the instances that ``scope`` names; the oldest digest that it was
+    computed from was received ``age_ms`` ago. ``prefill_times`` covers the same
+    instances and is listed in a digest a second. ``relay`` is the relay of the sender,
+    "" if it has none.
 
     ``incarnation`` rises with each start of the instance and ``number`` with each
     digest, so that an outdated digest is detected. ``revision`` is the store revision
--- a/tests/scheduling/test_prefill_speed.py
+++ b/tests/scheduling/test_prefill_speed.py
@@ -5,12 +5,14 @@
 import pytest
 
 from buckthornrock.scheduling.choice import choose
-from buckthornrock.scheduling.loads import FACTORS_LIFETIME_MS, FleetLoads, Work
+from buckthornrock.scheduling.loads import FleetLoads
 from buckthornrock.scheduling.prefill_speed import (
+    FACTORS_LIFETIME_MS,
     HALF_LIFE_MS,
     MAX_FACTOR,
     MIN_EXPECTED_MS,
     PRIOR_EXPECTED_MS,
+    REPORT_LIFETIME_MS,
     PrefillTimes,
     RecentTimes,
     prefill_factors,
@@ -84,8 +86,8 @@
         upstream = placement.upstream
         chosen.append(slowness[upstream.upstream_id])
         noise = rng.uniform(0.8, 1.2)
-        loads.of(upstream.incarnation).times.add(
-            EXPECTED_MS, EXPECTED_MS * chosen[-1] * noise, now_ms
+        loads.times.add(
+            upstream.incarnation, EXPECTED_MS, EXPECTED_MS * chosen[-1] * noise, now_ms
         )
     assert sum(chosen[60:]) < 0.8 * sum(chosen[:30])
 
@@ -93,29 +95,46 @@
 # An instance sends few requests to each engine, and learns the rest from its peers.
 def test_times_that_peers_observed_count():
     loads = FleetLoads()
-    works = {
-        incarnation_number(*upstream.incarnation): Work(
-            times=times(2_000.0, 2.0 if number == 0 else 1.0)
+    reported = {
+        incarnation_number(*upstream.incarnation): times(
+            2_000.0, 2.0 if number == 0 else 1.0
         )
         for number, upstream in enumerate(ENGINES)
     }
-    loads.on_digest("peer", works, 0.0)
-    for upstream in ENGINES:
-        loads.of(upstream.incarnation)
-    assert loads.prefill_factor(ENGINES[0].incarnation, 0.0) > 1.0
-    assert loads.prefill_factor(ENGINES[1].incarnation, 0.0) == 1.0
+    loads.times.on_report("peer", reported, 0.0)
+    assert loads.times.factor(ENGINES[0].incarnation, 0.0) > 1.0
+    assert loads.times.factor(ENGINES[1].incarnation, 0.0) == 1.0
+
+
+def test_reports_of_silent_peers_lapse():
+    loads = FleetLoads()
+    number = incarnation_number(*ENGINES[0].incarnation)
+    loads.times.on_report("peer", {number: times(9_000.0, 1.0)}, 0.0)
+    assert loads.times.combined(["peer"], REPORT_LIFETIME_MS)
+    assert not loads.times.combined(["peer"], REPORT_LIFETIME_MS + 1.0)
+
+
+def test_times_for_a_follower_leave_out_its_own():
+    loads = FleetLoads()
+    number = incarnation_number(*ENGINES[0].incarnation)
+    loads.times.add(ENGINES[0].incarnation, 500.0, 800.0, 0.0)
+    loads.times.on_report("follower", {number: times(9_000.0, 1.0)}, 0.0)
+    total = loads.times.combined(["follower"], 0.0)
+    assert total == {number: (9_500.0, 9_800.0)}
+    excluding = loads.times.excluding_peer(total, "follower", 0.0)
+    assert excluding == {number: (500.0, 800.0)}
 
 
 def test_snapshot_uses_the_factors_in_use():
     """Guards against a preview by newer factors than the next decision's."""
     loads = FleetLoads()
     for upstream in ENGINES:
-        loads.of(upstream.incarnation).times.add(9_000.0, 9_000.0, 0.0)
+        loads.times.add(upstream.incarnation, 9_000.0, 9_000.0, 0.0)
     slow = ENGINES[0].incarnation
-    assert loads.prefill_factor(slow, 0.0) == 1.0
-    loads.of(slow).times.add(20_000.0, 60_000.0, 10.0)
+    assert loads.times.factor(slow, 0.0) == 1.0
+    loads.times.add(slow, 20_000.0, 60_000.0, 10.0)
     later_ms = FACTORS_LIFETIME_MS + 1.0
     for now_ms, is_slow in ((20.0, False), (later_ms, True)):
-        expected = loads.snapshot().prefill_factor(slow, now_ms)
-        assert loads.prefill_factor(slow, now_ms) == expected
+        expected = loads.snapshot().times.factor(slow, now_ms)
+        assert loads.times.factor(slow, now_ms) == expected
         assert (expected > 1.0) == is_slow
