Use further prompt stores, and their configured links, only where these are fast

Where a store's link has less than half of an engine's, parts go to the first store and no more than the assumed rate is expected, as before; such deployments are to be served as they were.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -23,6 +23,7 @@
     PrefillPlan,
     SharedPrompt,
     find_cache_sources,
+    has_fast_link,
     n_cached_prefix_tokens,
     prefill_planner,
     prompt_store_incarnation,
@@ -625,12 +626,14 @@
 
     It is one in the engine's failure domain, or any one if there is none. Among
     several, rendezvous hashing of the leading part chooses, so that all instances agree
-    and the parts that continue it are found beside it.
+    and the parts that continue it are found beside it. Stores with slow links are not
+    worth more transfers, and the first one alone is used.
     """
-    if len(stores) < 2:
+    fast = [s for s in stores if has_fast_link(s, demand.service.engine)]
+    if len(fast) < 2:
         return stores[0] if stores else None
-    near = [s for s in stores if s.failure_domain == upstream.failure_domain]
-    by_address = {store.address: store for store in near or stores}
+    near = [s for s in fast if s.failure_domain == upstream.failure_domain]
+    by_address = {store.address: store for store in near or fast}
     prompt = demand.prompt
     key = f"{demand.cache_scope}/{prompt.model}/{prompt.shared[0].part_id}"
     return by_address[rendezvous.owner(key.encode(), list(by_address))]
--- a/buckthornrock/scheduling/prefill.py
+++ b/buckthornrock/scheduling/prefill.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -24,9 +25,11 @@
 FETCH_SETUP_MS = 4.0
 #: Factor on the transfer time between failure domains.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
-#: Assumed transfer rate of a prompt store's link where the configuration has none, as
-#: a share of an engine's.
+#: Assumed transfer rate of a prompt store's link where the configuration has none or a
+#: slow one, as a share of an engine's.
 STORE_LINK_SHARE = 0.15
+#: Least link of a store that counts as fast, as a share of an engine's.
+FAST_LINK_SHARE = 0.5
 
 
 class SharedPrompt(NamedTuple):
@@ -209,10 +212,19 @@
 
 
 def _store_link_mbps(store: PromptStore, engine: EngineSpec) -> float:
-    """Return the rate of a transfer from a store, which the engine's link bounds."""
-    if not store.link_mbps:
-        return engine.link_mbps * STORE_LINK_SHARE
-    return min(store.link_mbps, engine.link_mbps)
+    """Return the rate of a transfer from a store, which the engine's link bounds.
+
+    All engines share a store's link. A slow one is busy with other transfers for much
+    of the time, so that no more than the assumed rate is expected of it.
+    """
+    if has_fast_link(store, engine):
+        return min(store.link_mbps, engine.link_mbps)
+    return min(store.link_mbps or math.inf, engine.link_mbps * STORE_LINK_SHARE)
+
+
+def has_fast_link(store: PromptStore, engine: EngineSpec) -> bool:
+    """Return whether a store's link is fast against the links of the engines."""
+    return store.link_mbps >= engine.link_mbps * FAST_LINK_SHARE
 
 
 def _n_ready(
