Let all streams of the stop test wait for their first part at once

At most half of the entry port's threads may wait for the first part of a response (55 of 110); calls above that are refused with 503 too-many-calls, as designed. The test opens 100 streams at once, so that it passed only if the first parts came fast enough.

The test now has the delay, and threads for all streams. What it checks is unchanged.

--- a/tests/compose/test_shutdown.py
+++ b/tests/compose/test_shutdown.py
@@ -12,6 +12,10 @@
 from tests.upstreams.raw_server import RawServer, make_response
 
 N_STREAMS = 100
+#: Half of the threads may wait for the first part of a response, and further calls are
+#: refused. All streams may wait for theirs at the same time.
+N_THREADS = 2 * (N_STREAMS + 2)
+FIRST_PART_DELAY_S = 0.5
 WAIT_S = 30.0
 COUNT_LOCK = threading.Lock()
 N_PARTS = 8
@@ -22,6 +26,7 @@
     while head := server.read_request(connection):
         name = head.split(b" ")[1].strip(b"/")
         body = name.ljust(10_000, b".") * N_PARTS
+        time.sleep(FIRST_PART_DELAY_S)
         connection.sendall(make_response(body)[: 10_000 - len(body)])
         server.go.wait(WAIT_S)
         for index in range(1, N_PARTS):
@@ -44,7 +49,7 @@
 
     def start(script, **entry):
         server = RawServer(script)
-        settings = {"n_threads": 110, "drain_grace_ms": 300, **entry}
+        settings = {"n_threads": N_THREADS, "drain_grace_ms": 300, **entry}
         world = ServiceHarness(
             [server.address],
             entry=settings,
