Record isolated accounts in the store, for a restart of all instances

What callers saw: an account that was isolated and then removed stayed out of reach only as long as an instance remembered it.

Cause: a configuration alone doesn't tell that there was such an account, and instances told only each other.

Change: the store holds the accounts that are isolated or were when they were removed. An instance applies the record together with the configuration of its first listing. Names are recorded as soon as an account is isolated, so that no instance has to see the removal.

Not played with real processes yet.

Ruled out: the rollout lease's holder as the writer, as the lease is held only while weights are outdated.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -18,6 +18,7 @@
 from ..gateway.exchange import ExchangeContext
 from ..gateway.fleet_state import FleetState
 from ..gateway.gateway import Gateway, GatewaySettings
+from ..gateway.isolation_recorder import IsolationRecorder, RecordedAccounts
 from ..gateway.memory_budget import budget_limits, n_upstream_connections
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
@@ -114,9 +115,15 @@
         _peer_settings(settings), fleet_state, now_ms, telemetry, quotas=quotas
     )
     is_watch_wanted = threading.Event()
+    recorder = IsolationRecorder.start(store, telemetry)
     StoreWatcher.start(
         store,
-        store_listener(fleet_state, loop, system_clock().wall_ms),
+        store_listener(
+            fleet_state,
+            loop,
+            system_clock().wall_ms,
+            RecordedAccounts(recorder.tell),
+        ),
         WatchControl(
             is_watch_wanted, lambda: fleet_state.revision, peers.n_store_watchers
         ),
--- a/buckthornrock/events/gateway.py
+++ b/buckthornrock/events/gateway.py
@@ -301,8 +301,18 @@
     "gateway.cache_scope_changed",
     "info",
     ("source", "n_removed_accounts", "cache_scope"),
-    "A peer told of accounts that were isolated when they were removed. What they "
-    "cached before they were isolated stays out of reach under the new cache_scope.",
+    "A peer or the store told of accounts that were isolated when they were removed. "
+    "What they cached before they were isolated stays out of reach under the new "
+    "cache_scope.",
+)
+ISOLATION_RECORDED = Event(
+    2242,
+    "gateway.isolation_recorded",
+    "info",
+    ("n_accounts", "n_added"),
+    "The store's record of accounts that are isolated, or were when they were removed, "
+    "was extended by n_added to n_accounts, so that a restart of all instances doesn't "
+    "bring what they cached before into reach again.",
 )
 OVER_QUOTA = Event(
     2230,
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -12,6 +12,7 @@
 from ..catalog.cache_scopes import merge_isolated
 from ..catalog.change_log import ChangeLog, ChangeWindow
 from ..catalog.configuration import ClientLimits, Configuration
+from ..catalog.isolation_record import merge_record
 from ..catalog.route_table import RouteTable
 from ..catalog.upstream_notices import Notice, granted_quiet_ms
 from ..catalog.upstreams import (
@@ -181,6 +182,11 @@
         self._index_incarnations()
         self._publish_now()
 
+    @property
+    def isolated_accounts(self) -> frozenset[str]:
+        """Accounts that are isolated, or were when they were removed."""
+        return self._isolated_accounts
+
     @property
     def removed_isolated_accounts(self) -> frozenset[str]:
         """Accounts that were isolated when they were removed."""
@@ -189,11 +195,13 @@
         return self._isolated_accounts - self.table.configuration.isolated_accounts
 
     def on_removed_isolated_accounts(self, names: Iterable[str], source: str) -> None:
-        """Record accounts that a peer knows were isolated when they were removed.
+        """Remember accounts that were isolated when they were removed.
 
-        Names that arrive before any configuration are ignored; peers repeat them.
+        ``source`` is a peer or the store, and may name accounts that still exist.
         """
         if self.table is None:
+            # The first configuration tells which of them were removed.
+            self._isolated_accounts = merge_record(self._isolated_accounts, names)
             return
         configuration = self.table.configuration
         merged = merge_isolated(self._isolated_accounts, names, configuration)
--- /dev/null
+++ b/buckthornrock/gateway/isolation_recorder.py
@@ -0,0 +1,133 @@
+"""Keeps the store's record of isolated accounts complete."""
+
+import time
+from collections.abc import Callable
+
+import pykka
+
+from ..catalog.isolation_record import (
+    RECORD_KEY,
+    decode_record,
+    encode_record,
+    merge_record,
+)
+from ..events import gateway as events
+from ..events.lifecycle import STEP_FAILED
+from ..runtime.decoding import MAX_REASON_CHARS
+from ..store.kv_port import (
+    CommitDone,
+    Compare,
+    Put,
+    StorePort,
+    Transaction,
+    payload,
+)
+from ..telemetry import Telemetry
+
+#: Pause before another attempt to complete the record.
+RETRY_MS = 1_000.0
+
+
+class RecordedAccounts:
+    """What the store's record holds, and what was asked to be added to it.
+
+    Parameters
+    ----------
+    request : callable
+        ``request(names)`` has accounts added to the record; it is called once for each
+        change of the accounts and must not block.
+    """
+
+    def __init__(self, request: Callable[[frozenset[str]], None]) -> None:
+        self._request = request
+        self._recorded: frozenset[str] = frozenset()
+        self._requested: frozenset[str] = frozenset()
+
+    def on_recorded(self, names: frozenset[str]) -> None:
+        """Take over what the store's record holds."""
+        self._recorded = names
+
+    def complete(self, isolated_accounts: frozenset[str]) -> None:
+        """Request that the record holds these accounts, unless it does."""
+        if isolated_accounts <= self._requested:
+            return
+        if merge_record(self._recorded, isolated_accounts) == self._recorded:
+            return
+        self._requested = isolated_accounts
+        self._request(isolated_accounts)
+
+
+class IsolationRecorder(pykka.ThreadingActor):
+    """Adds accounts to the store's record; its calls block only this actor's thread.
+
+    A message is a set of names. Attempts are repeated until the record holds them, so
+    that an outage of the store only delays it.
+
+    Parameters
+    ----------
+    store : StorePort
+        The store.
+    telemetry : Telemetry
+    pause : callable
+        ``pause(duration_s)`` waits before another attempt.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        store: StorePort,
+        telemetry: Telemetry,
+        pause: Callable[[float], None] = time.sleep,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._telemetry = telemetry
+        self._pause = pause
+
+    def on_receive(self, message: frozenset[str]) -> None:
+        """Add accounts to the record, however often it takes."""
+        while not self._try_record(message):
+            self._pause(RETRY_MS / 1000.0)
+
+    def _try_record(self, names: frozenset[str]) -> bool:
+        """Make one attempt; an exception that left it would end the actor."""
+        try:
+            return self._record(names)
+        except Exception as error:  # noqa: BLE001 - tried again
+            self._telemetry.log(
+                STEP_FAILED,
+                actor="IsolationRecorder",
+                error_type=type(error).__name__,
+                reason=str(error)[:MAX_REASON_CHARS],
+            )
+            return False
+
+    def _record(self, names: frozenset[str]) -> bool:
+        """Return whether the record certainly holds the accounts."""
+        found = self._store.get(RECORD_KEY)
+        if found.is_error():
+            return False
+        entry = found.ok
+        recorded: frozenset[str] = frozenset()
+        if entry is not None:
+            # A record that can't be decoded is replaced.
+            recorded = decode_record(payload(entry)).default_value(recorded)
+        merged = merge_record(recorded, names)
+        if merged == recorded:
+            return True
+        revision = entry.mod_revision if entry is not None else 0
+        outcome = self._store.commit(
+            Transaction(
+                (Compare(RECORD_KEY, revision),),
+                (Put(RECORD_KEY, encode_record(merged)),),
+            )
+        )
+        if not isinstance(outcome, CommitDone):
+            return False
+        self._telemetry.log(
+            events.ISOLATION_RECORDED,
+            n_accounts=len(merged),
+            n_added=len(merged - recorded),
+        )
+        return True
--- a/buckthornrock/platform/store_listeners.py
+++ b/buckthornrock/platform/store_listeners.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from ..catalog.isolation_record import RECORD_KEY, decode_record
 from ..catalog.upstreams import Upstream
 from ..gateway.fleet_state import FleetState
-from ..rollout.wanted_record import RECORD_PREFIX, decode_record
+from ..gateway.isolation_recorder import RecordedAccounts
+from ..rollout import wanted_record
 from ..store.kv_port import KvEntry, Snapshot, WatchBatch, payload
 from ..store.store_watcher import Listener
 from .configuration import decode_configuration
@@ -24,12 +26,14 @@
     fleet_state: FleetState,
     loop: asyncio.AbstractEventLoop,
     wall_ms: Callable[[], int],
+    recorded_accounts: RecordedAccounts,
 ) -> Listener:
     """Return a listener that any thread may call; it runs on the event loop.
 
     ``wall_ms`` returns the time of day in Unix milliseconds. Since when versions are
     wanted is read from the first listing and from the first changes, which bring what
     that listing lacked if it was stale. Later, the process knows it better.
+    ``recorded_accounts`` gets the record of isolated accounts, and completes it.
     """
     unread = {Snapshot, WatchBatch}
 
@@ -51,6 +55,9 @@
     def on_received(handle: Callable, received: Snapshot | WatchBatch) -> None:
         fleet_state.store_contact.on_call_answered()
         handle(received)
+        # The configuration tells which of the recorded accounts were removed.
+        _apply_isolation_record(fleet_state, recorded_accounts, received.entries)
+        recorded_accounts.complete(fleet_state.isolated_accounts)
         if type(received) in unread:
             unread.remove(type(received))
             _apply_wanted_records(fleet_state, received.entries, wall_ms())
@@ -91,18 +98,34 @@
     fleet_state.on_weights(weights.ok.model, weights.ok.version, SOURCE)
 
 
+def _apply_isolation_record(
+    fleet_state: FleetState,
+    recorded_accounts: RecordedAccounts,
+    entries: Iterable[KvEntry],
+) -> None:
+    for entry in entries:
+        if entry.key != RECORD_KEY:
+            continue
+        record = decode_record(payload(entry))
+        if record.is_error():
+            fleet_state.log_undecodable(entry.key, record.error.reason)
+            continue
+        recorded_accounts.on_recorded(record.ok)
+        fleet_state.on_removed_isolated_accounts(record.ok, SOURCE)
+
+
 def _apply_wanted_records(
     fleet_state: FleetState, entries: Iterable[KvEntry], wall_ms: int
 ) -> None:
     """Apply since when versions are wanted, as the store records it."""
     for entry in entries:
-        if not entry.key.startswith(RECORD_PREFIX):
+        if not entry.key.startswith(wanted_record.RECORD_PREFIX):
             continue
-        record = decode_record(payload(entry), wall_ms)
+        record = wanted_record.decode_record(payload(entry), wall_ms)
         if record.is_error():
             fleet_state.log_undecodable(entry.key, record.error.reason)
             continue
-        model = entry.key.removeprefix(RECORD_PREFIX)
+        model = entry.key.removeprefix(wanted_record.RECORD_PREFIX)
         fleet_state.on_wanted_record(model, record.ok)
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -9,6 +9,7 @@
 
 from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway.fleet_state import FleetState
+from buckthornrock.gateway.isolation_recorder import RecordedAccounts
 from buckthornrock.gateway.undecodable_log import MAX_LINES_PER_PERIOD
 from buckthornrock.platform.configuration import decode_configuration
 from buckthornrock.platform.engine_control import open_engine_control
@@ -164,7 +165,9 @@
         self.logged = []
         telemetry = Telemetry(self._log, open_metrics("", 0, ""))
         self.state = FleetState("a", WeightsView(20_000.0), lambda: 5_000.0, telemetry)
-        self.listener = store_listener(self.state, self, lambda: 0)
+        self.listener = store_listener(
+            self.state, self, lambda: 0, RecordedAccounts(lambda names: None)
+        )
 
     def _log(self, event, **fields):
         self.logged.append((event.name, fields))
--- a/tests/rollout/test_wanted_record.py
+++ b/tests/rollout/test_wanted_record.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from buckthornrock.gateway.fleet_state import FleetState
+from buckthornrock.gateway.isolation_recorder import RecordedAccounts
 from buckthornrock.platform.store_listeners import store_listener
 from buckthornrock.rollout.actor import RECORD_RETRY_MS, RolloutActor
 from buckthornrock.rollout.plan import RolloutEngine
@@ -202,7 +203,8 @@
         telemetry = Telemetry(lambda event, **fields: None, open_metrics("", 0, ""))
         state = FleetState("a", WeightsView(USABLE_MS), lambda: 0.0, telemetry)
         loop = asyncio.get_running_loop()
-        handle(store_listener(state, loop, lambda: WALL_MS + 4_000))
+        recorded = RecordedAccounts(lambda names: None)
+        handle(store_listener(state, loop, lambda: WALL_MS + 4_000, recorded))
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         return state
