Compare the prefill speed of engines within their service

Factors are now computed for each service.

The new test failed with one mean: the engines of the faster service had factors other than 1. Deployments with one model service are placed as before.

--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -580,7 +580,11 @@
 
     def _index_incarnations(self) -> None:
         """Index upstreams and prompt stores by their numbers in digests."""
-        known = [upstream.incarnation for upstream in self.directory.all()]
+        upstreams = self.directory.all()
+        self.loads.times.set_services(
+            {incarnation_number(*u.incarnation): u.service for u in upstreams}
+        )
+        known = [upstream.incarnation for upstream in upstreams]
         stores = self.table.configuration.prompt_stores if self.table else ()
         known += [prompt_store_incarnation(store) for store in stores]
         self._incarnation_by_number = {incarnation_number(*key): key for key in known}
--- a/buckthornrock/scheduling/prefill_speed.py
+++ b/buckthornrock/scheduling/prefill_speed.py
@@ -88,11 +88,16 @@
     """Times to the first event at all engines, from this instance and its peers."""
 
     def __init__(self) -> None:
+        self._services: Mapping[int, str] = {}
         self._own: dict[Incarnation, RecentTimes] = defaultdict(RecentTimes)
         self._reports: dict[str, _Report] = {}
         self._factors: dict[int, float] = {}
         self._factors_valid_until_ms = -math.inf
 
+    def set_services(self, services: Mapping[int, str]) -> None:
+        """Set the service of each engine, by upstream number."""
+        self._services = services
+
     def add(
         self,
         incarnation: Incarnation,
@@ -133,9 +138,9 @@
         return sums
 
     def factor(self, incarnation: Incarnation, now_ms: float) -> float:
-        """Return an engine's prefill time as a multiple of the engines' mean."""
+        """Return an engine's prefill time as a multiple of its service's mean."""
         if now_ms > self._factors_valid_until_ms:
-            self._factors = prefill_factors(self.combined(self._reports, now_ms))
+            self._factors = self._compute_factors(now_ms)
             self._factors_valid_until_ms = now_ms + FACTORS_LIFETIME_MS
         if not self._factors:
             return 1.0
@@ -154,21 +159,32 @@
     def snapshot(self) -> "FleetPrefillTimes":
         """Return a copy with the factors in use, whose use changes nothing here."""
         copied = FleetPrefillTimes()
+        copied._services = self._services
         copied._own.update(self._own)
         copied._reports = dict(self._reports)
         copied._factors = self._factors
         copied._factors_valid_until_ms = self._factors_valid_until_ms
         return copied
 
+    def _compute_factors(self, now_ms: float) -> dict[int, float]:
+        by_service: dict[str, dict[int, PrefillTimes]] = defaultdict(dict)
+        for number, times in self.combined(self._reports, now_ms).items():
+            by_service[self._services.get(number, "")][number] = times
+        factors: dict[int, float] = {}
+        for times in by_service.values():
+            factors.update(prefill_factors(times))
+        return factors
+
     def _unexpired(self, peers: Iterable[str], now_ms: float) -> list[_Report]:
         reports = [self._reports[peer] for peer in peers if peer in self._reports]
         return [r for r in reports if now_ms - r.at_ms <= REPORT_LIFETIME_MS]
 
 
 def prefill_factors(times: Mapping[Hashable, PrefillTimes]) -> dict[Hashable, float]:
-    """Return each engine's prefill time as a multiple of the mean over all engines.
+    """Return each engine's prefill time as a multiple of the mean over all of them.
 
-    Engines without a noticeable deviation are left out.
+    The engines are those of one service, as services differ in their models. Engines
+    without a noticeable deviation are left out.
     """
     total = PrefillTimes()
     for engine_times in times.values():
--- a/tests/scheduling/test_prefill_speed.py
+++ b/tests/scheduling/test_prefill_speed.py
@@ -106,6 +106,23 @@
     assert loads.times.factor(ENGINES[1].incarnation, 0.0) == 1.0
 
 
+def test_engines_are_compared_with_those_of_their_own_service():
+    """All engines of the service with the larger model once counted as slow."""
+    loads = FleetLoads()
+    services = {}
+    for index, upstream in enumerate(ENGINES):
+        number = incarnation_number(*upstream.incarnation)
+        services[number] = ("small", "large")[index % 2]
+        observed_ms = 9_000.0 * (1.0, 3.0)[index % 2] * (2.0 if index == 3 else 1.0)
+        loads.times.add(upstream.incarnation, 9_000.0, observed_ms, 0.0)
+    loads.times.set_services(services)
+    factors = [loads.times.factor(u.incarnation, 0.0) for u in ENGINES]
+    assert factors[3] > 1.0
+    assert [factors[index] for index in (0, 2, 4)] == [1.0, 1.0, 1.0]
+    assert all(factor <= 1.0 for factor in factors[1:6:4])
+    assert loads.snapshot().times.factor(ENGINES[3].incarnation, 0.0) == factors[3]
+
+
 def test_reports_of_silent_peers_lapse():
     loads = FleetLoads()
     number = incarnation_number(*ENGINES[0].incarnation)
