Close another connection if the first one can't make a descriptor free

When the process had no descriptor left, only the connection that was registered first was tried. All are tried in turn now.

Traced: with three connections allowed the limit was only exceeded if a caller came before the end of the one before it was noticed; otherwise the idle connection ended by its timeout after 10 s, and no limit was noted. Now two are allowed, the timeout is a minute, a clock of the test tells which connection is idle, and the request in arrival must be served, too.

--- a/buckthornrock/httpd/arrivals.py
+++ b/buckthornrock/httpd/arrivals.py
@@ -186,8 +186,10 @@
         """Close a connection because the process can open no more descriptors."""
         with self._lock:
             arrivals = list(self._arrivals.values())
-        if arrivals and self._evict(arrivals[0].connection.holder):
-            self._on_limit(Limit.CONNECTIONS)
+        for arrival in arrivals:
+            if self._evict(arrival.connection.holder):
+                self._on_limit(Limit.CONNECTIONS)
+                return
 
     def n_begun(self) -> int:
         """Return the number of requests that are partly received."""
--- a/tests/httpd/test_client_limits.py
+++ b/tests/httpd/test_client_limits.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from buckthornrock.httpd import Limit, ServerLimits, start_server
+from buckthornrock.httpd.budget import STALL_MS
 
 WAIT_S = 20.0
 HEAD = b"POST /%b HTTP/1.1\r\nHost: x\r\n"
@@ -95,6 +96,21 @@
         assert read_status(caller) == b"404"
 
 
+def test_lack_of_descriptors_closes_an_idle_connection_behind_a_refused_one(serve):
+    """Only the connection that was registered first was tried."""
+    served = serve()
+    arrivals = served.server._arrivals
+    with served.connect() as refused:
+        refused.sendall(with_length(b"refused", 1_000_000, b"x" * 10))
+        assert read_status(refused) == b"404"
+        served.wait_for(lambda: arrivals._lingering)
+        with served.connect() as idle:
+            served.wait_for(lambda: len(arrivals._arrivals) == 2)
+            arrivals.make_descriptor()
+            assert idle.recv(1) == b""
+    assert served.limits == [Limit.CONNECTIONS]
+
+
 def test_refusal_is_read_by_a_client_that_sends_on(serve):
     """Closing with unread data would make the kernel discard the response."""
     served = serve(max_body_bytes=1_000)
@@ -160,15 +176,23 @@
 
 
 def test_connections_above_the_limit_close_idle_ones(serve):
-    served = serve(max_connections=3)
+    """The connection is closed for the limit, long before its timeout."""
+    served = serve(max_connections=2, read_timeout_ms=60_000)
+    budget, now_ms = served.server._arrivals.budget, 0.0
+    budget._now_ms = lambda: now_ms
     with served.connect() as idle, served.connect() as busy:
-        busy.sendall(with_length(b"x", 4, b"fou"))
+        busy.sendall(with_length(b"x", 4, b"fo"))
         served.wait_for(lambda: served.server.n_busy() == 1)
-        for _ in range(3):
-            with served.connect() as caller:
-                caller.sendall(with_length(b"x", 2, b"{}"))
-                assert read_status(caller) == b"200"
+        now_ms = 2.0 * STALL_MS
+        n_held_bytes = served.server.n_held_bytes()
+        busy.sendall(b"u")
+        served.wait_for(lambda: served.server.n_held_bytes() > n_held_bytes)
+        with served.connect() as caller:
+            caller.sendall(with_length(b"x", 2, b"{}"))
+            assert read_status(caller) == b"200"
         assert idle.recv(1) == b""
+        busy.sendall(b"r")
+        assert read_status(busy) == b"200"
     # The limit is noted after the connection was closed.
     served.wait_for(lambda: Limit.CONNECTIONS in served.limits)
 
