Record prefill times for routes with a tight objective only

Times are now recorded for the routes that may overflow. Without them no engine has a factor, so that other routes are placed as before.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -46,6 +46,9 @@
 class Reservation:
     """Capacity that one request holds at one upstream until it is released.
 
+    The time to the first event tells how fast an engine is, which matters only to
+    prompts with a tight objective, and is recorded for these.
+
     Attributes
     ----------
     placement : Placement
@@ -53,9 +56,14 @@
     """
 
     def __init__(
-        self, placement: Placement, loads: FleetLoads, on_released: Callable[[], None]
+        self,
+        demand: Demand,
+        placement: Placement,
+        loads: FleetLoads,
+        on_released: Callable[[], None],
     ) -> None:
         self.placement = placement
+        self._records_time = demand.has_tight_objective
         self._load = loads.of(placement.upstream.incarnation)
         self._times = loads.times
         self._remaining = placement.work
@@ -70,9 +78,11 @@
         prefill_ms = self._remaining.prefill_ms
         if not prefill_ms:
             return
-        placement = self.placement
-        expected_ms = placement.queued_prefill_ms + placement.fetch_ms + prefill_ms
-        self._times.add(placement.upstream.incarnation, expected_ms, elapsed_ms, now_ms)
+        if self._records_time:
+            placement = self.placement
+            expected_ms = placement.queued_prefill_ms + placement.fetch_ms + prefill_ms
+            incarnation = placement.upstream.incarnation
+            self._times.add(incarnation, expected_ms, elapsed_ms, now_ms)
         self._subtract(Work(prefill_ms=prefill_ms))
 
     def release(self) -> None:
@@ -152,7 +162,7 @@
         decision = self._decide(queued, excluded, queue)
         if isinstance(decision, Placement):
             queue.on_placed(demand, now_ms)
-            return Ok(self._reserve_at(decision))
+            return Ok(self._reserve_at(demand, decision))
         if isinstance(decision, Refusal):
             return Error(decision)
         return await self._wait(queued, excluded, queue)
@@ -358,7 +368,9 @@
         placement = self._choose(queued.demand, self._excluded[queued.number])
         if isinstance(placement, NoCapacity):
             return False
-        self._futures[queued.number].set_result(self._reserve_at(placement))
+        self._futures[queued.number].set_result(
+            self._reserve_at(queued.demand, placement)
+        )
         return True
 
     def _choose(
@@ -396,8 +408,8 @@
         n_usable = len(self._directory.usable(name))
         return QueueSnapshot(n_usable, len(self._queues[name]), wait_ms)
 
-    def _reserve_at(self, placement: Placement) -> Reservation:
-        return Reservation(placement, self.loads, self.schedule_wake)
+    def _reserve_at(self, demand: Demand, placement: Placement) -> Reservation:
+        return Reservation(demand, placement, self.loads, self.schedule_wake)
 
 
 def _release_unused(future: asyncio.Future[Reservation | Refusal]) -> None:
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -115,6 +115,13 @@
         """Whether the request's route has the most urgent rank."""
         return self.route.rank == 0
 
+    @property
+    def has_tight_objective(self) -> bool:
+        """Whether a long prompt's objective leaves no time to wait for an engine."""
+        return (
+            not self.is_urgent and self.route.objective_ms <= MAX_OVERFLOW_OBJECTIVE_MS
+        )
+
 
 class SchedulingView(NamedTuple):
     """Snapshot of the state that placements are computed from.
@@ -367,7 +374,7 @@
     best = _best(demand, context, list(engines.values()), view)
     others = [u for u in upstreams if u.upstream_id not in engines]
     is_in_time = best is not None and not _is_late(best.estimate_ms, demand)
-    if demand.route.objective_ms <= MAX_OVERFLOW_OBJECTIVE_MS and not is_in_time:
+    if demand.has_tight_objective and not is_in_time:
         overflow = _best(demand, context, _overflow_engines(others, view), view)
         if overflow is None or not _is_worth_overflowing(best, overflow, demand):
             return best
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -8,10 +8,11 @@
 from buckthornrock.gateway import dispatcher as dispatcher_module
 from buckthornrock.gateway.dispatcher import TICK_MS, Dispatcher
 from buckthornrock.gateway.requests import AdmittedRequest
-from buckthornrock.scheduling.choice import choose
+from buckthornrock.scheduling.choice import MAX_OVERFLOW_OBJECTIVE_MS, choose
 from buckthornrock.scheduling.loads import FleetLoads, Work
 from buckthornrock.scheduling.wait_queue import WaitQueue
 from buckthornrock.wire.numeric_ids import incarnation_number
+from tests.scheduling.test_overflow import tight_long
 from tests.scheduling.world import engine, long, short, view
 
 N_ENGINES = 45
@@ -123,3 +124,29 @@
     monkeypatch.setattr(WaitQueue, "on_placed", count)
     asyncio.run(main())
     assert len(placed) == 1
+
+
+# Load: long prompts whose objective leaves time to wait. Factors from their times kept
+# work from engines that had room.
+@pytest.mark.parametrize(
+    ("demand", "is_recorded"),
+    [
+        (tight_long(), True),
+        (tight_long(objective_ms=MAX_OVERFLOW_OBJECTIVE_MS + 1.0), False),
+        (short("note"), False),
+    ],
+    ids=["tight", "wide", "urgent"],
+)
+def test_times_of_engines_are_recorded_for_tight_objectives_only(
+    monkeypatch, demand, is_recorded
+):
+    burst = Burst(monkeypatch)
+
+    async def main():
+        admitted = AdmittedRequest(None, demand.route, None, demand, DEADLINE_MS)
+        reservation = (await burst.dispatcher.reserve(admitted, frozenset())).ok
+        reservation.on_first_event(900.0, 900.0)
+        times = burst.loads.times.combined([], 900.0)
+        assert bool(times) == is_recorded
+
+    asyncio.run(main())
