Mend what a second reading found in accounting, descriptors and tests

- A stream whose rest in the transport drained without a callback stayed accounted for until its next event; the sum is refreshed at each read until nothing is unsent.
- A refused connection that another thread had taken counted as closed for the limit.
- Three tests of limits waited for a worker, not for a request in arrival, so that they could close another connection than the one they name.
Two tests of the isolation record passed without what they guard against.

--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -229,7 +229,7 @@
 
     def hold_response(self, n_bytes: int) -> None:
         """Account for bytes of the response that are not sent yet."""
-        if n_bytes != self._n_response_bytes:
+        if n_bytes != self._n_response_bytes or not self._holding.is_serving:
             self._n_response_bytes = n_bytes
             self._account()
 
@@ -299,7 +299,7 @@
     def send_chunk(self, chunk: bytes) -> None:
         """Send the next bytes of a streamed response."""
         self._writer.write(self._h11.send(h11.Data(data=chunk)))
-        # Streams have many events, most of which the socket takes at once.
+        # Nothing changes if no byte is unsent, and none was at the last time.
         if self._writer.n_unsent_bytes or not self._holding.is_serving:
             self._account()
 
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -46,8 +46,8 @@
 class Reservation:
     """Capacity that one request holds at one upstream until it is released.
 
-    The time to the first event tells how fast an engine is, which matters only to
-    prompts with a tight objective, and is recorded for these.
+    The time to the first event tells how fast an engine is. It is recorded only for
+    prompts with a tight objective, as services without any need not tell engines apart.
 
     Attributes
     ----------
--- a/buckthornrock/gateway/isolation_recorder.py
+++ b/buckthornrock/gateway/isolation_recorder.py
@@ -26,7 +26,7 @@
 from ..telemetry import Telemetry
 
 #: Bounds of the pause before another attempt. Instances that write at the same time
-#: would meet again without a random part.
+#: would conflict again without a random part.
 MIN_RETRY_MS = 500.0
 MAX_RETRY_MS = 1_500.0
 
@@ -47,7 +47,7 @@
         self._requested: frozenset[str] = frozenset()
 
     def on_recorded(self, names: frozenset[str]) -> None:
-        """Take over what the record holds: nothing if it is gone or undecodable."""
+        """Replace what is known of the record; no names if it can't be used."""
         self._recorded = names
         self._requested = frozenset()
 
@@ -90,7 +90,7 @@
         self._pause = pause
 
     def on_receive(self, message: frozenset[str]) -> None:
-        """Add accounts to the record, however often it takes."""
+        """Add accounts to the record, retrying until it holds them."""
         while not self._try_record(message):
             self._pause(random.uniform(MIN_RETRY_MS, MAX_RETRY_MS) / 1000.0)
 
@@ -115,7 +115,7 @@
         entry = found.ok
         recorded: frozenset[str] = frozenset()
         if entry is not None:
-            # A record that can't be decoded is replaced: it protects nobody.
+            # A record that can't be decoded is replaced: no instance can apply it.
             recorded = decode_record(payload(entry)).default_value(recorded)
         merged = merge_record(recorded, names)
         if merged == recorded:
--- a/buckthornrock/httpd/arrivals.py
+++ b/buckthornrock/httpd/arrivals.py
@@ -186,16 +186,17 @@
         """Close a connection because the process can open no more descriptors.
 
         Idle ones come first, then refused ones. A request in arrival is refused last:
-        its connection keeps its descriptor for a while.
+        its connection keeps its descriptor for up to ``LINGER_S``.
         """
         with self._lock:
             arrivals = list(self._arrivals.values())
         arrivals.sort(key=lambda a: (a.has_begun or a.is_lingering, not a.is_lingering))
         for arrival in arrivals:
-            if arrival.is_lingering and self._take_one(arrival):
-                arrival.connection.close()
-                return
-            if self._evict(arrival.connection.holder):
+            if arrival.is_lingering:
+                if self._take_one(arrival):
+                    arrival.connection.close()
+                    return
+            elif self._evict(arrival.connection.holder):
                 self._on_limit(Limit.CONNECTIONS)
                 return
 
--- a/buckthornrock/platform/store_listeners.py
+++ b/buckthornrock/platform/store_listeners.py
@@ -30,12 +30,13 @@
 ) -> Listener:
     """Return a listener that any thread may call; it runs on the event loop.
 
-    ``wall_ms`` returns the time of day in Unix milliseconds. Since when versions are
-    wanted, and which accounts were isolated, is read from the first listing and from
-    the first changes, which bring what that listing lacked if it was stale. Later, the
-    process knows it better. ``recorded_accounts`` compares the record of isolated
-    accounts with what the process knows. Missing ones are requested with changes only:
-    every instance gets a first listing, and few of them watch for changes.
+    ``wall_ms`` returns the time of day in Unix milliseconds. The times since which
+    versions are wanted, and the recorded isolated accounts, are applied from the first
+    listing and the first batch of changes only, which brings what the listing lacked
+    if it was stale. Later, the process's own state is newer. ``recorded_accounts`` is
+    used to compare the record with the accounts that the process knows. Missing ones
+    are requested with changes only: every instance gets a first listing, and few of
+    them watch for changes.
     """
     unread = {Snapshot, WatchBatch}
 
--- a/buckthornrock/runtime/addresses.py
+++ b/buckthornrock/runtime/addresses.py
@@ -5,7 +5,7 @@
 import re
 
 MAX_PORT = 65_535
-#: Peers repeat the addresses of all instances many times a second.
+#: Digests repeat the addresses of all instances, of which there are some hundreds.
 N_CACHED_ADDRESSES = 4_096
 _PORT = re.compile(r"[0-9]{1,5}")
 
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -117,7 +117,7 @@
 
     @property
     def has_tight_objective(self) -> bool:
-        """Whether a long prompt's objective leaves no time to wait for an engine."""
+        """Whether the route isn't urgent, and leaves no time to wait for an engine."""
         return (
             not self.is_urgent and self.route.objective_ms <= MAX_OVERFLOW_OBJECTIVE_MS
         )
--- a/tests/httpd/test_client_limits.py
+++ b/tests/httpd/test_client_limits.py
@@ -110,7 +110,7 @@
         refused.sendall(with_length(b"refused", 1_000_000, b"x" * 10))
         assert read_status(refused) == b"404"
         busy.sendall(with_length(b"x", 4, b"fou"))
-        served.wait_for(lambda: served.server.n_busy() == 1)
+        served.wait_for(lambda: arrivals.n_begun() == 1)
         served.wait_for(lambda: len(arrivals._arrivals) == 3)
         arrivals.make_descriptor()
         assert idle.recv(1) == b""
@@ -122,11 +122,11 @@
     assert served.limits == [Limit.CONNECTIONS]
 
 
-def test_lack_of_descriptors_refuses_a_request_in_arrival_at_last(serve):
+def test_lack_of_descriptors_refuses_a_request_in_arrival_last(serve):
     served = serve(read_timeout_ms=60_000)
     with served.connect() as busy:
         busy.sendall(with_length(b"x", 4, b"fou"))
-        served.wait_for(lambda: served.server.n_busy() == 1)
+        served.wait_for(lambda: served.server._arrivals.n_begun() == 1)
         served.server._arrivals.make_descriptor()
         assert read_status(busy) == b"503"
     assert served.paths == []
@@ -203,7 +203,7 @@
     budget._now_ms = lambda: now_ms
     with served.connect() as idle, served.connect() as busy:
         busy.sendall(with_length(b"x", 4, b"fo"))
-        served.wait_for(lambda: served.server.n_busy() == 1)
+        served.wait_for(lambda: served.server._arrivals.n_begun() == 1)
         now_ms = 2.0 * STALL_MS
         n_held_bytes = served.server.n_held_bytes()
         busy.sendall(b"u")
--- a/tests/platform/test_isolation_record.py
+++ b/tests/platform/test_isolation_record.py
@@ -121,6 +121,7 @@
     instance = Instance()
     entries = (configuration_entry(3, shop=False, mill=False), record_entry("shop"))
     instance.listener.on_snapshot(Snapshot(9, entries))
+    instance.watch(10)
     assert instance.scope() == "shared"
     assert not instance.requested
 
@@ -133,7 +134,7 @@
     assert instance.state.removed_isolated_accounts == SHOP
 
 
-def test_later_record_changes_nothing_that_the_instance_knows_better():
+def test_later_record_is_not_applied():
     """Each addition to the record brought back accounts that had shared again."""
     instance = Instance()
     instance.listener.on_snapshot(Snapshot(1, (configuration_entry(1, shop=True),)))
@@ -183,6 +184,8 @@
     odd = KvEntry(RECORD_KEY, WRITE_ID + b"[1", 9, 0, WRITE_ID)
     instance.listener.on_snapshot(Snapshot(9, (odd, configuration_entry(2, shop=True))))
     assert instance.state.configuration_version == 2
+    instance.watch(10)
+    assert instance.requested == [SHOP]
 
 
 class Recorder:
@@ -266,9 +269,13 @@
     first.actor._store = first.actor._store._replace(
         commit=lambda transaction: late.append(transaction) or commit(transaction)
     )
-    first.actor._pause = lambda _: other.actor.on_receive(frozenset({"mill"}))
+
+    def pause(_):
+        other.actor.on_receive(frozenset({"mill"}))
+        assert isinstance(first.store.commit(late[0]), CommitConflict)
+
+    first.actor._pause = pause
     first.actor.on_receive(SHOP)
-    assert isinstance(first.store.commit(late[0]), CommitConflict)
     assert first.recorded() == Ok(frozenset({"mill", "shop"}))
 
 
