Split the choice of an upstream into modules

scheduling/choice.py held data types, limits of capacity, estimates, the engines for long prompts and the choice of a prompt store in 651 lines. Each is a module of its own now, and callers import names from where they are defined.

--- a/benchmarks/choice_cost.py
+++ b/benchmarks/choice_cost.py
@@ -20,8 +20,9 @@
     ServiceShare,
 )
 from buckthornrock.catalog.upstreams import Upstream
-from buckthornrock.scheduling.choice import Demand, SchedulingView, choose
+from buckthornrock.scheduling.choice import choose
 from buckthornrock.scheduling.loads import FleetLoads, LoadReport, Work
+from buckthornrock.scheduling.placement import Demand, SchedulingView
 from buckthornrock.scheduling.prompt import PromptPart, PromptShape
 from buckthornrock.scheduling.weights import WeightsView
 from buckthornrock.wire.numeric_ids import incarnation_number, part_number
--- a/buckthornrock/gateway/admission.py
+++ b/buckthornrock/gateway/admission.py
@@ -10,7 +10,7 @@
 
 from ..catalog.configuration import ClientAccount, Route
 from ..catalog.route_table import RouteTable, UnknownKey
-from ..scheduling.choice import Demand
+from ..scheduling.placement import Demand
 from ..scheduling.prompt import parse_prompt
 from .requests import AdmittedRequest, ClientRequest, Refusal
 
--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -11,19 +11,17 @@
 from expression import Error, Ok, Result
 
 from ..catalog.upstreams import Upstream, UpstreamDirectory
-from ..scheduling.choice import (
+from ..scheduling.capacity import may_fit, may_serve, with_capacity
+from ..scheduling.choice import choose, options
+from ..scheduling.loads import FleetLoads, LoadReport, Work
+from ..scheduling.long_prompts import has_tight_objective
+from ..scheduling.placement import (
     Demand,
     NoCapacity,
     Obstacle,
     Placement,
     SchedulingView,
-    choose,
-    may_fit,
-    may_serve,
-    options,
-    with_capacity,
 )
-from ..scheduling.loads import FleetLoads, LoadReport, Work
 from ..scheduling.wait_queue import (
     MIN_SERVICE_MS,
     QueuedRequest,
@@ -63,7 +61,7 @@
         on_released: Callable[[], None],
     ) -> None:
         self.placement = placement
-        self._records_time = demand.has_tight_objective
+        self._records_time = has_tight_objective(demand)
         self._load = loads.of(placement.upstream.incarnation)
         self._times = loads.times
         self._remaining = placement.work
--- a/buckthornrock/gateway/exchange_log.py
+++ b/buckthornrock/gateway/exchange_log.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..events import gateway as events
-from ..scheduling.choice import Placement
+from ..scheduling.placement import Placement
 from ..telemetry import Telemetry
 from ..telemetry.metrics import (
     GATEWAY_ATTEMPTS_FAILED,
--- a/buckthornrock/gateway/explanation.py
+++ b/buckthornrock/gateway/explanation.py
@@ -15,7 +15,7 @@
 
 from ..catalog.configuration import Route
 from ..catalog.upstreams import Upstream
-from ..scheduling.choice import Obstacle, Placement
+from ..scheduling.placement import Obstacle, Placement
 from .account_quotas import AccountQuotas
 from .admission import NO_CONFIGURATION, UNKNOWN_KEY, admit_to, find_route
 from .crash_watch import crash_parts
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -26,9 +26,9 @@
 from ..rollout.plan import RolloutEngine
 from ..rollout.port import RolloutInputs
 from ..scheduling.cached_parts import PartKey
-from ..scheduling.choice import SchedulingView
 from ..scheduling.crash_suspects import CrashSuspects
 from ..scheduling.loads import FleetLoads
+from ..scheduling.placement import SchedulingView
 from ..scheduling.prefill import MIN_SHARED_TOKENS, prompt_store_incarnation
 from ..scheduling.weights import WeightsView
 from ..telemetry import Telemetry
--- a/buckthornrock/gateway/placement_records.py
+++ b/buckthornrock/gateway/placement_records.py
@@ -1,6 +1,6 @@
 """Records in the fleet state what placed requests tell of engines and prompt stores."""
 
-from ..scheduling.choice import Demand, Placement
+from ..scheduling.placement import Demand, Placement
 from ..scheduling.prefill import prompt_store_incarnation
 from ..scheduling.prompt import cache_salt
 from ..wire.numeric_ids import part_number
--- a/buckthornrock/gateway/requests.py
+++ b/buckthornrock/gateway/requests.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from ..catalog.configuration import ClientAccount, Route
-from ..scheduling.choice import Demand
 from ..scheduling.crash_suspects import QuarantinedPart
+from ..scheduling.placement import Demand
 from .ports import Headers, RequestFields
 
 
--- a/buckthornrock/scheduling/wait_queue.py
+++ b/buckthornrock/scheduling/wait_queue.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .choice import Demand
+from .placement import Demand
 
 #: Time that must remain until a client's deadline when a request is placed.
 MIN_SERVICE_MS = 150.0
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -8,8 +8,9 @@
 from buckthornrock.gateway import dispatcher as dispatcher_module
 from buckthornrock.gateway.dispatcher import TICK_MS, Dispatcher
 from buckthornrock.gateway.requests import AdmittedRequest
-from buckthornrock.scheduling.choice import MAX_OVERFLOW_OBJECTIVE_MS, choose
+from buckthornrock.scheduling.choice import choose
 from buckthornrock.scheduling.loads import FleetLoads, Work
+from buckthornrock.scheduling.long_prompts import MAX_OVERFLOW_OBJECTIVE_MS
 from buckthornrock.scheduling.wait_queue import WaitQueue
 from buckthornrock.wire.numeric_ids import incarnation_number
 from tests.scheduling.test_overflow import tight_long
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -7,16 +7,12 @@
 from hypothesis import strategies as st
 
 from buckthornrock.scheduling import choice
-from buckthornrock.scheduling.choice import (
-    LONG_PROMPT_SHARE,
-    NoCapacity,
-    Obstacle,
-    Placement,
-    choose,
-    options,
-    with_capacity,
-)
+from buckthornrock.scheduling.capacity import with_capacity
+from buckthornrock.scheduling.choice import choose, options
+from buckthornrock.scheduling.estimates import evaluate, find_best
 from buckthornrock.scheduling.loads import FleetLoads, LoadReport, Work
+from buckthornrock.scheduling.long_prompts import LONG_PROMPT_SHARE
+from buckthornrock.scheduling.placement import NoCapacity, Obstacle, Placement
 from buckthornrock.scheduling.prefill import (
     SharedPrompt,
     find_cache_sources,
@@ -501,8 +497,8 @@
     seen = view(now_ms, weights=weights, loads=loads)
     demand = long() if is_long else short()
     context = choice._prompt_context(demand, engines, seen)
-    best = choice._best(demand, context, engines, seen)
-    every = [choice._option(demand, context, u, seen, math.inf) for u in engines]
+    best = find_best(demand, context, engines, seen)
+    every = [evaluate(demand, context, u, seen, math.inf) for u in engines]
     estimates_ms = [o.estimate_ms for o in every if isinstance(o, Placement)]
     assert (best.estimate_ms if best else None) == min(estimates_ms, default=None)
     shown = [option for _, option in choice.options(demand, engines, seen)]
--- a/tests/scheduling/test_overflow.py
+++ b/tests/scheduling/test_overflow.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from buckthornrock.scheduling import choice
-from buckthornrock.scheduling.choice import (
+from buckthornrock.scheduling.capacity import MAX_QUEUED_PREFILL_MS
+from buckthornrock.scheduling.choice import choose
+from buckthornrock.scheduling.loads import FleetLoads, Work
+from buckthornrock.scheduling.long_prompts import (
     KEPT_FOR_URGENT_SHARE,
     LONG_PREFILL_MS,
     MAX_OVERFLOW_OBJECTIVE_MS,
-    MAX_QUEUED_PREFILL_MS,
-    NoCapacity,
-    choose,
+    long_prompt_engines,
 )
-from buckthornrock.scheduling.loads import FleetLoads, Work
+from buckthornrock.scheduling.placement import NoCapacity
 from tests.scheduling.world import engine, long, short, view
 
 N_ENGINES = 20
@@ -81,7 +81,7 @@
 # Load: a quiet hour. Long prompts stay on their engines while there is room.
 def test_long_prompts_stay_on_their_engines_while_there_is_room():
     chosen = place_long_prompts(FleetLoads(), N_OTHERS)
-    assert set(chosen) == choice._long_prompt_engines(ENGINES).keys()
+    assert set(chosen) == long_prompt_engines(ENGINES).keys()
 
 
 # Load: a prompt so large that it is late on any engine, in a quiet hour. It went to an
@@ -91,7 +91,7 @@
     queued_ms, is_overflow
 ):
     loads = FleetLoads()
-    for upstream_id in choice._long_prompt_engines(ENGINES):
+    for upstream_id in long_prompt_engines(ENGINES):
         upstream = next(u for u in ENGINES if u.upstream_id == upstream_id)
         loads.of(upstream.incarnation).own = Work(1, queued_ms, 1_000)
     placement = choose(tight_long(n_own=88_000), ENGINES, view(loads=loads))
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -9,8 +9,8 @@
     ServiceShare,
 )
 from buckthornrock.catalog.upstreams import Upstream
-from buckthornrock.scheduling.choice import Demand, SchedulingView
 from buckthornrock.scheduling.loads import FleetLoads
+from buckthornrock.scheduling.placement import Demand, SchedulingView
 from buckthornrock.scheduling.prompt import PromptPart, PromptShape
 from buckthornrock.scheduling.weights import WeightsView
 
