Lower the processor time of choosing an engine

A choice looked at each engine's work twice, once to see whether any has room; one with room is enough for that. Engines without ready parts are no longer listed as sources, the salt is computed once a version, the lag of the newest weights and the failure rate without failures need no computation, and totals are copied only if the report exceeds them.

--- a/buckthornrock/scheduling/capacity.py
+++ b/buckthornrock/scheduling/capacity.py
@@ -32,7 +32,7 @@
     upstreams: Iterable[Upstream], view: SchedulingView
 ) -> list[Upstream]:
     """Return the upstreams of a service that can take one more request."""
-    return [u for u in upstreams if accepts_work(u, view) and _has_free_slot(u, view)]
+    return [u for u in upstreams if accepts_work(u, view) and has_free_slot(u, view)]
 
 
 def may_fit(
@@ -63,7 +63,8 @@
     return view.now_ms >= max(load.blocked_until_ms, load.loading_until_ms)
 
 
-def _has_free_slot(upstream: Upstream, view: SchedulingView) -> bool:
+def has_free_slot(upstream: Upstream, view: SchedulingView) -> bool:
+    """Return whether an upstream has a slot and little queued prefill."""
     total = view.loads.total(upstream.incarnation, view.now_ms)
     return find_shortage(upstream, total) is None
 
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -10,7 +10,7 @@
 
 from ..catalog.upstreams import Upstream
 from ..runtime import rendezvous
-from .capacity import accepts_work, may_fit, may_serve, with_capacity
+from .capacity import accepts_work, has_free_slot, may_fit, may_serve
 from .estimates import PromptContext, evaluate, find_best
 from .long_prompts import find_best_for_long, long_prompt_engines
 from .placement import Demand, NoCapacity, Obstacle, Placement, SchedulingView
@@ -23,7 +23,9 @@
     """Return the best placement among upstreams with free capacity."""
     usable = [u for u in upstreams if may_serve(demand, u, view)]
     accepting = [u for u in usable if accepts_work(u, view)]
-    if not may_fit(demand, with_capacity(accepting, view), view):
+    # One upstream with room is enough, so that the others aren't looked at here.
+    with_slot = (u for u in accepting if has_free_slot(u, view))
+    if not may_fit(demand, with_slot, view):
         return NoCapacity(len(usable))
     context = _prompt_context(demand, accepting, view)
     if context is not None and not demand.is_urgent:
--- a/buckthornrock/scheduling/loads.py
+++ b/buckthornrock/scheduling/loads.py
@@ -118,6 +118,8 @@
 
     def failure_rate(self, now_ms: float) -> float:
         """Return the share of recent requests that failed, lowered if there are few."""
+        if not self._failures:
+            return 0.0
         self._decay(now_ms)
         return self._failures / (self._outcomes + 3.0)
 
@@ -255,7 +257,9 @@
         if report is None:
             return total
         n_reported = report.n_running + report.n_waiting
-        return total._replace(n_requests=max(total.n_requests, n_reported))
+        if n_reported <= total.n_requests:
+            return total
+        return Work(n_reported, total.prefill_ms, total.n_memory_tokens)
 
     def _peer_totals_at(self, now_ms: float) -> dict[int, Work]:
         """Return the peers' total work, cached until a digest arrives or expires."""
--- a/buckthornrock/scheduling/prefill.py
+++ b/buckthornrock/scheduling/prefill.py
@@ -120,16 +120,19 @@
     """Return engines and prompt stores from which shared parts can be fetched."""
     if not shared_prompt.is_worth_fetching:
         return ()
-    cache_sources = [
-        _engine_source(shared_prompt, upstream, view) for upstream in upstreams
-    ]
-    versions = {
-        view.weights.loaded(upstream, shared_prompt.prompt.model)
-        for upstream in upstreams
-    }
+    model = shared_prompt.prompt.model
+    salts: dict[int | None, str] = {}
+    cache_sources = []
+    for upstream in upstreams:
+        version = view.weights.loaded(upstream, model)
+        if version not in salts:
+            salts[version] = cache_salt(shared_prompt.cache_scope, model, version)
+        source = _engine_source(shared_prompt, upstream, salts[version], view)
+        if source is not None:
+            cache_sources.append(source)
     for store in view.prompt_stores:
         cache_sources += [
-            _store_source(shared_prompt, store, v, view) for v in versions
+            _store_source(shared_prompt, store, salt, view) for salt in salts.values()
         ]
     return tuple(h for h in cache_sources if h.n_tokens >= MIN_SHARED_TOKENS)
 
@@ -185,14 +188,15 @@
 
 
 def _engine_source(
-    shared_prompt: SharedPrompt, upstream: Upstream, view: CacheView
-) -> CacheSource:
-    load = view.loads.of(upstream.incarnation)
-    version = view.weights.loaded(upstream, shared_prompt.prompt.model)
-    salt = cache_salt(shared_prompt.cache_scope, shared_prompt.prompt.model, version)
-    n_ready = 0
-    if view.now_ms >= load.loading_until_ms:
-        n_ready = _n_ready(shared_prompt, salt, upstream.incarnation, view)
+    shared_prompt: SharedPrompt, upstream: Upstream, salt: str, view: CacheView
+) -> CacheSource | None:
+    """Return an engine as a source, None if it has no shared part ready."""
+    incarnation = upstream.incarnation
+    if view.now_ms < view.loads.of(incarnation).loading_until_ms:
+        return None
+    n_ready = _n_ready(shared_prompt, salt, incarnation, view)
+    if not n_ready:
+        return None
     link_mbps = shared_prompt.engine.link_mbps
     return CacheSource(
         upstream.address, upstream.failure_domain, salt, n_ready, link_mbps
@@ -202,10 +206,9 @@
 def _store_source(
     shared_prompt: SharedPrompt,
     store: PromptStore,
-    version: int | None,
+    salt: str,
     view: CacheView,
 ) -> CacheSource:
-    salt = cache_salt(shared_prompt.cache_scope, shared_prompt.prompt.model, version)
     n_ready = _n_ready(shared_prompt, salt, prompt_store_incarnation(store), view)
     link_mbps = _store_link_mbps(store, shared_prompt.engine)
     return CacheSource(store.address, store.failure_domain, salt, n_ready, link_mbps)
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -93,7 +93,7 @@
         loaded = self.loaded(upstream, model)
         if loaded is None:
             return False
-        return self.lag_ms(upstream, model, now_ms) < self._usable_ms
+        return self._lag_ms(loaded, model, now_ms) < self._usable_ms
 
     def lag_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
         """Return for how long the weights loaded at an upstream have been outdated.
@@ -101,13 +101,13 @@
         New versions may come faster than engines load them, so the time counts from
         the first version that is newer than the loaded one.
         """
-        loaded = self.loaded(upstream, model) or 0
-        newer_ms = [
-            wanted.known_at_ms
-            for wanted in self._wanted_versions.get(model, ())
-            if wanted.version > loaded
-        ]
-        return now_ms - min(newer_ms) if newer_ms else 0.0
+        return self._lag_ms(self.loaded(upstream, model) or 0, model, now_ms)
+
+    def _lag_ms(self, loaded: int, model: str, now_ms: float) -> float:
+        versions = self._wanted_versions.get(model)
+        if not versions or versions[-1].version <= loaded:
+            return 0.0
+        return now_ms - min(v.known_at_ms for v in versions if v.version > loaded)
 
     def usable_for_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
         """Return for how long new requests may still use the weights loaded there."""
