Split the fleet-wide quotas into modules

Limits and costs, buckets with their decision, counters with the reports made of them, and coverage are modules of their own now; FleetQuota wires them. Callers import names from where they are defined.

--- a/benchmarks/quota_cost.py
+++ b/benchmarks/quota_cost.py
@@ -6,13 +6,9 @@
 import time
 from collections.abc import Callable
 
-from buckthornrock.admission.fleet_quota import (
-    AccountLimit,
-    CounterReport,
-    FleetQuota,
-    QuotaBound,
-    Stream,
-)
+from buckthornrock.admission.fleet_quota import FleetQuota
+from buckthornrock.admission.quota_counters import CounterReport, Stream
+from buckthornrock.admission.quota_limits import AccountLimit, QuotaBound
 from buckthornrock.wire.digests import (
     Digest,
     QuotaCounters,
--- a/buckthornrock/catalog/configuration.py
+++ b/buckthornrock/catalog/configuration.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from ..admission.fleet_quota import AccountLimit
+from ..admission.quota_limits import AccountLimit
 
 
 class RouteKind(Enum):
--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -9,7 +9,8 @@
 
 import pykka
 
-from ..admission.fleet_quota import FleetQuota, QuotaBound
+from ..admission.fleet_quota import FleetQuota
+from ..admission.quota_limits import QuotaBound
 from ..conf import Problem
 from ..events import gateway as events
 from ..gateway.account_quotas import AccountQuotas
--- a/buckthornrock/gateway/account_quotas.py
+++ b/buckthornrock/gateway/account_quotas.py
@@ -9,13 +9,9 @@
 
 from expression import Error, Ok, Result
 
-from ..admission.fleet_quota import (
-    AccountLimit,
-    CounterReport,
-    FleetQuota,
-    Stream,
-    request_cost,
-)
+from ..admission.fleet_quota import FleetQuota
+from ..admission.quota_counters import CounterReport, Stream
+from ..admission.quota_limits import AccountLimit, request_cost
 from ..catalog.route_table import RouteTable
 from ..events import gateway as events
 from ..telemetry import Telemetry
--- a/buckthornrock/platform/configuration.py
+++ b/buckthornrock/platform/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..admission.fleet_quota import MAX_COST, AccountLimit
+from ..admission.quota_limits import MAX_COST, AccountLimit
 from ..catalog.configuration import (
     ClientAccount,
     ClientLimits,
--- a/tests/admission/quota_fleet.py
+++ b/tests/admission/quota_fleet.py
@@ -5,12 +5,9 @@
 import random
 from typing import NamedTuple
 
-from buckthornrock.admission.fleet_quota import (
-    AccountLimit,
-    FleetQuota,
-    QuotaBound,
-    Stream,
-)
+from buckthornrock.admission.fleet_quota import FleetQuota
+from buckthornrock.admission.quota_counters import Stream
+from buckthornrock.admission.quota_limits import AccountLimit, QuotaBound
 
 PERIOD_MS = 60.0
 LATENCY_MS = 1.0
--- a/tests/admission/test_fleet_quota.py
+++ b/tests/admission/test_fleet_quota.py
@@ -4,20 +4,21 @@
 
 import pytest
 
-from buckthornrock.admission.fleet_quota import (
+from buckthornrock.admission.fleet_quota import FleetQuota
+from buckthornrock.admission.quota_buckets import MAX_RETRY_AFTER_MS, decide
+from buckthornrock.admission.quota_counters import (
     COUNTER_LIFETIME_MS,
     MAX_ACCOUNTS,
-    MAX_COST,
-    MAX_RETRY_AFTER_MS,
     MAX_STEP,
     SILENCE_MS,
-    AccountLimit,
     CounterReport,
-    Coverage,
-    FleetQuota,
-    QuotaBound,
     Stream,
-    decide,
+)
+from buckthornrock.admission.quota_coverage import Coverage
+from buckthornrock.admission.quota_limits import (
+    MAX_COST,
+    AccountLimit,
+    QuotaBound,
     largest_cost,
     request_cost,
 )
--- a/tests/admission/test_fleet_quota_property.py
+++ b/tests/admission/test_fleet_quota_property.py
@@ -9,7 +9,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from buckthornrock.admission.fleet_quota import AccountLimit
+from buckthornrock.admission.quota_limits import AccountLimit
 from tests.admission.quota_fleet import (
     LATENCY_MS,
     LIMITED,
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -6,7 +6,8 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 
-from buckthornrock.admission.fleet_quota import AccountLimit, FleetQuota, QuotaBound
+from buckthornrock.admission.fleet_quota import FleetQuota
+from buckthornrock.admission.quota_limits import AccountLimit, QuotaBound
 from buckthornrock.catalog.configuration import (
     ClientAccount,
     ClientLimits,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from benchmarks.settings_files import free_ports
-from buckthornrock.admission.fleet_quota import FleetQuota, QuotaBound
+from buckthornrock.admission.fleet_quota import FleetQuota
+from buckthornrock.admission.quota_limits import QuotaBound
 from buckthornrock.catalog.configuration import (
     ClientAccount,
     ClientLimits,
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from buckthornrock.admission.fleet_quota import AccountLimit
+from buckthornrock.admission.quota_limits import AccountLimit
 from buckthornrock.catalog.configuration import ClientAccount
 from buckthornrock.wire.numeric_ids import account_number
 from tests.gateway.harness import (
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -10,7 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
-from buckthornrock.admission.fleet_quota import AccountLimit
+from buckthornrock.admission.quota_limits import AccountLimit
 from buckthornrock.catalog.configuration import ClientAccount, RouteKind, ServiceShare
 from buckthornrock.catalog.upstream_notices import Notice
 from buckthornrock.catalog.upstreams import Upstream
--- a/tests/gateway/test_quota_fleet.py
+++ b/tests/gateway/test_quota_fleet.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from buckthornrock.admission.fleet_quota import AccountLimit
+from buckthornrock.admission.quota_limits import AccountLimit
 from buckthornrock.scheduling.loads import Work
 from buckthornrock.wire.digests import (
     Digest,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from buckthornrock.admission.fleet_quota import AccountLimit
+from buckthornrock.admission.quota_limits import AccountLimit
 from buckthornrock.catalog.configuration import RouteKind
 from buckthornrock.catalog.upstream_notices import Notice
 from buckthornrock.gateway.ports import UpstreamRequestFields
