Refuse a long prompt before evaluating engines that it may not take

While the engines for long prompts are full, each wake of an instance's queue tried up to six waiting prompts per urgency, and each try evaluated all engines to find none that the prompt may be placed on. An engine outside those for long prompts is taken only if one of these has room, or by overflow; so a choice looks at them alone for room first.

The new test fails before: an engine was evaluated.

--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -12,7 +12,7 @@
 from ..runtime import rendezvous
 from .capacity import accepts_work, has_free_slot, may_fit, may_serve
 from .estimates import PromptContext, evaluate, find_best
-from .long_prompts import find_best_for_long, long_prompt_engines
+from .long_prompts import find_best_for_long, long_prompt_engines, open_to_long
 from .placement import Demand, NoCapacity, Obstacle, Placement, SchedulingView
 from .prefill import SharedPrompt, find_cache_sources, prefill_planner
 
@@ -23,12 +23,14 @@
     """Return the best placement among upstreams with free capacity."""
     usable = [u for u in upstreams if may_serve(demand, u, view)]
     accepting = [u for u in usable if accepts_work(u, view)]
-    # One upstream with room is enough, so that the others aren't looked at here.
-    with_slot = (u for u in accepting if has_free_slot(u, view))
+    is_long = _has_engine_prompt(demand) and not demand.is_urgent
+    candidates = open_to_long(demand, accepting, view) if is_long else accepting
+    # One with room is enough here. Most choices for waiting requests end here, too.
+    with_slot = (u for u in candidates if has_free_slot(u, view))
     if not may_fit(demand, with_slot, view):
         return NoCapacity(len(usable))
     context = _prompt_context(demand, accepting, view)
-    if context is not None and not demand.is_urgent:
+    if is_long:
         best = find_best_for_long(demand, context, accepting, view)
     else:
         best = find_best(demand, context, accepting, view)
@@ -69,7 +71,7 @@
 def _prompt_context(
     demand: Demand, upstreams: list[Upstream], view: SchedulingView
 ) -> PromptContext | None:
-    if demand.prompt is None or demand.service.engine is None:
+    if not _has_engine_prompt(demand):
         return None
     shared_prompt = SharedPrompt(
         demand.prompt, demand.cache_scope, demand.service.engine
@@ -85,3 +87,8 @@
     cache_sources = find_cache_sources(shared_prompt, sources, view.caches)
     plan = prefill_planner(shared_prompt, cache_sources, view.caches)
     return PromptContext(long_engines, shared_prompt, plan, preferred_id, cache_sources)
+
+
+def _has_engine_prompt(demand: Demand) -> bool:
+    """Return whether a request has a prompt that an engine prefills."""
+    return demand.prompt is not None and demand.service.engine is not None
--- a/buckthornrock/scheduling/long_prompts.py
+++ b/buckthornrock/scheduling/long_prompts.py
@@ -7,6 +7,7 @@
 
 import functools
 import math
+from collections.abc import Iterator
 
 from ..catalog.upstreams import Upstream
 from ..runtime import rendezvous
@@ -53,6 +54,21 @@
     return not demand.is_urgent and objective_ms <= MAX_OVERFLOW_OBJECTIVE_MS
 
 
+def open_to_long(
+    demand: Demand, upstreams: list[Upstream], view: SchedulingView
+) -> Iterator[Upstream]:
+    """Yield the engines one of which must have room for a long prompt to be placed.
+
+    An engine that is reserved for urgent requests is taken only instead of another that
+    has room, unless the prompt may overflow to it.
+    """
+    engines = long_prompt_engines(upstreams)
+    yield from engines.values()
+    if has_tight_objective(demand):
+        others = [u for u in upstreams if u.upstream_id not in engines]
+        yield from _overflow_engines(others, view)
+
+
 def find_best_for_long(
     demand: Demand,
     context: PromptContext,
--- a/tests/scheduling/test_overflow.py
+++ b/tests/scheduling/test_overflow.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from buckthornrock.scheduling import estimates
 from buckthornrock.scheduling.capacity import MAX_QUEUED_PREFILL_MS
 from buckthornrock.scheduling.choice import choose
 from buckthornrock.scheduling.loads import FleetLoads, Work
@@ -44,6 +45,22 @@
     return chosen
 
 
+# Load: a burst in which long prompts wait for full engines, and each wake of the queue
+# evaluated the idle others, on which they may not be placed, several times.
+@pytest.mark.parametrize("objective_ms", [MAX_OVERFLOW_OBJECTIVE_MS, 2_000.0])
+def test_no_engine_is_evaluated_while_those_for_long_prompts_are_full(
+    monkeypatch, objective_ms
+):
+    loads = FleetLoads()
+    open_engines = set(place_long_prompts(loads, N_ENGINES)) - {None}
+    for upstream_id in open_engines & long_prompt_engines(ENGINES).keys():
+        loads.of((upstream_id, 1)).own = Work(40, 0.0, 17_000)
+    monkeypatch.setattr(estimates, "evaluate", None)
+    demand = tight_long(objective_ms=objective_ms)
+    placement = choose(demand, ENGINES, view(loads=loads))
+    assert placement == NoCapacity(N_ENGINES)
+
+
 # Load: a burst of long prompts, which waited while engines were nearly idle.
 def test_burst_of_long_prompts_uses_engines_that_others_leave_idle():
     chosen = place_long_prompts(FleetLoads(), N_ENGINES)
