Set no timer for the wait queues while no request waits

An idle instance woke 50 times a second to look at empty queues, which is more than half of its timers. Now the tick sleeps until a request is queued. Shown by a test that counts timers, which failed before.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -137,6 +137,7 @@
         self._excluded: dict[int, frozenset[str]] = {}
         self._numbers = itertools.count()
         self._is_wake_scheduled = False
+        self._has_waiting = asyncio.Event()
 
     async def reserve(
         self, admitted: AdmittedRequest, excluded: frozenset[str]
@@ -292,8 +293,15 @@
                     future.set_result(refusal)
 
     async def tick(self) -> None:
-        """Periodically place queued requests and refuse those that will be late."""
+        """Periodically place queued requests and refuse those that will be late.
+
+        It sleeps while none waits: 50 timers a second are a large part of what an idle
+        instance costs.
+        """
         while True:
+            if not self._futures:
+                self._has_waiting.clear()
+                await self._has_waiting.wait()
             await asyncio.sleep(TICK_MS / 1000.0)
             self.schedule_wake()
             self._refuse_late()
@@ -305,6 +313,7 @@
         self._futures[queued.number] = future
         self._excluded[queued.number] = excluded
         queue.enqueue(queued)
+        self._has_waiting.set()
         limit_ms = queued.deadline_at_ms - MIN_SERVICE_MS - self._now_ms()
         reservation = None
         try:
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -102,6 +102,41 @@
     asyncio.run(main())
 
 
+def test_dispatcher_sets_timers_only_while_requests_wait(monkeypatch):
+    """An idle instance woke 50 times a second to look at empty queues."""
+    n_timers = 0
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        call_at = loop.call_at
+
+        def count(*arguments, **changes):
+            nonlocal n_timers
+            n_timers += 1
+            return call_at(*arguments, **changes)
+
+        async def assert_idle():
+            n_before = n_timers
+            for _ in range(5):
+                await asyncio.sleep(0)
+            assert n_timers == n_before
+
+        monkeypatch.setattr(loop, "call_at", count)
+        burst = Burst(monkeypatch)
+        ticking = asyncio.create_task(burst.dispatcher.tick())
+        await assert_idle()
+        burst.apply_peer_load(NO_CAPACITY["slots"])
+        reservations = await burst.enqueue_burst()
+        # Only a tick notices that a peer's requests have ended.
+        burst.apply_peer_load(Work())
+        placed = await asyncio.gather(*reservations)
+        assert all(place.is_ok() for place in placed)
+        await assert_idle()
+        ticking.cancel()
+
+    asyncio.run(main())
+
+
 def test_requests_whose_clients_are_gone_do_not_count_as_placed(monkeypatch):
     placed = []
     on_placed = WaitQueue.on_placed
