Split the client connection into protocol, receiving and response encoding

The receiver reports what the received bytes amount to, and the connection acts on it; the order of events, writes, counts and timers is as before. It is one object per connection, none per request.

--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -13,11 +13,7 @@
 from ..telemetry import Telemetry
 from ..telemetry.metrics import GATEWAY_CONNECTIONS, GATEWAY_WAITING, MEMBERS_LIVE
 from .admission import AdmissionInputs, admit, refuse_at_head
-from .client_connection import (
-    RECEIVE_BYTES,
-    ClientConnection,
-    ClientConnectionContext,
-)
+from .client_connection import ClientConnection, ClientConnectionContext
 from .client_limits import ClientLimitsEnforcer
 from .dispatcher import Dispatcher
 from .exchange import Exchange, ExchangeContext
@@ -28,6 +24,7 @@
 from .peers import PeerExchange
 from .pool import ConnectionPool
 from .ports import HeaderCodec
+from .request_receiver import RECEIVE_BYTES
 from .requests import AdmittedRequest, ClientRequest, Refusal
 from .resources import ResourceInputs, ResourceMonitor
 from .sockets import listening_socket
--- a/tests/gateway/test_request_parsing.py
+++ b/tests/gateway/test_request_parsing.py
@@ -12,7 +12,6 @@
 
 from buckthornrock.catalog.configuration import ClientLimits
 from buckthornrock.gateway.client_connection import (
-    RECEIVE_BYTES,
     ClientConnection,
     ClientConnectionContext,
 )
@@ -23,6 +22,7 @@
     MemoryBudget,
 )
 from buckthornrock.gateway.parse_queue import ParseQueue
+from buckthornrock.gateway.request_receiver import RECEIVE_BYTES
 from buckthornrock.gateway.requests import Refusal
 from buckthornrock.platform.headers import open_header_codec
 from buckthornrock.telemetry import Telemetry, open_metrics
