Split the exchange into attempts, limits, retry decision and responses

Cause: gateway/exchange.py had 600 lines, one class and one method of 62 lines for the loop of attempts, each attempt, the checks of its response, time limits, the retry decision and the end of a request.

Change: exchange.py keeps the loop and the refund, attempt.py makes one attempt, attempt_response.py takes its response, attempt_limits.py has the time limits, retry_decision.py decides about another attempt, exchange_response.py sends the response or refusal with which a request ends. They are functions on exchange_state.py, the one object per request that the class was; exchange_context.py is what exchanges share. The order of charge, placement, retry, refund and response is as before. The decision takes the time, and has a table of tests (tests/gateway/test_retry_decision.py).

The limits of the request and of its only attempt end at the same time. If the process stalls between reading the time left and setting the request's limit, the attempt's ends first.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -15,7 +15,7 @@
 from ..gateway.account_quotas import AccountQuotas
 from ..gateway.crash_watch import CrashWatch
 from ..gateway.dispatcher import Dispatcher
-from ..gateway.exchange import ExchangeContext
+from ..gateway.exchange_context import ExchangeContext
 from ..gateway.fleet_state import FleetState
 from ..gateway.gateway import Gateway, GatewaySettings
 from ..gateway.isolation_recorder import IsolationRecorder, RecordedAccounts
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -16,7 +16,8 @@
 from .client_connection import ClientConnection, ClientConnectionContext
 from .client_limits import ClientLimitsEnforcer
 from .dispatcher import Dispatcher
-from .exchange import Exchange, ExchangeContext
+from .exchange import serve_admitted
+from .exchange_context import ExchangeContext
 from .explanation import ExplanationInputs, explain_encoded, is_where_request
 from .fleet_state import FleetState
 from .memory_budget import BudgetLimits, MemoryBudget
@@ -220,7 +221,7 @@
                 self._log_turned_away(request, admitted.error)
                 client.refuse(admitted.error)
                 return
-            await Exchange(self._exchange_context, admitted.ok, client).run()
+            await serve_admitted(self._exchange_context, admitted.ok, client)
         except Exception as error:
             self._on_internal_error(request, client, error)
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -21,7 +21,7 @@
 from buckthornrock.gateway.account_quotas import AccountQuotas
 from buckthornrock.gateway.crash_watch import CrashWatch
 from buckthornrock.gateway.dispatcher import Dispatcher
-from buckthornrock.gateway.exchange import ExchangeContext
+from buckthornrock.gateway.exchange_context import ExchangeContext
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.gateway import Gateway, GatewaySettings
 from buckthornrock.gateway.peers import PeerExchange, PeerSettings
