Check cheaper conditions first in the client connection

Change: what is unparsed is compared before it is asked whether the connection is busy, and the outcomes of parsing are compared in the order of their frequency.

--- a/buckthornrock/gateway/client_connection.py
+++ b/buckthornrock/gateway/client_connection.py
@@ -284,9 +284,6 @@
         """Parse received bytes until a request is complete or more bytes are needed."""
         self._cancel_timer()
         result = self._receiver.parse()
-        if result is ParseState.CLOSED:
-            self._close_when_sent()
-            return
         if result is ParseState.COMPLETE:
             self._start_serving()
         elif result is ParseState.INCOMPLETE:
@@ -294,6 +291,9 @@
         elif result is ParseState.UNPARSED:
             self._is_in_queue = True
             self._context.parse_queue.add(self._take_turn)
+        elif result is ParseState.CLOSED:
+            self._close_when_sent()
+            return
         else:
             self._reject(result)
         self._account()
@@ -307,8 +307,8 @@
 
     def _update_reading(self) -> None:
         """Read from the client unless enough of its bytes wait to be parsed."""
-        is_waiting = self.is_busy or self._is_in_queue
-        if is_waiting and len(self._receiver.unparsed) >= READ_AHEAD_BYTES:
+        has_enough = len(self._receiver.unparsed) >= READ_AHEAD_BYTES
+        if has_enough and (self.is_busy or self._is_in_queue):
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
