Compute each upstream's number once when indexing

The fleet state computed the number of each upstream twice after every change of the directory, for the services and for the index. A module of its own now builds both in one pass.

--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -32,8 +32,8 @@
 from ..scheduling.prefill import MIN_SHARED_TOKENS, prompt_store_incarnation
 from ..scheduling.weights import WeightsView
 from ..telemetry import Telemetry
-from ..wire.numeric_ids import incarnation_number
 from .crash_findings import CrashFindings
+from .incarnation_index import IncarnationIndex
 from .store_contact import LOST_AFTER_MS, StoreContact
 from .undecodable_log import UndecodableLog
 
@@ -74,6 +74,8 @@
         Wanted and loaded versions of each model's weights.
     loads : FleetLoads
         Work at the upstreams and the parts that they cache.
+    incarnations : IncarnationIndex
+        Upstreams and prompt stores by the numbers that digests name them by.
     log_undecodable : callable
         ``log_undecodable(what, reason)`` logs a value from the store or a peer that
         cannot be decoded.
@@ -97,6 +99,7 @@
         self.directory = UpstreamDirectory()
         self.weights = weights
         self.loads = FleetLoads()
+        self.incarnations = IncarnationIndex(self.loads.times)
         probe_delay_ms = random.uniform(0.0, MAX_PROBE_DELAY_MS)
         self.crash_findings = CrashFindings(
             CrashSuspects(probe_delay_ms), now_ms, telemetry
@@ -111,7 +114,6 @@
         self._isolated_accounts: frozenset[str] = frozenset()
         self._has_upstreams = False
         self._loading: dict[Incarnation, Loading] = {}
-        self._incarnation_by_number: dict[int, Incarnation] = {}
         self.set_observers(
             lambda *_: None, lambda *_: None, lambda *_: None, lambda: None
         )
@@ -378,10 +380,6 @@
         """Send a digest to peers without waiting for the next period."""
         self._publish_now()
 
-    def incarnation(self, number: int) -> Incarnation | None:
-        """Return the upstream or prompt store with this number, None if unknown."""
-        return self._incarnation_by_number.get(number)
-
     def on_loading(
         self, upstream: Upstream, model: str, version: int, duration_ms: float
     ) -> None:
@@ -584,15 +582,8 @@
         self.loads.of(incarnation).loading_until_ms = loading.until_ms
 
     def _index_incarnations(self) -> None:
-        """Index upstreams, with their services, and prompt stores by their numbers."""
-        upstreams = self.directory.all()
-        self.loads.times.set_services(
-            {incarnation_number(*u.incarnation): u.service for u in upstreams}
-        )
-        known = [upstream.incarnation for upstream in upstreams]
         stores = self.table.configuration.prompt_stores if self.table else ()
-        known += [prompt_store_incarnation(store) for store in stores]
-        self._incarnation_by_number = {incarnation_number(*key): key for key in known}
+        self.incarnations.rebuild(self.directory.all(), stores)
 
     def _record_part(
         self, incarnation: Incarnation, key: PartKey, n_tokens: int, ready_in_ms: float
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -409,20 +409,20 @@
         fleet_state = self._fleet_state
         is_from_group = digest.scope is Scope.OWN
         for engine in digest.loading:
-            if incarnation := fleet_state.incarnation(engine.upstream):
+            if incarnation := fleet_state.incarnations.get(engine.upstream):
                 until_ms = now_ms + engine.left_ms
                 loading = Loading(engine.model, engine.version, until_ms, is_from_group)
                 fleet_state.on_peer_loading(incarnation, loading)
         for loaded in digest.loaded:
-            if incarnation := fleet_state.incarnation(loaded.upstream):
+            if incarnation := fleet_state.incarnations.get(loaded.upstream):
                 fleet_state.on_peer_loaded(incarnation, loaded.model, loaded.version)
                 self._forward(loaded, digest.scope, now_ms)
         for number in digest.leaving:
-            if incarnation := fleet_state.incarnation(number):
+            if incarnation := fleet_state.incarnations.get(number):
                 fleet_state.on_peer_leaving(incarnation, digest.instance_id)
                 self._forward(LeavingUpdate(number), digest.scope, now_ms)
         for part in digest.cached_parts:
-            if incarnation := fleet_state.incarnation(part.upstream):
+            if incarnation := fleet_state.incarnations.get(part.upstream):
                 ready_at_ms = now_ms + part.ready_in_ms
                 fleet_state.on_peer_part_cached(
                     incarnation, part.part, part.n_tokens, part.ready_in_ms
