Split the fleet state by what its parts hold

Each is a module now. FleetState wires them and keeps what concerns several of them, and the names that the exchange of a request uses. Callers and tests use the parts.

The simulated fleet of the tests forgets by opening a new fleet state and peer exchange; it replaced the directory and private fields before.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -22,6 +22,7 @@
 from ..gateway.memory_budget import budget_limits, n_upstream_connections
 from ..gateway.peers import PeerExchange, PeerSettings
 from ..gateway.pool import ConnectionPool
+from ..gateway.rollout_inputs import collect_rollout_inputs
 from ..gateway.state_sync import StateSync
 from ..gateway.stopping import Stopping
 from ..platform.configuration import decode_configuration
@@ -125,7 +126,9 @@
             RecordedAccounts(recorder.tell),
         ),
         WatchControl(
-            is_watch_wanted, lambda: fleet_state.revision, peers.n_store_watchers
+            is_watch_wanted,
+            lambda: fleet_state.upstreams.revision,
+            peers.n_store_watchers,
         ),
         telemetry,
     )
@@ -208,7 +211,7 @@
     telemetry: Telemetry,
     is_candidate: threading.Event,
 ) -> pykka.ActorRef:
-    now_ms = system_clock().now_ms
+    now_ms, weights_loads = system_clock().now_ms, fleet_state.weights_loads
     lease_ms = max(settings.bounds.lease_ms, settings.platform.ttl_min_ms)
     lease = RolloutLease(
         store, settings.node_name, lease_ms, settings.bounds.lease_ms, now_ms
@@ -218,7 +221,7 @@
         return lambda *args: loop.call_soon_threadsafe(handle, *args)
 
     async def read_on_loop() -> RolloutInputs:
-        return fleet_state.rollout_inputs()
+        return collect_rollout_inputs(fleet_state, now_ms())
 
     def read_inputs() -> RolloutInputs:
         return asyncio.run_coroutine_threadsafe(read_on_loop(), loop).result()
@@ -227,7 +230,7 @@
         lease,
         open_engine_control(post(fleet_state.on_notice)),
         read_inputs,
-        RolloutCallbacks(post(fleet_state.on_loading), post(fleet_state.on_loaded)),
+        RolloutCallbacks(post(weights_loads.on_loading), post(weights_loads.on_loaded)),
         settings.node_name,
         now_ms,
         telemetry,
--- a/buckthornrock/gateway/account_quotas.py
+++ b/buckthornrock/gateway/account_quotas.py
@@ -161,7 +161,7 @@
 
     def _follow_configuration(self) -> None:
         """Use the limits of the configuration in force."""
-        table = self._fleet_state.table
+        table = self._fleet_state.configuration.table
         if table is self._table or table is None:
             return
         self._table = table
@@ -206,7 +206,7 @@
             covered_share=round(coverage.recent_share, 3),
             n_instances=coverage.n_known,
             oldest_report_ms=round(coverage.oldest_report_ms, 1),
-            configuration_version=self._fleet_state.configuration_version,
+            configuration_version=self._fleet_state.configuration.version,
         )
 
     def _may_log(self, now_ms: float) -> bool:
--- a/buckthornrock/gateway/explanation.py
+++ b/buckthornrock/gateway/explanation.py
@@ -113,7 +113,7 @@
     request: ClientRequest, account_name: str, inputs: ExplanationInputs
 ) -> Explanation:
     """Return where a request of an account would go now."""
-    table = inputs.fleet_state.table
+    table = inputs.fleet_state.configuration.table
     if table is None:
         return _explanation(inputs, None, [NO_CONFIGURATION], [])
     found = find_route(request, table)
@@ -201,7 +201,7 @@
     quarantined = fleet_state.crash_findings.quarantined()[:MAX_QUARANTINED_SHOWN]
     return Explanation(
         instance_id=inputs.instance_id,
-        configuration_version=fleet_state.configuration_version,
+        configuration_version=fleet_state.configuration.version,
         n_instances=inputs.n_instances(),
         ages=Ages(
             fleet_state.store_age_ms(),
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -166,7 +166,7 @@
             traffic=lambda: self._peers.traffic,
             n_instances=self._peers.n_instances,
             n_connections=lambda: len(self._connections),
-            configuration_version=lambda: self._fleet_state.configuration_version,
+            configuration_version=lambda: self._fleet_state.configuration.version,
             store_age_ms=self._fleet_state.store_age_ms,
             cpu_ms=lambda: time.process_time() * 1000.0,
             now_ms=self._now_ms,
@@ -196,7 +196,7 @@
     ) -> asyncio.Server:
         context = ClientConnectionContext(
             serve=serve,
-            limits=self._fleet_state.limits,
+            limits=self._fleet_state.configuration.limits,
             is_draining=lambda: self._is_draining,
             codec=codec,
             now_ms=self._now_ms,
@@ -230,7 +230,8 @@
     def _admit(self, request: ClientRequest) -> Result[AdmittedRequest, Refusal]:
         if request.refusal is not None:
             return Error(request.refusal)
-        return admit(request, AdmissionInputs(self._fleet_state.table, self._rng))
+        table = self._fleet_state.configuration.table
+        return admit(request, AdmissionInputs(table, self._rng))
 
     def _log_turned_away(self, request: ClientRequest, refusal: Refusal) -> None:
         self._telemetry.log(
@@ -239,7 +240,7 @@
             status=refusal.status,
             failure=refusal.code,
             reason=refusal.reason,
-            configuration_version=self._fleet_state.configuration_version,
+            configuration_version=self._fleet_state.configuration.version,
             store_age_ms=self._fleet_state.store_age_ms(),
         )
 
@@ -249,7 +250,7 @@
         return Ok(admitted) if quotas is None else quotas.charge(admitted)
 
     def _refuse_at_head(self, request: ClientRequest) -> Refusal | None:
-        return refuse_at_head(request, self._fleet_state.table)
+        return refuse_at_head(request, self._fleet_state.configuration.table)
 
     def _on_internal_error(
         self, request: ClientRequest, client: ClientConnection, error: Exception
@@ -322,7 +323,7 @@
         """Decide who watches the store, and drop upstreams that are gone."""
         while True:
             await asyncio.sleep(STORE_CHECK_PERIOD_MS / 1000.0)
-            self._fleet_state.expire()
+            self._fleet_state.upstreams.expire()
             self._update_store_watch()
 
     def _update_store_watch(self) -> None:
--- a/buckthornrock/gateway/peers.py
+++ b/buckthornrock/gateway/peers.py
@@ -32,7 +32,7 @@
 from ..wire.numeric_ids import incarnation_number
 from .account_quotas import AccountQuotas
 from .crash_gossip import CrashGossip
-from .fleet_state import FleetState, Loading
+from .fleet_state import FleetState
 from .gossip_queue import GossipQueue, LeavingUpdate, PartUpdate, Update
 from .peer_view import PeerView
 from .relays import MAX_DIRECT_FLEET, Contact, RelayTopology, digest_period_ms
@@ -40,6 +40,7 @@
 from .state_sync import PeerVersions
 from .store_contact import LOST_AFTER_MS
 from .store_watch import MIN_WATCHERS, WatchInputs, is_planned_watcher
+from .weights_loads import Loading
 
 #: Minimum interval between the last digest and one sent ahead of the next period.
 MIN_URGENT_INTERVAL_MS = 20.0
@@ -339,10 +340,10 @@
             self._transmit(peer_list, digest.address)
         self._apply_works(digest, now_ms)
         self._apply_quota(digest)
-        self._fleet_state.on_wanted_ages(
+        self._fleet_state.wanted_versions.on_ages(
             digest.weights, digest.older_weights, digest.instance_id
         )
-        self._fleet_state.on_removed_isolated_accounts(
+        self._fleet_state.configuration.on_removed_isolated_accounts(
             digest.removed_isolated_accounts, digest.instance_id
         )
         self._apply_updates(digest, now_ms)
@@ -359,7 +360,7 @@
         else:
             self._failing_since_ms.pop(digest.instance_id, None)
         fleet_state = self._fleet_state
-        if digest.configuration_version > fleet_state.configuration_version:
+        if digest.configuration_version > fleet_state.configuration.version:
             # The state at the digest's revision is only complete with that version.
             return
         is_listed = digest.base_revision >= 0
@@ -367,14 +368,14 @@
         changes = tuple(self._decode_change(change) for change in digest.changes)
         window = ChangeWindow(base_revision, changes)
         is_confirmed = 0 <= digest.store_age_ms <= LOST_AFTER_MS
-        if fleet_state.follow_changes(window, digest.revision) and is_confirmed:
+        if fleet_state.upstreams.follow(window, digest.revision) and is_confirmed:
             fleet_state.store_contact.on_confirmed(digest.store_age_ms)
 
     def _decode_change(self, change: EntryChange) -> UpstreamChange:
         """Return a peer's change; an odd entry, like none, names no upstream."""
         entry = change.entry
         upstream = None if entry is None else Upstream(*msgspec.structs.astuple(entry))
-        if upstream is not None and not self._fleet_state.is_usable(upstream):
+        if upstream is not None and not self._fleet_state.upstreams.is_usable(upstream):
             upstream = None
         return UpstreamChange(change.revision, change.upstream_id, upstream)
 
@@ -412,19 +413,21 @@
             if incarnation := fleet_state.incarnations.get(engine.upstream):
                 until_ms = now_ms + engine.left_ms
                 loading = Loading(engine.model, engine.version, until_ms, is_from_group)
-                fleet_state.on_peer_loading(incarnation, loading)
+                fleet_state.weights_loads.on_peer_loading(incarnation, loading)
         for loaded in digest.loaded:
             if incarnation := fleet_state.incarnations.get(loaded.upstream):
-                fleet_state.on_peer_loaded(incarnation, loaded.model, loaded.version)
+                fleet_state.weights_loads.on_peer_loaded(
+                    incarnation, loaded.model, loaded.version
+                )
                 self._forward(loaded, digest.scope, now_ms)
         for number in digest.leaving:
             if incarnation := fleet_state.incarnations.get(number):
-                fleet_state.on_peer_leaving(incarnation, digest.instance_id)
+                fleet_state.notices.on_peer_leaving(incarnation, digest.instance_id)
                 self._forward(LeavingUpdate(number), digest.scope, now_ms)
         for part in digest.cached_parts:
             if incarnation := fleet_state.incarnations.get(part.upstream):
                 ready_at_ms = now_ms + part.ready_in_ms
-                fleet_state.on_peer_part_cached(
+                fleet_state.cached_parts.on_peer_part_cached(
                     incarnation, part.part, part.n_tokens, part.ready_in_ms
                 )
                 update = PartUpdate(
@@ -450,7 +453,7 @@
         digest = self._empty_digest(
             Scope.PEER_LIST, max(MIN_PEERS_LISTED, n_peers), now_ms
         )
-        window = self._fleet_state.recent_changes(
+        window = self._fleet_state.upstreams.recent_changes(
             N_CHANGE_PERIODS * self.period_ms(), MAX_CHANGES_LISTED
         )
         digest.base_revision = window.base_revision
@@ -488,9 +491,9 @@
             scope=scope,
             relay=self._topology.relay,
             age_ms=0,
-            configuration_version=self._fleet_state.configuration_version,
-            revision=self._fleet_state.revision,
-            weights=self._fleet_state.wanted_ages(),
+            configuration_version=self._fleet_state.configuration.version,
+            revision=self._fleet_state.upstreams.revision,
+            weights=self._fleet_state.wanted_versions.ages(),
             works=[],
             loading=[],
             loaded=[],
@@ -499,8 +502,10 @@
             is_stopping=self.is_stopping,
             store_age_ms=self._fleet_state.store_contact.rounded_age_ms(),
             store_calls=self._store_calls(),
-            older_weights=self._fleet_state.older_wanted_ages(),
-            removed_isolated_accounts=list(self._fleet_state.removed_isolated_accounts),
+            older_weights=self._fleet_state.wanted_versions.older_ages(),
+            removed_isolated_accounts=list(
+                self._fleet_state.configuration.removed_isolated_accounts
+            ),
         )
 
     def _store_calls(self) -> StoreCalls:
@@ -510,6 +515,7 @@
         return StoreCalls.FAILING if is_failing else StoreCalls.ANSWERED
 
     def _loading(self, now_ms: float, is_for_relays: bool) -> list[LoadingEngine]:
+        loading_by_engine = self._fleet_state.weights_loads.loading()
         return [
             LoadingEngine(
                 incarnation_number(*incarnation),
@@ -517,7 +523,7 @@
                 loading.version,
                 round(loading.until_ms - now_ms),
             )
-            for incarnation, loading in self._fleet_state.loading().items()
+            for incarnation, loading in loading_by_engine.items()
             if loading.is_from_group or not is_for_relays
         ]
 
--- a/buckthornrock/gateway/placement_records.py
+++ b/buckthornrock/gateway/placement_records.py
@@ -30,13 +30,15 @@
         ready_in_ms = placement.estimate_ms + STORE_WRITE_MS
         locations += [
             (prompt_store_incarnation(store), ready_in_ms)
-            for store in fleet_state.view().prompt_stores
+            for store in fleet_state.configuration.prompt_stores
             if store.address == placement.kv_target
         ]
     for incarnation, ready_in_ms in locations:
         for part in demand.prompt.shared:
             key = part_number(salt, part.part_id)
-            fleet_state.on_part_cached(incarnation, key, part.n_tokens, ready_in_ms)
+            fleet_state.cached_parts.on_part_cached(
+                incarnation, key, part.n_tokens, ready_in_ms
+            )
 
 
 def record_weights_version(
@@ -45,4 +47,6 @@
     """Record the weights version that an upstream states in its refusal, if any."""
     if demand.prompt is None or version is None:
         return
-    fleet_state.on_loaded(placement.upstream, demand.prompt.model, version)
+    fleet_state.weights_loads.on_loaded(
+        placement.upstream, demand.prompt.model, version
+    )
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -150,11 +150,13 @@
     def is_behind(self, peer: PeerVersions) -> bool:
         """Return whether a snapshot of the peer is wanted now."""
         fleet_state = self._fleet_state
-        if peer.configuration_version > fleet_state.configuration_version:
+        if peer.configuration_version > fleet_state.configuration.version:
             return True
         if self._now_ms() - self._requested_at_ms < UPSTREAMS_PERIOD_MS:
             return False
-        return fleet_state.needs_peers and peer.revision > fleet_state.revision
+        return (
+            fleet_state.needs_peers and peer.revision > fleet_state.upstreams.revision
+        )
 
     def head_start_ms(self) -> float:
         """Return how long to wait for the store before asking a peer."""
@@ -164,7 +166,9 @@
         """Return the request for what is newer than this instance's state."""
         self._requested_at_ms = self._now_ms()
         fleet_state = self._fleet_state
-        return SnapshotRequest(fleet_state.configuration_version, fleet_state.revision)
+        return SnapshotRequest(
+            fleet_state.configuration.version, fleet_state.upstreams.revision
+        )
 
     def apply(self, data: bytes, source: str) -> None:
         """Apply an encoded snapshot of a peer, unless it can't be decoded."""
@@ -182,14 +186,20 @@
                 fleet_state.on_configuration(
                     configuration.ok, snapshot.configuration, source
                 )
-        fleet_state.on_removed_isolated_accounts(
+        fleet_state.configuration.on_removed_isolated_accounts(
             snapshot.removed_isolated_accounts, source
         )
-        fleet_state.on_wanted_ages(snapshot.weights, snapshot.older_weights, source)
+        fleet_state.wanted_versions.on_ages(
+            snapshot.weights, snapshot.older_weights, source
+        )
         if snapshot.upstreams is None or not fleet_state.needs_peers:
             return
-        upstreams = [u for u in snapshot.upstreams if fleet_state.is_usable(u)]
-        fleet_state.take_upstreams(upstreams, snapshot.revision, snapshot.store_age_ms)
+        upstreams = [
+            u for u in snapshot.upstreams if fleet_state.upstreams.is_usable(u)
+        ]
+        fleet_state.upstreams.replace_by_peer(
+            upstreams, snapshot.revision, snapshot.store_age_ms
+        )
 
     async def _request_snapshot(self, peer: PeerVersions) -> None:
         if head_start_ms := self.head_start_ms():
@@ -207,23 +217,26 @@
 
 def encode_snapshot(fleet_state: FleetState, request: SnapshotRequest) -> bytes:
     """Return the compressed snapshot of the state that is newer than the request's."""
-    has_newer = fleet_state.configuration_version > request.configuration_version
-    has_changes = fleet_state.revision > request.revision
+    has_newer = fleet_state.configuration.version > request.configuration_version
+    has_changes = fleet_state.upstreams.revision > request.revision
     snapshot = StateSnapshot(
-        fleet_state.encoded_configuration if has_newer else b"",
-        fleet_state.revision,
+        fleet_state.configuration.encoded if has_newer else b"",
+        fleet_state.upstreams.revision,
         fleet_state.directory.registered() if has_changes else None,
-        fleet_state.wanted_ages(),
+        fleet_state.wanted_versions.ages(),
         fleet_state.store_contact.rounded_age_ms(),
-        fleet_state.older_wanted_ages(),
-        list(fleet_state.removed_isolated_accounts),
+        fleet_state.wanted_versions.older_ages(),
+        list(fleet_state.configuration.removed_isolated_accounts),
     )
     return zlib.compress(msgspec.msgpack.encode(snapshot), COMPRESSION_LEVEL)
 
 
 def _encode_part(fleet_state: FleetState, request: SnapshotRequest) -> bytes:
     """Return the largest part of a snapshot that fits; the peer asks for the rest."""
-    version, revision = fleet_state.configuration_version, fleet_state.revision
+    version, revision = (
+        fleet_state.configuration.version,
+        fleet_state.upstreams.revision,
+    )
     parts = (
         SnapshotRequest(request.configuration_version, revision),
         SnapshotRequest(version, request.revision),
--- a/buckthornrock/platform/store_listeners.py
+++ b/buckthornrock/platform/store_listeners.py
@@ -43,7 +43,7 @@
     def on_snapshot(snapshot: Snapshot) -> None:
         _apply_operator_entries(fleet_state, snapshot.entries)
         upstreams, _ = _decode_upstreams(fleet_state, snapshot.entries)
-        fleet_state.replace_upstreams(upstreams, snapshot.revision)
+        fleet_state.upstreams.replace(upstreams, snapshot.revision)
 
     def on_change(change: WatchBatch) -> None:
         _apply_operator_entries(fleet_state, change.entries)
@@ -53,7 +53,7 @@
             for key in (*change.deleted, *undecodable)
             if key.startswith(UPSTREAMS_PREFIX)
         ]
-        fleet_state.change_upstreams(upstreams, removed, change.revision)
+        fleet_state.upstreams.change(upstreams, removed, change.revision)
 
     def on_received(handle: Callable, received: Snapshot | WatchBatch) -> None:
         fleet_state.store_contact.on_call_answered()
@@ -65,16 +65,16 @@
             unread.remove(type(received))
             _apply_wanted_records(fleet_state, received.entries, wall_ms())
             # The configuration tells which of the recorded accounts were removed.
-            fleet_state.on_removed_isolated_accounts(names or (), SOURCE)
+            fleet_state.configuration.on_removed_isolated_accounts(names or (), SOURCE)
         if isinstance(received, WatchBatch):
-            known = fleet_state.isolated_or_removed_accounts
+            known = fleet_state.configuration.isolated_or_removed_accounts
             recorded_accounts.request_missing(known)
 
     def post(handle: Callable) -> Callable:
         return lambda received: loop.call_soon_threadsafe(on_received, handle, received)
 
     def on_lost(reason: str) -> None:
-        loop.call_soon_threadsafe(fleet_state.on_store_failed, reason)
+        loop.call_soon_threadsafe(fleet_state.upstreams.on_store_failed, reason)
 
     return Listener(post(on_snapshot), post(on_change), on_lost)
 
@@ -103,7 +103,7 @@
     if weights.is_error():
         fleet_state.log_undecodable(entry.key, weights.error.reason)
         return
-    fleet_state.on_weights(weights.ok.model, weights.ok.version, SOURCE)
+    fleet_state.wanted_versions.on_wanted(weights.ok.model, weights.ok.version, SOURCE)
 
 
 def _read_isolation_record(
@@ -135,7 +135,7 @@
             fleet_state.log_undecodable(entry.key, record.error.reason)
             continue
         model = entry.key.removeprefix(wanted_record.RECORD_PREFIX)
-        fleet_state.on_wanted_record(model, record.ok)
+        fleet_state.wanted_versions.on_record(model, record.ok)
 
 
 def _decode_upstreams(
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -14,7 +14,7 @@
     EngineSpec,
     Service,
 )
-from buckthornrock.catalog.upstreams import Upstream, UpstreamDirectory
+from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway.account_quotas import AccountQuotas
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.peers import PeerExchange, PeerSettings
@@ -125,11 +125,20 @@
         """Start or restart the process."""
         self._n_starts += 1
         self.is_running = True
+        self._open_state()
+        self.fleet_state.upstreams.replace(self._fleet.upstreams, 1)
+        self.fleet_state.on_configuration(*self._fleet.configuration, "test")
+        self._open_peers()
+        start_delay_ms = self._fleet.rng.uniform(0.0, MIN_PERIOD_MS)
+        self._fleet.after(start_delay_ms, self._tick, self._n_starts)
+
+    def _open_state(self) -> None:
         now_ms = self._fleet.now_ms
         weights = WeightsView(20_000.0)
         self.fleet_state = FleetState(self.failure_domain, weights, now_ms, TELEMETRY)
-        self.fleet_state.replace_upstreams(self._fleet.upstreams, 1)
-        self.fleet_state.on_configuration(*self._fleet.configuration, "test")
+
+    def _open_peers(self) -> None:
+        now_ms = self._fleet.now_ms
         settings = PeerSettings(
             self.name,
             self.failure_domain,
@@ -147,8 +156,6 @@
             AccountQuotas(self.quota, self.fleet_state, now_ms, TELEMETRY),
         )
         self.peers.connection_made(_Transport(self._fleet, self))
-        start_delay_ms = self._fleet.rng.uniform(0.0, MIN_PERIOD_MS)
-        self._fleet.after(start_delay_ms, self._tick, self._n_starts)
 
     @property
     def generation(self) -> int:
@@ -157,11 +164,8 @@
 
     def forget(self) -> None:
         """Forget what a start gives, so that the node must read the store."""
-        fleet_state = self.fleet_state
-        fleet_state.table = None
-        fleet_state.encoded_configuration = b""
-        fleet_state.directory = UpstreamDirectory()
-        fleet_state._has_upstreams = False
+        self._open_state()
+        self._open_peers()
         self.has_read = False
 
     def stop(self) -> None:
@@ -271,7 +275,7 @@
 
     def _finish_sync(self, node: Node, source: Node) -> None:
         node.is_syncing = False
-        configuration = source.fleet_state.table.configuration
+        configuration = source.fleet_state.configuration.table.configuration
         node.fleet_state.on_configuration(configuration, b"", source.name)
 
     def _send_segments(
@@ -302,7 +306,7 @@
 
 
 def _is_newer_than(peer: PeerVersions, node: Node) -> bool:
-    return peer.configuration_version > node.fleet_state.configuration_version
+    return peer.configuration_version > node.fleet_state.configuration.version
 
 
 def _upstream(number: int) -> Upstream:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -187,7 +187,7 @@
     fleet_state.on_configuration(configuration(**changes), b"", "test")
     for upstream in upstreams:
         await upstream.start()
-    fleet_state.replace_upstreams(_entries(upstreams), 1)
+    fleet_state.upstreams.replace(_entries(upstreams), 1)
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
     dispatcher = Dispatcher(
--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -104,7 +104,7 @@
         state = node.fleet_state
         known = {u.upstream_id: u for u in state.directory.registered()}
         return (
-            state.configuration_version == self.store.version
+            state.configuration.version == self.store.version
             and known == self.store.upstreams
         )
 
@@ -118,7 +118,7 @@
         if not self._is_running(node, generation):
             return
         state = node.fleet_state
-        state.expire()
+        state.upstreams.expire()
         inputs = node.peers.watch_inputs()
         node.is_wanted = node.watch.should_watch(inputs, self.now_ms())
         state.is_watching_store = node.is_wanted
@@ -145,7 +145,9 @@
         if not self._is_running(node, generation):
             return
         node.has_read = True
-        node.fleet_state.on_store_failed("silent" if self.is_silent else "status 503")
+        node.fleet_state.upstreams.on_store_failed(
+            "silent" if self.is_silent else "status 503"
+        )
         node.n_failures += 1
         pause_ms = min(MAX_BACKOFF_MS, 50.0 * 2.0**node.n_failures)
         self.after(self.rng.uniform(0.0, pause_ms), self._next_call, node, generation)
@@ -156,7 +158,7 @@
         if not node.is_wanted:
             node.is_polling = False
             return
-        handle = self._poll if node.fleet_state.revision else self._read
+        handle = self._poll if node.fleet_state.upstreams.revision else self._read
         self._call(node, generation, handle)
 
     def _read(self, node, generation, called_at_ms):
@@ -166,7 +168,7 @@
         self._confirm(node)
         self._configure(node)
         entries = list(self.store.upstreams.values())
-        node.fleet_state.replace_upstreams(entries, self.store.revision)
+        node.fleet_state.upstreams.replace(entries, self.store.revision)
         self._next_call(node, generation)
 
     def _poll(self, node, generation, called_at_ms):
@@ -176,13 +178,13 @@
         if not self.can_reach(node):
             self._on_failed(node, generation)
             return
-        known = node.fleet_state.revision
+        known = node.fleet_state.upstreams.revision
         if self.store.revision == known:
             if self.now_ms() - called_at_ms < POLL_WAIT_MS:
                 self.after(POLL_STEP_MS, self._poll, node, generation, called_at_ms)
                 return
             self._confirm(node)
-            node.fleet_state.change_upstreams([], [], known)
+            node.fleet_state.upstreams.change([], [], known)
             self._next_call(node, generation)
             return
         newest = {
@@ -192,7 +194,7 @@
         }
         self._confirm(node)
         self._configure(node)
-        node.fleet_state.change_upstreams(
+        node.fleet_state.upstreams.change(
             [u for u in newest.values() if u is not None],
             [name for name, u in newest.items() if u is None],
             self.store.revision,
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -111,7 +111,7 @@
             upstream._replace(address="127.0.0.1:1", started_ms=2)
             for upstream in harness.fleet_state.directory.all()
         ]
-        harness.fleet_state.replace_upstreams(upstreams, 2)
+        harness.fleet_state.upstreams.replace(upstreams, 2)
         reply = await ask(harness.client_address, request("/read/1", extra=DEADLINE))
         assert (reply.status, level(harness)) == (503, N_PAID)
 
--- a/tests/gateway/test_cache_scopes.py
+++ b/tests/gateway/test_cache_scopes.py
@@ -90,13 +90,15 @@
         node.fleet_state.on_configuration(removing, b"", "test")
     fleet.configuration = (removing, b"")
     fleet.run(DISCOVERY_MS)
-    expected = fleet.nodes[0].fleet_state.table.cache_scope(None)
+    expected = fleet.nodes[0].fleet_state.configuration.table.cache_scope(None)
     assert expected != "shared"
     for node in fleet.nodes[:-1]:
         node.stop()
         node.start()
     fleet.run(DISCOVERY_MS)
-    assert {n.fleet_state.table.cache_scope(None) for n in fleet.nodes} == {expected}
+    assert {
+        n.fleet_state.configuration.table.cache_scope(None) for n in fleet.nodes
+    } == {expected}
 
 
 # A request that waited for capacity was sent with the salt of an older configuration.
--- a/tests/gateway/test_client_connection.py
+++ b/tests/gateway/test_client_connection.py
@@ -210,7 +210,7 @@
 def test_instance_without_configuration_responds_503():
     async def main():
         harness = await start_gateway(ScriptedUpstream(complete_response))
-        harness.fleet_state.table = None
+        harness.fleet_state.configuration.table = None
         reply = await ask(harness.client_address, request("/book/1"))
         assert reply.status == 503
         ready_address = await ask(
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -250,7 +250,7 @@
 def change_entry(harness, upstream, **changes):
     fleet_state = harness.fleet_state
     changed = Upstream(*upstream)._replace(**changes)
-    fleet_state.change_upstreams([changed], [], fleet_state.revision + 1)
+    fleet_state.upstreams.change([changed], [], fleet_state.upstreams.revision + 1)
 
 
 def set_load(harness, upstream, **changes):
@@ -341,7 +341,7 @@
     async def main():
         harness, _ = await start()
         limited = ClientAccount("shop", None, AccountLimit(0.001, 2.0))
-        table = harness.fleet_state.table.configuration
+        table = harness.fleet_state.configuration.table.configuration
         changed = table._replace(version=99, accounts={KEY: limited})
         harness.fleet_state.on_configuration(changed, b"", "test")
         shown = explained(harness, *REQUESTS["plain"])
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -79,10 +79,10 @@
     assign_work(fleet)
     fleet.run(DISCOVERY_MS)
     fleet_state = fleet.nodes[-1].fleet_state
-    newer = fleet_state.table.configuration._replace(version=2)
+    newer = fleet_state.configuration.table.configuration._replace(version=2)
     fleet_state.on_configuration(newer, b"", "store")
     fleet.run(PEER_PROPAGATION_LIMIT_MS)
-    late = [n.name for n in fleet.nodes if n.fleet_state.configuration_version < 2]
+    late = [n.name for n in fleet.nodes if n.fleet_state.configuration.version < 2]
     assert late == []
 
 
@@ -102,16 +102,16 @@
     upstream, other = fleet.upstreams[:2]
     part = part_number("salt", "part")
     reporter = fleet.nodes[-1].fleet_state
-    reporter.on_part_cached(upstream.incarnation, part, 900, 0.0)
-    reporter.on_loading(upstream, "m", 2, 9_000.0)
-    reporter.on_loaded(other, "m", 2)
+    reporter.cached_parts.on_part_cached(upstream.incarnation, part, 900, 0.0)
+    reporter.weights_loads.on_loading(upstream, "m", 2, 9_000.0)
+    reporter.weights_loads.on_loaded(other, "m", 2)
     fleet.run(GOSSIP_LIMIT_MS)
     for node in fleet.nodes:
         load = node.fleet_state.loads.of(upstream.incarnation)
         assert load.parts.holds(part)
         assert load.loading_until_ms > fleet.now_ms()
         assert node.fleet_state.weights.loaded(other, "m") == 2
-    reporter.on_loaded(upstream, "m", 2)
+    reporter.weights_loads.on_loaded(upstream, "m", 2)
     fleet.run(GOSSIP_LIMIT_MS)
     for node in fleet.nodes:
         assert node.fleet_state.weights.loaded(upstream, "m") == 2
@@ -139,8 +139,10 @@
     fleet.run(1_000.0)
     quiet = [node.outbound.n_bytes for node in fleet.nodes]
     upstream = fleet.upstreams[0]
-    fleet.nodes[5].fleet_state.on_part_cached(upstream.incarnation, 7, 900, 0.0)
-    fleet.nodes[9].fleet_state.on_loaded(fleet.upstreams[1], "m", 3)
+    fleet.nodes[5].fleet_state.cached_parts.on_part_cached(
+        upstream.incarnation, 7, 900, 0.0
+    )
+    fleet.nodes[9].fleet_state.weights_loads.on_loaded(fleet.upstreams[1], "m", 3)
     fleet.run(3_000.0)
     then = [node.outbound.n_bytes for node in fleet.nodes]
     fleet.run(1_000.0)
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -137,7 +137,7 @@
 
         async def vanish_and_respond(received_request):
             state = harnesses[0].fleet_state
-            state.change_upstreams(
+            state.upstreams.change(
                 [], [u.upstream_id for u in state.directory.all()], 2
             )
             await asyncio.sleep(SILENCE_S)
@@ -160,7 +160,7 @@
 
         async def vanish_and_stream(received_request):
             state = harnesses[0].fleet_state
-            state.change_upstreams(
+            state.upstreams.change(
                 [], [u.upstream_id for u in state.directory.all()], 2
             )
             await rest(received_request)
--- a/tests/gateway/test_log_lines.py
+++ b/tests/gateway/test_log_lines.py
@@ -95,7 +95,7 @@
 
         async def fail_and_leave(received_request):
             ids = [u.upstream_id for u in harnesses[0].fleet_state.directory.all()]
-            harnesses[0].fleet_state.change_upstreams([], ids, 2)
+            harnesses[0].fleet_state.upstreams.change([], ids, 2)
             await server_error(received_request)
 
         harnesses.append(await start_gateway(ScriptedUpstream(fail_and_leave)))
--- a/tests/gateway/test_odd_state_from_peers.py
+++ b/tests/gateway/test_odd_state_from_peers.py
@@ -46,7 +46,7 @@
         self.now_ms = 100_000.0
         telemetry = Telemetry(self._log, open_metrics("", 0, ""))
         self.state = FleetState("a", WeightsView(20_000.0), self._now, telemetry)
-        self.state.replace_upstreams([UPSTREAM], 5)
+        self.state.upstreams.replace([UPSTREAM], 5)
         settings = PeerSettings("i1", "a", "10.0.0.1:1", (), 1)
         self.peers = PeerExchange(settings, self.state, self._now, telemetry)
         self.peers.connection_made(self)
@@ -83,7 +83,7 @@
         encode_digest(digest(revision=7, base_revision=5, changes=changes))
     )
     assert instance.known() == {"u2"}
-    assert instance.state.revision == 7
+    assert instance.state.upstreams.revision == 7
     forwarded, _ = instance.sent[-1]
     assert [change.entry and change.upstream_id for change in forwarded.changes] == [
         None,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -85,7 +85,7 @@
 
 def test_quiet_time_is_not_told_to_peers():
     state = fleet_state(version=1)
-    state.replace_upstreams([UPSTREAM], 1)
+    state.upstreams.replace([UPSTREAM], 1)
     told = []
     state.set_observers(told.append, told.append, told.append, lambda: told.append(""))
     state.on_notice(UPSTREAM, Notice(False, True, 1_000.0))
@@ -153,7 +153,7 @@
         addresses = [f"127.0.0.1:{port}" for port in free_ports(2)]
         for number, address in enumerate(addresses):
             state = fleet_state(version=1)
-            state.replace_upstreams([UPSTREAM], 1)
+            state.upstreams.replace([UPSTREAM], 1)
             settings = PeerSettings(f"i{number}", "a", address, (addresses[0],), 1)
             peers = PeerExchange(settings, state, now_ms, TELEMETRY)
             host, _, port = address.rpartition(":")
@@ -163,9 +163,9 @@
             instances.append((state, peers, asyncio.create_task(peers.run())))
         (one, _, _), (two, peers_two, _) = instances
         one.loads.of(UPSTREAM.incarnation).own = Work(2, 120.0, 5_000)
-        one.on_weights("m", 2, "test", age_ms=9_000.0)
-        one.on_loading(UPSTREAM, "m", 2, 5_000.0)
-        one.on_part_cached(UPSTREAM.incarnation, PART, 900, 0.0)
+        one.wanted_versions.on_wanted("m", 2, "test", age_ms=9_000.0)
+        one.weights_loads.on_loading(UPSTREAM, "m", 2, 5_000.0)
+        one.cached_parts.on_part_cached(UPSTREAM.incarnation, PART, 900, 0.0)
         load = two.loads.of(UPSTREAM.incarnation)
         while not (
             two.loads.total(UPSTREAM.incarnation, now_ms()).n_requests == 2
@@ -176,7 +176,7 @@
         wanted = two.weights.wanted("m")
         assert wanted.version == 2
         assert now_ms() - wanted.known_at_ms >= 9_000.0
-        one.on_loaded(UPSTREAM, "m", 2)
+        one.weights_loads.on_loaded(UPSTREAM, "m", 2)
         while two.weights.loaded(UPSTREAM, "m") != 2:
             await asyncio.sleep(0.01)
         assert load.loading_until_ms == 0.0
@@ -194,7 +194,7 @@
 def test_only_a_newer_configuration_is_taken_from_a_peer(mine, theirs, expected):
     async def main():
         ahead, behind = fleet_state(version=theirs), fleet_state(version=mine)
-        ahead.replace_upstreams([UPSTREAM], 40)
+        ahead.upstreams.replace([UPSTREAM], 40)
         address = f"127.0.0.1:{free_ports(1)[0]}"
         server = StateSync(address, ahead, decode_configuration, TELEMETRY, now_ms)
         task = asyncio.create_task(server.run())
@@ -203,7 +203,7 @@
         while not behind.is_complete and time.monotonic() < deadline_s:
             client.on_peer_versions(PeerVersions(address, theirs, 40))
             await asyncio.sleep(0.05)
-        assert behind.configuration_version == expected
+        assert behind.configuration.version == expected
         assert behind.directory.get("u1") == UPSTREAM
         task.cancel()
 
@@ -216,8 +216,8 @@
 
     async def main():
         ahead, behind = fleet_state(version=7), fleet_state(version=7)
-        ahead.replace_upstreams([UPSTREAM], 40)
-        behind.replace_upstreams([], 1)
+        ahead.upstreams.replace([UPSTREAM], 40)
+        behind.upstreams.replace([], 1)
         address = f"127.0.0.1:{free_ports(1)[0]}"
         server = StateSync(address, ahead, decode_configuration, TELEMETRY, now_ms)
         client = StateSync("", behind, decode_configuration, TELEMETRY, now_ms)
@@ -225,14 +225,14 @@
         began_at_ms, revision = now_ms(), 40
         while now_ms() - began_at_ms < duration_ms:
             revision += 1
-            ahead.change_upstreams([UPSTREAM], [], revision)
+            ahead.upstreams.change([UPSTREAM], [], revision)
             client.on_peer_versions(PeerVersions(address, 7, revision))
             await asyncio.sleep(change_period_ms / 1000.0)
         assert behind.directory.get("u1") == UPSTREAM
-        assert revision - behind.revision < 1_500.0 / change_period_ms
+        assert revision - behind.upstreams.revision < 1_500.0 / change_period_ms
         n_bytes = server.n_bytes_sent
         assert server.n_snapshots_sent <= duration_ms / 500.0
-        assert n_bytes < server.n_snapshots_sent * len(ahead.encoded_configuration)
+        assert n_bytes < server.n_snapshots_sent * len(ahead.configuration.encoded)
         task.cancel()
 
     run(main)
@@ -260,11 +260,11 @@
         behind = fleet_state(version=7)
         behind.is_watching_store = True
         behind.store_contact.on_call_answered()
-        behind.replace_upstreams([], 1)
+        behind.upstreams.replace([], 1)
         client = StateSync("", behind, decode_configuration, TELEMETRY, now_ms)
         client.on_peer_versions(PeerVersions("127.0.0.1:1", 7, 40))
         assert client._request_task is None
-        behind.on_store_failed("gone")
+        behind.upstreams.on_store_failed("gone")
         client.on_peer_versions(PeerVersions("127.0.0.1:1", 7, 40))
         assert client._request_task is not None
 
@@ -330,7 +330,7 @@
     ahead, behind = fleet_state(version=7), fleet_state()
     names = [os.urandom(20).hex() for _ in range(60)]
     upstreams = [UPSTREAM._replace(upstream_id=name) for name in names]
-    ahead.replace_upstreams(upstreams, 40)
+    ahead.upstreams.replace(upstreams, 40)
     n_bytes = len(encode_snapshot(ahead, SnapshotRequest(0, 0)))
     monkeypatch.setattr(state_sync, "MAX_SNAPSHOT_BYTES", int(share * n_bytes))
     server = StateSync("", ahead, decode_configuration, telemetry, now_ms)
@@ -339,8 +339,8 @@
         snapshot = server._respond(msgspec.msgpack.encode(client.begin_request()))
         assert len(snapshot) <= int(share * n_bytes)
         client.apply(snapshot, "peer")
-    assert behind.configuration_version == 7
-    assert (behind.revision == 40) == has_upstreams
+    assert behind.configuration.version == 7
+    assert (behind.upstreams.revision == 40) == has_upstreams
     assert {name for name, _ in logged} == (
         {"gateway.snapshot_too_large"} if is_logged else set()
     )
@@ -353,7 +353,7 @@
     behind = FleetState("a", WeightsView(20_000.0), now_ms, telemetry)
     client = StateSync("", behind, decode_configuration, telemetry, now_ms)
     client.apply(encode_snapshot(ahead, SnapshotRequest(0, 0)), "peer")
-    assert behind.configuration_version == 0
+    assert behind.configuration.version == 0
     ((name, fields),) = logged
     assert (name, fields["what"]) == ("gateway.undecodable", "copy")
 
@@ -361,9 +361,9 @@
 def test_snapshot_tells_earlier_versions_of_weights():
     """A peer that has just started learns the newest version from the store alone."""
     one, two = fleet_state(version=1), fleet_state(version=1)
-    one.on_weights("m", 2, "store", age_ms=9_000.0)
-    one.on_weights("m", 3, "store", age_ms=1_000.0)
-    two.on_weights("m", 3, "store")
+    one.wanted_versions.on_wanted("m", 2, "store", age_ms=9_000.0)
+    one.wanted_versions.on_wanted("m", 3, "store", age_ms=1_000.0)
+    two.wanted_versions.on_wanted("m", 3, "store")
     sync = StateSync("", two, decode_configuration, TELEMETRY, now_ms)
     sync.apply(encode_snapshot(one, SnapshotRequest(1, 0)), "i1")
     assert two.weights.lag_ms(UPSTREAM, "m", now_ms()) >= 9_000.0
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -21,15 +21,15 @@
         self.state = FleetState("a", weights, lambda: self.time_ms, telemetry)
         self.state.is_watching_store = True
         self.state.store_contact.on_call_answered()
-        self.state.replace_upstreams([engine(0)], REVISION)
+        self.state.upstreams.replace([engine(0)], REVISION)
 
     def fail_calls(self, at_ms):
         """Let calls fail at these times after the last answer."""
         began_ms = self.time_ms
         for failed_at_ms in at_ms:
             self.time_ms = began_ms + failed_at_ms
-            self.state.expire()
-            self.state.on_store_failed("silent")
+            self.state.upstreams.expire()
+            self.state.upstreams.on_store_failed("silent")
 
     def is_known(self):
         return bool(self.state.directory.all())
@@ -48,11 +48,11 @@
     world.fail_calls(failed_at_ms)
     world.time_ms += 100.0
     world.state.store_contact.on_call_answered()
-    world.state.change_upstreams([], [engine(0).upstream_id], REVISION + 1)
-    world.state.expire()
+    world.state.upstreams.change([], [engine(0).upstream_id], REVISION + 1)
+    world.state.upstreams.expire()
     assert world.is_known() is is_outage
     world.time_ms += RETURN_GRACE_MS
-    world.state.expire()
+    world.state.upstreams.expire()
     assert not world.is_known()
 
 
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -291,11 +291,15 @@
             known = {u.upstream_id: u.n_slots for u in state.directory.all()}
             key = node.name, node.generation
             before = self.newest.get(key, (0, 0, {}))
-            assert state.configuration_version >= before[0]
-            assert state.revision >= before[1]
+            assert state.configuration.version >= before[0]
+            assert state.upstreams.revision >= before[1]
             for name, n_slots in before[2].items():
                 assert known.get(name, n_slots) >= n_slots
-            self.newest[key] = (state.configuration_version, state.revision, known)
+            self.newest[key] = (
+                state.configuration.version,
+                state.upstreams.revision,
+                known,
+            )
 
 
 FollowingMachine.TestCase.settings = settings(
--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -131,7 +131,7 @@
             known._replace(started_ms=started_ms)
             for known in harness.fleet_state.directory.all()
         ]
-        harness.fleet_state.change_upstreams(entries, [], 2)
+        harness.fleet_state.upstreams.change(entries, [], 2)
         await ask(harness.client_address, request("/read/1", b"r2"))
         assert len(upstream.received) == n_received
 
@@ -145,9 +145,9 @@
         await ask(harness.client_address, request("/read/1"))
         fleet_state = harness.fleet_state
         entries = fleet_state.directory.all()
-        fleet_state.change_upstreams([], [u.upstream_id for u in entries], 2)
+        fleet_state.upstreams.change([], [u.upstream_id for u in entries], 2)
         fleet_state.retain_live()
-        fleet_state.change_upstreams(entries, [], 3)
+        fleet_state.upstreams.change(entries, [], 3)
         reply = await ask(harness.client_address, request("/read/1", b"r2"))
         assert (reply.status, len(upstream.received)) == (503, 1)
 
--- a/tests/gateway/test_upstream_responses.py
+++ b/tests/gateway/test_upstream_responses.py
@@ -285,7 +285,7 @@
 
         async def leave_and_close(received_request):
             ids = [u.upstream_id for u in harnesses[0].fleet_state.directory.all()]
-            harnesses[0].fleet_state.change_upstreams([], ids, 2)
+            harnesses[0].fleet_state.upstreams.change([], ids, 2)
             received_request.writer.close()
 
         harnesses.append(await start_gateway(ScriptedUpstream(leave_and_close)))
@@ -317,7 +317,7 @@
 
     async def main():
         harness = await start_gateway(ScriptedUpstream(silent))
-        harness.fleet_state.on_weights("m", 2, "test", age_ms=19_600.0)
+        harness.fleet_state.wanted_versions.on_wanted("m", 2, "test", age_ms=19_600.0)
         began_at_ms = now_ms()
         reply = await ask(harness.client_address, request(path))
         assert reply.status == 502
@@ -339,7 +339,7 @@
 
     async def main():
         harness = await start_gateway(ScriptedUpstream(plain_and_slow))
-        harness.fleet_state.on_weights("m", 2, "test", age_ms=19_600.0)
+        harness.fleet_state.wanted_versions.on_wanted("m", 2, "test", age_ms=19_600.0)
         reply = await ask(harness.client_address, request("/long/1"))
         assert (reply.status, reply.body) == (200, BODY)
 
--- a/tests/gateway/test_urgent_digests.py
+++ b/tests/gateway/test_urgent_digests.py
@@ -22,7 +22,7 @@
         self.timers = SimulatedTimers(100_000.0)
         now_ms = self.timers.now_ms
         self.state = FleetState("a", WeightsView(20_000.0), now_ms, TELEMETRY)
-        self.state.replace_upstreams([UPSTREAM], 5)
+        self.state.upstreams.replace([UPSTREAM], 5)
         self.peers = PeerExchange(
             PeerSettings("i1", "a", "10.0.0.1:1", (), 1),
             self.state,
--- a/tests/gateway/test_wanted_weights.py
+++ b/tests/gateway/test_wanted_weights.py
@@ -35,14 +35,16 @@
         version = len(self.wanted_at_ms) + 2
         self.wanted_at_ms[version] = self.now_ms()
         for node in self.running()[:3]:
-            node.fleet_state.on_weights(MODEL, version, "store")
+            node.fleet_state.wanted_versions.on_wanted(MODEL, version, "store")
 
     def restart(self, node):
         """Start a node anew; it reads the newest version, as from the store."""
         node.start()
         self.started_at_ms[node.name] = self.now_ms()
         if self.wanted_at_ms:
-            node.fleet_state.on_weights(MODEL, max(self.wanted_at_ms), "store")
+            node.fleet_state.wanted_versions.on_wanted(
+                MODEL, max(self.wanted_at_ms), "store"
+            )
 
     def has_learnt(self, node):
         started_at_ms = self.started_at_ms.get(node.name, 0.0)
--- a/tests/platform/test_isolation_record.py
+++ b/tests/platform/test_isolation_record.py
@@ -81,7 +81,7 @@
         self.listener.on_change(WatchBatch(revision, entries, deleted))
 
     def scope(self):
-        return self.state.table.cache_scope(None)
+        return self.state.configuration.table.cache_scope(None)
 
 
 @pytest.mark.parametrize("is_stale", [False, True], ids=["listing", "changes"])
@@ -113,7 +113,7 @@
     restarted = Instance()
     entries = (configuration_entry(3, mill=False), record_entry("shop"))
     restarted.listener.on_snapshot(Snapshot(9, entries))
-    assert restarted.state.removed_isolated_accounts == SHOP
+    assert restarted.state.configuration.removed_isolated_accounts == SHOP
     assert restarted.scope() != before.scope()
 
 
@@ -131,7 +131,7 @@
     instance.listener.on_snapshot(Snapshot(1, (record_entry("shop"),)))
     removed = configuration_entry(3, mill=False)
     instance.listener.on_change(WatchBatch(9, (removed,), ()))
-    assert instance.state.removed_isolated_accounts == SHOP
+    assert instance.state.configuration.removed_isolated_accounts == SHOP
 
 
 def test_later_record_is_not_applied():
@@ -142,7 +142,7 @@
     instance.watch(3, configuration_entry(3, shop=False))
     instance.watch(4, configuration_entry(4, mill=True), record_entry("shop"))
     instance.watch(5, record_entry("mill", "shop"))
-    assert instance.state.removed_isolated_accounts == frozenset()
+    assert instance.state.configuration.removed_isolated_accounts == frozenset()
 
 
 def test_accounts_are_requested_once_and_only_if_they_are_not_recorded():
@@ -183,7 +183,7 @@
     instance = Instance()
     odd = KvEntry(RECORD_KEY, WRITE_ID + b"[1", 9, 0, WRITE_ID)
     instance.listener.on_snapshot(Snapshot(9, (odd, configuration_entry(2, shop=True))))
-    assert instance.state.configuration_version == 2
+    assert instance.state.configuration.version == 2
     instance.watch(10)
     assert instance.requested == [SHOP]
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -196,7 +196,7 @@
     listing = entries(a=None, odd=ODD_ENTRIES[name], b=None)
     world.listener.on_snapshot(Snapshot(5, listing))
     assert world.known() == {"a", "b"}
-    assert world.state.revision == 5
+    assert world.state.upstreams.revision == 5
     # The next listing has the same odd entry.
     world.listener.on_snapshot(Snapshot(6, listing))
     assert world.undecodable() == ["servers/odd"]
@@ -212,7 +212,7 @@
     world.listener.on_change(WatchBatch(7, entries(a=None), ()))
     assert world.known() == {"a", "b"}
     # What it tells its peers can be encoded.
-    window = world.state.recent_changes(60_000.0, 20)
+    window = world.state.upstreams.recent_changes(60_000.0, 20)
     listed = [
         EntryChange(
             c.revision, c.upstream_id, c.upstream and UpstreamEntry(*c.upstream)
--- a/tests/rollout/test_wanted_record.py
+++ b/tests/rollout/test_wanted_record.py
@@ -11,6 +11,7 @@
 
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.isolation_recorder import RecordedAccounts
+from buckthornrock.gateway.rollout_inputs import collect_rollout_inputs
 from buckthornrock.platform.store_listeners import store_listener
 from buckthornrock.rollout.actor import RECORD_RETRY_MS, RolloutActor
 from buckthornrock.rollout.plan import RolloutEngine
@@ -257,7 +258,7 @@
 def test_inputs_of_the_rollout_name_earlier_versions():
     snapshot = Snapshot(9, (weights_entry(3), record_entry((2, 9_000), (3, 1_000))))
     state = fleet_state_after(lambda listener: listener.on_snapshot(snapshot))
-    since = state.rollout_inputs().wanted_since
+    since = collect_rollout_inputs(state, 0.0).wanted_since
     assert since == {"m": [WantedWeights(2, -13_000.0), WantedWeights(3, -5_000.0)]}
 
 
