Split the peer exchange by what its parts do

gateway/peers.py had 590 lines for sending, filling in and applying digests, what upstreams do, peer discovery and failing watchers of the store. Each is a module now, or a class in gateway/store_watch.py. PeerExchange keeps the socket, the timers and what differs by contact. Its unused telemetry parameter is gone, and announce_stop() replaces the attribute is_stopping.

The instances whose digests are counted are determined once per received digest; it was twice. Digests of a simulated fleet of 66 instances are the same bytes as before the split (11,507 digests, fixed hash seed). Checked: make lint; tests/gateway, tests/catalog, tests/platform, tests/rollout, tests/compose and tests/docs (1,383 passed, 5 xpassed). UpstreamReplica's replace_by_peer() became replace_from_peer() afterwards; tests/path, tests/docs and tests/gateway/test_peers.py were run again after it and passed.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -20,7 +20,8 @@
 from ..gateway.gateway import Gateway, GatewaySettings
 from ..gateway.isolation_recorder import IsolationRecorder, RecordedAccounts
 from ..gateway.memory_budget import budget_limits, n_upstream_connections
-from ..gateway.peers import PeerExchange, PeerSettings
+from ..gateway.peer_settings import PeerSettings
+from ..gateway.peers import PeerExchange
 from ..gateway.pool import ConnectionPool
 from ..gateway.rollout_inputs import collect_rollout_inputs
 from ..gateway.state_sync import StateSync
@@ -112,9 +113,7 @@
     n_upstream = n_upstream_connections(settings.limits.max_fds)
     pool = ConnectionPool(codec, now_ms, n_upstream)
     quotas = _open_quotas(settings, fleet_state, now_ms, telemetry)
-    peers = PeerExchange(
-        _peer_settings(settings), fleet_state, now_ms, telemetry, quotas=quotas
-    )
+    peers = PeerExchange(_peer_settings(settings), fleet_state, now_ms, quotas=quotas)
     is_watch_wanted = threading.Event()
     recorder = IsolationRecorder.start(store, telemetry)
     StoreWatcher.start(
--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -340,7 +340,7 @@
         stopping.begin(started_at_ms, self._settings.shutdown_limit_ms)
         self._dispatcher.end_by(stopping.cut_at_ms)
         self._is_draining = True
-        self._peers.is_stopping = True
+        self._peers.announce_stop()
         self._telemetry.log(
             events.STOPPING,
             instance_id=self._settings.instance_id,
--- a/buckthornrock/gateway/state_sync.py
+++ b/buckthornrock/gateway/state_sync.py
@@ -197,7 +197,7 @@
         upstreams = [
             u for u in snapshot.upstreams if fleet_state.upstreams.is_usable(u)
         ]
-        fleet_state.upstreams.replace_by_peer(
+        fleet_state.upstreams.replace_from_peer(
             upstreams, snapshot.revision, snapshot.store_age_ms
         )
 
--- a/buckthornrock/gateway/store_watch.py
+++ b/buckthornrock/gateway/store_watch.py
@@ -21,6 +21,8 @@
 FLEET_JOINS_PER_S = 10.0
 #: For how long an instance that was not planned as a watcher goes on watching.
 JOINED_FOR_MS = 10_000.0
+#: A watcher that reported failing calls counts as failing for this long.
+FAILING_LIFETIME_MS = 3_000.0
 
 
 class WatchInputs(NamedTuple):
@@ -60,6 +62,28 @@
     return False
 
 
+class FailingWatchers:
+    """Remembers which watchers reported that their calls to the store fail."""
+
+    def __init__(self) -> None:
+        self._reported_at_ms: dict[str, float] = {}
+
+    def on_digest(self, instance_id: str, is_failing: bool, now_ms: float) -> None:
+        """Record whether an instance's digest reports failing calls."""
+        if is_failing:
+            self._reported_at_ms[instance_id] = now_ms
+        else:
+            self._reported_at_ms.pop(instance_id, None)
+
+    def names(self, now_ms: float) -> set[str]:
+        """Return the watchers that count as failing."""
+        return {
+            instance_id
+            for instance_id, at_ms in self._reported_at_ms.items()
+            if now_ms - at_ms < FAILING_LIFETIME_MS
+        }
+
+
 class StoreWatch:
     """Remembers since when an instance watches that was not planned to."""
 
--- a/buckthornrock/gateway/upstream_replica.py
+++ b/buckthornrock/gateway/upstream_replica.py
@@ -83,7 +83,7 @@
         self._changes.restart(revision)
         self._log_changes(before)
 
-    def replace_by_peer(
+    def replace_from_peer(
         self, upstreams: Iterable[Upstream], revision: int, store_age_ms: int
     ) -> None:
         """Replace the upstreams by a peer's listing if that is newer.
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -17,7 +17,8 @@
 from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway.account_quotas import AccountQuotas
 from buckthornrock.gateway.fleet_state import FleetState
-from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.gateway.peer_settings import PeerSettings
+from buckthornrock.gateway.peers import PeerExchange
 from buckthornrock.gateway.relays import MIN_PERIOD_MS
 from buckthornrock.gateway.state_sync import STORE_HEAD_START_MS, PeerVersions
 from buckthornrock.scheduling.weights import WeightsView
@@ -151,7 +152,6 @@
             settings,
             self.fleet_state,
             now_ms,
-            TELEMETRY,
             self._fleet.timers.call_later,
             AccountQuotas(self.quota, self.fleet_state, now_ms, TELEMETRY),
         )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -24,7 +24,8 @@
 from buckthornrock.gateway.exchange import ExchangeContext
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.gateway import Gateway, GatewaySettings
-from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.gateway.peer_settings import PeerSettings
+from buckthornrock.gateway.peers import PeerExchange
 from buckthornrock.gateway.pool import ConnectionPool
 from buckthornrock.gateway.state_sync import StateSync
 from buckthornrock.gateway.stopping import Stopping
@@ -202,7 +203,6 @@
         PeerSettings("i1", "a", peer, (), 1),
         fleet_state,
         now_ms,
-        telemetry,
         quotas=quotas,
     )
     context = ExchangeContext(
--- a/tests/gateway/test_odd_state_from_peers.py
+++ b/tests/gateway/test_odd_state_from_peers.py
@@ -10,7 +10,8 @@
 
 from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway.fleet_state import FleetState
-from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.gateway.peer_settings import PeerSettings
+from buckthornrock.gateway.peers import PeerExchange
 from buckthornrock.gateway.pool import ConnectionPool
 from buckthornrock.gateway.state_sync import StateSnapshot, StateSync
 from buckthornrock.platform.configuration import decode_configuration
@@ -48,7 +49,7 @@
         self.state = FleetState("a", WeightsView(20_000.0), self._now, telemetry)
         self.state.upstreams.replace([UPSTREAM], 5)
         settings = PeerSettings("i1", "a", "10.0.0.1:1", (), 1)
-        self.peers = PeerExchange(settings, self.state, self._now, telemetry)
+        self.peers = PeerExchange(settings, self.state, self._now)
         self.peers.connection_made(self)
         self.sync = StateSync(
             "10.0.0.1:1", self.state, decode_configuration, telemetry, self._now
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -14,8 +14,9 @@
 from buckthornrock.catalog.upstreams import Upstream
 from buckthornrock.gateway import state_sync
 from buckthornrock.gateway.fleet_state import FleetState
+from buckthornrock.gateway.peer_settings import PeerSettings
 from buckthornrock.gateway.peer_view import PEER_EXPIRY_MS, PeerView
-from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.gateway.peers import PeerExchange
 from buckthornrock.gateway.state_sync import (
     PeerVersions,
     SnapshotRequest,
@@ -155,7 +156,7 @@
             state = fleet_state(version=1)
             state.upstreams.replace([UPSTREAM], 1)
             settings = PeerSettings(f"i{number}", "a", address, (addresses[0],), 1)
-            peers = PeerExchange(settings, state, now_ms, TELEMETRY)
+            peers = PeerExchange(settings, state, now_ms)
             host, _, port = address.rpartition(":")
             await loop.create_datagram_endpoint(
                 lambda peers=peers: peers, local_addr=(host, int(port))
--- a/tests/gateway/test_urgent_digests.py
+++ b/tests/gateway/test_urgent_digests.py
@@ -3,11 +3,8 @@
 import pytest
 
 from buckthornrock.gateway.fleet_state import FleetState
-from buckthornrock.gateway.peers import (
-    MIN_URGENT_INTERVAL_MS,
-    PeerExchange,
-    PeerSettings,
-)
+from buckthornrock.gateway.peer_settings import PeerSettings
+from buckthornrock.gateway.peers import MIN_URGENT_INTERVAL_MS, PeerExchange
 from buckthornrock.scheduling.loads import Work
 from buckthornrock.scheduling.weights import WeightsView
 from buckthornrock.wire.digests import decode_digest, encode_digest
@@ -27,7 +24,6 @@
             PeerSettings("i1", "a", "10.0.0.1:1", (), 1),
             self.state,
             now_ms,
-            TELEMETRY,
             self.timers.call_later,
         )
         self.sent = []
@@ -113,6 +109,6 @@
     timers = SimulatedTimers(0.0)
     state = FleetState("a", WeightsView(20_000.0), timers.now_ms, TELEMETRY)
     settings = PeerSettings("i1", "a", "10.0.0.1:1", (), 1)
-    PeerExchange(settings, state, timers.now_ms, TELEMETRY, timers.call_later)
+    PeerExchange(settings, state, timers.now_ms, timers.call_later)
     state.publish_now()
     assert not timers.n_due()
