--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -25,7 +25,8 @@
 from buckthornrock.gateway.exchange_context import ExchangeContext
 from buckthornrock.gateway.fleet_state import FleetState
 from buckthornrock.gateway.gateway import Gateway, GatewaySettings
-from buckthornrock.gateway.peers import PeerExchange, PeerSettings
+from buckthornrock.gateway.peer_settings import PeerSettings
+from buckthornrock.gateway.peers import PeerExchange
 from buckthornrock.gateway.pool import ConnectionPool
 from buckthornrock.gateway.state_sync import StateSync
 from buckthornrock.gateway.stopping import Stopping
@@ -188,7 +189,7 @@
     fleet_state.on_configuration(configuration(**changes), b"", "test")
     for upstream in upstreams:
         await upstream.start()
-    fleet_state.replace_upstreams(_entries(upstreams), 1)
+    fleet_state.upstreams.replace(_entries(upstreams), 1)
     codec = open_header_codec()
     pool = ConnectionPool(codec, now_ms)
     dispatcher = Dispatcher(
@@ -203,7 +204,6 @@
         PeerSettings("i1", "a", peer, (), 1),
         fleet_state,
         now_ms,
-        telemetry,
         quotas=quotas,
     )
     context = ExchangeContext(
