Let the last attempt end with its request, not at a limit of its own

What callers saw: 502 interrupted instead of 504 at the deadline, seldom; the upstream was blocked for 300 ms as well.

Cause: the limits of a request and of its only attempt end at the same instant.

An attempt after which no other is possible has no limit of its own any more; the request's always holds. The new test stalls for 20 ms at that place: 502 before for both paths (assert 502 == 504), 504 now, and no upstream is blocked.

--- a/buckthornrock/gateway/attempt_limits.py
+++ b/buckthornrock/gateway/attempt_limits.py
@@ -22,13 +22,16 @@
 
 
 def attempt_limit_s(state: ExchangeState) -> float:
-    """Return the time limit of an attempt, for a stream of its response head."""
-    remaining_ms = state.remaining_ms()
-    if has_another_attempt(state):
-        objective_ms = state.admitted.route.objective_ms
-        max_wait_ms = objective_ms * FIRST_ATTEMPT_MAX_OBJECTIVES
-        remaining_ms = min(remaining_ms * FIRST_ATTEMPT_SHARE, max_wait_ms)
-    return max(0.0, remaining_ms) / 1000.0
+    """Return the time limit of an attempt, for a stream of its response head.
+
+    The last attempt has none of its own, as it ends with the request. A limit at the same
+    time could pass first, and the deadline would look like the upstream's failure.
+    """
+    if not has_another_attempt(state):
+        return math.inf
+    max_wait_ms = state.admitted.route.objective_ms * FIRST_ATTEMPT_MAX_OBJECTIVES
+    limit_ms = min(state.remaining_ms() * FIRST_ATTEMPT_SHARE, max_wait_ms)
+    return max(0.0, limit_ms) / 1000.0
 
 
 def start_limit_s(state: ExchangeState, reservation: Reservation) -> float:
--- a/tests/gateway/test_upstream_responses.py
+++ b/tests/gateway/test_upstream_responses.py
@@ -3,9 +3,12 @@
 import asyncio
 import socket
 import struct
+import time
+from types import SimpleNamespace
 
 import pytest
 
+from buckthornrock.gateway import exchange
 from tests.gateway.harness import (
     ID,
     STAMP,
@@ -326,6 +329,34 @@
     run(main)
 
 
+@pytest.mark.parametrize("path", ["/book/1", "/long/1"])
+def test_deadline_does_not_count_as_a_failure_of_the_upstream(monkeypatch, path):
+    """A stall before the request's limit was set let the attempt's limit pass first.
+
+    The client got 502 instead of 504, and the upstream was blocked.
+    """
+
+    def timeout_after_stall(delay_s):
+        time.sleep(0.02)
+        return asyncio.timeout(delay_s)
+
+    stalling = SimpleNamespace(
+        timeout=timeout_after_stall, CancelledError=asyncio.CancelledError
+    )
+    monkeypatch.setattr(exchange, "asyncio", stalling)
+
+    async def main():
+        harness = await start_gateway(ScriptedUpstream(silent))
+        message = request(path, extra=b"X-Buckthornrock-Deadline-Ms: 300\r\n")
+        reply = await ask(harness.client_address, message)
+        assert reply.status == 504
+        loads = harness.fleet_state.loads
+        for upstream in harness.fleet_state.directory.all():
+            assert not loads.of(upstream.incarnation).blocked_until_ms
+
+    run(main)
+
+
 async def plain_and_slow(received_request):
     message = response_bytes(received_request.request_id, BODY)
     message = message.replace(b"\r\n", b"\r\nContent-Type: text/plain\r\n", 1)
