Test hostile clients at the metrics address

Cause: the front and the ready address were tested with crowds of hostile clients, the metrics address only shared their code.

Change: the twelve crowds are played at the metrics address as well, with the same bounds. Existing cases are unchanged.

--- a/tests/gateway/test_hostile_clients.py
+++ b/tests/gateway/test_hostile_clients.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from tests.gateway.instance_process import HOST, ask, get, start_instance
+from tests.gateway.instance_process import HOST, Instance, ask, get, start_instance
 
 MEMORY_MB = 128
 MAX_FDS = 400
@@ -28,7 +28,12 @@
 QUIET_S = 1.0
 LOAD_LIMIT_S = 8.0
 
-PATHS = {"route": "/read/10", "no-route": "/nowhere/10", "ready": "/readyz"}
+PATHS = {
+    "route": "/read/10",
+    "no-route": "/nowhere/10",
+    "ready": "/readyz",
+    "metrics": "/metrics",
+}
 
 
 class Crowd(NamedTuple):
@@ -128,8 +133,7 @@
 def test_limits_hold(tmp_path, kind, place):
     instance = start_instance(tmp_path, MEMORY_MB, MAX_FDS)
     try:
-        is_ready = place == "ready"
-        address = instance.ready_address if is_ready else instance.front_address
+        address = address_of(instance, place)
         n_most_descriptors = 0
         with connected(kind(PATHS[place]), address) as load:
             for _ in load:
@@ -146,6 +150,15 @@
         instance.stop()
 
 
+def address_of(instance: Instance, place: str) -> tuple[str, int]:
+    """Return the address that serves a place of ``PATHS``."""
+    if place == "ready":
+        return instance.ready_address
+    if place == "metrics":
+        return instance.metrics_address
+    return instance.front_address
+
+
 class connected:  # noqa: N801
     """Context in which a crowd is connected; iterating over it sends its pieces."""
 
