Wait for the body in the tests of missing descriptors

Cause: the two tests took a request for arriving as soon as its head was being received. A worker thread then has the connection for a moment, and the test counted one connection too few.

Change: they wait until the head is parsed and the connection is received from again. What they check is unchanged.

--- a/tests/httpd/test_client_limits.py
+++ b/tests/httpd/test_client_limits.py
@@ -60,6 +60,14 @@
             assert time.monotonic() < give_up_at_s
             time.sleep(0.01)
 
+    def wait_for_partial_body(self):
+        """Wait until a request with a parsed head is received from again.
+
+        Before, a worker thread has the connection for a moment.
+        """
+        arrivals = self.server._arrivals._arrivals
+        self.wait_for(lambda: any(a.connection.parsed for a in list(arrivals.values())))
+
 
 @pytest.fixture
 def serve():
@@ -110,7 +118,7 @@
         refused.sendall(with_length(b"refused", 1_000_000, b"x" * 10))
         assert read_status(refused) == b"404"
         busy.sendall(with_length(b"x", 4, b"fou"))
-        served.wait_for(lambda: arrivals.n_begun() == 1)
+        served.wait_for_partial_body()
         served.wait_for(lambda: len(arrivals._arrivals) == 3)
         arrivals.make_descriptor()
         assert idle.recv(1) == b""
@@ -126,7 +134,7 @@
     served = serve(read_timeout_ms=60_000)
     with served.connect() as busy:
         busy.sendall(with_length(b"x", 4, b"fou"))
-        served.wait_for(lambda: served.server._arrivals.n_begun() == 1)
+        served.wait_for_partial_body()
         served.server._arrivals.make_descriptor()
         assert read_status(busy) == b"503"
     assert served.paths == []
