Add a gauge of the accounts that an instance keeps apart

Why: nothing told how many accounts the shared cache scope leaves out. Removed ones aren't in the configuration, and instances that know different ones use different scopes.

Change: isolated_accounts, read when the metrics address is asked, is the number of accounts that are isolated, or were when they were removed.

--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -11,7 +11,12 @@
 from ..events import gateway as events
 from ..events import lifecycle as lifecycle_events
 from ..telemetry import Telemetry
-from ..telemetry.metrics import GATEWAY_CONNECTIONS, GATEWAY_WAITING, MEMBERS_LIVE
+from ..telemetry.metrics import (
+    GATEWAY_CONNECTIONS,
+    GATEWAY_WAITING,
+    ISOLATED_ACCOUNTS,
+    MEMBERS_LIVE,
+)
 from .admission import AdmissionInputs, admit, refuse_at_head
 from .client_connection import (
     RECEIVE_BYTES,
@@ -284,6 +289,8 @@
         metrics.gauge(GATEWAY_CONNECTIONS, len(self._connections))
         self._limits_enforcer.record_metrics()
         metrics.gauge(MEMBERS_LIVE, self._peers.n_instances())
+        n_isolated = len(self._fleet_state.isolated_or_removed_accounts)
+        metrics.gauge(ISOLATED_ACCOUNTS, n_isolated)
         if self._exchange_context.quotas is not None:
             self._exchange_context.quotas.update_gauges()
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
--- a/buckthornrock/telemetry/metrics.py
+++ b/buckthornrock/telemetry/metrics.py
@@ -44,6 +44,7 @@
 DIGESTS = "digests"
 DIGEST_BYTES = "digest_bytes"
 CONFIGURATION_VERSION = "configuration_version"
+ISOLATED_ACCOUNTS = "isolated_accounts"
 STORE_AGE_MS = "store_age_ms"
 QUOTA_REFUSALS = "quota_refusals"
 QUOTA_LEVEL = "quota_level"
@@ -87,6 +88,7 @@
     DIGESTS: ("counter", "digests between instances, by direction"),
     DIGEST_BYTES: ("counter", "bytes of digests, by direction"),
     CONFIGURATION_VERSION: ("gauge", "version of the configuration in force"),
+    ISOLATED_ACCOUNTS: ("gauge", "accounts isolated now, or when they were removed"),
     STORE_AGE_MS: ("gauge", "time since the store confirmed the known state"),
     QUOTA_REFUSALS: ("counter", "requests over a quota, by client account"),
     QUOTA_LEVEL: ("gauge", "what a quota's bucket can pay, by client account"),
--- a/tests/gateway/test_cache_scopes.py
+++ b/tests/gateway/test_cache_scopes.py
@@ -1,10 +1,13 @@
 """A change of the isolated accounts reaches the cache salts of all later requests."""
 
 import asyncio
+import json
+import time
 
 import pytest
 
 from buckthornrock.catalog.configuration import ClientAccount
+from buckthornrock.events.gateway import CONFIGURATION_IN_FORCE
 from tests.gateway.fleet import Fleet
 from tests.gateway.harness import (
     KEY,
@@ -16,6 +19,8 @@
     run,
     start_gateway,
 )
+from tests.gateway.instance_process import CONFIGURATION, get, start_instance
+from tests.gateway.instance_process import ask as ask_process
 from tests.gateway.test_large_fleet import DISCOVERY_MS
 from tests.gateway.test_streams import EVENTS, N_EVENTS, stream
 
@@ -24,6 +29,8 @@
 ACCOUNTS = {KEY: ClientAccount("shop", None), OTHER_KEY: ClientAccount("mill", None)}
 ISOLATED = frozenset({"shop"})
 BLOCKED_MS = 500.0
+#: Ends a test whose instance doesn't follow the store; no assertion depends on it.
+IN_FORCE_LIMIT_S = 30.0
 
 
 def salts(upstream):
@@ -119,3 +126,41 @@
         assert before != waited == after
 
     run(main)
+
+
+# Operators couldn't see how many accounts an instance keeps apart, nor that one which
+# was removed still counts.
+def test_metric_counts_isolated_and_removed_accounts(tmp_path):
+    instance = start_instance(tmp_path, 128, 400)
+    shop, mill = ({"name": name, "isolated": True} for name in ("shop", "mill"))
+    try:
+        assert metric(instance) == 0
+        for version, tenants, n_accounts in (
+            (2, [shop], 1),
+            (3, [shop, mill], 2),
+            (4, [mill], 2),
+            (5, [{**shop, "isolated": False, "apiKeys": ["k1"]}, mill], 1),
+        ):
+            changed = {**CONFIGURATION, "version": version, "tenants": tenants}
+            instance.store.write("op/config", json.dumps(changed).encode())
+            wait_in_force(instance, version)
+            assert metric(instance) == n_accounts
+    finally:
+        instance.stop()
+
+
+def wait_in_force(instance, version):
+    until_s = time.monotonic() + IN_FORCE_LIMIT_S
+    while not any(
+        line["event"] == CONFIGURATION_IN_FORCE.number and line["version"] == version
+        for line in instance.logged()
+    ):
+        assert time.monotonic() < until_s
+        time.sleep(0.05)
+
+
+def metric(instance):
+    _, body = ask_process(instance.metrics_address, get("/metrics"))
+    prefix = 'buckthornrock_isolated_accounts{label=""} '
+    lines = body.decode().splitlines()
+    return next(int(li.removeprefix(prefix)) for li in lines if li.startswith(prefix))
