--- a/buckthornrock/gateway/attempt_limits.py
+++ b/buckthornrock/gateway/attempt_limits.py
@@ -24,8 +24,8 @@
 def attempt_limit_s(state: ExchangeState) -> float:
     """Return the time limit of an attempt, for a stream of its response head.
 
-    The last attempt has none of its own, as it ends with the request. A limit at the same
-    time could pass first, and the deadline would look like the upstream's failure.
+    The last attempt has none of its own, as it ends with the request. A limit at the
+    same time could pass first, and the deadline would look like the upstream's failure.
     """
     if not has_another_attempt(state):
         return math.inf
