Soak versions of the weights and orders to load them

The soak had one version of the weights, so that orders to engines, late or lost responses to them and the bound on replaced weights were never played.

The fault "versions" wants two or three newer versions one after another; some engines execute orders late, or lose the response. The new kind is drawn apart from the others, so that the other faults of a seed stay the same; the bounds of test_schedule hold for them as before.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -56,6 +56,7 @@
 @click.option("--duration-s", default=25.0, help="Shortest length of the run.")
 @click.option("--without", multiple=True, metavar="FAULT", help="A name or a kind.")
 @click.option("--quota", is_flag=True, help="Configure an account with a quota.")
+@click.option("--unfenced", is_flag=True, help="Engines ignore fencing numbers.")
 @click.option("--shorten", "is_short", is_flag=True, help="Shorten it if it fails.")
 @click.option("--product", default=ROOT, type=Path, help="Code of another version.")
 def main(
@@ -64,6 +65,7 @@
     duration_s: float,
     without: tuple[str, ...],
     quota: bool,
+    unfenced: bool,
     is_short: bool,
     product: Path,
 ) -> None:
@@ -80,7 +82,9 @@
     faults = schedule.without(faults, frozenset(without))
     click.echo(f"case {case}" if case else f"seed {seed}")
     click.echo(schedule.describe(faults))
-    options = run.Options(name, faults, duration_s, quota, product.resolve())
+    options = run.Options(
+        name, faults, duration_s, quota, product.resolve(), not unfenced
+    )
     verdict = play_and_judge(options)
     if is_short and verdict.outcome == "failed":
         click.echo("shortened:\n" + schedule.describe(shortened(options, verdict)))
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -27,23 +27,14 @@
     Sent,
     Started,
 )
-from .schedule import CONFIGURATION_KINDS
+from .violations import Violation, is_in_touch
+from .weights_checks import orders_fenced, weights_version
 
 NO_LIMIT = Limit(0.0, 0.0)
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-#: Planned work, which cuts no one off from the store or its peers.
-PLANNED_KINDS = frozenset((*CONFIGURATION_KINDS, "leave", "hangup"))
 ROUTES_ONCE = frozenset(("pay", "long"))
 
 
-class Violation(NamedTuple):
-    """A broken rule and the requests that show it."""
-
-    check: str
-    reason: str
-    request_ids: tuple[str, ...] = ()
-
-
 def at_most_once(record: Record) -> list[Violation]:
     """Find calls that aren't idempotent and ran more than once."""
     sent = record.sent_by_id()
@@ -113,7 +104,7 @@
         request = sent.get(arrived.request_id)
         if late_s <= record.bounds.drain_s or request is None:
             continue
-        if _is_in_touch(record, request, arrived.at_s, arrived.upstream_id):
+        if is_in_touch(record, request, arrived.at_s, arrived.upstream_id):
             reason = f"it reached {arrived.upstream_id} {late_s:.2f} s after it left"
             found.append(Violation("drained", reason, (arrived.request_id,)))
     return found
@@ -131,7 +122,7 @@
         request = sent.get(used.request_id)
         if used.account == used.maker or request is None:
             continue
-        if not _is_in_touch(record, request, used.at_s):
+        if not is_in_touch(record, request, used.at_s):
             continue
         from_s = request.at_s - record.bounds.config_s
         isolated = _isolated_between(record, from_s, used.at_s)
@@ -167,7 +158,7 @@
             if (request := sent.get(a.request_id)) is not None
             and part in request.parts
             and request.at_s > from_s
-            and _is_in_touch(record, request, a.at_s)
+            and is_in_touch(record, request, a.at_s)
         ]
         if len(late) > bounds.max_crash_requests:
             reason = f"{len(late)} requests with part {part} came after the fifth crash"
@@ -309,12 +300,22 @@
     crashes_bounded,
     quotas,
     configuration_rises,
+    weights_version,
+    orders_fenced,
     resources,
     answered_in_calm,
 )
 #: Checks with bounds of time, whose violations are void on a machine that was too slow.
 TIMED_CHECKS = frozenset(
-    ("drained", "cache-salt", "crashes-bounded", "quotas", "answered-in-calm")
+    (
+        "drained",
+        "cache-salt",
+        "crashes-bounded",
+        "quotas",
+        "answered-in-calm",
+        "weights-version",
+        "orders-fenced",
+    )
 )
 #: The shortest bound, the drain time, leaves 1.5 s above what is usual.
 MAX_LAG_MS = 700.0
@@ -336,7 +337,7 @@
         return Verdict("void", [], void_reason)
     violations = [violation for check in CHECKS for violation in check(record)]
     slow = slowness(record)
-    if any(v.check not in TIMED_CHECKS for v in violations):
+    if any(v.is_untimed or v.check not in TIMED_CHECKS for v in violations):
         return Verdict("failed", violations, slow)
     if slow:
         return Verdict("void", violations, slow)
@@ -354,16 +355,6 @@
     return ""
 
 
-def _is_in_touch(record: Record, sent: Sent, until_s: float, upstream="") -> bool:
-    """Return whether no fault excuses what became of a request by ``until_s``."""
-    targets = {sent.instance, "store", "all", upstream}
-    return not any(
-        fault.at_s <= until_s and sent.at_s <= fault.until_s + record.bounds.stable_s
-        for fault in record.all_of(Disturbed)
-        if fault.target in targets and fault.name.partition(".")[0] not in PLANNED_KINDS
-    )
-
-
 def _isolated_between(record: Record, from_s: float, to_s: float) -> frozenset[str]:
     """Return the accounts that were isolated all that time."""
     in_force = _versions_between(record, from_s, to_s)
--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -24,7 +24,8 @@
     "retrySlack": 54,
     "stableMs": 3000,
     "leaseMs": 3000,
-    "versionMs": 20000,
+    #: Ends inside a run, which takes 25 s.
+    "versionMs": 12000,
 }
 QUOTA_BOUNDS = {"quotaWindowS": 8, "quotaOverage": 0.1, "quotaSlack": 3_000}
 
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from . import clients, deployment, schedule
+from .engine_weights import IN_TIME
 from .instances import Instance
 from .proxy import TO_CLIENT, Proxy
 from .record import Disturbed, Limit
@@ -25,6 +26,7 @@
 RESETS_APART_S = 0.15
 HANGUPS_APART_S = 0.1
 N_NEW_VERSIONS = 3
+N_NEW_WEIGHTS = (2, 3)
 #: Clients send nothing from before a quiet leaving until after the drain time.
 QUIET_BEFORE_S, QUIET_AFTER_S = 0.3, 2.02
 #: Limit of the account with a quota after the fault "limit".
@@ -191,6 +193,21 @@
     return "all"
 
 
+async def _versions(world: World, fault: Fault, rng: random.Random) -> str:
+    """Want newer weights; some engines take their orders late or lose responses."""
+    engines = [slot for slot in world.slots if slot.model]
+    affected = rng.sample(engines, rng.randint(1, len(engines) - 1))
+    for slot in affected:
+        slot.order_mode = slot.upstream.weights.order_mode = fault.option
+    n_versions = rng.randint(*N_NEW_WEIGHTS)
+    for _ in range(n_versions):
+        world.want_next_weights()
+        await asyncio.sleep(fault.length_s / n_versions)
+    for slot in affected:
+        slot.order_mode = slot.upstream.weights.order_mode = IN_TIME
+    return "engines"
+
+
 async def _crash_part(world: World, fault: Fault, rng: random.Random) -> str:
     """Send requests with a part that crashes engines, in series or in batches."""
     is_after = fault.option == CRASH_AFTER_EVENT
@@ -229,4 +246,5 @@
     **dict.fromkeys(schedule.TROUBLES, _trouble),
     **dict.fromkeys(schedule.CONFIGURATION_KINDS, _configure),
     "crash-part": _crash_part,
+    "versions": _versions,
 }
--- a/benchmarks/soak/http_connection.py
+++ b/benchmarks/soak/http_connection.py
@@ -46,6 +46,10 @@
         self.state.start_next_cycle()
         return True
 
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the other end has closed or reset the connection."""
+        return self.reader.at_eof() or self.writer.transport.is_closing()
+
     def abort(self) -> None:
         """Reset the connection."""
         self.writer.transport.abort()
--- a/benchmarks/soak/record.py
+++ b/benchmarks/soak/record.py
@@ -49,6 +49,51 @@
     body: bytes = b""
 
 
+class Began(NamedTuple):
+    """An engine began a request on a version of the weights.
+
+    ``expected`` is the version that the request names, 0 for none.
+    """
+
+    at_s: float
+    request_id: str
+    upstream_id: str
+    version: int
+    expected: int
+
+
+class Wanted(NamedTuple):
+    """The store acknowledged the wanted version of the weights."""
+
+    at_s: float
+    version: int
+
+
+class LeaseTaken(NamedTuple):
+    """An instance took the lease that lets it send orders."""
+
+    at_s: float
+    holder: str
+
+
+class Ordered(NamedTuple):
+    """An engine received an order to load weights."""
+
+    at_s: float
+    order_id: str
+    upstream_id: str
+    holder: str
+    fence: int
+    version: int
+
+
+class Executed(NamedTuple):
+    """An engine began to load weights as an order says."""
+
+    at_s: float
+    order_id: str
+
+
 class PartUsed(NamedTuple):
     """An engine used a cached part that ``maker_id`` of ``maker`` had computed."""
 
@@ -156,6 +201,11 @@
     quota_window_s: float = 8.0
     quota_overage: float = 0.1
     quota_slack: float = 190_000.0
+    #: Time for which requests may begin on replaced weights.
+    version_s: float = 12.0
+    #: Least time between the orders of two holders, where engines don't check fencing.
+    lease_s: float = 3.0
+    requires_fencing: bool = True
 
 
 class Record:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -32,6 +32,8 @@
     duration_s: float
     has_quota: bool = False
     product: Path = ROOT
+    #: Whether engines check the fencing numbers of orders.
+    requires_fencing: bool = True
 
 
 class Played(NamedTuple):
@@ -58,10 +60,15 @@
         quota_window_s=quota["quotaWindowS"],
         quota_overage=quota["quotaOverage"],
         quota_slack=quota["quotaSlack"],
+        version_s=deployment.BOUNDS["versionMs"] / 1000.0,
+        lease_s=deployment.BOUNDS["leaseMs"] / 1000.0,
+        requires_fencing=options.requires_fencing,
     )
     record = Record(bounds=bounds)
     folder = Path(tempfile.mkdtemp(prefix="buckthornrock-soak-"))
-    world = World(folder, record, options.product, options.has_quota)
+    world = World(
+        folder, record, options.product, options.has_quota, options.requires_fencing
+    )
     # SIGTERM to the tool ends the instances as well.
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Iterator
 from typing import NamedTuple
 
 N_INSTANCES, N_PLAIN, N_ENGINES = 3, 2, 6
@@ -18,12 +19,16 @@
 
 
 class Kind(NamedTuple):
-    """How the faults of one kind are drawn."""
+    """How the faults of one kind are drawn.
+
+    ``spread_s`` limits for how long after the first possible time they begin.
+    """
 
     max_length_s: float
     n_targets: int = 1
     options: tuple[str, ...] = ("",)
     min_length_s: float = 0.3
+    spread_s: float = 60.0
 
 
 _DIRECTIONS = ("to-server", "to-client")
@@ -58,6 +63,16 @@
 }
 
 
+#: Kinds drawn apart from the others, so that a seed's other faults stay the same when
+#: one of these kinds is added. A seed has a fault of each with ``ADDED_SHARE``.
+ADDED_KINDS = {
+    # The bound on replaced weights, 12 s, ends inside a run of 25 s.
+    "versions": Kind(5.0, 1, ("in-time", "late", "lost"), 2.5, spread_s=4.0),
+}
+ADDED_SHARE = 0.5
+ALL_KINDS = KINDS | ADDED_KINDS
+
+
 class Fault(NamedTuple):
     """One fault; ``at_s`` counts from when all instances are ready."""
 
@@ -91,9 +106,26 @@
             rng.choice(how.options),
         )
         faults.append(fault)
+    faults += _draw_added(seed, last_s)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_added(seed: int, last_s: float) -> Iterator[Fault]:
+    for kind, how in ADDED_KINDS.items():
+        rng = random.Random(f"{seed}/{kind}")
+        if rng.random() >= ADDED_SHARE:
+            continue
+        latest_s = min(last_s, FIRST_FAULT_S + how.spread_s)
+        yield Fault(
+            f"{kind}.a",
+            kind,
+            round(rng.uniform(FIRST_FAULT_S, latest_s), 2),
+            round(rng.uniform(how.min_length_s, how.max_length_s), 2),
+            rng.randrange(how.n_targets),
+            rng.choice(how.options),
+        )
+
+
 def without(faults: list[Fault], names: frozenset[str]) -> list[Fault]:
     """Leave out faults by their names or kinds; raise KeyError if one isn't there."""
     known = {fault.name for fault in faults} | {fault.kind for fault in faults}
--- a/benchmarks/soak/store.py
+++ b/benchmarks/soak/store.py
@@ -6,14 +6,19 @@
 
 from tests.platform.store_server import StoreServer
 
+from .record import LeaseTaken, Record
+
+#: Key of the instance that may send orders; its value ends with "/" and the name.
+HOLDER_KEY = "rollout/holder"
 EXPIRY_PERIOD_S = 0.1
 
 
 class SoakStore(StoreServer):
     """A store whose leases end when they aren't renewed in time."""
 
-    def __init__(self) -> None:
+    def __init__(self, record: Record) -> None:
         self._is_closed = False
+        self._record = record
         self._ends_s: dict[int, tuple[float, float]] = {}
         super().__init__()
         # Connections that end with a fault aren't worth a traceback.
@@ -38,6 +43,13 @@
             self._ends_s[lease] = (time.monotonic() + ttl_s, ttl_s)
         return status, result
 
+    def put(self, key, value, lease=0):
+        """Set a key, and note who takes the lease for orders."""
+        super().put(key, value, lease)
+        if key == HOLDER_KEY:
+            holder = value.rpartition(b"/")[2].decode()
+            self._record.note(LeaseTaken(time.monotonic(), holder))
+
     def write_json(self, key: str, value: object) -> float:
         """Write a key; return when the write was done."""
         self.write(key, json.dumps(value).encode())
--- a/benchmarks/soak/upstreams.py
+++ b/benchmarks/soak/upstreams.py
@@ -15,9 +15,10 @@
 import msgspec
 
 from . import contents
+from .engine_weights import EngineWeights
 from .http_connection import HttpConnection, header
 from .proxy import Proxy
-from .record import Arrived, Crashed, Left, PartUsed, Record
+from .record import Arrived, Began, Crashed, Left, PartUsed, Record
 from .store import SoakStore
 
 PREFIX = "x-buckthornrock-"
@@ -39,6 +40,8 @@
     store: SoakStore
     record: Record
     caches: dict[str, Cache]
+    #: Whether engines refuse orders with an old fencing number.
+    checks_fencing: bool = True
 
 
 class Upstream:
@@ -52,10 +55,18 @@
         When the engine crashes on a crashing part.
     on_crash : callable
         Called when the engine crashed.
+    weights : EngineWeights or None
+        The weights of an engine.
     """
 
     def __init__(
-        self, shared: Shared, service: str, upstream_id: str, proxy: Proxy, model=""
+        self,
+        shared: Shared,
+        service: str,
+        upstream_id: str,
+        proxy: Proxy,
+        model: str = "",
+        version: int = 1,
     ) -> None:
         self.upstream_id, self.service, self.model = upstream_id, service, model
         self.proxy = proxy
@@ -69,6 +80,15 @@
         self._rng = random.Random(upstream_id)
         self._writers: set = set()
         self._cache: Cache = {}
+        self.weights = None
+        if model:
+            self.weights = EngineWeights(
+                upstream_id,
+                version,
+                shared.checks_fencing,
+                shared.record,
+                self._on_loaded,
+            )
 
     async def start(self, ip: str) -> None:
         """Listen, and register in the store."""
@@ -91,6 +111,8 @@
     def close(self) -> None:
         """End as a process does: the listener and all connections are closed."""
         self.is_gone = True
+        if self.weights is not None:
+            self.weights.end()
         if self.says_leaving:
             self._shared.store.delete(f"servers/{self.upstream_id}")
         self._server.close()
@@ -107,6 +129,19 @@
         await asyncio.sleep(LAPSES_AFTER_S)
         self._shared.store.delete(f"servers/{self.upstream_id}")
 
+    def _on_loaded(self) -> None:
+        """Drop what was computed with the replaced weights; register the new ones."""
+        self._cache.clear()
+        if not self.says_leaving:
+            key = f"servers/{self.upstream_id}"
+            self._shared.store.write_json(key, self._entry())
+
+    def _models(self) -> list[dict]:
+        if self.weights is None:
+            return []
+        version = self.weights.version
+        return [{"name": self.model, "version": version, "adapters": []}]
+
     def _entry(self) -> dict:
         entry = {
             "service": self.service,
@@ -120,8 +155,7 @@
         }
         if not self.model:
             return entry
-        models = [{"name": self.model, "version": 1, "adapters": []}]
-        return entry | {"stage": "unified", "models": models}
+        return entry | {"stage": "unified", "models": self._models()}
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
@@ -148,30 +182,54 @@
             await self._send(connection, 421, own_id, b"")
         elif target == "/report":
             await self._send(connection, 200, [], msgspec.json.encode(self._report()))
+        elif target == "/order" and self.weights is not None:
+            await self._take_order(connection, body)
         else:
             await self._run(connection, headers, target.split("/")[1], body)
 
     def _report(self) -> dict:
-        models = [{"name": self.model, "version": 1, "adapters": []}]
-        return {
-            "stage": "unified",
-            "models": models if self.model else [],
-            "busy": False,
-            "sequence": 0,
-        }
+        report = {"stage": "unified", "models": self._models()}
+        if self.weights is None:
+            return report | {"busy": False, "sequence": 0}
+        return report | self.weights.report()
+
+    async def _take_order(self, connection, body: bytes) -> None:
+        status = await self.weights.execute(body)
+        if status is None:
+            connection.abort()
+            return
+        await self._send(connection, status, [], b"")
 
     async def _run(self, connection, headers, route: str, body: bytes) -> None:
         request_id = header(headers, PREFIX + "request-id")
         trouble = self.trouble
-        has_run = trouble != "refuse"
-        self._shared.record.note(
-            Arrived(time.monotonic(), request_id, self.upstream_id, has_run, body)
-        )
         stamp = [
             (PREFIX + "request-id", request_id),
             (PREFIX + "server-stamp", f"{self.upstream_id}.stamp"),
         ]
-        if not has_run:
+        arrived = Arrived(
+            time.monotonic(), request_id, self.upstream_id, trouble != "refuse", body
+        )
+        if arrived.has_run and self.weights is not None:
+            await self.weights.wait_idle()
+            has_left = self.is_gone or connection.is_closed_by_peer()
+            expected = int(header(headers, PREFIX + "expect-version") or 0)
+            is_expected = expected in (0, self.weights.version)
+            if has_left or not is_expected:
+                self._shared.record.note(arrived._replace(has_run=False))
+                await self._refuse_version(connection, stamp)
+                return
+            self._shared.record.note(
+                Began(
+                    time.monotonic(),
+                    request_id,
+                    self.upstream_id,
+                    self.weights.version,
+                    expected,
+                )
+            )
+        self._shared.record.note(arrived)
+        if not arrived.has_run:
             refusal = [(PREFIX + "not-executed", "1"), ("Retry-After", "0.2")]
             await self._send(connection, 503, stamp + refusal, b"")
             return
@@ -203,12 +261,19 @@
             return
         await connection.send(head, h11.Data(data=body), h11.EndOfMessage())
 
+    def _version_header(self) -> tuple[str, str]:
+        return PREFIX + "weight-versions", str(self.weights.version)
+
+    async def _refuse_version(self, connection, stamp) -> None:
+        refusal = [(PREFIX + "not-executed", "1"), self._version_header()]
+        await self._send(connection, 409, stamp + refusal, b"")
+
     def _stream_head(self, stamp) -> h11.Response:
         headers = [
             *stamp,
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked"),
-            (PREFIX + "weight-versions", "1"),
+            self._version_header(),
         ]
         if self.says_leaving:
             headers.append(("Server-Leaving", "1"))
--- /dev/null
+++ b/benchmarks/soak/violations.py
@@ -0,0 +1,31 @@
+"""What a check reports, and whether faults excuse it."""
+
+from typing import NamedTuple
+
+from .record import Disturbed, Record, Sent
+from .schedule import CONFIGURATION_KINDS
+
+#: Planned work, which cuts no one off from the store or its peers.
+PLANNED_KINDS = frozenset((*CONFIGURATION_KINDS, "leave", "hangup", "versions"))
+
+
+class Violation(NamedTuple):
+    """A broken rule and the requests that show it.
+
+    ``is_untimed`` says that no bound of time is involved, although the check has one.
+    """
+
+    check: str
+    reason: str
+    request_ids: tuple[str, ...] = ()
+    is_untimed: bool = False
+
+
+def is_in_touch(record: Record, sent: Sent, until_s: float, upstream="") -> bool:
+    """Return whether no fault excuses what became of a request by ``until_s``."""
+    targets = {sent.instance, "store", "all", upstream}
+    return not any(
+        fault.at_s <= until_s and sent.at_s <= fault.until_s + record.bounds.stable_s
+        for fault in record.all_of(Disturbed)
+        if fault.target in targets and fault.name.partition(".")[0] not in PLANNED_KINDS
+    )
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 from . import deployment, schedule
+from .engine_weights import IN_TIME
 from .instances import Instance
 from .proxy import Proxy
-from .record import Configured, Disturbed, Limit, Record
+from .record import Configured, Disturbed, Limit, Record, Wanted
 from .store import SoakStore
 from .upstreams import CRASH_BEFORE_EVENT, Shared, Upstream
 
@@ -31,6 +32,7 @@
     def __init__(self, name: str, service: str, model: str) -> None:
         self.name, self.service, self.model = name, service, model
         self.n_started = 0
+        self.order_mode = IN_TIME
         self.proxy: Proxy
         self.upstream: Upstream
 
@@ -39,12 +41,17 @@
     """Everything that runs beside the clients."""
 
     def __init__(
-        self, folder: Path, record: Record, product: Path, has_quota: bool
+        self,
+        folder: Path,
+        record: Record,
+        product: Path,
+        has_quota: bool,
+        requires_fencing: bool = True,
     ) -> None:
         self.record = record
         self.is_quiet = False
-        self.store = SoakStore()
-        self.shared = Shared(self.store, record, {})
+        self.store = SoakStore(record)
+        self.shared = Shared(self.store, record, {}, requires_fencing)
         self.slots = [
             *(Slot(f"till{n}", "till", "") for n in range(schedule.N_PLAIN)),
             *(
@@ -57,6 +64,7 @@
         limits = {deployment.LIMITED: FIRST_LIMIT} if has_quota else {}
         self.state = deployment.State(limits=limits)
         self.crash_mode = CRASH_BEFORE_EVENT
+        self._weights_version = 0
         self._folder, self._has_quota = folder, has_quota
         self._product = product
         self._network = network()
@@ -67,13 +75,11 @@
         store_ip = f"{self._network}.2"
         self.prompt_store = f"{self._network}.3:{PORT}"
         self.shared.caches[self.prompt_store] = {}
+        self.want_next_weights()
         for n, slot in enumerate(self.slots):
             slot.proxy = Proxy("")
             await slot.proxy.start(f"{self._network}.{20 + n}")
             await self.start_upstream(slot)
-        self.store.write_json(
-            f"op/version/{deployment.MODEL}", {"model": deployment.MODEL, "version": 1}
-        )
         self.configure()
         ips = [f"{self._network}.{10 + n}" for n in range(schedule.N_INSTANCES)]
         for n, ip in enumerate(ips):
@@ -117,6 +123,13 @@
             Configured(at_s, state.version, state.isolated, dict(state.limits))
         )
 
+    def want_next_weights(self) -> None:
+        """Write the next wanted version of the weights."""
+        self._weights_version += 1
+        weights = {"model": deployment.MODEL, "version": self._weights_version}
+        at_s = self.store.write_json(f"op/version/{deployment.MODEL}", weights)
+        self.record.note(Wanted(at_s, self._weights_version))
+
     def spawn(self, work: Awaitable) -> None:
         """Run something until it ends or the run does."""
         task = asyncio.ensure_future(work)
@@ -127,9 +140,13 @@
         """Start the next incarnation of an upstream."""
         slot.n_started += 1
         upstream_id = f"{slot.name}-{slot.n_started}"
+        # Every other engine comes back with the first version of its weights.
+        version = self._weights_version if self.slots.index(slot) % 2 else 1
         upstream = Upstream(
-            self.shared, slot.service, upstream_id, slot.proxy, slot.model
+            self.shared, slot.service, upstream_id, slot.proxy, slot.model, version
         )
+        if upstream.weights is not None:
+            upstream.weights.order_mode = slot.order_mode
         upstream.crash_mode = self.crash_mode
         upstream.on_crash = lambda: self.spawn(self.bring_back(slot))
         slot.upstream = upstream
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,19 +9,24 @@
 from benchmarks.soak.record import (
     Answered,
     Arrived,
+    Began,
     Bounds,
     Configured,
     Crashed,
     Disturbed,
     Ended,
+    Executed,
     Lagged,
+    LeaseTaken,
     Left,
     Limit,
+    Ordered,
     PartUsed,
     Record,
     Sampled,
     Sent,
     Started,
+    Wanted,
 )
 
 PART = "0badbad0"
@@ -74,6 +79,21 @@
     return [Configured(0.0, 1, limits={"x": limit}), *requests, *runs]
 
 
+def began(version, expected, at_s=20.2):
+    request = sent(route="note", at_s=at_s - 0.2)
+    return [request, Began(at_s, "a", "e0", version, expected)]
+
+
+def ordered(order_id, holder, at_s, fence=1):
+    return Ordered(at_s, order_id, "e0", holder, fence, 2)
+
+
+NEWER = Wanted(8.1, 2)
+#: An engine that is cut off from its former lease holder for 9 s.
+LEASES = [LeaseTaken(1.0, "edge-0"), LeaseTaken(9.0, "edge-1")]
+OLD_AND_NEW = [ordered("old", "edge-0", 5.0, 3), ordered("new", "edge-1", 12.0, 7)]
+
+
 OTHER_STREAM = contents.response_body("note", "b", b"")
 WALL = Configured(0.0, 1, frozenset(("x",)))
 PAUSED = Disturbed(16.0, 18.0, "edge-0", "pause.1")
@@ -126,6 +146,35 @@
         {"q0", "q1", "q2"},
     ),
     ("configuration-rises", [*probe("n", 3, 20.0), *probe("o", 2, 21.0)], {"n", "o"}),
+    ("weights-version", began(2, 1), {"a"}),
+    ("weights-version", began(1, 0), {"a"}),
+    ("weights-version", [NEWER, *began(1, 1)], {"a"}),
+    ("weights-version", [NEWER, Wanted(19.0, 3), *began(1, 1)], {"a"}),
+    ("weights-version", [NEWER, *began(1, 1, at_s=21.3), PAUSED], {"a"}),
+    (
+        "weights-version",
+        [NEWER, *began(1, 1), Disturbed(16.0, 18.0, "engines", "versions.a")],
+        {"a"},
+    ),
+    (
+        "orders-fenced",
+        [*LEASES, *OLD_AND_NEW, Executed(12.1, "new"), Executed(12.2, "old")],
+        {"old", "new"},
+    ),
+    (
+        # The sender was paused before it sent, and its lease was lost meanwhile.
+        "orders-fenced",
+        [
+            *LEASES,
+            *OLD_AND_NEW,
+            ordered("paused", "edge-0", 12.4, 8),
+            Executed(12.1, "new"),
+            Executed(12.4, "paused"),
+        ],
+        {"new", "paused"},
+    ),
+    ("orders-fenced", [*LEASES, ordered("x", "edge-2", 5.0)], {"x"}),
+    ("orders-fenced", [*LEASES, ordered("x", "edge-1", 5.0)], {"x"}),
     ("resources", [sent(), Sampled(20.3, "edge-0", 301.0, 50)], {"a"}),
     ("resources", [sent(), answered(), Sampled(20.3, "edge-0", 90.0, 4_000)], {"a"}),
     ("resources", [sent(), answered(), Ended(20.3, "edge-0", -11)], {"a"}),
@@ -166,6 +215,27 @@
         "configuration-rises",
         [*probe("n", 3, 20.0), Started(20.5, "edge-0"), *probe("o", 2, 21.0)],
     ),
+    ("weights-version", [NEWER, *began(2, 2)]),
+    ("weights-version", [Wanted(8.3, 2), *began(1, 1)]),
+    ("weights-version", [NEWER, *began(1, 1), PAUSED]),
+    ("orders-fenced", [*LEASES, *OLD_AND_NEW, Executed(5, "old"), Executed(12, "new")]),
+    ("orders-fenced", [*LEASES, *OLD_AND_NEW, Executed(12.1, "new")]),
+    (
+        # Another engine may execute an order later than its sender's lease lasts.
+        "orders-fenced",
+        [
+            *LEASES,
+            OLD_AND_NEW[0]._replace(upstream_id="e1"),
+            OLD_AND_NEW[1],
+            Executed(12.1, "new"),
+            Executed(12.2, "old"),
+        ],
+    ),
+    (
+        "orders-fenced",
+        [*LEASES, LeaseTaken(15.0, "edge-0"), *OLD_AND_NEW, Executed(12.1, "new")]
+        + [ordered("again", "edge-0", 18.0, 9), Executed(18.1, "again")],
+    ),
     ("resources", [Sampled(20.3, "edge-0", 299.0, 3_000)]),
     ("answered-in-calm", [sent(), answered(status=502), PAUSED]),
     ("answered-in-calm", [sent(), answered(status=0, is_whole=False, has_left=True)]),
@@ -173,8 +243,8 @@
 ]
 
 
-def violations(check, events):
-    record = Record(*events, bounds=Bounds(quota_slack=0.0))
+def violations(check, events, **bounds):
+    record = Record(*events, bounds=Bounds(quota_slack=0.0, **bounds))
     return [v for find in checks.CHECKS for v in find(record) if v.check == check]
 
 
@@ -189,6 +259,20 @@
     assert violations(check, events) == []
 
 
+UNFENCED = [
+    ([ordered("x", "edge-0", 9.1), ordered("y", "edge-1", 12.0)], {"x", "y"}),
+    ([ordered("y", "edge-1", 12.0), ordered("x", "edge-0", 12.2)], {"x", "y"}),
+    ([ordered("x", "edge-0", 8.9), ordered("y", "edge-1", 12.0)], set()),
+    ([ordered("x", "edge-0", 11.9), ordered("y", "edge-0", 12.0)], set()),
+]
+
+
+@pytest.mark.parametrize(("events", "order_ids"), UNFENCED)
+def test_orders_of_two_holders_are_apart_without_fencing(events, order_ids):
+    found = violations("orders-fenced", events, requires_fencing=False)
+    assert {name for v in found for name in v.request_ids} == order_ids
+
+
 SLOW = Lagged(20.0, 2_000.0)
 CALM_FAILURE = [sent(), answered(status=502)]
 RAN_TWICE = [sent(route="pay"), ran(), ran()]
@@ -198,6 +282,9 @@
     ([*CALM_FAILURE, SLOW], "void"),
     ([SLOW], "void"),
     ([*RAN_TWICE, SLOW], "failed"),
+    ([*began(2, 1), SLOW], "failed"),
+    ([NEWER, *began(1, 1), SLOW], "void"),
+    ([ordered("x", "edge-0", 5.0), SLOW], "failed"),
     ([Sampled(20.0, "edge-0", 90.0, 50, starved_ms=900.0)], "void"),
 ]
 
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -1,5 +1,7 @@
 """A seed determines its schedule, and leaving out a fault changes no other one."""
 
+from unittest import mock
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,10 +19,12 @@
 @given(SEEDS)
 def test_faults_begin_early_enough_for_calm_to_return(seed):
     drawn = schedule.draw_schedule(seed, 25.0)
-    assert 5 <= len(drawn) <= 9
+    assert 5 <= sum(fault.kind in schedule.KINDS for fault in drawn) <= 9
+    added = [fault.kind for fault in drawn if fault.kind in schedule.ADDED_KINDS]
+    assert len(added) == len(set(added))
     for fault in drawn:
         assert schedule.FIRST_FAULT_S <= fault.at_s <= 25.0 * schedule.FAULT_SHARE
-        assert fault.length_s <= schedule.KINDS[fault.kind].max_length_s
+        assert fault.length_s <= schedule.ALL_KINDS[fault.kind].max_length_s
 
 
 @given(SEEDS, st.data())
@@ -31,6 +35,15 @@
     assert kept == [fault for fault in drawn if fault != left_out]
 
 
+@given(SEEDS)
+def test_an_added_kind_changes_no_other_fault(seed):
+    """Guards against seeds whose faults change whenever a kind is added."""
+    drawn = schedule.draw_schedule(seed, 25.0)
+    with mock.patch.object(schedule, "ADDED_KINDS", {}):
+        expected = schedule.draw_schedule(seed, 25.0)
+    assert [fault for fault in drawn if fault.kind in schedule.KINDS] == expected
+
+
 def test_an_unknown_fault_is_not_left_out_silently():
     drawn = schedule.draw_schedule(1, 25.0)
     with pytest.raises(KeyError):
@@ -39,4 +52,4 @@
 
 def test_every_kind_is_drawn_and_can_be_applied():
     drawn = {f.kind for seed in range(200) for f in schedule.draw_schedule(seed, 25.0)}
-    assert drawn == schedule.KINDS.keys() == faults.FAULTS.keys()
+    assert drawn == schedule.ALL_KINDS.keys() == faults.FAULTS.keys()
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from benchmarks.soak import checks, run
-from benchmarks.soak.record import Answered, Disturbed
+from benchmarks.soak import checks, run, schedule
+from benchmarks.soak.record import Answered, Began, Disturbed, Executed, Wanted
 from benchmarks.soak.schedule import Fault
 
 FAULTS = [
@@ -17,6 +17,7 @@
     Fault("link-reset.2", "link-reset", 1.2, 0.3, 1),
     Fault("store-silence.3", "store-silence", 1.5, 0.3, 1),
     Fault("isolate.4", "isolate", 2.0, 0.3),
+    Fault("versions.5", "versions", 0.5, 2.0, 0, "lost"),
 ]
 
 
@@ -29,5 +30,9 @@
     n_served = sum(a.status == 200 for a in played.record.all_of(Answered))
     assert n_served > 100
     assert len(played.record.all_of(Disturbed)) == len(FAULTS)
+    # Orders and versions are judged only if engines see them.
+    newest = max(wanted.version for wanted in played.record.all_of(Wanted))
+    assert len(played.record.all_of(Executed)) >= schedule.N_ENGINES
+    assert newest in {began.version for began in played.record.all_of(Began)}
     # The logs of the instances stay only after a failure.
     shutil.rmtree(played.folder)
