Soak jumps of an instance's wall clock

Deadlines, leases and quotas must not follow the wall clock; no run showed whether they do.

The fault "clock-step" changes an offset in a file of one instance. A step excuses nothing, also not a failure in calm.

tests/soak passes, with the short run that now has a step as well.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -16,7 +16,6 @@
     Arrived,
     Configured,
     Crashed,
-    Disturbed,
     Ended,
     Lagged,
     Left,
@@ -27,7 +26,7 @@
     Sent,
     Started,
 )
-from .violations import Violation, is_in_touch
+from .violations import Violation, disturbances, is_in_touch
 from .weights_checks import orders_fenced, weights_version
 
 NO_LIMIT = Limit(0.0, 0.0)
@@ -268,7 +267,7 @@
     """Find requests that got no upstream's response in calm conditions."""
     bounds = record.bounds
     answers = {a.request_id: a for a in record.all_of(Answered)}
-    disturbed = record.all_of(Disturbed)
+    disturbed = disturbances(record)
     crashes_s = [crash.at_s for crash in record.all_of(Crashed)]
     found = []
     for sent in record.all_of(Sent):
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -29,6 +29,8 @@
 N_NEW_WEIGHTS = (2, 3)
 #: Clients send nothing from before a quiet leaving until after the drain time.
 QUIET_BEFORE_S, QUIET_AFTER_S = 0.3, 2.02
+#: By how much a wall clock jumps; deadlines and leases are shorter than most of it.
+CLOCK_STEP_S = (1.0, 30.0)
 #: Limit of the account with a quota after the fault "limit".
 LOWER_LIMIT = Limit(150.0, 1_000.0, True, 10.0)
 
@@ -193,6 +195,18 @@
     return "all"
 
 
+async def _clock_step(world: World, fault: Fault, rng: random.Random) -> str:
+    instance = world.instances[fault.target]
+    step_s = rng.uniform(*CLOCK_STEP_S)
+    if fault.option in ("backward", "back-and-forth"):
+        step_s = -step_s
+    instance.step_clock(step_s)
+    await asyncio.sleep(fault.length_s)
+    if fault.option in ("forth-and-back", "back-and-forth"):
+        instance.step_clock(-step_s)
+    return instance.name
+
+
 async def _versions(world: World, fault: Fault, rng: random.Random) -> str:
     """Want newer weights; some engines take their orders late or lose responses."""
     engines = [slot for slot in world.slots if slot.model]
@@ -246,5 +260,6 @@
     **dict.fromkeys(schedule.TROUBLES, _trouble),
     **dict.fromkeys(schedule.CONFIGURATION_KINDS, _configure),
     "crash-part": _crash_part,
+    "clock-step": _clock_step,
     "versions": _versions,
 }
--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import signal
+import struct
 import subprocess
 import sys
 import time
@@ -21,6 +22,9 @@
 READY_LIMIT_S = 20.0
 EXIT_LIMIT_S = 12.0
 SAMPLE_PERIOD_S = 1.0
+#: Folder of the module that each process imports at its start.
+STARTUP_HOOK = Path(__file__).resolve().parent / "startup_hook"
+CLOCK_OFFSET = struct.Struct("=d")
 
 
 class Instance:
@@ -34,6 +38,8 @@
         self.addresses = own
         self.settings_path = folder / f"{name}.toml"
         self.log_path = folder / f"{name}.log"
+        self._offset_path = folder / f"{name}.clock-offset"
+        self._offset_path.write_bytes(CLOCK_OFFSET.pack(0.0))
         self.record = record
         self._process: subprocess.Popen | None = None
         self._is_end_expected = False
@@ -45,15 +51,35 @@
         deploy = tomllib.loads((self._product / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["gateway"]["run"].split()
         command[0] = sys.executable
-        environment = os.environ | {"BUCKTHORNROCK_NODE_FILE": str(self.settings_path)}
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
-                command, cwd=self._product, env=environment, stdout=log, stderr=log
+                command,
+                cwd=self._product,
+                env=self.environment(),
+                stdout=log,
+                stderr=log,
             )
         self._is_end_expected = False
         self._starved_ns = None
         self.record.note(Started(time.monotonic(), self.name))
 
+    def environment(self) -> dict[str, str]:
+        """Return the environment variables of the process."""
+        python_path = [str(STARTUP_HOOK), os.environ.get("PYTHONPATH", "")]
+        return os.environ | {
+            "BUCKTHORNROCK_NODE_FILE": str(self.settings_path),
+            "PYTHONPATH": os.pathsep.join(filter(None, python_path)),
+            "SOAK_CLOCK_OFFSET_FILE": str(self._offset_path),
+        }
+
+    def step_clock(self, by_s: float) -> None:
+        """Make the wall clock of this machine jump; its processes keep the offset."""
+        with open(self._offset_path, "r+b") as file:
+            offset_s = CLOCK_OFFSET.unpack(file.read())[0]
+            file.seek(0)
+            # One write, so that no process reads half of an offset.
+            file.write(CLOCK_OFFSET.pack(offset_s + by_s))
+
     def is_running(self) -> bool:
         """Return whether the process runs."""
         return self._process is not None and self._process.poll() is None
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -67,6 +67,9 @@
 #: one of these kinds is added. A seed has a fault of each with ``ADDED_SHARE``.
 ADDED_KINDS = {
     # The bound on replaced weights, 12 s, ends inside a run of 25 s.
+    "clock-step": Kind(
+        6.0, N_INSTANCES, ("forward", "backward", "forth-and-back", "back-and-forth")
+    ),
     "versions": Kind(5.0, 1, ("in-time", "late", "lost"), 2.5, spread_s=4.0),
 }
 ADDED_SHARE = 0.5
--- a/benchmarks/soak/violations.py
+++ b/benchmarks/soak/violations.py
@@ -5,6 +5,8 @@
 from .record import Disturbed, Record, Sent
 from .schedule import CONFIGURATION_KINDS
 
+#: Kinds that are no reason for any failure, since only the wall clock changes.
+HARMLESS_KINDS = frozenset(("clock-step",))
 #: Planned work, which cuts no one off from the store or its peers.
 PLANNED_KINDS = frozenset((*CONFIGURATION_KINDS, "leave", "hangup", "versions"))
 
@@ -26,6 +28,15 @@
     targets = {sent.instance, "store", "all", upstream}
     return not any(
         fault.at_s <= until_s and sent.at_s <= fault.until_s + record.bounds.stable_s
-        for fault in record.all_of(Disturbed)
+        for fault in disturbances(record)
         if fault.target in targets and fault.name.partition(".")[0] not in PLANNED_KINDS
     )
+
+
+def disturbances(record: Record) -> list[Disturbed]:
+    """Return the faults that may excuse something."""
+    return [
+        fault
+        for fault in record.all_of(Disturbed)
+        if fault.name.partition(".")[0] not in HARMLESS_KINDS
+    ]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -180,6 +180,17 @@
     ("resources", [sent(), answered(), Ended(20.3, "edge-0", -11)], {"a"}),
     ("answered-in-calm", [sent(), answered(status=502)], {"a"}),
     ("answered-in-calm", [sent(), answered(status=0, is_whole=False)], {"a"}),
+    (
+        "answered-in-calm",
+        [sent(), answered(status=502), Disturbed(19.0, 21.0, "edge-0", "clock-step.a")],
+        {"a"},
+    ),
+    (
+        "drained",
+        [sent(), Left(17.9, "till0-1"), ran()]
+        + [Disturbed(19.0, 21.0, "edge-0", "clock-step.a")],
+        {"a"},
+    ),
     ("answered-in-calm", [sent(), answered(is_whole=False, body=BODY[:9])], {"a"}),
 ]
 SOUND = [
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -17,6 +17,7 @@
     Fault("link-reset.2", "link-reset", 1.2, 0.3, 1),
     Fault("store-silence.3", "store-silence", 1.5, 0.3, 1),
     Fault("isolate.4", "isolate", 2.0, 0.3),
+    Fault("clock-step.6", "clock-step", 1.0, 3.0, 1, "forth-and-back"),
     Fault("versions.5", "versions", 0.5, 2.0, 0, "lost"),
 ]
 
