Soak lost digests between two instances

Instances lost each other by pauses and kills only. A proxy can't lose digests, as instances tell each other their addresses.

The module that processes import at their start now drops the datagrams to the loopback addresses that the instance's file names; the fault "lost-digests" writes there for one of two instances or both. It excuses crashes-bounded at the two instances, and failures in calm as other faults do.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -25,6 +25,7 @@
     Sampled,
     Sent,
     Started,
+    digests_of,
 )
 from .violations import Violation, disturbances, is_in_touch
 from .weights_checks import orders_fenced, weights_version
@@ -157,7 +158,7 @@
             if (request := sent.get(a.request_id)) is not None
             and part in request.parts
             and request.at_s > from_s
-            and is_in_touch(record, request, a.at_s)
+            and is_in_touch(record, request, a.at_s, digests_of(request.instance))
         ]
         if len(late) > bounds.max_crash_requests:
             reason = f"{len(late)} requests with part {part} came after the fifth crash"
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -1,6 +1,7 @@
 """Applies each kind of fault; ``FAULTS`` has one function for each kind.
 
-A function returns what the fault disturbed: an instance, an upstream, "store" or "all".
+A function returns what the fault disturbed: an instance, an upstream, "store" or "all",
+or several of these.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 from .engine_weights import IN_TIME
 from .instances import Instance
 from .proxy import TO_CLIENT, Proxy
-from .record import Disturbed, Limit
+from .record import Disturbed, Limit, digests_of
 from .schedule import Fault
 from .upstreams import CRASH_AFTER_EVENT, CRASH_BEFORE_EVENT
 from .world import World
@@ -38,8 +39,9 @@
 async def apply(world: World, fault: Fault, rng: random.Random) -> None:
     """Apply a fault and note for how long it disturbed what."""
     start_s = time.monotonic()
-    target = await FAULTS[fault.kind](world, fault, rng)
-    world.record.note(Disturbed(start_s, time.monotonic(), target, fault.name))
+    disturbed = await FAULTS[fault.kind](world, fault, rng)
+    for target in (disturbed,) if isinstance(disturbed, str) else disturbed:
+        world.record.note(Disturbed(start_s, time.monotonic(), target, fault.name))
 
 
 async def _pause(world: World, fault: Fault, _) -> str:
@@ -207,6 +209,22 @@
     return instance.name
 
 
+async def _lose_digests(
+    world: World, fault: Fault, rng: random.Random
+) -> tuple[str, ...]:
+    sender = world.instances[fault.target]
+    receiver = rng.choice([i for i in world.instances if i is not sender])
+    lost = [(sender, receiver)]
+    if fault.option == "both":
+        lost.append((receiver, sender))
+    for source, target in lost:
+        source.lose_datagrams_to(target.addresses.ip)
+    await asyncio.sleep(fault.length_s)
+    for source, target in lost:
+        source.lose_datagrams_to(target.addresses.ip, is_lost=False)
+    return digests_of(sender.name), digests_of(receiver.name)
+
+
 async def _versions(world: World, fault: Fault, rng: random.Random) -> str:
     """Want newer weights; some engines take their orders late or lose responses."""
     engines = [slot for slot in world.slots if slot.model]
@@ -242,7 +260,7 @@
     return "engines"
 
 
-Apply = Callable[[World, Fault, random.Random], Awaitable[str]]
+Apply = Callable[[World, Fault, random.Random], Awaitable[str | tuple[str, ...]]]
 FAULTS: dict[str, Apply] = {
     "pause": _pause,
     "kill": _end,
@@ -261,5 +279,6 @@
     **dict.fromkeys(schedule.CONFIGURATION_KINDS, _configure),
     "crash-part": _crash_part,
     "clock-step": _clock_step,
+    "lost-digests": _lose_digests,
     "versions": _versions,
 }
--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -4,11 +4,13 @@
 import contextlib
 import os
 import signal
+import socket
 import struct
 import subprocess
 import sys
 import time
 import tomllib
+from collections import Counter
 from pathlib import Path
 
 import h11
@@ -24,7 +26,9 @@
 SAMPLE_PERIOD_S = 1.0
 #: Folder of the module that each process imports at its start.
 STARTUP_HOOK = Path(__file__).resolve().parent / "startup_hook"
-CLOCK_OFFSET = struct.Struct("=d")
+#: Offset of the wall clock, and addresses to which datagrams are lost.
+CONTROL = struct.Struct("=d4s4s4s4s")
+NO_ADDRESS = bytes(4)
 
 
 class Instance:
@@ -38,8 +42,10 @@
         self.addresses = own
         self.settings_path = folder / f"{name}.toml"
         self.log_path = folder / f"{name}.log"
-        self._offset_path = folder / f"{name}.clock-offset"
-        self._offset_path.write_bytes(CLOCK_OFFSET.pack(0.0))
+        self._clock_offset_s = 0.0
+        self._lost_to: Counter[bytes] = Counter()
+        self._control_path = folder / f"{name}.control"
+        self._control_path.write_bytes(bytes(CONTROL.size))
         self.record = record
         self._process: subprocess.Popen | None = None
         self._is_end_expected = False
@@ -69,16 +75,25 @@
         return os.environ | {
             "BUCKTHORNROCK_NODE_FILE": str(self.settings_path),
             "PYTHONPATH": os.pathsep.join(filter(None, python_path)),
-            "SOAK_CLOCK_OFFSET_FILE": str(self._offset_path),
+            "SOAK_CONTROL_FILE": str(self._control_path),
         }
 
     def step_clock(self, by_s: float) -> None:
         """Make the wall clock of this machine jump; its processes keep the offset."""
-        with open(self._offset_path, "r+b") as file:
-            offset_s = CLOCK_OFFSET.unpack(file.read())[0]
-            file.seek(0)
-            # One write, so that no process reads half of an offset.
-            file.write(CLOCK_OFFSET.pack(offset_s + by_s))
+        self._clock_offset_s += by_s
+        self._write_control()
+
+    def lose_datagrams_to(self, ip: str, is_lost: bool = True) -> None:
+        """Lose this instance's datagrams to an address until called with False."""
+        self._lost_to[socket.inet_aton(ip)] += 1 if is_lost else -1
+        self._write_control()
+
+    def _write_control(self) -> None:
+        lost_to = [address for address, n in self._lost_to.items() if n > 0]
+        padding = [NO_ADDRESS] * (4 - len(lost_to))
+        # The file is mapped by processes, which must not see it truncated.
+        with open(self._control_path, "r+b", buffering=0) as file:
+            file.write(CONTROL.pack(self._clock_offset_s, *lost_to, *padding))
 
     def is_running(self) -> bool:
         """Return whether the process runs."""
--- a/benchmarks/soak/record.py
+++ b/benchmarks/soak/record.py
@@ -142,7 +142,8 @@
 class Disturbed(NamedTuple):
     """A fault lasted from ``at_s`` to ``until_s``.
 
-    ``target`` is the name of an instance or upstream, "store" or "all".
+    ``target`` is the name of an instance or upstream, "store" or "all", or what
+    ``digests_of`` returns.
     """
 
     at_s: float
@@ -151,6 +152,11 @@
     name: str
 
 
+def digests_of(instance: str) -> str:
+    """Return the name of the digests that an instance exchanges, as a target."""
+    return f"digests of {instance}"
+
+
 class Sampled(NamedTuple):
     """Resources of an instance's process.
 
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -70,6 +70,8 @@
     "clock-step": Kind(
         6.0, N_INSTANCES, ("forward", "backward", "forth-and-back", "back-and-forth")
     ),
+    # A target is the sender, or one of both ends. Loads lapse after 1 s of silence.
+    "lost-digests": Kind(5.0, N_INSTANCES, ("one-way", "both"), 0.5),
     "versions": Kind(5.0, 1, ("in-time", "late", "lost"), 2.5, spread_s=4.0),
 }
 ADDED_SHARE = 0.5
--- a/benchmarks/soak/violations.py
+++ b/benchmarks/soak/violations.py
@@ -23,9 +23,13 @@
     is_untimed: bool = False
 
 
-def is_in_touch(record: Record, sent: Sent, until_s: float, upstream="") -> bool:
-    """Return whether no fault excuses what became of a request by ``until_s``."""
-    targets = {sent.instance, "store", "all", upstream}
+def is_in_touch(record: Record, sent: Sent, until_s: float, other="") -> bool:
+    """Return whether no fault excuses what became of a request by ``until_s``.
+
+    Beside the instance and the store, faults of ``other`` excuse it, such as those of
+    the upstream.
+    """
+    targets = {sent.instance, "store", "all", other}
     return not any(
         fault.at_s <= until_s and sent.at_s <= fault.until_s + record.bounds.stable_s
         for fault in disturbances(record)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -27,6 +27,7 @@
     Sent,
     Started,
     Wanted,
+    digests_of,
 )
 
 PART = "0badbad0"
@@ -139,6 +140,21 @@
         [*crashes(6, apart_s=0.01), *with_part(4)],
         {"late0", "late1", "late2", "late3"},
     ),
+    (
+        "crashes-bounded",
+        [
+            *crashes(5),
+            *with_part(4),
+            Disturbed(16.0, 18.0, digests_of("edge-1"), "x.1"),
+        ],
+        {"late0", "late1", "late2", "late3"},
+    ),
+    (
+        "drained",
+        [sent(), Left(17.9, "till0-1"), ran()]
+        + [Disturbed(16.0, 18.0, digests_of("edge-0"), "lost-digests.a")],
+        {"a"},
+    ),
     ("quotas", quota(40, 3), {"q0", "q1", "q2"}),
     (
         "quotas",
@@ -214,6 +230,14 @@
     ("crashes-bounded", [*crashes(5), *with_part(3)]),
     ("crashes-bounded", [*crashes(4), *with_part(9)]),
     ("crashes-bounded", [*crashes(5), *with_part(9, at_s=7.0)]),
+    (
+        "crashes-bounded",
+        [
+            *crashes(5),
+            *with_part(4),
+            Disturbed(16.0, 18.0, digests_of("edge-0"), "x.1"),
+        ],
+    ),
     ("quotas", quota(36, 3)),
     ("quotas", [*quota(900, 2, limit=CALLS), ran("q0", "e1", at_s=20.2)]),
     ("quotas", [*quota(40, 3), Configured(0.1, 2, limits={"x": Limit(99.0, 99.0)})]),
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -18,6 +18,7 @@
     Fault("store-silence.3", "store-silence", 1.5, 0.3, 1),
     Fault("isolate.4", "isolate", 2.0, 0.3),
     Fault("clock-step.6", "clock-step", 1.0, 3.0, 1, "forth-and-back"),
+    Fault("lost-digests.7", "lost-digests", 1.5, 1.5, 2, "both"),
     Fault("versions.5", "versions", 0.5, 2.0, 0, "lost"),
 ]
 
@@ -30,7 +31,9 @@
     assert verdict.violations == []
     n_served = sum(a.status == 200 for a in played.record.all_of(Answered))
     assert n_served > 100
-    assert len(played.record.all_of(Disturbed)) == len(FAULTS)
+    ended = [disturbed.name for disturbed in played.record.all_of(Disturbed)]
+    # Lost digests disturb both ends.
+    assert sorted(ended) == sorted([f.name for f in FAULTS] + ["lost-digests.7"])
     # Orders and versions are judged only if engines see them.
     newest = max(wanted.version for wanted in played.record.all_of(Wanted))
     assert len(played.record.all_of(Executed)) >= schedule.N_ENGINES
--- a/tests/soak/test_startup_hook.py
+++ b/tests/soak/test_startup_hook.py
@@ -1,9 +1,10 @@
-"""The wall clock of a soaked process follows the offset; monotonic clocks don't.
+"""A soaked process sees clock steps and loses datagrams as its instance says.
 
-Guards against clock steps that no process sees, and against steps of the clocks that
+Guards against faults that no process sees, and against steps of the clocks that
 deadlines and leases use.
 """
 
+import socket
 import subprocess
 import sys
 import time
@@ -74,3 +75,70 @@
 def test_the_next_process_of_a_machine_has_the_same_clock(instance, read_clocks):
     instance.step_clock(100.0)
     assert read_clocks()["time"] - time.time() == pytest.approx(100.0, abs=2.0)
+
+
+#: Sends one datagram to an address for each line of its input.
+SENDER = """
+import asyncio, sys
+
+async def send():
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
+    )
+    for line in sys.stdin:
+        ip, port, text = line.split()
+        transport.sendto(text.encode(), (ip, int(port)))
+        print(flush=True)
+
+asyncio.run(send())
+"""
+
+
+@pytest.fixture
+def send(instance):
+    process = subprocess.Popen(
+        [sys.executable, "-c", SENDER],
+        env=instance.environment(),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+    def send(receiver, text):
+        ip, port = receiver.getsockname()
+        process.stdin.write(f"{ip} {port} {text}\n")
+        process.stdin.flush()
+        process.stdout.readline()
+
+    yield send
+    process.stdin.close()
+    process.wait()
+
+
+@pytest.fixture
+def receivers():
+    sockets = []
+    for ip in ("127.0.0.2", "127.0.0.3"):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((ip, 0))
+        sock.settimeout(5.0)
+        sockets.append(sock)
+    yield sockets
+    for sock in sockets:
+        sock.close()
+
+
+def test_datagrams_to_one_address_are_lost_for_a_while(instance, send, receivers):
+    lossy, other = receivers
+    # Two faults at once: datagrams are lost until both are over.
+    for _ in range(2):
+        instance.lose_datagrams_to("127.0.0.2")
+    send(lossy, "lost")
+    send(other, "kept")
+    assert other.recv(100) == b"kept"
+    instance.lose_datagrams_to("127.0.0.2", is_lost=False)
+    send(lossy, "still-lost")
+    instance.lose_datagrams_to("127.0.0.2", is_lost=False)
+    send(lossy, "arrives")
+    assert lossy.recv(100) == b"arrives"
