Soak clock steps to and fro, and keep three schedules

Two cases keep the schedules that found faults put back in orders: orders-1 (orders-fenced) and clock-2 (answered-in-calm). The case clock-1 shows a fault of the product: prompts begin on replaced weights more than 12 s after a version, if the clock of the lease holder was ahead when it recorded the version, was set back, and all instances restarted at once. Without the step the schedule passes.

tests/soak passes.

--- a/benchmarks/soak/cases.py
+++ b/benchmarks/soak/cases.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from .schedule import Fault
+from .schedule import N_INSTANCES, Fault
 
 
 class Case(NamedTuple):
@@ -48,4 +48,43 @@
         ],
         "43",
     ),
+    "orders-1": Case(
+        "put back on purpose: a holder whose lease is gone goes on, with its own fence",
+        [
+            Fault("versions.1", "versions", 2.0, 3.0, 0, "in-time"),
+            Fault("store-outage.2", "store-outage", 5.0, 4.0),
+            # Both holders give some of the orders of each version.
+            *(
+                Fault(f"versions.{n}", "versions", 3.5 * n, 3.5, 0, "in-time")
+                for n in range(3, 7)
+            ),
+        ],
+    ),
+    "clock-1": Case(
+        "a record of since when weights are wanted, written by a clock that was ahead",
+        [
+            # The instance that writes the record isn't known, so all clocks step.
+            *(
+                Fault(f"clock-step.{n + 1}", "clock-step", 0.5, 9.0, n, "back-again")
+                for n in range(N_INSTANCES)
+            ),
+            Fault("versions.4", "versions", 1.5, 3.0, 0, "slow"),
+            Fault("restart-all.5", "restart-all", 10.5, 0.5),
+        ],
+        # Draws steps of 17 to 29 s forward.
+        "30",
+    ),
+    "clock-2": Case(
+        "put back on purpose: the fencing number is the holder's time of day",
+        [
+            Fault("clock-step.1", "clock-step", 0.5, 18.0, 0, "back-again"),
+            Fault("clock-step.2", "clock-step", 0.5, 18.0, 1, "back-again"),
+            Fault("versions.3", "versions", 1.0, 3.0, 0, "in-time"),
+            Fault("kill.4", "kill", 8.0, 0.5, 0),
+            Fault("kill.5", "kill", 8.0, 0.5, 1),
+            Fault("versions.6", "versions", 9.5, 3.0, 0, "in-time"),
+        ],
+        # Draws steps of 22 s forward.
+        "9",
+    ),
 }
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -34,6 +34,7 @@
 QUIET_BEFORE_S, QUIET_AFTER_S = 0.3, 2.02
 #: By how much a wall clock jumps; deadlines and leases are shorter than most of it.
 CLOCK_STEP_S = (1.0, 30.0)
+STEPS_APART_S = 1.0
 #: Limit of the account with a quota after the fault "limit".
 LOWER_LIMIT = Limit(150.0, 1_000.0, True, 10.0)
 
@@ -202,9 +203,15 @@
 async def _clock_step(world: World, fault: Fault, rng: random.Random) -> str:
     instance = world.instances[fault.target]
     step_s = rng.uniform(*CLOCK_STEP_S) * rng.choice((1.0, -1.0))
+    until_s = time.monotonic() + fault.length_s
     instance.step_clock(step_s)
-    await asyncio.sleep(fault.length_s)
-    instance.step_clock(-step_s if fault.option == "back-again" else step_s)
+    if fault.option == "to-and-fro":
+        while time.monotonic() < until_s - STEPS_APART_S:
+            await asyncio.sleep(STEPS_APART_S)
+            step_s = -step_s
+            instance.step_clock(step_s)
+    await asyncio.sleep(max(0.0, until_s - time.monotonic()))
+    instance.step_clock(step_s if fault.option == "same-way" else -step_s)
     return instance.name
 
 
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -67,7 +67,9 @@
 #: one of these kinds is added. A seed has a fault of each with ``ADDED_SHARE``.
 ADDED_KINDS = {
     # The clock steps at the start and at the end, of which the latter meets calm.
-    "clock-step": Kind(14.0, N_INSTANCES, ("same-way", "back-again"), 9.0),
+    "clock-step": Kind(
+        14.0, N_INSTANCES, ("same-way", "back-again", "to-and-fro"), 9.0
+    ),
     # A target is the sender, or one of both ends. Loads lapse after 1 s of silence.
     "lost-digests": Kind(5.0, N_INSTANCES, ("one-way", "both"), 0.5),
     # The bound on replaced weights, 12 s, ends inside a run of 25 s.
