--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -1,6 +1,7 @@
 """Applies each kind of fault; ``FAULTS`` has one function for each kind.
 
-A function returns what the fault disturbed: an instance, an upstream, "store" or "all".
+A function returns what the fault disturbed: an instance, an upstream, "store" or "all",
+or several of these.
 """
 
 import asyncio
@@ -10,9 +11,10 @@
 from collections.abc import Awaitable, Callable
 
 from . import clients, deployment, schedule
+from .engine_weights import SLOW, OrderTrouble
 from .instances import Instance
 from .proxy import TO_CLIENT, Proxy
-from .record import Disturbed, Limit
+from .record import Disturbed, Limit, digests_of
 from .schedule import Fault
 from .upstreams import CRASH_AFTER_EVENT, CRASH_BEFORE_EVENT
 from .world import World
@@ -25,8 +27,14 @@
 RESETS_APART_S = 0.15
 HANGUPS_APART_S = 0.1
 N_NEW_VERSIONS = 3
+N_NEW_WEIGHTS = (2, 3)
+#: For how long after the bound on replaced weights engines load slowly.
+SLOW_MORE_S = 3.0
 #: Clients send nothing from before a quiet leaving until after the drain time.
 QUIET_BEFORE_S, QUIET_AFTER_S = 0.3, 2.02
+#: By how much a wall clock jumps; deadlines and leases are shorter than most of it.
+CLOCK_STEP_S = (1.0, 30.0)
+STEPS_APART_S = 1.0
 #: Limit of the account with a quota after the fault "limit".
 LOWER_LIMIT = Limit(150.0, 1_000.0, True, 10.0)
 
@@ -34,8 +42,9 @@
 async def apply(world: World, fault: Fault, rng: random.Random) -> None:
     """Apply a fault and note for how long it disturbed what."""
     start_s = time.monotonic()
-    target = await FAULTS[fault.kind](world, fault, rng)
-    world.record.note(Disturbed(start_s, time.monotonic(), target, fault.name))
+    disturbed = await FAULTS[fault.kind](world, fault, rng)
+    for target in (disturbed,) if isinstance(disturbed, str) else disturbed:
+        world.record.note(Disturbed(start_s, time.monotonic(), target, fault.name))
 
 
 async def _pause(world: World, fault: Fault, _) -> str:
@@ -191,6 +200,60 @@
     return "all"
 
 
+async def _clock_step(world: World, fault: Fault, rng: random.Random) -> str:
+    instance = world.instances[fault.target]
+    step_s = rng.uniform(*CLOCK_STEP_S) * rng.choice((1.0, -1.0))
+    until_s = time.monotonic() + fault.length_s
+    instance.step_clock(step_s)
+    if fault.option == "to-and-fro":
+        while time.monotonic() < until_s - STEPS_APART_S:
+            await asyncio.sleep(STEPS_APART_S)
+            step_s = -step_s
+            instance.step_clock(step_s)
+    await asyncio.sleep(max(0.0, until_s - time.monotonic()))
+    instance.step_clock(step_s if fault.option == "same-way" else -step_s)
+    return instance.name
+
+
+async def _lose_digests(
+    world: World, fault: Fault, rng: random.Random
+) -> tuple[str, ...]:
+    sender = world.instances[fault.target]
+    receiver = rng.choice([i for i in world.instances if i is not sender])
+    lost = [(sender, receiver)]
+    if fault.option == "both":
+        lost.append((receiver, sender))
+    for source, target in lost:
+        source.lose_datagrams_to(target.addresses.ip)
+    await asyncio.sleep(fault.length_s)
+    for source, target in lost:
+        source.lose_datagrams_to(target.addresses.ip, is_lost=False)
+    return digests_of(sender.name), digests_of(receiver.name)
+
+
+async def _versions(world: World, fault: Fault, rng: random.Random) -> str:
+    """Want newer weights; some engines take their orders late or lose responses.
+
+    If all engines load slowly, there are only replaced weights after the bound.
+    """
+    engines = [slot for slot in world.slots if slot.model]
+    affected = rng.sample(engines, rng.randint(1, len(engines) - 1))
+    slow_until_s = 0.0
+    if fault.option == SLOW:
+        affected = engines
+        slow_until_s = time.monotonic() + world.record.bounds.version_s + SLOW_MORE_S
+    for slot in affected:
+        slot.set_orders(OrderTrouble(fault.option, slow_until_s))
+    n_versions = rng.randint(*N_NEW_WEIGHTS)
+    for _ in range(n_versions):
+        world.want_next_weights()
+        await asyncio.sleep(fault.length_s / n_versions)
+    await asyncio.sleep(max(0.0, slow_until_s - time.monotonic()))
+    for slot in affected:
+        slot.set_orders(OrderTrouble())
+    return "engines"
+
+
 async def _crash_part(world: World, fault: Fault, rng: random.Random) -> str:
     """Send requests with a part that crashes engines, in series or in batches."""
     is_after = fault.option == CRASH_AFTER_EVENT
@@ -211,7 +274,7 @@
     return "engines"
 
 
-Apply = Callable[[World, Fault, random.Random], Awaitable[str]]
+Apply = Callable[[World, Fault, random.Random], Awaitable[str | tuple[str, ...]]]
 FAULTS: dict[str, Apply] = {
     "pause": _pause,
     "kill": _end,
@@ -229,4 +292,7 @@
     **dict.fromkeys(schedule.TROUBLES, _trouble),
     **dict.fromkeys(schedule.CONFIGURATION_KINDS, _configure),
     "crash-part": _crash_part,
+    "clock-step": _clock_step,
+    "lost-digests": _lose_digests,
+    "versions": _versions,
 }
--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -4,10 +4,13 @@
 import contextlib
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import time
 import tomllib
+from collections import Counter
 from pathlib import Path
 
 import h11
@@ -21,6 +24,11 @@
 READY_LIMIT_S = 20.0
 EXIT_LIMIT_S = 12.0
 SAMPLE_PERIOD_S = 1.0
+#: Folder of the module that each process imports at its start.
+STARTUP_HOOK = Path(__file__).resolve().parent / "startup_hook"
+#: Offset of the wall clock, and addresses to which datagrams are lost.
+CONTROL = struct.Struct("=d4s4s4s4s")
+NO_ADDRESS = bytes(4)
 
 
 class Instance:
@@ -34,6 +42,10 @@
         self.addresses = own
         self.settings_path = folder / f"{name}.toml"
         self.log_path = folder / f"{name}.log"
+        self._clock_offset_s = 0.0
+        self._lost_to: Counter[bytes] = Counter()
+        self._control_path = folder / f"{name}.control"
+        self._control_path.write_bytes(bytes(CONTROL.size))
         self.record = record
         self._process: subprocess.Popen | None = None
         self._is_end_expected = False
@@ -45,15 +57,44 @@
         deploy = tomllib.loads((self._product / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["gateway"]["run"].split()
         command[0] = sys.executable
-        environment = os.environ | {"BUCKTHORNROCK_NODE_FILE": str(self.settings_path)}
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
-                command, cwd=self._product, env=environment, stdout=log, stderr=log
+                command,
+                cwd=self._product,
+                env=self.environment(),
+                stdout=log,
+                stderr=log,
             )
         self._is_end_expected = False
         self._starved_ns = None
         self.record.note(Started(time.monotonic(), self.name))
 
+    def environment(self) -> dict[str, str]:
+        """Return the environment variables of the process."""
+        python_path = [str(STARTUP_HOOK), os.environ.get("PYTHONPATH", "")]
+        return os.environ | {
+            "BUCKTHORNROCK_NODE_FILE": str(self.settings_path),
+            "PYTHONPATH": os.pathsep.join(filter(None, python_path)),
+            "SOAK_CONTROL_FILE": str(self._control_path),
+        }
+
+    def step_clock(self, by_s: float) -> None:
+        """Make the wall clock of this machine jump; its processes keep the offset."""
+        self._clock_offset_s += by_s
+        self._write_control()
+
+    def lose_datagrams_to(self, ip: str, is_lost: bool = True) -> None:
+        """Lose this instance's datagrams to an address until called with False."""
+        self._lost_to[socket.inet_aton(ip)] += 1 if is_lost else -1
+        self._write_control()
+
+    def _write_control(self) -> None:
+        lost_to = [address for address, n in self._lost_to.items() if n > 0]
+        padding = [NO_ADDRESS] * (4 - len(lost_to))
+        # The file is mapped by processes, which must not see it truncated.
+        with open(self._control_path, "r+b", buffering=0) as file:
+            file.write(CONTROL.pack(self._clock_offset_s, *lost_to, *padding))
+
     def is_running(self) -> bool:
         """Return whether the process runs."""
         return self._process is not None and self._process.poll() is None
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 from . import deployment, schedule
+from .engine_weights import OrderTrouble
 from .instances import Instance
 from .proxy import Proxy
-from .record import Configured, Disturbed, Limit, Record
+from .record import Configured, Disturbed, Limit, Record, Wanted
 from .store import SoakStore
 from .upstreams import CRASH_BEFORE_EVENT, Shared, Upstream
 
@@ -31,20 +32,30 @@
     def __init__(self, name: str, service: str, model: str) -> None:
         self.name, self.service, self.model = name, service, model
         self.n_started = 0
+        self.order_trouble = OrderTrouble()
         self.proxy: Proxy
         self.upstream: Upstream
 
+    def set_orders(self, trouble: OrderTrouble) -> None:
+        """Set what is wrong with the orders of this and the next incarnations."""
+        self.order_trouble = self.upstream.weights.trouble = trouble
+
 
 class World:
     """Everything that runs beside the clients."""
 
     def __init__(
-        self, folder: Path, record: Record, product: Path, has_quota: bool
+        self,
+        folder: Path,
+        record: Record,
+        product: Path,
+        has_quota: bool,
+        requires_fencing: bool = True,
     ) -> None:
         self.record = record
         self.is_quiet = False
-        self.store = SoakStore()
-        self.shared = Shared(self.store, record, {})
+        self.store = SoakStore(record)
+        self.shared = Shared(self.store, record, {}, requires_fencing)
         self.slots = [
             *(Slot(f"till{n}", "till", "") for n in range(schedule.N_PLAIN)),
             *(
@@ -57,6 +68,7 @@
         limits = {deployment.LIMITED: FIRST_LIMIT} if has_quota else {}
         self.state = deployment.State(limits=limits)
         self.crash_mode = CRASH_BEFORE_EVENT
+        self._weights_version = 0
         self._folder, self._has_quota = folder, has_quota
         self._product = product
         self._network = network()
@@ -67,13 +79,11 @@
         store_ip = f"{self._network}.2"
         self.prompt_store = f"{self._network}.3:{PORT}"
         self.shared.caches[self.prompt_store] = {}
+        self.want_next_weights()
         for n, slot in enumerate(self.slots):
             slot.proxy = Proxy("")
             await slot.proxy.start(f"{self._network}.{20 + n}")
             await self.start_upstream(slot)
-        self.store.write_json(
-            f"op/version/{deployment.MODEL}", {"model": deployment.MODEL, "version": 1}
-        )
         self.configure()
         ips = [f"{self._network}.{10 + n}" for n in range(schedule.N_INSTANCES)]
         for n, ip in enumerate(ips):
@@ -117,6 +127,13 @@
             Configured(at_s, state.version, state.isolated, dict(state.limits))
         )
 
+    def want_next_weights(self) -> None:
+        """Write the next wanted version of the weights."""
+        self._weights_version += 1
+        weights = {"model": deployment.MODEL, "version": self._weights_version}
+        at_s = self.store.write_json(f"op/version/{deployment.MODEL}", weights)
+        self.record.note(Wanted(at_s, self._weights_version))
+
     def spawn(self, work: Awaitable) -> None:
         """Run something until it ends or the run does."""
         task = asyncio.ensure_future(work)
@@ -127,9 +144,13 @@
         """Start the next incarnation of an upstream."""
         slot.n_started += 1
         upstream_id = f"{slot.name}-{slot.n_started}"
+        # Every other engine comes back with the first version of its weights.
+        version = self._weights_version if self.slots.index(slot) % 2 else 1
         upstream = Upstream(
-            self.shared, slot.service, upstream_id, slot.proxy, slot.model
+            self.shared, slot.service, upstream_id, slot.proxy, slot.model, version
         )
+        if upstream.weights is not None:
+            upstream.weights.trouble = slot.order_trouble
         upstream.crash_mode = self.crash_mode
         upstream.on_crash = lambda: self.spawn(self.bring_back(slot))
         slot.upstream = upstream
