Write the record of wanted weights again when the clock has stepped

What callers saw: prompts began on replaced weights more than versionMs after a newer version was wanted, after a restart of all instances.

If the lease holder's wall clock was ahead when it wrote the record and was set back, the instances that started read ages that were too short by the step.

The holder compares its wall clock with the monotonic one and writes the record again when the difference has changed by 200 ms; ages in its own record are read by the clock that wrote it. The unit test fails before ((1, 30000) instead of (1, 30200)). What remains: a restart of all within the 0.2 s until the holder's next step, and a clock that is ahead when all instances restart.

--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import pykka
 from expression import Result
@@ -38,6 +39,19 @@
 SET_ASIDE_MS = 500.0
 #: A record of wanted versions that may not have been written is written again then.
 RECORD_RETRY_MS = 1_000.0
+#: A change of the wall clock against the monotonic one that counts as a step. Smaller
+#: ones are within the margins of the bound on replaced weights.
+CLOCK_STEP_MS = 200.0
+
+
+class WrittenRecord(NamedTuple):
+    """The newest version in a record that this instance wrote, and by what clock.
+
+    ``clock_offset_ms`` is the wall clock less the monotonic one at that time.
+    """
+
+    version: int
+    clock_offset_ms: float
 
 
 class RolloutActor(pykka.ThreadingActor):
@@ -73,7 +87,7 @@
         self._polled_at_ms: dict[Incarnation, float] = {}
         self._silent_until_ms: dict[Incarnation, float] = {}
         self._wall_ms = wall_ms
-        self._recorded: dict[str, int] = {}
+        self._written: dict[str, WrittenRecord] = {}
         self._record_at_ms = 0.0
         self._next_acquire_at_ms = 0.0
         self._is_stopping = False
@@ -121,28 +135,38 @@
             self._roll_out(model, version, inputs)
 
     def _record_wanted(self, inputs: RolloutInputs) -> None:
-        """Write to the store since when the versions are wanted, once a version."""
+        """Write to the store since when the versions are wanted, once a version.
+
+        A record is written again when the wall clock that it was written by has
+        stepped: an instance that starts afterwards would get wrong ages from it.
+        """
         if not self._lease.is_held() or self._now_ms() < self._record_at_ms:
             return
+        clock_offset_ms = self._wall_ms() - self._now_ms()
         for model, wanted in inputs.wanted_since.items():
-            if self._recorded.get(model) == wanted[-1].version:
+            due = WrittenRecord(wanted[-1].version, clock_offset_ms)
+            if _is_up_to_date(self._written.get(model), due):
                 continue
-            if self._write_record(model, wanted):
-                self._recorded[model] = wanted[-1].version
+            if self._write_record(model, wanted, clock_offset_ms):
+                self._written[model] = due
             else:
                 self._record_at_ms = self._now_ms() + RECORD_RETRY_MS
 
-    def _write_record(self, model: str, wanted: Iterable[WantedWeights]) -> bool:
+    def _write_record(
+        self, model: str, wanted: Iterable[WantedWeights], clock_offset_ms: float
+    ) -> bool:
         """Write the record of one model; return whether it was certainly written."""
         entry = self._lease.get(RECORD_PREFIX + model)
         if entry.is_error():
             return False
-        now_ms, wall_ms = self._now_ms(), self._wall_ms()
+        now_ms = self._now_ms()
         ages_ms = [(w.version, int(now_ms - w.known_at_ms)) for w in wanted]
         if entry.ok is not None:
-            recorded = decode_record(payload(entry.ok), wall_ms)
+            written = self._written.get(model)
+            written_by_ms = written.clock_offset_ms if written else clock_offset_ms
+            recorded = decode_record(payload(entry.ok), int(now_ms + written_by_ms))
             ages_ms = merge_ages(ages_ms, recorded.default_value([]))
-        record = encode_record(ages_ms, wall_ms)
+        record = encode_record(ages_ms, int(now_ms + clock_offset_ms))
         return self._lease.put(RECORD_PREFIX + model, record)
 
     def _forget_removed(self, inputs: RolloutInputs) -> None:
@@ -167,6 +191,8 @@
         self._lease.step()
         if self._lease.is_held() != self._was_lease_held:
             self._was_lease_held = not self._was_lease_held
+            # Another holder may write the records until this one holds the lease again.
+            self._written.clear()
             event = events.DUTY_TAKEN if self._was_lease_held else events.DUTY_LOST
             self._telemetry.log(event, fence=self._lease.fence)
 
@@ -270,6 +296,13 @@
         )
 
 
+def _is_up_to_date(written: WrittenRecord | None, due: WrittenRecord) -> bool:
+    """Return whether a record has the newest version, by the clock as it is now."""
+    if written is None or written.version != due.version:
+        return False
+    return abs(written.clock_offset_ms - due.clock_offset_ms) < CLOCK_STEP_MS
+
+
 def _is_any_outdated(inputs: RolloutInputs) -> bool:
     return any(
         engine.loaded_version < version
--- a/buckthornrock/rollout/wanted_record.py
+++ b/buckthornrock/rollout/wanted_record.py
@@ -1,8 +1,9 @@
 """The record in the store of since when versions of weights have been wanted. Pure.
 
 Instances tell it each other. If all of them restart at once, only the record is left.
-It holds times of day, since no other clock outlives a process; where these jump, an age
-is wrong by the jump until all engines have the version.
+It holds times of day, since no other clock outlives a process. The instance that wrote
+it writes it again when its clock has stepped; until then, and where the clocks of two
+instances differ, an age is wrong by the difference.
 """
 
 from collections.abc import Iterable, Mapping
--- a/tests/rollout/test_wanted_record.py
+++ b/tests/rollout/test_wanted_record.py
@@ -37,6 +37,8 @@
 WALL_MS = 1_790_000_000_000
 USABLE_MS = 18_500.0
 WRITE_ID = b"w" * 16
+#: Monotonic time at the wall clock's ``WALL_MS``.
+START_MS = 100_000.0
 
 
 @pytest.mark.parametrize(
@@ -71,7 +73,9 @@
 
     def __init__(self):
         self.store = ModelStore()
-        self.store.now_ms = 100_000.0
+        self.store.now_ms = START_MS
+        self.clock_step_ms = 0
+        self.written_at_ms = WALL_MS
         self.wanted_ages = [(2, 5_000)]
         lease = RolloutLease(
             self.store.port(), "i1", 3_000.0, 3_000.0, lambda: self.store.now_ms
@@ -86,9 +90,12 @@
             lambda: self.store.now_ms,
             Telemetry(lambda event, **fields: None, open_metrics("", 0, "")),
             threading.Event(),
-            wall_ms=lambda: WALL_MS,
+            wall_ms=self.wall_ms,
         )
 
+    def wall_ms(self):
+        return int(WALL_MS + self.store.now_ms - START_MS) + self.clock_step_ms
+
     def order(self, order, fencing):
         self.ordered.append(order.upstream.upstream_id)
         return Ok(OrderAnswer(202))
@@ -102,7 +109,10 @@
         return RolloutInputs({"m": newest}, {"m": engines}, {"m": since})
 
     def step(self):
+        began_at_ms, n_writes = self.wall_ms(), self.store.revision
         self.actor._step()
+        if self.store.revision > n_writes:
+            self.written_at_ms = began_at_ms
         self.store.now_ms += 200.0
 
     def recorded(self, *ages_ms):
@@ -113,7 +123,9 @@
 
     def record(self):
         entry = self.store.entries.get(RECORD_PREFIX + "m")
-        return None if entry is None else decode_record(entry.value[16:], WALL_MS).ok
+        if entry is None:
+            return None
+        return decode_record(entry.value[16:], self.written_at_ms).ok
 
 
 def test_holder_of_the_lease_records_each_version_once():
@@ -151,6 +163,23 @@
     assert world.record() == [(2, 12_000), (3, 0)]
 
 
+# Prompts began on replaced weights 12 s after a newer version was wanted. The record
+# was written by a clock that was ahead, it was set back, and all instances restarted.
+@pytest.mark.parametrize("step_ms", [-20_000, 20_000])
+def test_record_is_written_again_when_the_clock_steps(step_ms):
+    world = World()
+    world.recorded((1, 30_000))
+    world.wanted_ages = [(1, 8_000), (2, 5_000)]
+    world.step()
+    assert world.record() == [(1, 30_000), (2, 5_000)]
+    world.clock_step_ms = step_ms
+    world.step()
+    assert world.record() == [(1, 30_200), (2, 5_200)]
+    n_writes = world.store.revision
+    world.step()
+    assert world.store.revision == n_writes
+
+
 def test_slow_order_makes_no_recorded_age_shorter():
     world = World()
 
