Read a sent record by its own clock, and count isolated accounts where they are kept

A record that was sent after a clock step and whose response was lost was read by the offset of the clock before; the new test fails with ages that are wrong by the step.

--- a/buckthornrock/gateway/gateway.py
+++ b/buckthornrock/gateway/gateway.py
@@ -288,7 +288,7 @@
         metrics.gauge(GATEWAY_CONNECTIONS, len(self._connections))
         self._limits_enforcer.record_metrics()
         metrics.gauge(MEMBERS_LIVE, self._peers.n_instances())
-        n_isolated = len(self._fleet_state.isolated_or_removed_accounts)
+        n_isolated = len(self._fleet_state.configuration.isolated_or_removed_accounts)
         metrics.gauge(ISOLATED_ACCOUNTS, n_isolated)
         if self._exchange_context.quotas is not None:
             self._exchange_context.quotas.update_gauges()
--- a/buckthornrock/rollout/actor.py
+++ b/buckthornrock/rollout/actor.py
@@ -2,7 +2,8 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections import defaultdict, deque
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import pykka
@@ -42,15 +43,18 @@
 #: A change of the wall clock against the monotonic one that counts as a step. Smaller
 #: ones are within the margins of the bound on replaced weights.
 CLOCK_STEP_MS = 200.0
+#: Sent records of a model that are remembered, of which some may not have been written.
+N_SENT_RECORDS = 8
 
 
-class WrittenRecord(NamedTuple):
-    """The newest version in a record that this instance wrote, and by what clock.
+class SentRecord(NamedTuple):
+    """A record that this instance sent to the store, with the newest version in it.
 
     ``clock_offset_ms`` is the wall clock less the monotonic one at that time.
     """
 
     version: int
+    value: bytes
     clock_offset_ms: float
 
 
@@ -87,7 +91,10 @@
         self._polled_at_ms: dict[Incarnation, float] = {}
         self._silent_until_ms: dict[Incarnation, float] = {}
         self._wall_ms = wall_ms
-        self._written: dict[str, WrittenRecord] = {}
+        self._written: dict[str, SentRecord] = {}
+        self._sent: dict[str, deque[SentRecord]] = defaultdict(
+            lambda: deque(maxlen=N_SENT_RECORDS)
+        )
         self._record_at_ms = 0.0
         self._next_acquire_at_ms = 0.0
         self._is_stopping = False
@@ -144,16 +151,14 @@
             return
         clock_offset_ms = self._wall_ms() - self._now_ms()
         for model, wanted in inputs.wanted_since.items():
-            due = WrittenRecord(wanted[-1].version, clock_offset_ms)
-            if _is_up_to_date(self._written.get(model), due):
+            written = self._written.get(model)
+            if _is_up_to_date(written, wanted[-1].version, clock_offset_ms):
                 continue
-            if self._write_record(model, wanted, clock_offset_ms):
-                self._written[model] = due
-            else:
+            if not self._write_record(model, wanted, clock_offset_ms):
                 self._record_at_ms = self._now_ms() + RECORD_RETRY_MS
 
     def _write_record(
-        self, model: str, wanted: Iterable[WantedWeights], clock_offset_ms: float
+        self, model: str, wanted: Sequence[WantedWeights], clock_offset_ms: float
     ) -> bool:
         """Write the record of one model; return whether it was certainly written."""
         entry = self._lease.get(RECORD_PREFIX + model)
@@ -162,12 +167,27 @@
         now_ms = self._now_ms()
         ages_ms = [(w.version, int(now_ms - w.known_at_ms)) for w in wanted]
         if entry.ok is not None:
-            written = self._written.get(model)
-            written_by_ms = written.clock_offset_ms if written else clock_offset_ms
-            recorded = decode_record(payload(entry.ok), int(now_ms + written_by_ms))
+            value = payload(entry.ok)
+            wall_ms = now_ms + self._offset_of_writer(model, value, clock_offset_ms)
+            recorded = decode_record(value, int(wall_ms))
             ages_ms = merge_ages(ages_ms, recorded.default_value([]))
-        record = encode_record(ages_ms, int(now_ms + clock_offset_ms))
-        return self._lease.put(RECORD_PREFIX + model, record)
+        value = encode_record(ages_ms, int(now_ms + clock_offset_ms))
+        record = SentRecord(wanted[-1].version, value, clock_offset_ms)
+        self._sent[model].append(record)
+        if not self._lease.put(RECORD_PREFIX + model, value):
+            return False
+        self._written[model] = record
+        return True
+
+    def _offset_of_writer(
+        self, model: str, value: bytes, clock_offset_ms: float
+    ) -> float:
+        """Return the clock offset by which a record was written.
+
+        It is ``clock_offset_ms``, the current one, for another instance's record.
+        """
+        own = [sent for sent in self._sent[model] if sent.value == value]
+        return own[-1].clock_offset_ms if own else clock_offset_ms
 
     def _forget_removed(self, inputs: RolloutInputs) -> None:
         known = {
@@ -296,11 +316,13 @@
         )
 
 
-def _is_up_to_date(written: WrittenRecord | None, due: WrittenRecord) -> bool:
+def _is_up_to_date(
+    written: SentRecord | None, version: int, clock_offset_ms: float
+) -> bool:
     """Return whether a record has the newest version, by the clock as it is now."""
-    if written is None or written.version != due.version:
+    if written is None or written.version != version:
         return False
-    return abs(written.clock_offset_ms - due.clock_offset_ms) < CLOCK_STEP_MS
+    return abs(written.clock_offset_ms - clock_offset_ms) < CLOCK_STEP_MS
 
 
 def _is_any_outdated(inputs: RolloutInputs) -> bool:
--- a/tests/rollout/test_wanted_record.py
+++ b/tests/rollout/test_wanted_record.py
@@ -180,6 +180,25 @@
     assert world.store.revision == n_writes
 
 
+@pytest.mark.parametrize("step_ms", [-20_000, 20_000])
+def test_lost_response_to_a_write_after_a_clock_step_changes_no_age(step_ms):
+    """The record of the new clock was read by the offset of the one before."""
+    world = World()
+    world.recorded((1, 30_000))
+    world.wanted_ages = [(1, 8_000), (2, 5_000)]
+    world.step()
+    world.clock_step_ms = step_ms
+    put = world.actor._lease.put
+    world.actor._lease.put = lambda key, value: put(key, value) and False
+    world.step()
+    world.actor._lease.put = put
+    for _ in range(int(RECORD_RETRY_MS / 200.0) + 1):
+        world.step()
+    passed_ms = world.written_at_ms - step_ms - WALL_MS
+    assert passed_ms >= RECORD_RETRY_MS
+    assert world.record() == [(1, 30_000 + passed_ms), (2, 5_000 + passed_ms)]
+
+
 def test_slow_order_makes_no_recorded_age_shorter():
     world = World()
 
