--- a/benchmarks/soak/engine_weights.py
+++ b/benchmarks/soak/engine_weights.py
@@ -18,7 +18,7 @@
 #: A late order is executed this long after it came. Its sender gives up after 0.6 s.
 LATE_S = (1.0, 3.5)
 LOAD_S = (0.4, 1.2)
-NO_LOAD, ACCEPTED, BUSY, OUTDATED = 200, 202, 409, 412
+ALREADY_LOADED, ACCEPTED, BUSY, PRECONDITION_FAILED = 200, 202, 409, 412
 
 
 class OrderTrouble(NamedTuple):
@@ -122,11 +122,11 @@
         if self._is_over or not self._idle.is_set():
             return BUSY
         if order.precondition != self._n_executed:
-            return OUTDATED
+            return PRECONDITION_FAILED
         if self._checks_fencing and order.fence < self._highest_fence:
-            return OUTDATED
+            return PRECONDITION_FAILED
         if order.version <= self.version:
-            return NO_LOAD
+            return ALREADY_LOADED
         self._highest_fence = max(self._highest_fence, order.fence)
         self._n_executed += 1
         self._record.note(Executed(time.monotonic(), order_id))
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -1,7 +1,7 @@
 """Applies each kind of fault; ``FAULTS`` has one function for each kind.
 
-A function returns what the fault disturbed: an instance, an upstream, "store" or "all",
-or several of these.
+A function returns what the fault disturbed: an instance, an upstream, "engines",
+"store" or "all", or several of these. The checks excuse nothing for "engines".
 """
 
 import asyncio
--- a/benchmarks/soak/instances.py
+++ b/benchmarks/soak/instances.py
@@ -26,7 +26,8 @@
 SAMPLE_PERIOD_S = 1.0
 #: Folder of the module that each process imports at its start.
 STARTUP_HOOK = Path(__file__).resolve().parent / "startup_hook"
-#: Offset of the wall clock, and addresses to which datagrams are lost.
+#: Offset of the wall clock, and up to four addresses to which datagrams are lost. The
+#: same as in ``startup_hook/sitecustomize.py``, which can't import this module.
 CONTROL = struct.Struct("=d4s4s4s4s")
 NO_ADDRESS = bytes(4)
 
--- a/benchmarks/soak/record.py
+++ b/benchmarks/soak/record.py
@@ -142,8 +142,8 @@
 class Disturbed(NamedTuple):
     """A fault lasted from ``at_s`` to ``until_s``.
 
-    ``target`` is the name of an instance or upstream, "store" or "all", or what
-    ``digests_of`` returns.
+    ``target`` is the name of an instance or upstream, "engines", "store" or "all", or
+    what ``digests_of`` returns.
     """
 
     at_s: float
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -21,7 +21,8 @@
 class Kind(NamedTuple):
     """How the faults of one kind are drawn.
 
-    ``spread_s`` limits for how long after the first possible time they begin.
+    ``spread_s`` limits for how long after the first possible time those of
+    ``ADDED_KINDS`` begin.
     """
 
     max_length_s: float
@@ -100,9 +101,9 @@
         kind = rng.choice(sorted(KINDS))
         how = KINDS[kind]
         is_overlapping = faults and rng.random() < OVERLAP_SHARE
-        spread_s = 0.5 if is_overlapping else last_s - FIRST_FAULT_S
+        window_s = 0.5 if is_overlapping else last_s - FIRST_FAULT_S
         start_s = faults[-1].at_s if is_overlapping else FIRST_FAULT_S
-        at_s = min(last_s, start_s + rng.uniform(0.0, spread_s))
+        at_s = min(last_s, start_s + rng.uniform(0.0, window_s))
         fault = Fault(
             f"{kind}.{n}",
             kind,
--- a/buckthornrock/gateway/attempt_limits.py
+++ b/buckthornrock/gateway/attempt_limits.py
@@ -7,9 +7,9 @@
 
 #: Share of the remaining time that an attempt of a repeatable request may take while
 #: another attempt is possible after it.
-FIRST_ATTEMPT_SHARE = 0.5
-#: Upper bound of that attempt's time, as a multiple of the route's latency objective.
-FIRST_ATTEMPT_MAX_OBJECTIVES = 2.5
+EARLIER_ATTEMPT_SHARE = 0.5
+#: Upper bound of the time of such an attempt, as a multiple of the latency objective.
+EARLIER_ATTEMPT_MAX_OBJECTIVES = 2.5
 
 
 def has_another_attempt(state: ExchangeState) -> bool:
@@ -29,8 +29,8 @@
     """
     if not has_another_attempt(state):
         return math.inf
-    max_wait_ms = state.admitted.route.objective_ms * FIRST_ATTEMPT_MAX_OBJECTIVES
-    limit_ms = min(state.remaining_ms() * FIRST_ATTEMPT_SHARE, max_wait_ms)
+    max_wait_ms = state.admitted.route.objective_ms * EARLIER_ATTEMPT_MAX_OBJECTIVES
+    limit_ms = min(state.remaining_ms() * EARLIER_ATTEMPT_SHARE, max_wait_ms)
     return max(0.0, limit_ms) / 1000.0
 
 
--- a/buckthornrock/httpd/arrivals.py
+++ b/buckthornrock/httpd/arrivals.py
@@ -24,10 +24,10 @@
 READ_BYTES = 65_536
 #: Less is read of a chunked body, as what isn't parsed in one turn is kept.
 CHUNKED_READ_BYTES = 16_384
-#: Turns of connections with unparsed chunks between two looks at all connections.
+#: Turns of connections with unparsed chunks between two polls of the sockets.
 N_TURNS_PER_ITERATION = 4
-#: Pause after these turns, so that other threads get the interpreter lock. A thread
-#: that has to wait for the lock asks for it after 5 ms only.
+#: Pause after these turns, so that other threads get the interpreter lock. CPython
+#: makes a running thread release it only after its switch interval of 5 ms.
 TURN_PAUSE_S = 0.0001
 CHECK_PERIOD_S = 0.25
 STOP_TIMEOUT_S = 1.0
@@ -476,5 +476,8 @@
 
 
 def _events(is_in_queue: bool) -> int:
-    """Return what to wait for; an end that is read early would hide unparsed data."""
+    """Return the epoll events of a connection, none while it is queued for parsing.
+
+    Reading the end of the stream then would fail a body whose data isn't parsed yet.
+    """
     return 0 if is_in_queue else select.EPOLLIN
--- a/buckthornrock/scheduling/capacity.py
+++ b/buckthornrock/scheduling/capacity.py
@@ -32,7 +32,7 @@
     upstreams: Iterable[Upstream], view: SchedulingView
 ) -> list[Upstream]:
     """Return the upstreams of a service that can take one more request."""
-    return [u for u in upstreams if accepts_work(u, view) and has_free_slot(u, view)]
+    return [u for u in upstreams if accepts_work(u, view) and has_room(u, view)]
 
 
 def may_fit(
@@ -40,8 +40,8 @@
 ) -> bool:
     """Return whether a request fits into the memory of any of the upstreams.
 
-    This is much cheaper than ``choose`` and skips it for queued requests while memory
-    is the bottleneck.
+    It is much cheaper than the estimates: ``choose`` calls it before it computes any,
+    and the dispatcher before it calls ``choose`` for a queued request.
     """
     if demand.prompt is None or demand.service.engine is None:
         return any(True for _ in upstreams)
@@ -63,7 +63,7 @@
     return view.now_ms >= max(load.blocked_until_ms, load.loading_until_ms)
 
 
-def has_free_slot(upstream: Upstream, view: SchedulingView) -> bool:
+def has_room(upstream: Upstream, view: SchedulingView) -> bool:
     """Return whether an upstream has a slot and little queued prefill."""
     total = view.loads.total(upstream.incarnation, view.now_ms)
     return find_shortage(upstream, total) is None
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -10,7 +10,7 @@
 
 from ..catalog.upstreams import Upstream
 from ..runtime import rendezvous
-from .capacity import accepts_work, has_free_slot, may_fit, may_serve
+from .capacity import accepts_work, has_room, may_fit, may_serve
 from .estimates import PromptContext, evaluate, find_best
 from .long_prompts import find_best_for_long, long_prompt_engines, open_to_long
 from .placement import Demand, NoCapacity, Obstacle, Placement, SchedulingView
@@ -25,8 +25,9 @@
     accepting = [u for u in usable if accepts_work(u, view)]
     is_long = _has_engine_prompt(demand) and not demand.is_urgent
     candidates = open_to_long(demand, accepting, view) if is_long else accepting
-    # One with room is enough here. Most choices for waiting requests end here, too.
-    with_slot = (u for u in candidates if has_free_slot(u, view))
+    # Stops at the first upstream with room. While all are full, a choice for a queued
+    # request ends here, before any estimate is computed.
+    with_slot = (u for u in candidates if has_room(u, view))
     if not may_fit(demand, with_slot, view):
         return NoCapacity(len(usable))
     context = _prompt_context(demand, accepting, view)
