Look for candidates once for all requests that wait for the same ones

Which upstreams have room for a request depends on its model, on whether it is urgent, and on how tight its objective is, so that one search is enough for all that are alike. Since when weights of a version are outdated is also computed once until another version is wanted.

Shown by a test that counts searches and choices: 6 choices before, none and one search now.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -12,7 +12,12 @@
 
 from ..catalog.upstreams import Upstream, UpstreamDirectory
 from ..scheduling.capacity import may_fit, may_serve, with_capacity
-from ..scheduling.choice import choose, options
+from ..scheduling.choice import (
+    candidates_key,
+    choose,
+    find_candidates,
+    options,
+)
 from ..scheduling.loads import FleetLoads, LoadReport, Work
 from ..scheduling.long_prompts import has_tight_objective
 from ..scheduling.placement import (
@@ -103,6 +108,8 @@
 
 #: What is decided on a request when it arrives.
 Decision = Placement | ExpectedWait | Refusal
+#: ``find(queued)`` returns the upstreams one of which must fit for a placement.
+FindCandidates = Callable[[QueuedRequest], list[Upstream]]
 
 
 class Preview(NamedTuple):
@@ -338,11 +345,30 @@
             queue.discard(lambda number: self._futures[number].done())
             if not len(queue):
                 continue
-            candidates = with_capacity(self._sendable(name), self._view())
-            if candidates:
-                try_reserve = functools.partial(self._try_reserve, candidates)
+            if with_capacity(self._sendable(name), self._view()):
+                try_reserve = functools.partial(
+                    self._try_reserve, self._candidate_finder()
+                )
                 queue.place_in_order(try_reserve, self._now_ms())
 
+    def _candidate_finder(self) -> FindCandidates:
+        """Return a function that looks for candidates once for all with the same ones.
+
+        In a burst, most requests that wait have no candidate. What is placed meanwhile
+        leaves fewer candidates, never more.
+        """
+        found: dict[tuple, list[Upstream]] = {}
+
+        def find(queued: QueuedRequest) -> list[Upstream]:
+            demand, excluded = queued.demand, self._excluded[queued.number]
+            key = (candidates_key(demand), excluded)
+            if key not in found:
+                upstreams = self._not_excluded(demand, excluded)
+                found[key] = find_candidates(demand, upstreams, self._view())
+            return found[key]
+
+        return find
+
     def _refuse_late(self) -> None:
         """Refuse queued requests as soon as they can no longer be placed in time."""
         now_ms = self._now_ms()
@@ -369,8 +395,8 @@
         queue.remove(queued.number)
         return future
 
-    def _try_reserve(self, candidates: list[Upstream], queued: QueuedRequest) -> bool:
-        if not may_fit(queued.demand, candidates, self._view()):
+    def _try_reserve(self, find: FindCandidates, queued: QueuedRequest) -> bool:
+        if not may_fit(queued.demand, find(queued), self._view()):
             return False
         placement = self._choose(queued.demand, self._excluded[queued.number])
         if isinstance(placement, NoCapacity):
@@ -383,9 +409,11 @@
     def _choose(
         self, demand: Demand, excluded: frozenset[str]
     ) -> Placement | NoCapacity:
+        return choose(demand, self._not_excluded(demand, excluded), self._view())
+
+    def _not_excluded(self, demand: Demand, excluded: frozenset[str]) -> list[Upstream]:
         usable = self._sendable(demand.service.name)
-        upstreams = [u for u in usable if u.upstream_id not in excluded]
-        return choose(demand, upstreams or usable, self._view())
+        return [u for u in usable if u.upstream_id not in excluded] or usable
 
     def _sendable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that requests may be sent to now."""
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -6,13 +6,18 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from ..catalog.upstreams import Upstream
 from ..runtime import rendezvous
 from .capacity import accepts_work, has_room, may_fit, may_serve
 from .estimates import PromptContext, evaluate, find_best
-from .long_prompts import find_best_for_long, long_prompt_engines, open_to_long
+from .long_prompts import (
+    find_best_for_long,
+    has_tight_objective,
+    long_prompt_engines,
+    open_to_long,
+)
 from .placement import Demand, NoCapacity, Obstacle, Placement, SchedulingView
 from .prefill import SharedPrompt, find_cache_sources, prefill_planner
 
@@ -23,21 +28,36 @@
     """Return the best placement among upstreams with free capacity."""
     usable = [u for u in upstreams if may_serve(demand, u, view)]
     accepting = [u for u in usable if accepts_work(u, view)]
-    is_long = _has_engine_prompt(demand) and not demand.is_urgent
-    candidates = open_to_long(demand, accepting, view) if is_long else accepting
-    # Stops at the first upstream with room. While all are full, a choice for a queued
-    # request ends here, before any estimate is computed.
-    with_slot = (u for u in candidates if has_room(u, view))
-    if not may_fit(demand, with_slot, view):
+    # Stops at the first upstream with room. While all are full, the choice ends here,
+    # before any estimate is computed.
+    if not may_fit(demand, _with_room(demand, accepting, view), view):
         return NoCapacity(len(usable))
     context = _prompt_context(demand, accepting, view)
-    if is_long:
+    if _is_long(demand):
         best = find_best_for_long(demand, context, accepting, view)
     else:
         best = find_best(demand, context, accepting, view)
     return best or NoCapacity(len(usable))
 
 
+def find_candidates(
+    demand: Demand, upstreams: Iterable[Upstream], view: SchedulingView
+) -> list[Upstream]:
+    """Return the upstreams with a slot, one of which must fit for a placement.
+
+    They are the same for requests with the same ``candidates_key``.
+    """
+    usable = [u for u in upstreams if may_serve(demand, u, view)]
+    accepting = [u for u in usable if accepts_work(u, view)]
+    return list(_with_room(demand, accepting, view))
+
+
+def candidates_key(demand: Demand) -> tuple[str | None, bool, bool]:
+    """Return what of a request decides which upstreams are its candidates."""
+    model = demand.prompt.model if demand.prompt is not None else None
+    return model, demand.is_urgent, has_tight_objective(demand)
+
+
 def options(
     demand: Demand, upstreams: Iterable[Upstream], view: SchedulingView
 ) -> list[tuple[Upstream, Placement | Obstacle]]:
@@ -90,6 +110,18 @@
     return PromptContext(long_engines, shared_prompt, plan, preferred_id, cache_sources)
 
 
+def _with_room(
+    demand: Demand, accepting: list[Upstream], view: SchedulingView
+) -> Iterator[Upstream]:
+    is_long = _is_long(demand)
+    candidates = open_to_long(demand, accepting, view) if is_long else accepting
+    return (u for u in candidates if has_room(u, view))
+
+
+def _is_long(demand: Demand) -> bool:
+    return _has_engine_prompt(demand) and not demand.is_urgent
+
+
 def _has_engine_prompt(demand: Demand) -> bool:
     """Return whether a request has a prompt that an engine prefills."""
     return demand.prompt is not None and demand.service.engine is not None
--- a/buckthornrock/scheduling/weights.py
+++ b/buckthornrock/scheduling/weights.py
@@ -33,6 +33,8 @@
         self._start_limit_ms = usable_ms + start_margin_ms
         self._wanted_versions: dict[str, list[WantedWeights]] = {}
         self._seen_versions: dict[tuple[tuple[str, int], str], int] = {}
+        # When a version newer than a loaded one was wanted first, by model and version.
+        self._outdated_since_ms: dict[tuple[str, int], float] = {}
 
     def on_wanted(self, model: str, version: int, since_ms: float) -> bool:
         """Record a wanted version; return whether it wasn't known.
@@ -41,6 +43,7 @@
         the newest one first. For a known version the earlier time is kept, since a
         peer may have learnt of it before this instance started.
         """
+        self._outdated_since_ms.clear()
         versions = self._wanted_versions.setdefault(model, [])
         index = bisect.bisect_left(versions, version, key=lambda known: known.version)
         if index < len(versions) and versions[index].version == version:
@@ -107,7 +110,11 @@
         versions = self._wanted_versions.get(model)
         if not versions or versions[-1].version <= loaded:
             return 0.0
-        return now_ms - min(v.known_at_ms for v in versions if v.version > loaded)
+        since_ms = self._outdated_since_ms.get((model, loaded))
+        if since_ms is None:
+            since_ms = min(v.known_at_ms for v in versions if v.version > loaded)
+            self._outdated_since_ms[model, loaded] = since_ms
+        return now_ms - since_ms
 
     def usable_for_ms(self, upstream: Upstream, model: str, now_ms: float) -> float:
         """Return for how long new requests may still use the weights loaded there."""
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -8,9 +8,12 @@
 from buckthornrock.gateway import dispatcher as dispatcher_module
 from buckthornrock.gateway.dispatcher import TICK_MS, Dispatcher
 from buckthornrock.gateway.requests import AdmittedRequest
-from buckthornrock.scheduling.choice import choose
+from buckthornrock.scheduling.choice import choose, find_candidates
 from buckthornrock.scheduling.loads import FleetLoads, Work
-from buckthornrock.scheduling.long_prompts import MAX_OVERFLOW_OBJECTIVE_MS
+from buckthornrock.scheduling.long_prompts import (
+    MAX_OVERFLOW_OBJECTIVE_MS,
+    long_prompt_engines,
+)
 from buckthornrock.scheduling.wait_queue import WaitQueue
 from buckthornrock.wire.numeric_ids import incarnation_number
 from tests.scheduling.test_overflow import tight_long
@@ -102,6 +105,39 @@
     asyncio.run(main())
 
 
+def test_requests_that_wait_for_the_same_engines_look_for_them_once(monkeypatch):
+    """In a burst of long prompts, half of the processor time went into their queue.
+
+    Six of them were tried whenever it was looked at, while all engines for long prompts
+    were full and the others idle.
+    """
+    n_looks = 0
+
+    def count(*arguments):
+        nonlocal n_looks
+        n_looks += 1
+        return find_candidates(*arguments)
+
+    async def main():
+        burst = Burst(monkeypatch)
+        full = {
+            incarnation_number(*e.incarnation): NO_CAPACITY["slots"]
+            for e in long_prompt_engines(burst.engines).values()
+        }
+        burst.loads.on_digest("relay", full, burst.now_ms)
+        reservations = [task for task in await burst.enqueue_burst() if not task.done()]
+        assert len(reservations) == burst.dispatcher.n_waiting() >= N_WAITING // 2
+        burst.n_choices = 0
+        monkeypatch.setattr(dispatcher_module, "find_candidates", count)
+        burst.dispatcher.schedule_wake()
+        await asyncio.sleep(0)
+        assert (burst.n_choices, n_looks) == (0, 1)
+        for task in reservations:
+            task.cancel()
+
+    asyncio.run(main())
+
+
 def test_dispatcher_sets_timers_only_while_requests_wait(monkeypatch):
     """An idle instance woke 50 times a second to look at empty queues."""
     n_timers = 0
