Forward upstreams' and crashes' updates by one rule

UpstreamGossip and CrashGossip each kept a pair of queues and repeated how updates are forwarded: a follower's to all contacts, a relay's to followers only. UpdateQueues holds the pair and the rule for both. No behaviour changes; the tests of gossip pass, with the names of the queues' methods followed in one of them.

--- a/buckthornrock/gateway/crash_gossip.py
+++ b/buckthornrock/gateway/crash_gossip.py
@@ -13,11 +13,10 @@
     CrashSuspicion,
     Digest,
     PartQuarantine,
-    Scope,
     SoundPart,
 )
 from .crash_findings import CrashFindings
-from .gossip_queue import GossipQueue
+from .gossip_queue import UpdateQueues
 
 #: Quarantines in one digest.
 MAX_QUARANTINES_LISTED = 8
@@ -41,19 +40,18 @@
     ) -> None:
         self._findings = findings
         self._now_ms = now_ms
-        self._updates = GossipQueue(_key)
-        self._relay_updates = GossipQueue(_key)
+        self._updates = UpdateQueues(_key)
         self._n_listed = 0
         findings.set_observers(self._on_suspicion, self._on_sound, on_urgent)
 
     def fill(self, digest: Digest) -> None:
         """Add this instance's findings to a digest for all contacts."""
-        _add_updates(digest, self._updates.next_batch(), self._now_ms())
+        _add_updates(digest, self._updates.next_for_all(), self._now_ms())
         digest.quarantines = self._next_quarantines()
 
     def fill_for_followers(self, digest: Digest) -> None:
         """Add what other relays found to a digest for followers."""
-        _add_updates(digest, self._relay_updates.next_batch(), self._now_ms())
+        _add_updates(digest, self._updates.next_for_followers(), self._now_ms())
 
     def apply(self, digest: Digest) -> None:
         """Apply a peer's findings, and forward its updates."""
@@ -71,11 +69,12 @@
                 sound_at_ms,
             )
             findings.on_peer_suspicion(suspicion)
-            self._forward(suspicion, digest.scope)
+            self._updates.forward(suspicion, digest.scope, now_ms)
         for sound in digest.sound_parts:
             at_ms = now_ms - sound.age_ms
             findings.on_peer_sound(sound.part, at_ms, digest.instance_id)
-            self._forward(SoundUpdate(sound.part, at_ms), digest.scope)
+            update = SoundUpdate(sound.part, at_ms)
+            self._updates.forward(update, digest.scope, now_ms)
         for listed in digest.quarantines:
             state = Quarantine(
                 listed.version,
@@ -91,13 +90,6 @@
     def _on_sound(self, part: int, at_ms: float) -> None:
         self._updates.add(SoundUpdate(part, at_ms), self._now_ms())
 
-    def _forward(self, item: Suspicion | SoundUpdate, scope: Scope) -> None:
-        """Forward a follower's update to all contacts, a relay's to followers only."""
-        if scope is Scope.OWN:
-            self._updates.add(item, self._now_ms())
-        elif scope is Scope.GROUP:
-            self._relay_updates.add(item, self._now_ms())
-
     def _next_quarantines(self) -> list[PartQuarantine]:
         """Return the next quarantines in rotation."""
         now_ms, known = self._now_ms(), self._findings.quarantines()
--- a/buckthornrock/gateway/gossip_queue.py
+++ b/buckthornrock/gateway/gossip_queue.py
@@ -1,10 +1,10 @@
-"""Queue of state updates, each repeated in several digests as datagrams may be lost."""
+"""Queues of state updates, each sent in several digests as datagrams may be lost."""
 
 from collections import OrderedDict, deque
 from collections.abc import Callable, Hashable
 from typing import Any, NamedTuple
 
-from ..wire.digests import LoadedWeights
+from ..wire.digests import LoadedWeights, Scope
 
 #: Number of digests that carry one update.
 N_TRANSMISSIONS = 3
@@ -76,6 +76,42 @@
             del self._added_at_ms[key]
 
 
+class UpdateQueues:
+    """Updates for all contacts, and those of other relays for followers only.
+
+    Parameters
+    ----------
+    key : callable
+        Returns what makes two updates alike.
+    """
+
+    def __init__(self, key: Callable[[Any], Hashable] | None = None) -> None:
+        self._for_all = GossipQueue(key)
+        self._for_followers = GossipQueue(key)
+
+    def add(self, item: Any, now_ms: float) -> None:
+        """Queue this instance's own update."""
+        self._for_all.add(item, now_ms)
+
+    def forward(self, item: Any, scope: Scope, now_ms: float) -> None:
+        """Forward a follower's update to all contacts, a relay's to followers only.
+
+        Updates from other relays are not sent to relays again, so that no update loops.
+        """
+        if scope is Scope.OWN:
+            self._for_all.add(item, now_ms)
+        elif scope is Scope.GROUP:
+            self._for_followers.add(item, now_ms)
+
+    def next_for_all(self) -> list[Any]:
+        """Return the updates for the next digest to all contacts."""
+        return self._for_all.next_batch()
+
+    def next_for_followers(self) -> list[Any]:
+        """Return the further updates for the next digest to followers."""
+        return self._for_followers.next_batch()
+
+
 def _key(item: Update) -> Hashable:
     if isinstance(item, PartUpdate):
         return item.upstream, item.part
--- a/buckthornrock/gateway/upstream_gossip.py
+++ b/buckthornrock/gateway/upstream_gossip.py
@@ -17,7 +17,7 @@
 )
 from ..wire.numeric_ids import incarnation_number
 from .fleet_state import FleetState
-from .gossip_queue import GossipQueue, LeavingUpdate, PartUpdate, Update
+from .gossip_queue import LeavingUpdate, PartUpdate, Update, UpdateQueues
 from .weights_loads import Loading
 
 
@@ -32,8 +32,7 @@
     ) -> None:
         self._fleet_state = fleet_state
         self._now_ms = now_ms
-        self._updates = GossipQueue()
-        self._relay_updates = GossipQueue()
+        self._updates = UpdateQueues()
         fleet_state.set_observers(
             self._on_part_cached, self._on_loaded, self._on_leaving, on_urgent
         )
@@ -41,7 +40,7 @@
     def fill(self, digest: Digest, now_ms: float) -> None:
         """Add updates and weights loads to a digest for all contacts."""
         digest.loading = self._loading(now_ms, is_for_relays=True)
-        updates = self._updates.next_batch()
+        updates = self._updates.next_for_all()
         digest.loaded, digest.cached_parts = _encode_updates(updates, now_ms)
         digest.leaving = _leaving(updates)
 
@@ -51,7 +50,7 @@
         Its lists are replaced, since it shares them with the digest for all contacts.
         """
         digest.loading = self._loading(now_ms, is_for_relays=False)
-        updates = self._relay_updates.next_batch()
+        updates = self._updates.next_for_followers()
         loaded, parts = _encode_updates(updates, now_ms)
         digest.loaded = digest.loaded + loaded
         digest.cached_parts = digest.cached_parts + parts
@@ -72,11 +71,11 @@
                 fleet_state.weights_loads.on_peer_loaded(
                     incarnation, loaded.model, loaded.version
                 )
-                self._forward(loaded, digest.scope, now_ms)
+                self._updates.forward(loaded, digest.scope, now_ms)
         for number in digest.leaving:
             if incarnation := known.get(number):
                 fleet_state.notices.on_peer_leaving(incarnation, digest.instance_id)
-                self._forward(LeavingUpdate(number), digest.scope, now_ms)
+                self._updates.forward(LeavingUpdate(number), digest.scope, now_ms)
         for part in digest.cached_parts:
             if incarnation := known.get(part.upstream):
                 ready_at_ms = now_ms + part.ready_in_ms
@@ -86,17 +85,7 @@
                 update = PartUpdate(
                     part.upstream, part.part, part.n_tokens, ready_at_ms
                 )
-                self._forward(update, digest.scope, now_ms)
-
-    def _forward(self, item: Update, scope: Scope, now_ms: float) -> None:
-        """Forward a follower's update to all contacts, a relay's to followers only.
-
-        Updates from other relays are not sent to relays again, so that no update loops.
-        """
-        if scope is Scope.OWN:
-            self._updates.add(item, now_ms)
-        elif scope is Scope.GROUP:
-            self._relay_updates.add(item, now_ms)
+                self._updates.forward(update, digest.scope, now_ms)
 
     def _loading(self, now_ms: float, is_for_relays: bool) -> list[LoadingEngine]:
         loading_by_engine = self._fleet_state.weights_loads.loading()
--- a/tests/gateway/test_crash_gossip.py
+++ b/tests/gateway/test_crash_gossip.py
@@ -84,8 +84,8 @@
     crash_twice(fleet, [(fleet.nodes[5], fleet.nodes[9])])
     fleet.run(3_000.0)
     for node in fleet.nodes:
-        assert not node.peers._crash_gossip._updates.next_batch()
-        assert not node.peers._crash_gossip._relay_updates.next_batch()
+        assert not node.peers._crash_gossip._updates.next_for_all()
+        assert not node.peers._crash_gossip._updates.next_for_followers()
 
 
 def test_digest_of_a_build_without_these_fields_is_read():
