Stop at the first upstream with capacity when a queue is looked at

A look at a queue listed all upstreams with capacity only to see whether there is any, and then looked for candidates among the same ones. One that has capacity is enough.

--- a/buckthornrock/gateway/dispatcher.py
+++ b/buckthornrock/gateway/dispatcher.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok, Result
 
 from ..catalog.upstreams import Upstream, UpstreamDirectory
-from ..scheduling.capacity import may_fit, may_serve, with_capacity
+from ..scheduling.capacity import has_capacity, may_fit, may_serve
 from ..scheduling.choice import (
     candidates_key,
     choose,
@@ -345,7 +345,8 @@
             queue.discard(lambda number: self._futures[number].done())
             if not len(queue):
                 continue
-            if with_capacity(self._sendable(name), self._view()):
+            view = self._view()
+            if any(has_capacity(u, view) for u in self._sendable(name)):
                 try_reserve = functools.partial(
                     self._try_reserve, self._candidate_finder()
                 )
--- a/buckthornrock/scheduling/capacity.py
+++ b/buckthornrock/scheduling/capacity.py
@@ -28,11 +28,9 @@
     return view.weights.is_usable(upstream, demand.prompt.model, view.now_ms)
 
 
-def with_capacity(
-    upstreams: Iterable[Upstream], view: SchedulingView
-) -> list[Upstream]:
-    """Return the upstreams of a service that can take one more request."""
-    return [u for u in upstreams if accepts_work(u, view) and has_room(u, view)]
+def has_capacity(upstream: Upstream, view: SchedulingView) -> bool:
+    """Return whether an upstream can take one more request."""
+    return accepts_work(upstream, view) and has_room(upstream, view)
 
 
 def may_fit(
--- a/buckthornrock/scheduling/choice.py
+++ b/buckthornrock/scheduling/choice.py
@@ -47,8 +47,9 @@
 
     They are the same for requests with the same ``candidates_key``.
     """
-    usable = [u for u in upstreams if may_serve(demand, u, view)]
-    accepting = [u for u in usable if accepts_work(u, view)]
+    accepting = [
+        u for u in upstreams if may_serve(demand, u, view) and accepts_work(u, view)
+    ]
     return list(_with_room(demand, accepting, view))
 
 
--- a/buckthornrock/scheduling/long_prompts.py
+++ b/buckthornrock/scheduling/long_prompts.py
@@ -1,9 +1,8 @@
 """Separates long prompts from urgent requests on the engines of a service.
 
 Every prompt of a route that isn't urgent counts as long. Long prompts go to a share of
-the engines, the long-prompt engines. The others are
-reserved for urgent requests; long prompts overflow to a part of them while the
-long-prompt engines have no place in time.
+the engines, the long-prompt engines. The others are reserved for urgent requests; long
+prompts overflow to a part of them while the long-prompt engines have no place in time.
 """
 
 import functools
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from buckthornrock.scheduling import choice
-from buckthornrock.scheduling.capacity import with_capacity
+from buckthornrock.scheduling.capacity import has_capacity
 from buckthornrock.scheduling.choice import choose, options
 from buckthornrock.scheduling.estimates import evaluate, find_best
 from buckthornrock.scheduling.loads import FleetLoads, LoadReport, Work
@@ -70,10 +70,11 @@
     for upstream, work in zip(engines, works, strict=True):
         loads.of(upstream.incarnation).own = work
     chosen = choose(demand, engines, view(loads=loads))
-    if not with_capacity(engines, view(loads=loads)):
+    with_capacity = [e for e in engines if has_capacity(e, view(loads=loads))]
+    if not with_capacity:
         assert chosen == NoCapacity(3)
     if isinstance(chosen, Placement):
-        assert chosen.upstream in with_capacity(engines, view(loads=loads))
+        assert chosen.upstream in with_capacity
 
 
 def test_expired_peer_work_is_not_counted():
