--- a/tests/soak/test_startup_hook.py
+++ b/tests/soak/test_startup_hook.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from contextlib import contextmanager
 
 import pytest
 
@@ -39,27 +40,36 @@
     return Instance("edge-0", own, tmp_path, Record(), tmp_path)
 
 
-@pytest.fixture
-def read_clocks(instance):
+@contextmanager
+def asked(instance, script):
+    """Run a script; the function writes a line to it and returns its answer."""
     process = subprocess.Popen(
-        [sys.executable, "-c", SCRIPT],
+        [sys.executable, "-c", script],
         env=instance.environment(),
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     )
 
-    def read():
-        process.stdin.write("\n")
+    def ask(line):
+        process.stdin.write(line + "\n")
         process.stdin.flush()
-        line = process.stdout.readline()
-        return dict(zip(CLOCKS, map(float, line.split()), strict=True))
+        return process.stdout.readline()
 
-    yield read
+    yield ask
     process.stdin.close()
     process.wait()
 
 
+@pytest.fixture
+def read_clocks(instance):
+    def read():
+        return dict(zip(CLOCKS, map(float, ask("").split()), strict=True))
+
+    with asked(instance, SCRIPT) as ask:
+        yield read
+
+
 @pytest.mark.parametrize("steps_s", [[20.0], [-7.5], [20.0, -20.0], [-3.0, -4.0]])
 def test_only_the_wall_clock_jumps(instance, read_clocks, steps_s):
     before, before_s = read_clocks(), time.monotonic()
@@ -97,23 +107,12 @@
 
 @pytest.fixture
 def send(instance):
-    process = subprocess.Popen(
-        [sys.executable, "-c", SENDER],
-        env=instance.environment(),
-        stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-
     def send(receiver, text):
         ip, port = receiver.getsockname()
-        process.stdin.write(f"{ip} {port} {text}\n")
-        process.stdin.flush()
-        process.stdout.readline()
+        ask(f"{ip} {port} {text}")
 
-    yield send
-    process.stdin.close()
-    process.wait()
+    with asked(instance, SENDER) as ask:
+        yield send
 
 
 @pytest.fixture
