Read the configuration and notices where the fleet state keeps them

FleetState repeated the table and the version of ConfigurationInForce, and NoticeRecorder's on_notice, for callers that a split left with the old names; they use the parts now. The outcome of an attempt was counted in two modules by the same call; ExchangeState.record_outcome is that call. No behaviour changes.

--- a/buckthornrock/compose/gateway.py
+++ b/buckthornrock/compose/gateway.py
@@ -228,7 +228,7 @@
 
     return RolloutActor.start(
         lease,
-        open_engine_control(post(fleet_state.on_notice)),
+        open_engine_control(post(fleet_state.notices.on_notice)),
         read_inputs,
         RolloutCallbacks(post(weights_loads.on_loading), post(weights_loads.on_loaded)),
         settings.node_name,
--- a/buckthornrock/gateway/attempt.py
+++ b/buckthornrock/gateway/attempt.py
@@ -65,7 +65,7 @@
         async with asyncio.timeout(head_limit_s) as limit:
             head = await connection.read_head(admitted.request_id)
             state.head_at_ms = state.now_ms()
-            context.fleet_state.on_notice(upstream, head.fields.notice)
+            context.fleet_state.notices.on_notice(upstream, head.fields.notice)
             # The body of a refusal has a limit of its own, so that the attempt's
             # doesn't hide that the request did not run.
             is_limited = not (is_stream(state, head) or head.fields.is_not_executed)
--- a/buckthornrock/gateway/attempt_response.py
+++ b/buckthornrock/gateway/attempt_response.py
@@ -59,13 +59,13 @@
             must_have_event=head.ends_with_connection,
         )
         _report_end(state, head, watched)
-        _record_outcome(state, reservation, is_failure=False)
+        state.record_outcome(reservation, is_failure=False)
         return Ok(None)
     body = await connection.read_body(functools.partial(_hold_body, state))
     if head.status == 200:
         _report_end(state, head, watched)
     is_failure = head.status >= 500
-    _record_outcome(state, reservation, is_failure)
+    state.record_outcome(reservation, is_failure)
     if state.client.has_sent_head:
         return Error(Interrupted(f"status {head.status} for a resumed stream"))
     if is_failure and state.admitted.route.is_repeatable:
@@ -100,12 +100,6 @@
         state.context.crash_watch.on_whole(watched)
 
 
-def _record_outcome(
-    state: ExchangeState, reservation: Reservation, is_failure: bool
-) -> None:
-    state.upstream_load(reservation).on_outcome(is_failure, state.now_ms())
-
-
 async def _drain_refusal(state: ExchangeState, connection: UpstreamConnection) -> None:
     """Read the body of a refusal, so that the connection can be reused.
 
--- a/buckthornrock/gateway/exchange_state.py
+++ b/buckthornrock/gateway/exchange_state.py
@@ -95,17 +95,22 @@
 
     def cache_scope_in_force(self) -> str:
         """Return the account's cache scope in the configuration in force."""
-        return self.context.fleet_state.table.cache_scope(self.admitted.account)
+        table = self.context.fleet_state.configuration.table
+        return table.cache_scope(self.admitted.account)
 
     def upstream_load(self, reservation: Reservation) -> UpstreamLoad:
         """Return the load of the upstream that was reserved."""
         incarnation = reservation.placement.upstream.incarnation
         return self.context.dispatcher.loads.of(incarnation)
 
+    def record_outcome(self, reservation: Reservation, is_failure: bool) -> None:
+        """Count a success or failure towards the upstream's failure rate."""
+        self.upstream_load(reservation).on_outcome(is_failure, self.now_ms())
+
     def progress(self) -> Progress:
         """Return the progress of the request, for its log lines."""
         received_at_ms = self.admitted.request.received_at_ms
-        now_ms = self.now_ms()
+        now_ms, fleet_state = self.now_ms(), self.context.fleet_state
         return Progress(
             upstream_id=self.upstream_id,
             waited_ms=self.waited_ms,
@@ -115,6 +120,6 @@
             n_unexecuted=self.n_unexecuted,
             last_event_id=self.relay.last_event_id,
             digests_age_ms=self.context.dispatcher.loads.digests_age_ms(now_ms),
-            configuration_version=self.context.fleet_state.configuration_version,
-            store_age_ms=self.context.fleet_state.store_age_ms(),
+            configuration_version=fleet_state.configuration.version,
+            store_age_ms=fleet_state.store_age_ms(),
         )
--- a/buckthornrock/gateway/fleet_state.py
+++ b/buckthornrock/gateway/fleet_state.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from ..catalog.configuration import Configuration
-from ..catalog.route_table import RouteTable
 from ..catalog.upstreams import Incarnation, UpstreamDirectory
 from ..scheduling.cached_parts import PartKey
 from ..scheduling.crash_suspects import CrashSuspects
@@ -60,8 +59,6 @@
         Records cached parts in ``loads``.
     notices : NoticeRecorder
         Records what upstreams say of themselves.
-    on_notice : callable
-        ``on_notice(upstream, notice)`` records a notice in an answer.
     log_undecodable : callable
         ``log_undecodable(what, reason)`` logs a value from the store or a peer that
         cannot be decoded.
@@ -105,7 +102,6 @@
         self.notices = NoticeRecorder(
             self.directory.notices, observers, now_ms, telemetry
         )
-        self.on_notice = self.notices.on_notice
         self.upstreams = UpstreamReplica(
             self.directory,
             self.store_contact,
@@ -116,17 +112,6 @@
             telemetry,
         )
 
-    @property
-    def table(self) -> RouteTable | None:
-        """The configuration in force, None before there is one."""
-        return self.configuration.table
-
-    @property
-    def configuration_version(self) -> int:
-        """Version of the configuration in force, 0 before there is one."""
-        table = self.configuration.table
-        return table.configuration.version if table else 0
-
     @property
     def needs_peers(self) -> bool:
         """Whether changes are to be learnt from peers, not from the store itself."""
@@ -145,8 +130,7 @@
 
     def view(self) -> SchedulingView:
         """Return the inputs for choosing an upstream."""
-        table = self.configuration.table
-        stores = table.configuration.prompt_stores if table else ()
+        stores = self.configuration.prompt_stores
         now_ms = self._now_ms()
         cache_only = tuple(self.directory.cache_only(now_ms))
         return SchedulingView(
--- a/buckthornrock/gateway/retry_decision.py
+++ b/buckthornrock/gateway/retry_decision.py
@@ -49,7 +49,7 @@
     state.n_may_have_run += 1
     if not state.is_own_fault:
         is_failure = state.upstream_failure is None
-        state.upstream_load(reservation).on_outcome(is_failure, state.now_ms())
+        state.record_outcome(reservation, is_failure)
 
 
 def decide_next(
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -226,7 +226,7 @@
             if load == "full":
                 fleet_state.loads.of(upstream.incarnation).own = Work(8, 400.0, 99_000)
             if load == "quiet":
-                fleet_state.on_notice(upstream, Notice(False, True, 60_000.0))
+                fleet_state.notices.on_notice(upstream, Notice(False, True, 60_000.0))
         waiting = []
         if load == "full":
             for number in range(3):
@@ -259,7 +259,7 @@
 
 
 def notice(harness, upstream, *fields):
-    harness.fleet_state.on_notice(upstream, Notice(*fields))
+    harness.fleet_state.notices.on_notice(upstream, Notice(*fields))
 
 
 #: Obstacle -> what brings it about at an engine, with its arguments.
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -123,7 +123,7 @@
     fleet = Fleet(n_instances, loss=loss)
     fleet.run(DISCOVERY_MS)
     leaving, other = fleet.upstreams[:2]
-    fleet.nodes[-1].fleet_state.on_notice(leaving, Notice(is_leaving=True))
+    fleet.nodes[-1].fleet_state.notices.on_notice(leaving, Notice(is_leaving=True))
     fleet.run(GOSSIP_LIMIT_MS)
     for node in fleet.nodes:
         usable = node.fleet_state.directory.usable("engines")
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -89,9 +89,9 @@
     state.upstreams.replace([UPSTREAM], 1)
     told = []
     state.set_observers(told.append, told.append, told.append, lambda: told.append(""))
-    state.on_notice(UPSTREAM, Notice(False, True, 1_000.0))
+    state.notices.on_notice(UPSTREAM, Notice(False, True, 1_000.0))
     assert not told
-    state.on_notice(UPSTREAM, Notice(is_leaving=True))
+    state.notices.on_notice(UPSTREAM, Notice(is_leaving=True))
     assert told == [UPSTREAM.incarnation, ""]
 
 
@@ -181,7 +181,7 @@
         while two.weights.loaded(UPSTREAM, "m") != 2:
             await asyncio.sleep(0.01)
         assert load.loading_until_ms == 0.0
-        one.on_notice(UPSTREAM, Notice(is_leaving=True))
+        one.notices.on_notice(UPSTREAM, Notice(is_leaving=True))
         while two.directory.usable("s"):
             await asyncio.sleep(0.01)
         assert peers_two.n_instances() == 2
--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -360,7 +360,7 @@
         acquired = await acquire(pool, upstream, *arguments)
         if not withdrawn:
             withdrawn.append(upstream)
-            harnesses[0].fleet_state.on_notice(upstream, notice)
+            harnesses[0].fleet_state.notices.on_notice(upstream, notice)
         return acquired
 
     monkeypatch.setattr(ConnectionPool, "acquire", acquire_and_withdraw)
@@ -398,7 +398,7 @@
     async def acquire_and_withdraw(pool, upstream, *arguments):
         for source in harnesses[0].fleet_state.directory.all():
             if source.address == sources[0].address:
-                harnesses[0].fleet_state.on_notice(source, notice)
+                harnesses[0].fleet_state.notices.on_notice(source, notice)
         return await acquire(pool, upstream, *arguments)
 
     def place_with_source(demand, upstreams, view):
