--- /dev/null
+++ b/review/standins2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: platform, engines and clients on loopback."""
--- /dev/null
+++ b/review/standins2/client.py
@@ -0,0 +1,54 @@
+"""Clients: a request with the platform's headers, and one exchange on an open connection."""
+
+import asyncio
+
+from .deployment import HOST, KEY, MAX_HEADER_BYTES, MODEL
+
+
+def prompt_request(
+    request_id: str, parts: str, token_counts: str, route: str = "lot-assess", limit_ms=12_000
+) -> bytes:
+    """Return a whole request; its head stays within maxHeaderBytes."""
+    lines = [
+        f"POST /{route}/lots HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Buckthornrock-Request-Id: {request_id}",
+        f"X-Buckthornrock-Model: {MODEL}",
+        f"X-Buckthornrock-Token-Count: {token_counts}",
+        f"X-Buckthornrock-Prefix-Hash: {parts}",
+        f"X-Buckthornrock-Deadline-Ms: {limit_ms}",
+        f"Authorization: Bearer {KEY}",
+        "Content-Length: 2",
+    ]
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    assert len(head) <= MAX_HEADER_BYTES, len(head)
+    return head + b"ok"
+
+
+async def open_to(address: str):
+    """Return reader and writer of a new connection."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port), limit=131_072)
+
+
+async def read_status(reader) -> str:
+    """Read one whole response; return its status."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    fields = dict(line.partition(": ")[::2] for line in head.split("\r\n")[1:] if line)
+    if "content-length" in fields:
+        await reader.readexactly(int(fields["content-length"]))
+    else:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            await reader.readexactly(size + 2)
+        await reader.readuntil(b"\r\n")
+    return head[9:12]
+
+
+async def exchange(reader, writer, request: bytes) -> str:
+    """Send a request; return the status, or how the connection ended."""
+    try:
+        writer.write(request)
+        await writer.drain()
+        return await read_status(reader)
+    except (OSError, asyncio.IncompleteReadError) as error:
+        return type(error).__name__
--- /dev/null
+++ b/review/standins2/deployment.py
@@ -0,0 +1,165 @@
+"""The deployment of the cases: the figures of Shared Hanger Return, on loopback."""
+
+import json
+import time
+from pathlib import Path
+
+from tests.platform.store_server import StoreServer
+
+from .engine import SLOTS, Engine
+from .machine import Machine, network
+
+HOST = "members.example"
+MODEL = "m"
+KEY = "key-of-a-member"
+N_ENGINES = 6
+N_MACHINES = 2
+MAX_HEADER_BYTES = 16_384
+BOUNDS = {
+    "seedLagS": 3,
+    "reuseAfterS": 2,
+    "stableMs": 3000,
+    "ackMs": 4000,
+    "catchUpS": 4,
+    "drainMs": 2000,
+    "graceS": 8,
+    "lossSlackMs": 200,
+    "configMs": 2000,
+    "downgradeMs": 250,
+    "outerMs": 5000,
+    "retryRatio": 0.2,
+    "retryWindowS": 10,
+    "retrySlack": 52,
+    "recoverS": 12,
+    "transitMs": 120,
+    "reuseWindowS": 10,
+    "leaseMs": 3000,
+    "thawMs": 300,
+    "versionMs": 20000,
+    "versionAllMs": 28000,
+}
+
+
+def _route(name: str, priority: int, slo_ms: int, timeout_ms: int, **changes) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "routeKind": "streaming",
+        "timeoutMs": timeout_ms,
+        "sloMs": slo_ms,
+        "priority": priority,
+        "service": "jezyk",
+        "attempts": 1,
+        "public": False,
+        "sticky": True,
+        "resumable": False,
+        "gapSloMs": 400,
+        **changes,
+    }
+
+
+def configuration(prompt_store: str) -> dict:
+    """Return what the operator writes."""
+    engine = {
+        "slots": SLOTS,
+        "kvCapacity": 175_043,
+        "kvBytes": 35_136,
+        "linkMbps": 550_000.0,
+        "models": [{"name": MODEL}],
+    }
+    return {
+        "version": 1,
+        "routes": [_route("lot-assess", 2, 2000, 12_000), _route("note-class", 0, 500, 6_000)],
+        "services": [
+            {
+                "name": "jezyk",
+                "healthPath": "/healthz",
+                "maxConns": 610,
+                "proto": "h1",
+                "tls": False,
+                "engine": engine,
+            },
+            {
+                "name": "pamiec",
+                "kvStoreAddr": prompt_store,
+                "zone": "a",
+                "kvCapacity": 2_679_216,
+                "linkMbps": 81_000.0,
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": MAX_HEADER_BYTES,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "depot", "apiKeys": [KEY], "isolated": False}],
+    }
+
+
+class Record:
+    """Writes record.txt, a line for each thing that was seen."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "w")  # noqa: SIM115 - open for the whole run
+        self._began_s = time.monotonic()
+
+    def note(self, text: str) -> None:
+        self._file.write(f"{time.monotonic() - self._began_s:8.3f} {text}\n")
+
+    def close(self) -> None:
+        self._file.close()
+
+
+class Deployment:
+    """Store, engines and machines of one run."""
+
+    def __init__(self, folder: Path, record: Record, memory_mb: int) -> None:
+        self.folder, self.record, self.memory_mb = folder, record, memory_mb
+        self.store = StoreServer()
+        # A machine that is killed breaks its calls off; that is worth no traceback.
+        self.store.server.handle_error = lambda *_: None
+        self.engines: list[Engine] = []
+        self.machines: list[Machine] = []
+
+    async def start(self) -> bool:
+        """Start everything; return whether all machines got ready."""
+        for n in range(N_ENGINES):
+            engine = Engine(f"engine-{n}", MODEL, self.record.note)
+            await engine.start(f"{network()}.{20 + n}")
+            self.engines.append(engine)
+            entry = json.dumps(engine.entry("jezyk", "a")).encode()
+            self.store.write(f"servers/{engine.engine_id}", entry)
+        self.store.write(f"op/version/{MODEL}", b'{"model":"%s","version":1}' % MODEL.encode())
+        document = configuration(f"{network()}.3:17300")
+        self.store.write("op/config", json.dumps(document).encode())
+        ips = [f"{network()}.{10 + n}" for n in range(N_MACHINES)]
+        for n, ip in enumerate(ips):
+            machine = Machine(
+                f"edge-{n}",
+                ip,
+                self.folder,
+                self.store.address,
+                BOUNDS,
+                self.memory_mb,
+                self.record.note,
+            )
+            machine.write_settings(ips)
+            machine.start()
+            self.machines.append(machine)
+        return all([await machine.wait_ready() for machine in self.machines])
+
+    def stop(self) -> None:
+        for machine in self.machines:
+            machine.stop()
+        self.store.close()
+        self.record.close()
+
+    def breaks_fault(self) -> bool:
+        """Whether the rule Fault is broken: two machines or more with three ends each.
+
+        A tenth of two machines is less than one, so that the rule's "two at least" decides.
+        """
+        n_ends = [len(m.ends) + len(m.own_ends) for m in self.machines]
+        return sum(n >= 3 for n in n_ends) >= 2
