--- a/review/standins2/client.py
+++ b/review/standins2/client.py
@@ -6,11 +6,11 @@
 
 
 def prompt_request(
-    request_id: str, parts: str, token_counts: str, route: str = "lot-assess", limit_ms=12_000
+    request_id: str, parts: str, token_counts: str, limit_ms: int = 10_000, n_body_bytes: int = 2
 ) -> bytes:
     """Return a whole request; its head stays within maxHeaderBytes."""
     lines = [
-        f"POST /{route}/lots HTTP/1.1",
+        "POST /lot-assess/lots HTTP/1.1",
         f"Host: {HOST}",
         f"X-Buckthornrock-Request-Id: {request_id}",
         f"X-Buckthornrock-Model: {MODEL}",
@@ -18,11 +18,11 @@
         f"X-Buckthornrock-Prefix-Hash: {parts}",
         f"X-Buckthornrock-Deadline-Ms: {limit_ms}",
         f"Authorization: Bearer {KEY}",
-        "Content-Length: 2",
+        f"Content-Length: {n_body_bytes}",
     ]
     head = "\r\n".join(lines).encode() + b"\r\n\r\n"
     assert len(head) <= MAX_HEADER_BYTES, len(head)
-    return head + b"ok"
+    return head + b"x" * n_body_bytes
 
 
 async def open_to(address: str):
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -1,12 +1,14 @@
-"""The deployment of the cases: the figures of Shared Hanger Return, on loopback."""
+"""The deployments of the cases: the figures of Shared Hanger Return, on loopback."""
 
+import asyncio
 import json
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 from tests.platform.store_server import StoreServer
 
-from .engine import SLOTS, Engine
+from .engine import Engine
 from .machine import Machine, network
 
 HOST = "members.example"
@@ -14,6 +16,9 @@
 KEY = "key-of-a-member"
 N_ENGINES = 6
 N_MACHINES = 2
+#: An entry is removed after three heartbeats of silence (1.2 s each).
+LAPSES_AFTER_S = 3.6
+BACK_AFTER_S = 5.0
 MAX_HEADER_BYTES = 16_384
 BOUNDS = {
     "seedLagS": 3,
@@ -40,6 +45,37 @@
 }
 
 
+class Site(NamedTuple):
+    """What differs between the sites of the cases."""
+
+    memory_mb: int
+    n_slots: int
+    kv_tokens: int
+    limit_ms: int
+    bounds: dict
+
+
+SMALL = Site(150, 128, 175_043, 12_000, BOUNDS)
+GROWN = Site(
+    128,
+    16,
+    151_533,
+    10_000,
+    BOUNDS
+    | {
+        "stableMs": 4000,
+        "ackMs": 6000,
+        "catchUpS": 6,
+        "drainMs": 3000,
+        "configMs": 3000,
+        "outerMs": 6000,
+        "retrySlack": 172,
+        "recoverS": 15,
+        "transitMs": 200,
+    },
+)
+
+
 def _route(name: str, priority: int, slo_ms: int, timeout_ms: int, **changes) -> dict:
     return {
         "name": name,
@@ -59,18 +95,21 @@
     }
 
 
-def configuration(prompt_store: str) -> dict:
+def configuration(site: Site, prompt_store: str) -> dict:
     """Return what the operator writes."""
     engine = {
-        "slots": SLOTS,
-        "kvCapacity": 175_043,
+        "slots": site.n_slots,
+        "kvCapacity": site.kv_tokens,
         "kvBytes": 35_136,
         "linkMbps": 550_000.0,
         "models": [{"name": MODEL}],
     }
     return {
         "version": 1,
-        "routes": [_route("lot-assess", 2, 2000, 12_000), _route("note-class", 0, 500, 6_000)],
+        "routes": [
+            _route("lot-assess", 2, 2000, site.limit_ms),
+            _route("note-class", 0, 500, 6_000),
+        ],
         "services": [
             {
                 "name": "jezyk",
@@ -115,8 +154,11 @@
 class Deployment:
     """Store, engines and machines of one run."""
 
-    def __init__(self, folder: Path, record: Record, memory_mb: int) -> None:
-        self.folder, self.record, self.memory_mb = folder, record, memory_mb
+    def __init__(self, folder: Path, record: Record, site: Site, crash_part: str = "") -> None:
+        self.crash_part = crash_part
+        self.crashes_s: list[float] = []
+        self._tasks: set[asyncio.Task] = set()
+        self.folder, self.record, self.site = folder, record, site
         self.store = StoreServer()
         # A machine that is killed breaks its calls off; that is worth no traceback.
         self.store.server.handle_error = lambda *_: None
@@ -126,13 +168,9 @@
     async def start(self) -> bool:
         """Start everything; return whether all machines got ready."""
         for n in range(N_ENGINES):
-            engine = Engine(f"engine-{n}", MODEL, self.record.note)
-            await engine.start(f"{network()}.{20 + n}")
-            self.engines.append(engine)
-            entry = json.dumps(engine.entry("jezyk", "a")).encode()
-            self.store.write(f"servers/{engine.engine_id}", entry)
+            await self._start_engine(n, 1)
         self.store.write(f"op/version/{MODEL}", b'{"model":"%s","version":1}' % MODEL.encode())
-        document = configuration(f"{network()}.3:17300")
+        document = configuration(self.site, f"{network()}.3:17300")
         self.store.write("op/config", json.dumps(document).encode())
         ips = [f"{network()}.{10 + n}" for n in range(N_MACHINES)]
         for n, ip in enumerate(ips):
@@ -141,8 +179,8 @@
                 ip,
                 self.folder,
                 self.store.address,
-                BOUNDS,
-                self.memory_mb,
+                self.site.bounds,
+                self.site.memory_mb,
                 self.record.note,
             )
             machine.write_settings(ips)
@@ -150,6 +188,27 @@
             self.machines.append(machine)
         return all([await machine.wait_ready() for machine in self.machines])
 
+    async def _start_engine(self, n: int, n_start: int) -> None:
+        """Start an engine, which comes back some seconds after a crash under a new id."""
+        name = f"engine-{n}-{n_start}"
+        engine = Engine(name, MODEL, self.site.n_slots, self.record.note, self.crash_part)
+        await engine.start(f"{network()}.{20 + n}")
+        self.engines.append(engine)
+        entry = json.dumps(engine.entry("jezyk", "a")).encode()
+        self.store.write(f"servers/{name}", entry)
+
+        async def come_back() -> None:
+            await asyncio.sleep(LAPSES_AFTER_S)
+            self.store.delete(f"servers/{name}")
+            await asyncio.sleep(BACK_AFTER_S - LAPSES_AFTER_S)
+            await self._start_engine(n, n_start + 1)
+
+        def on_crash() -> None:
+            self.crashes_s.append(time.monotonic())
+            self._tasks.add(asyncio.ensure_future(come_back()))
+
+        engine.on_crash = on_crash
+
     def stop(self) -> None:
         for machine in self.machines:
             machine.stop()
--- a/review/standins2/engine.py
+++ b/review/standins2/engine.py
@@ -7,30 +7,45 @@
 PREFIX = "x-buckthornrock-"
 PREFILL_TOKENS_PER_MS = 56.1
 STEP_MS = 6.45
-SLOTS = 128
 
 
 class Engine:
     """One server of a model service; ``ran`` lists what it ran."""
 
-    def __init__(self, engine_id: str, model: str, note) -> None:
-        self.engine_id, self.model, self.note = engine_id, model, note
+    def __init__(
+        self, engine_id: str, model: str, n_slots: int, note, crash_part: str = ""
+    ) -> None:
+        self.engine_id, self.model, self.n_slots, self.note = engine_id, model, n_slots, note
         self.born_ms = int(time.time() * 1000)
         self.n_running = 0
-        self.n_run = 0
+        self.ran: set[str] = set()
+        #: Shared parts that were read, as (salt, id).
+        self._cached: set[tuple[str, str]] = set()
         self.address = ""
+        self.crash_part = crash_part
+        #: Called when the engine crashed.
+        self.on_crash = lambda: None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str) -> None:
         self._server = await asyncio.start_server(self._serve, ip, 0, backlog=512, limit=131_072)
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
 
+    def crash(self) -> None:
+        """End at once, as a process does that ends: listener and connections are closed."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self.note(f"engine {self.engine_id} crashes")
+        self.on_crash()
+
     def entry(self, service: str, zone: str) -> dict:
         return {
             "service": service,
             "addr": self.address,
             "zone": zone,
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self.n_slots,
             "state": "ready",
             "coldLeftMs": 0,
             "stage": "unified",
@@ -40,6 +55,7 @@
         }
 
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
@@ -48,6 +64,7 @@
         except asyncio.CancelledError:
             pass  # The run is over.
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(self, reader, writer) -> bool:
@@ -61,7 +78,7 @@
             models = [{"name": self.model, "version": 1, "adapters": []}]
             report = {"stage": "unified", "models": models, "busy": False, "sequence": 0}
             await self._answer(writer, "200 OK", fields, json.dumps(report).encode())
-        elif self.n_running >= SLOTS:
+        elif self.n_running >= self.n_slots:
             await self._answer(writer, "503 Service Unavailable", fields, b"", not_run=True)
         else:
             await self._run(writer, fields)
@@ -69,20 +86,33 @@
 
     async def _run(self, writer, fields) -> None:
         self.n_running += 1
-        self.n_run += 1
         request_id = fields.get(PREFIX + "request-id", "")
+        self.ran.add(request_id)
         self.note(f"engine {self.engine_id} runs {request_id}")
         try:
-            tokens = fields.get(PREFIX + "token-count", "0,1").split(",")
-            await asyncio.sleep(int(tokens[0]) / PREFILL_TOKENS_PER_MS / 1000.0)
-            events = b""
-            for n in range(1, int(tokens[1]) + 1):
-                events += b"id: %d\ndata: token\n\n" % n
-            await asyncio.sleep(int(tokens[1]) * STEP_MS / 1000.0)
+            n_prompt, n_out = map(int, fields.get(PREFIX + "token-count", "0,1").split(","))
+            n_read = n_prompt - self._use_cache(fields)
+            await asyncio.sleep(n_read / PREFILL_TOKENS_PER_MS / 1000.0)
+            if self.crash_part and self.crash_part in fields.get(PREFIX + "prefix-hash", ""):
+                self.crash()
+                return
+            events = b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, n_out + 1))
+            await asyncio.sleep(n_out * STEP_MS / 1000.0)
             await self._answer(writer, "200 OK", fields, events, is_stream=True)
         finally:
             self.n_running -= 1
 
+    def _use_cache(self, fields) -> int:
+        """Return how many tokens of the leading parts are cached; keep the shared parts."""
+        salt = fields.get(PREFIX + "cache-salt", "")
+        listed = [part.split(":") for part in fields.get(PREFIX + "prefix-hash", "").split(",")]
+        n_cached, is_cached = 0, True
+        for part_id, n_tokens in (part for part in listed[:-1] if len(part) == 2):
+            is_cached = is_cached and (salt, part_id) in self._cached
+            n_cached += int(n_tokens) if is_cached else 0
+            self._cached.add((salt, part_id))
+        return n_cached
+
     async def _answer(self, writer, status, fields, body, not_run=False, is_stream=False):
         lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
         lines.append(f"X-Buckthornrock-Request-Id: {fields.get(PREFIX + 'request-id', '')}")
