--- a/review/standins2/client.py
+++ b/review/standins2/client.py
@@ -25,10 +25,11 @@
     return head + b"x" * n_body_bytes
 
 
-async def open_to(address: str):
-    """Return reader and writer of a new connection."""
+async def open_to(address: str, own_ip: str | None = None):
+    """Return reader and writer of a new connection, which may come from an address of its own."""
     host, _, port = address.rpartition(":")
-    return await asyncio.open_connection(host, int(port), limit=131_072)
+    own = (own_ip, 0) if own_ip else None
+    return await asyncio.open_connection(host, int(port), limit=131_072, local_addr=own)
 
 
 async def read_status(reader) -> str:
