--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -154,8 +154,10 @@
 class Deployment:
     """Store, engines and machines of one run."""
 
-    def __init__(self, folder: Path, record: Record, site: Site, crash_part: str = "") -> None:
-        self.crash_part = crash_part
+    def __init__(
+        self, folder: Path, record: Record, site: Site, crash_part: str = "", hangs_s: float = 0.0
+    ) -> None:
+        self.crash_part, self.hangs_s = crash_part, hangs_s
         self.crashes_s: list[float] = []
         self._tasks: set[asyncio.Task] = set()
         self.folder, self.record, self.site = folder, record, site
@@ -191,7 +193,9 @@
     async def _start_engine(self, n: int, n_start: int) -> None:
         """Start an engine, which comes back some seconds after a crash under a new id."""
         name = f"engine-{n}-{n_start}"
-        engine = Engine(name, MODEL, self.site.n_slots, self.record.note, self.crash_part)
+        engine = Engine(
+            name, MODEL, self.site.n_slots, self.record.note, self.crash_part, self.hangs_s
+        )
         await engine.start(f"{network()}.{20 + n}")
         self.engines.append(engine)
         entry = json.dumps(engine.entry("jezyk", "a")).encode()
--- a/review/standins2/engine.py
+++ b/review/standins2/engine.py
@@ -13,7 +13,13 @@
     """One server of a model service; ``ran`` lists what it ran."""
 
     def __init__(
-        self, engine_id: str, model: str, n_slots: int, note, crash_part: str = ""
+        self,
+        engine_id: str,
+        model: str,
+        n_slots: int,
+        note,
+        crash_part: str = "",
+        hangs_s: float = 0.0,
     ) -> None:
         self.engine_id, self.model, self.n_slots, self.note = engine_id, model, n_slots, note
         self.born_ms = int(time.time() * 1000)
@@ -23,6 +29,9 @@
         self._cached: set[tuple[str, str]] = set()
         self.address = ""
         self.crash_part = crash_part
+        #: For how long a crashing process keeps its sockets and answers nothing before it ends.
+        self.hangs_s = hangs_s
+        self._is_hung = False
         #: Called when the engine crashed.
         self.on_crash = lambda: None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -31,13 +40,18 @@
         self._server = await asyncio.start_server(self._serve, ip, 0, backlog=512, limit=131_072)
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
 
-    def crash(self) -> None:
-        """End at once, as a process does that ends: listener and connections are closed."""
+    async def crash(self) -> None:
+        """End as a process does: listener and connections are closed, at once or after a while."""
+        if self._is_hung:
+            return
+        self._is_hung = True
+        self.note(f"engine {self.engine_id} begins to crash")
+        self.on_crash()
+        await asyncio.sleep(self.hangs_s)
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
-        self.note(f"engine {self.engine_id} crashes")
-        self.on_crash()
+        self.note(f"engine {self.engine_id} has ended")
 
     def entry(self, service: str, zone: str) -> dict:
         return {
@@ -91,29 +105,41 @@
         self.note(f"engine {self.engine_id} runs {request_id}")
         try:
             n_prompt, n_out = map(int, fields.get(PREFIX + "token-count", "0,1").split(","))
-            n_read = n_prompt - self._use_cache(fields)
+            parts = self._shared_parts(fields)
+            n_read = n_prompt - self._n_cached(parts)
             await asyncio.sleep(n_read / PREFILL_TOKENS_PER_MS / 1000.0)
+            self._cached.update(part for part, _ in parts)
             if self.crash_part and self.crash_part in fields.get(PREFIX + "prefix-hash", ""):
-                self.crash()
-                return
+                crashing = asyncio.ensure_future(self.crash())
+                await crashing
             events = b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, n_out + 1))
             await asyncio.sleep(n_out * STEP_MS / 1000.0)
             await self._answer(writer, "200 OK", fields, events, is_stream=True)
         finally:
             self.n_running -= 1
 
-    def _use_cache(self, fields) -> int:
-        """Return how many tokens of the leading parts are cached; keep the shared parts."""
+    def _shared_parts(self, fields) -> list[tuple[tuple[str, str], int]]:
+        """Return the key of each part but the last, with its tokens."""
         salt = fields.get(PREFIX + "cache-salt", "")
         listed = [part.split(":") for part in fields.get(PREFIX + "prefix-hash", "").split(",")]
-        n_cached, is_cached = 0, True
-        for part_id, n_tokens in (part for part in listed[:-1] if len(part) == 2):
-            is_cached = is_cached and (salt, part_id) in self._cached
-            n_cached += int(n_tokens) if is_cached else 0
-            self._cached.add((salt, part_id))
+        return [((salt, part[0]), int(part[1])) for part in listed[:-1] if len(part) == 2]
+
+    def _n_cached(self, parts) -> int:
+        """Return how many tokens of the leading parts are cached."""
+        n_cached = 0
+        for key, n_tokens in parts:
+            if key not in self._cached:
+                break
+            n_cached += n_tokens
         return n_cached
 
+    async def _wait_hung(self) -> None:
+        """Wait until the process has ended, if it hangs."""
+        while self._is_hung:
+            await asyncio.sleep(0.1)
+
     async def _answer(self, writer, status, fields, body, not_run=False, is_stream=False):
+        await self._wait_hung()
         lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
         lines.append(f"X-Buckthornrock-Request-Id: {fields.get(PREFIX + 'request-id', '')}")
         lines.append(f"X-Buckthornrock-Instance-Id: {self.engine_id}")
