--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import resource
 import time
 from pathlib import Path
 from typing import NamedTuple
@@ -169,6 +170,9 @@
 
     async def start(self) -> bool:
         """Start everything; return whether all machines got ready."""
+        # Crowds need more than the usual 1,024 descriptors.
+        most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
         for n in range(N_ENGINES):
             await self._start_engine(n, 1)
         self.store.write(f"op/version/{MODEL}", b'{"model":"%s","version":1}' % MODEL.encode())
