--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import resource
+import signal
 import time
 from pathlib import Path
 from typing import NamedTuple
@@ -10,13 +11,15 @@
 from tests.platform.store_server import StoreServer
 
 from .engine import Engine
-from .machine import Machine, network
+from .machine import Machine, free_ports, network
 
 HOST = "members.example"
 MODEL = "m"
 KEY = "key-of-a-member"
 N_ENGINES = 6
 N_MACHINES = 2
+#: The deploy file fixes it.
+METRICS_PORT = 9_464
 #: An entry is removed after three heartbeats of silence (1.2 s each).
 LAPSES_AFTER_S = 3.6
 BACK_AFTER_S = 5.0
@@ -170,6 +173,9 @@
 
     async def start(self) -> bool:
         """Start everything; return whether all machines got ready."""
+        # An early end stops what was started, too.
+        end = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
         # Crowds need more than the usual 1,024 descriptors.
         most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
@@ -179,6 +185,9 @@
         document = configuration(self.site, f"{network()}.3:17300")
         self.store.write("op/config", json.dumps(document).encode())
         ips = [f"{network()}.{10 + n}" for n in range(N_MACHINES)]
+        peer_port = free_ports(ips, METRICS_PORT)
+        if peer_port is None:
+            return False
         for n, ip in enumerate(ips):
             machine = Machine(
                 f"edge-{n}",
@@ -189,6 +198,7 @@
                 self.site.memory_mb,
                 self.record.note,
             )
+            machine.peer_port = peer_port
             machine.write_settings(ips)
             machine.start()
             self.machines.append(machine)
--- a/review/standins2/engine.py
+++ b/review/standins2/engine.py
@@ -99,6 +99,8 @@
         return True
 
     async def _run(self, writer, fields) -> None:
+        # A silent process runs nothing that comes now; its connections are closed at its end.
+        await self._wait_hung()
         self.n_running += 1
         request_id = fields.get(PREFIX + "request-id", "")
         self.ran.add(request_id)
